--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from tindyke import interface as i
-from tindyke.policy import Policy
+from zincstile import interface as i
+from zincstile.policy import Policy
 
 MS = 1_000_000
 SECOND = 1000 * MS
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -7,7 +7,7 @@
 
 
 def lines():
-    with open(os.path.join(ROOT, "tindyke", "policy.py"), encoding="utf-8") as text:
+    with open(os.path.join(ROOT, "zincstile", "policy.py"), encoding="utf-8") as text:
         return [line.rstrip("\n") for line in text]
 
 
@@ -17,7 +17,7 @@
 
 
 def test_docstring_names_the_interface_first():
-    assert "tindyke/interface.py" in lines()[0]
+    assert "zincstile/interface.py" in lines()[0]
 
 
 def test_no_clock_network_or_shared_randomness():
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,8 +1,8 @@
 from conftest import MS, SECOND, Gateway, backend, only
 
-from tindyke import interface as i
-from tindyke.policy import split
-from tindyke.state import Leaf
+from zincstile import interface as i
+from zincstile.policy import split
+from zincstile.state import Leaf
 
 
 def sends(actions):
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -1,6 +1,6 @@
 from conftest import MS, SECOND, Gateway, only
 
-from tindyke import interface as i
+from zincstile import interface as i
 
 PLAN = i.PlanSpec("p", rate=2.0, burst=12.0)
 
--- a/tests/test_wide.py
+++ b/tests/test_wide.py
@@ -2,7 +2,7 @@
 
 from conftest import MS, SECOND, Gateway, backend, only
 
-from tindyke import interface as i
+from zincstile import interface as i
 
 PLAN = i.PlanSpec("p", rate=2.0, burst=12.0)
 WIDE = 40
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from tindyke import interface as i
-from tindyke import wire
+from zincstile import interface as i
+from zincstile import wire
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 SETTINGS = {
@@ -42,7 +42,7 @@
 
 
 def run(data):
-    command = [sys.executable, "-m", "tindyke.adapter"]
+    command = [sys.executable, "-m", "zincstile.adapter"]
     return subprocess.run(command, input=data, capture_output=True, cwd=ROOT, timeout=60)
 
 
--- a/tindyke/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""tindyke: the decisions of an admission gateway for a service sold by plan."""
--- a/tindyke/adapter.py
+++ b/zincstile/adapter.py
@@ -50,7 +50,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except wire.WireError as err:
-        print(f"tindyke: {err}", file=sys.stderr)
+        print(f"zincstile: {err}", file=sys.stderr)
         return 2
     except BrokenPipeError:
         return 1
--- a/tindyke/policy.py
+++ b/zincstile/policy.py
@@ -1,4 +1,4 @@
-"""Every decision of the gateway. Settings, events and actions are in tindyke/interface.py: read that first.
+"""Every decision of the gateway. Settings, events and actions are in zincstile/interface.py: read that first.
 
 One request: quota (gossip; a wide set's relay is asked) -> ceiling and open cap -> budget draw (group tree)
 -> choice of backend -> attempt, timer, outcome, further attempt or final answer. See docs/design.md.
