--- /dev/null
+++ b/zincstile/__main__.py
@@ -0,0 +1,35 @@
+"""Starts one real gateway: `python -m zincstile`, told where it is by RELAY_CONFIG and its like."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import sys
+
+from .net.config import ConfigError, load
+from .net.gateway import Gateway
+
+
+async def _run(config) -> None:
+    gateway = Gateway(config, asyncio.get_running_loop())
+    gc.freeze()  # what stands by now stays
+    await gateway.run()
+
+
+def main() -> int:
+    try:
+        config = load(os.environ)
+    except ConfigError as err:
+        print(f"zincstile: {' '.join(str(err).split())}", file=sys.stderr)
+        return 2
+    try:
+        asyncio.run(_run(config))
+    except OSError as err:
+        print(f"zincstile: can't start: {err}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/zincstile/net/config.py
@@ -0,0 +1,80 @@
+"""config.json to typed settings."""
+
+from __future__ import annotations
+
+import json
+import os
+from dataclasses import dataclass
+from typing import Any
+
+from .. import wire
+from ..interface import Settings
+from .limits import Limits
+
+Address = tuple[str, int]
+
+
+class ConfigError(ValueError):
+    """The configuration can't be used; the text says why in one line."""
+
+
+@dataclass(slots=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    settings: Settings
+    zones: list[str]
+    kinds: list[str]
+    limits: Limits
+    known: dict[str, Any]
+    peer_listen: Address | None
+    peers: list[Address]
+
+
+def address(text: object) -> Address:
+    host, colon, port = str(text).rpartition(":")
+    if not colon or not host or not port.isdecimal() or not 0 <= int(port) < 65536:
+        raise ConfigError(f"not an address: {text!r}")
+    return host.strip("[]"), int(port)
+
+
+def load(env: dict[str, str] | os._Environ[str]) -> Config:
+    path = env.get("RELAY_CONFIG")
+    if not path:
+        raise ConfigError("RELAY_CONFIG is not set")
+    try:
+        with open(path, encoding="utf-8") as text:
+            table = json.load(text)
+    except OSError as err:
+        raise ConfigError(f"{path}: {err.strerror}") from None
+    except (ValueError, RecursionError):
+        raise ConfigError(f"{path}: not JSON") from None
+    try:
+        return _read(table, env)
+    except ConfigError:
+        raise
+    except (ValueError, TypeError, KeyError, AttributeError, OverflowError) as err:
+        said = f"key {err} is missing" if isinstance(err, KeyError) else str(err)
+        raise ConfigError(f"{path}: {said}") from None
+
+
+def _read(t: dict[str, Any], env: dict[str, str] | os._Environ[str]) -> Config:
+    settings = t["settings"]
+    decoded = wire.read_settings(json.dumps(settings).encode())
+    limits = settings["limits"]
+    sockets = int((t.get("limits") or {}).get("sockets", 1024))
+    peers = [address(p) for p in t.get("peers") or []]
+    return Config(
+        name=str(env.get("RELAY_NAME") or t["name"]),
+        listen=address(env.get("RELAY_LISTEN") or t["listen"]),
+        discovery=address(env.get("RELAY_DISCOVERY") or t["discovery"]),
+        seed=int(str(t["seed"]), 16), settings=decoded,
+        zones=[str(z) for z in settings.get("zones") or []],
+        kinds=[str(k) for k in settings.get("skus") or []],
+        limits=Limits.for_gateway(
+            sockets, int(limits.get("max_open", 20000)), int(limits.get("connect_timeout_ns", 250_000_000)),
+            int(limits.get("idle_close_ns", 30_000_000_000))),
+        known=t.get("known") or {},
+        peer_listen=address(t["peer_listen"]) if t.get("peer_listen") else None, peers=peers)
--- /dev/null
+++ b/zincstile/net/counters.py
@@ -0,0 +1,23 @@
+"""What the gateway took in, sent and answered; printed on SIGUSR1 and at the end."""
+
+from __future__ import annotations
+
+import json
+import resource
+
+
+class Counters:
+    __slots__ = ("clients", "requests", "pings", "malformed", "served", "denied", "failed", "left",
+                 "attempts", "ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot", "connects",
+                 "messages_in", "messages_out", "messages_bad", "tables", "watches", "faults", "turns")
+
+    def __init__(self) -> None:
+        for name in self.__slots__:
+            setattr(self, name, 0)
+
+    def line(self) -> str:
+        counts = {name: getattr(self, name) for name in self.__slots__}
+        used = resource.getrusage(resource.RUSAGE_SELF)
+        counts["cpu_ms"] = round((used.ru_utime + used.ru_stime) * 1000)
+        counts["memory_kb"] = used.ru_maxrss
+        return "counters " + json.dumps(counts)
--- /dev/null
+++ b/zincstile/net/gateway.py
@@ -0,0 +1,84 @@
+"""One gateway: its parts put together, its start, and its end."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+
+from .. import interface as i
+from ..policy import Policy
+from .backend import Backends
+from .config import Config
+from .counters import Counters
+from .frontend import FrontDoor
+from .log import Log
+from .peers import Peers
+from .server_table import ServerTable, TableReader
+from .turn import Turn
+
+
+class Gateway:
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+        self.config, self.loop = config, loop
+        self.log, self.counters = Log(config.name), Counters()
+        self.turn = Turn(loop, Policy(config.settings, config.seed), config.limits, self.counters, self.log)
+        buffer = memoryview(bytearray(config.limits.read_bytes))  # each read is taken out of it at once
+        self.door = FrontDoor(self.turn, config.settings, buffer)
+        self.backends = Backends(self.turn, config.settings, buffer)
+        self.peers = Peers(self.turn, config.peers)
+        self.table = ServerTable(self.turn, TableReader(config.zones, config.kinds), config.discovery,
+                                 self.backends.update, self._ready)
+        self.ended = loop.create_future()
+        self._stopping = False
+
+    async def run(self) -> None:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.stop)
+        self.loop.add_signal_handler(signal.SIGUSR1, self._count)
+        if self.config.peer_listen:
+            await self.peers.open(self.config.peer_listen)
+        self.turn.post(i.Started())
+        self.table.begin(self.config.known)
+        self.door.listen(self.config.listen)
+        if self.config.known.get("endpoints"):  # discovery may be down: then the known list must do
+            self.turn.deadlines.add(time.monotonic_ns() + self.config.limits.table_first_ns, self._ready)
+        self.turn.wake()
+        self.log.line("start listening on {}:{}".format(*self.config.listen))
+        await self.ended
+        self._count()
+        self.log.line("end")
+
+    def _ready(self, _: object = None) -> None:
+        if not self.door.ready:
+            self.door.ready = True
+            self.log.line(f"ready with {len(self.backends.servers)} backend servers, "
+                          f"{'told' if self.table.told else 'as known before'}")
+
+    def _count(self) -> None:
+        self.log.line(self.counters.line())
+
+    def stop(self) -> None:
+        """Serves on for as long as clients may still come, then answers what is left, then ends."""
+        if self._stopping:
+            return
+        self._stopping = True
+        self.log.line(f"stop with {len(self.turn.sessions)} sessions")
+        now, limits = time.monotonic_ns(), self.config.limits
+        self.turn.deadlines.add(now + limits.drain_ns, self._shut)
+        self.turn.deadlines.add(now + limits.drain_most_ns, self._end)
+        self.turn.wake()
+
+    def _shut(self, _: object) -> None:
+        self.door.shut()
+        self._end_if_empty(None)
+
+    def _end_if_empty(self, _: object) -> None:
+        if self.door.empty:
+            self._end(None)
+        else:
+            self.turn.deadlines.add(time.monotonic_ns() + self.config.limits.backoff_ns, self._end_if_empty)
+
+    def _end(self, _: object) -> None:
+        if not self.ended.done():
+            self.ended.set_result(None)
--- /dev/null
+++ b/zincstile/net/limits.py
@@ -0,0 +1,48 @@
+"""Every size, count and time that the network code keeps to: filled once at the start and handed down."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+MS = 1_000_000
+SECOND = 1000 * MS
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    # descriptors: what a process may hold, in three parts
+    frontend_connections: int = 580
+    backend_connections: int = 400
+    # sizes
+    read_bytes: int = 65536  # the one buffer that all connections read into
+    value_bytes: int = 65536
+    words: int = 16  # of a command
+    line_bytes: int = 1024  # a header line of RESP or HTTP
+    command_bytes: int = 131072
+    header_lines: int = 64
+    table_bytes: int = 4 << 20  # one line of the server table
+    datagram_bytes: int = 256
+    # counts
+    sessions: int = 20000
+    pipelined: int = 64  # unanswered requests on one connection before it is read no further
+    written_bytes: int = 262144  # unread answers on one connection before it is read no further
+    backlog: int = 512
+    accepts: int = 64  # connections taken in one turn
+    # times
+    connect_ns: int = 250 * MS
+    idle_ns: int = 20 * SECOND  # a resting backend connection is closed after this
+    margin_ns: int = 2 * MS  # a request's way here, taken off the time that its client waits
+    table_first_ns: int = 300 * MS  # how long the start waits for discovery before the known list must do
+    table_silence_ns: int = 7 * SECOND  # a watch says something every 2 s; one that does not is opened anew
+    backoff_ns: int = 50 * MS
+    backoff_most_ns: int = SECOND
+    drain_ns: int = 450 * MS  # after SIGTERM, how long connections go on being taken and kept
+    drain_most_ns: int = 3600 * MS  # after SIGTERM, when the process ends in any case
+
+    @classmethod
+    def for_gateway(cls, sockets: int, max_open: int, connect_ns: int, idle_close_ns: int) -> Limits:
+        """Splits the descriptors: a reserve for what is neither client nor backend, and three to two."""
+        reserve = max(16, sockets // 25)
+        rest = max(2, sockets - reserve)
+        return cls(frontend_connections=rest * 3 // 5, backend_connections=rest - rest * 3 // 5,
+                   sessions=max(1, max_open), connect_ns=connect_ns, idle_ns=idle_close_ns * 2 // 3)
--- /dev/null
+++ b/zincstile/net/peers.py
@@ -0,0 +1,49 @@
+"""Datagrams between gateways, in the module's own packing. A sender is known by its address."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from .. import interface as i
+from .. import wire
+from .config import Address
+from .turn import Turn
+
+
+class Peers(asyncio.DatagramProtocol):
+    def __init__(self, turn: Turn, addresses: list[Address]) -> None:
+        self.turn, self.addresses = turn, addresses
+        self.numbers = {a: k for k, a in enumerate(addresses)}
+        self.transport: asyncio.DatagramTransport | None = None
+        turn.carry_out[i.Tell] = self._tell
+
+    async def open(self, where: Address) -> None:
+        family = socket.AF_INET6 if ":" in where[0] else socket.AF_INET
+        await self.turn.loop.create_datagram_endpoint(lambda: self, local_addr=where, family=family)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]
+
+    def datagram_received(self, data: bytes, sender: Address) -> None:
+        number = self.numbers.get(sender[:2])
+        message = None
+        if number is not None and len(data) <= self.turn.limits.datagram_bytes:
+            message = wire.unpack_tell(number, data)
+        if message is None:
+            self.turn.counters.messages_bad += 1
+            return
+        self.turn.counters.messages_in += 1
+        self.turn.post(message)
+
+    def error_received(self, err: OSError) -> None:
+        pass  # a peer that is down: messages may be lost in any case
+
+    def _tell(self, _: int, action: i.Tell) -> None:
+        if self.transport is None or not 0 <= action.peer < len(self.addresses):
+            return
+        for message in wire.pack_tell(action):
+            if len(message) > self.turn.limits.datagram_bytes:
+                raise ValueError("a message over the limit")  # it would void the run: better none
+            self.turn.counters.messages_out += 1
+            self.transport.sendto(message, self.addresses[action.peer])
--- /dev/null
+++ b/zincstile/net/resp.py
@@ -0,0 +1,163 @@
+"""RESP2, no I/O: bounded parsers that take bytes in any pieces, and writers."""
+
+from __future__ import annotations
+
+from .limits import Limits
+
+CRLF = b"\r\n"
+
+
+class RespError(ValueError):
+    """The peer does not speak RESP, or goes past a limit."""
+
+
+class ErrorLine(bytes):
+    """The text of an error reply, without its sign."""
+
+
+Reply = bytes | None | ErrorLine | list["Reply"]
+
+
+class Parser:
+    """Whole messages out of the pieces fed; `error` tells why nothing after them can be understood."""
+
+    __slots__ = ("_kept", "error", "limits")
+
+    def __init__(self, limits: Limits) -> None:
+        self.limits, self._kept, self.error = limits, b"", ""
+
+    @property
+    def idle(self) -> bool:
+        """Nothing begun and not yet whole."""
+        return not self._kept
+
+    def feed(self, data: bytes) -> list:
+        buf, at, whole = (self._kept + data if self._kept else data), 0, []
+        try:
+            while at < len(buf):
+                found, end = self._message(buf, at)
+                if end < 0:
+                    if len(buf) - at > self.limits.command_bytes:
+                        raise RespError("too long")
+                    break
+                whole.append(found)
+                at = end
+        except RespError as err:
+            self.error = str(err)
+            at = len(buf)
+        self._kept = buf[at:] if at < len(buf) else b""
+        return whole
+
+    def _message(self, buf: bytes, at: int) -> tuple[object, int]:
+        raise NotImplementedError
+
+    def _number(self, buf: bytes, at: int, most: int) -> tuple[int, int]:
+        """The number after the sign at that place, and where the line ends; -1 when it is not whole yet."""
+        end = buf.find(CRLF, at + 1, at + self.limits.line_bytes)
+        if end < 0:
+            if len(buf) - at >= self.limits.line_bytes:
+                raise RespError("too long a line")
+            return 0, -1
+        text = buf[at + 1:end]
+        if not text.isdigit():
+            if text == b"-1":
+                return -1, end + 2
+            raise RespError("invalid length")
+        if len(text) > 9 or int(text) > most:
+            raise RespError("length past the limit")
+        return int(text), end + 2
+
+    def _bulk(self, buf: bytes, at: int) -> tuple[bytes | None, int]:
+        size, start = self._number(buf, at, self.limits.value_bytes)
+        if start < 0 or size < 0:
+            return None, start
+        end = start + size
+        if len(buf) < end + 2:
+            return None, -1
+        if buf[end:end + 2] != CRLF:
+            raise RespError("a value without its end")
+        return buf[start:end], end + 2
+
+
+class CommandParser(Parser):
+    """A client's side: arrays of bulk strings and nothing else."""
+
+    __slots__ = ()
+
+    def _message(self, buf: bytes, at: int) -> tuple[list[bytes], int]:
+        if buf[at] != 42:  # '*'
+            raise RespError("expected '*'")
+        count, at = self._number(buf, at, self.limits.words)
+        words: list[bytes] = []
+        if at < 0:
+            return words, -1
+        for _ in range(count):
+            if at >= len(buf):
+                return words, -1
+            if buf[at] != 36:  # '$'
+                raise RespError("expected '$'")
+            word, at = self._bulk(buf, at)
+            if at < 0:
+                return words, -1
+            if word is None:
+                raise RespError("invalid length")
+            words.append(word)
+        return words, at
+
+
+class ReplyParser(Parser):
+    """A backend server's side: one level of arrays is enough."""
+
+    __slots__ = ()
+
+    def _message(self, buf: bytes, at: int) -> tuple[Reply, int]:
+        return self._reply(buf, at, True)
+
+    def _reply(self, buf: bytes, at: int, nest: bool) -> tuple[Reply, int]:
+        sign = buf[at]
+        if sign == 36:  # '$'
+            return self._bulk(buf, at)
+        if sign == 42 and nest:  # '*'
+            count, at = self._number(buf, at, self.limits.words)
+            if at < 0 or count < 0:
+                return None, at
+            parts: list[Reply] = []
+            for _ in range(count):
+                if at >= len(buf):
+                    return None, -1
+                part, at = self._reply(buf, at, False)
+                if at < 0:
+                    return None, -1
+                parts.append(part)
+            return parts, at
+        if sign not in b"+-:":
+            raise RespError("unknown reply")
+        end = buf.find(CRLF, at, at + self.limits.line_bytes)
+        if end < 0:
+            if len(buf) - at >= self.limits.line_bytes:
+                raise RespError("too long a line")
+            return None, -1
+        text = buf[at + 1:end]
+        return (ErrorLine(text) if sign == 45 else text), end + 2
+
+
+def command(words: list[bytes]) -> bytes:
+    parts = [b"*%d\r\n" % len(words)]
+    for word in words:
+        parts.append(b"$%d\r\n%b\r\n" % (len(word), word))
+    return b"".join(parts)
+
+
+def bulk(value: bytes) -> bytes:
+    return b"$%d\r\n%b\r\n" % (len(value), value)
+
+
+def busy(ms: int) -> bytes:
+    return b"-BUSY %d\r\n" % ms if ms > 0 else b"-BUSY\r\n"
+
+
+def error(text: str) -> bytes:
+    return b"-ERR " + text.replace("\r", " ").replace("\n", " ").encode("ascii", "replace") + CRLF
+
+
+PONG = b"+PONG\r\n"
--- /dev/null
+++ b/zincstile/net/server_table.py
@@ -0,0 +1,160 @@
+"""Discovery's list of backend servers: the known one at the start, then a watch, opened again when lost."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import time
+from collections.abc import Callable
+from typing import Any
+
+from .. import interface as i
+from . import http
+from .config import Address, ConfigError, address
+from .turn import Turn
+
+MODES = {"Ready": i.Mode.READY, "Terminating": i.Mode.DRAINING, "Gone": i.Mode.GONE}
+Entries = list[tuple[i.Backend, Address]]
+
+
+def number(name: str) -> int:
+    """A number for a backend server's name, the same at every gateway and after restarts: peers use it."""
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=6).digest(), "big")
+
+
+class TableReader:
+    """Discovery's JSON to the module's entries."""
+
+    def __init__(self, zones: list[str], kinds: list[str]) -> None:
+        self.zones = {z: k for k, z in enumerate(zones)}
+        self.kinds = {t: k for k, t in enumerate(kinds)}
+        # Unix time is put on the module's clock by one difference for good: a start must stay the same number
+        # in every list, else the same process would look like a new one.
+        self.apart_ns = time.monotonic_ns() - time.time_ns()
+
+    def read(self, table: dict[str, Any]) -> tuple[int, bool, Entries]:
+        entries = [self._entry(e) for e in table["endpoints"]]
+        return int(table["index"]), bool(table["snapshot"]), entries
+
+    def _entry(self, e: dict[str, Any]) -> tuple[i.Backend, Address]:
+        since = int(e.get("since_ms") or 0)
+        started = since * 1_000_000 + self.apart_ns if since else 0
+        mode = MODES[e["status"]]
+        where = ("", 0) if mode is i.Mode.GONE and not e.get("address") else address(e["address"])
+        return i.Backend(number(str(e["name"])), self.zones.get(e.get("zone"), len(self.zones)),
+                         self.kinds.get(e.get("type"), len(self.kinds)), int(e.get("group") or 0), mode,
+                         float(e.get("weight") or 1.0), started), where
+
+
+class ServerTable:
+    """Hands every change to the pools and to the module. A lost watch leaves the last list standing."""
+
+    def __init__(self, turn: Turn, reader: TableReader, where: Address,
+                 update: Callable[[Entries, bool], None], first: Callable[[], None]) -> None:
+        self.turn, self.reader, self.where, self.update, self.first = turn, reader, where, update, first
+        self.told = False  # discovery has said something since the start
+        self.closed = False
+        self._tries = 0
+        self._task: asyncio.Task | None = None
+        turn.carry_out[i.Watch] = lambda now, _: None  # the watch is always open, or being opened
+
+    def begin(self, known: dict[str, Any]) -> None:
+        if known.get("endpoints"):
+            self._take(known, i.ListKind.CACHED)
+        else:
+            self.turn.post(i.BackendList(i.ListKind.CACHED, 0, []))
+        self.open(None)
+
+    def open(self, _: object) -> None:
+        if not self.closed:
+            self._task = self.turn.loop.create_task(self._connect())
+
+    async def _connect(self) -> None:
+        try:
+            async with asyncio.timeout(self.turn.limits.backoff_most_ns / 1e9):
+                await self.turn.loop.create_connection(lambda: Watch(self), *self.where)
+        except (OSError, TimeoutError) as err:
+            self.lost(f"can't connect: {err or type(err).__name__}")
+
+    def lost(self, why: str) -> None:
+        """Tries again, each time a little later; the whole list comes first on the new watch."""
+        if self.closed:
+            return
+        limits = self.turn.limits
+        self.turn.log.often("watch", f"lost: {why}; the last list stands")
+        wait = min(limits.backoff_most_ns, limits.backoff_ns << min(self._tries, 16))
+        self._tries += 1
+        self.turn.deadlines.add(time.monotonic_ns() + wait, self.open)
+        self.turn.wake()
+
+    def line(self, text: bytes) -> None:
+        table = json.loads(text)
+        self._take(table, i.ListKind.FULL if table["snapshot"] else i.ListKind.DELTA)
+        self._tries = 0
+        if not self.told:
+            self.told = True
+            self.first()
+
+    def _take(self, table: dict[str, Any], kind: i.ListKind) -> None:
+        version, _, entries = self.reader.read(table)
+        self.turn.counters.tables += 1
+        self.update(entries, kind is not i.ListKind.DELTA)
+        self.turn.post(i.BackendList(kind, version, [b for b, _ in entries]))
+
+
+class Watch(asyncio.BufferedProtocol):
+    """One open watch."""
+
+    __slots__ = ("table", "transport", "_buffer", "_lines", "_why", "_deadline", "_heard_ns")
+
+    def __init__(self, table: ServerTable) -> None:
+        self.table = table
+        self.transport: asyncio.Transport | None = None
+        self._buffer = memoryview(bytearray(table.turn.limits.read_bytes))
+        self._lines = http.LineReader(table.turn.limits)
+        self._why = "it ended"
+        self._heard_ns = time.monotonic_ns()
+        self._deadline = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]
+        self.table.turn.counters.watches += 1
+        host = f"{self.table.where[0]}:{self.table.where[1]}"
+        # from version 0: what was missed may be too old to be told as changes, the whole list never is
+        self.transport.write(http.get(host, "/v1/endpoints?stream=1&index=0"))
+        self._await(None)
+
+    def _await(self, _: object) -> None:
+        """Guards against an agent that died without a word: what is silent for long is opened anew."""
+        silence, now = self.table.turn.limits.table_silence_ns, time.monotonic_ns()
+        if now - self._heard_ns >= silence:
+            self._why = "silent"
+            self.transport.abort()
+            return
+        self._deadline = self.table.turn.deadlines.add(self._heard_ns + silence, self._await)
+        self.table.turn.wake()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._buffer
+
+    def buffer_updated(self, size: int) -> None:
+        self._heard_ns = time.monotonic_ns()
+        try:
+            for line in self._lines.feed(bytes(self._buffer[:size])):
+                if self._lines.status != 200:
+                    raise http.HttpError(f"status {self._lines.status}")
+                if line.strip():
+                    self.table.line(line)
+            if self._lines.done:
+                self.transport.close()
+        except (ValueError, KeyError, TypeError, AttributeError, ConfigError) as err:
+            self._why = f"{type(err).__name__}: {err}"
+            self.transport.abort()
+
+    def eof_received(self) -> None:
+        return None
+
+    def connection_lost(self, err: Exception | None) -> None:
+        self.table.turn.deadlines.drop(self._deadline)
+        self.table.lost(self._why)
--- /dev/null
+++ b/zincstile/net/turn.py
@@ -0,0 +1,167 @@
+"""The loop's turn: what is ready is gathered, handed to the module in one go, and its word is carried out."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from .. import interface as i
+from ..policy import Policy
+from .counters import Counters
+from .deadlines import Deadlines
+from .limits import Limits
+from .log import Log
+from .session import DENIED, FAILED, Answer, Kind, Session
+
+
+class Writer(Protocol):
+    """A connection that has something to write at the end of the turn."""
+
+    def flush(self) -> None: ...
+
+
+class Turn:
+    """Holds the sessions, the events of the next turn, and the one alarm for the deadlines."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, policy: Policy, limits: Limits, counters: Counters,
+                 log: Log) -> None:
+        self.loop, self.policy, self.limits, self.counters, self.log = loop, policy, limits, counters, log
+        self.deadlines = Deadlines()
+        self.sessions: dict[int, Session] = {}
+        self.carry_out: dict[type, Callable[[int, Any], None]] = {
+            i.SetTimer: self._set_timer, i.Refuse: self._deny, i.Fail: self._fail, i.Log: self._note}
+        self._events: list[i.Event] = []
+        self._writers: list[Writer] = []
+        self._scheduled = False
+        self._alarm: asyncio.TimerHandle | None = None
+        self._alarm_ns = 0
+        self._number = 0
+
+    # ---- what the connections use
+
+    def post(self, event: i.Event) -> None:
+        self._events.append(event)
+        self.wake()
+
+    def write_later(self, writer: Writer) -> None:
+        self._writers.append(writer)
+        self.wake()
+
+    def wake(self) -> None:
+        if not self._scheduled:
+            self._scheduled = True
+            self.loop.call_soon(self.run)
+
+    def next_id(self) -> int:
+        self._number += 1
+        return self._number
+
+    def take(self, session: Session, request: i.Request) -> None:
+        self.counters.requests += 1
+        self.sessions[session.id] = session
+        self.post(request)
+
+    def end(self, session: Session, answer: Answer) -> bool:
+        """The one final answer; False where it has had one."""
+        if session.over:
+            return False
+        session.over = True
+        self.sessions.pop(session.id, None)
+        if answer.kind is Kind.SERVED:
+            self.counters.served += 1
+        elif answer.kind is Kind.DENIED:
+            self.counters.denied += 1
+        else:
+            self.counters.failed += 1
+        session.frontend.answer(session, answer)
+        return True
+
+    def leave(self, session: Session) -> None:
+        """The client is gone: nothing is owed any more."""
+        if not session.over:
+            session.over = True
+            self.sessions.pop(session.id, None)
+            self.counters.left += 1
+            self.post(i.Gone(session.id))
+
+    # ---- the turn
+
+    def run(self) -> None:
+        now = time.monotonic_ns()
+        self.counters.turns += 1
+        for _, _, then, about in self.deadlines.sweep(now):
+            self._guarded(then, about)
+        events, self._events = self._events, []
+        for action in self._decide(now, events):
+            self._guarded(self.carry_out[type(action)], now, action)
+        self._scheduled = False
+        writers, self._writers = self._writers, []
+        for writer in writers:
+            self._guarded(writer.flush)
+        if self._events or self._writers:
+            self.wake()
+        self._set_alarm()
+
+    def _decide(self, now: int, events: list[i.Event]) -> list[i.Action]:
+        actions: list[i.Action] = []
+        for event in events:
+            try:
+                actions += self.policy.handle(now, event)
+            except Exception as err:
+                self._fault(err, event)
+        return actions
+
+    def _guarded(self, do: Callable[..., None], *args: Any) -> None:
+        """Guards the process against a fault in one session's handling: that session fails, no other."""
+        try:
+            do(*args)
+        except Exception as err:
+            self._fault(err, args[-1] if args else None)
+
+    def _fault(self, err: Exception, about: object) -> None:
+        self.counters.faults += 1
+        at = err.__traceback__
+        while at is not None and at.tb_next is not None:
+            at = at.tb_next
+        where = f"{at.tb_frame.f_code.co_filename.rpartition('/')[2]}:{at.tb_lineno}" if at else "?"
+        self.log.often("fault", f"{type(err).__name__}: {err} at {where} in {type(about).__name__}")
+        number = getattr(about, "request", getattr(about, "id", None))
+        session = self.sessions.get(number) if isinstance(number, int) else None
+        if session is not None and self.end(session, FAILED):
+            self.post(i.Gone(session.id))
+
+    def _set_alarm(self) -> None:
+        at = self.deadlines.next_ns
+        if at is None or (self._alarm is not None and self._alarm_ns <= at):
+            return
+        if self._alarm is not None:
+            self._alarm.cancel()
+        self._alarm, self._alarm_ns = self.loop.call_at(at / 1e9, self._ring), at
+
+    def _ring(self) -> None:
+        self._alarm = None
+        self.wake()
+
+    # ---- actions that need no connection
+
+    def _set_timer(self, _: int, action: i.SetTimer) -> None:
+        self.deadlines.add(action.at_ns, self._timer, action.token)
+
+    def _timer(self, token: int) -> None:
+        self._events.append(i.Timer(token))
+
+    def _deny(self, _: int, action: i.Refuse) -> None:
+        session = self.sessions.get(action.request)
+        if session is not None:
+            ms = -(-action.retry_in_ns // 1_000_000)
+            self.end(session, Answer(Kind.DENIED, retry_ms=ms) if ms else DENIED)
+
+    def _fail(self, _: int, action: i.Fail) -> None:
+        session = self.sessions.get(action.request)
+        if session is not None:
+            self.end(session, FAILED)
+
+    def _note(self, _: int, action: i.Log) -> None:
+        self.log.often("module", action.text)
