Guard all requests with one timer and shrink what a datagram sets aside

To blame: on_request (one timer a request, nearly all of which fire for ended ones), Memory.handle, _choose, and asyncio's default max_size. Ruled out: parsing, which is under a tenth.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -123,3 +123,16 @@
             taken += 2.0
             g.outcome(rid, 0, sends(acts)[0], i.Result.OK, after=0, latency=10 * MS)
     assert 0 < taken <= 20.0 / 2 * 3.0 + 4.0 / 2
+
+
+def test_one_timer_guards_all_requests():
+    g = Gateway()
+    timers = [t for _ in range(20) for t in only(g.ask(cls=1, after=10 * MS)[1], i.SetTimer)]
+    guards = [t for t in timers if t.at_ns >= g.now + 3 * SECOND]
+    assert len(guards) == 1  # not one a request: most of them end long before
+    ended, due = 0, guards[0]
+    while ended < 20:
+        acts = g.feed(i.Timer(due.token), after=due.at_ns - g.now)
+        ended += len(finals(acts))
+        due = next((t for t in only(acts, i.SetTimer)), None)
+        assert finals(acts) and (due is not None or ended == 20)
--- a/zincstile/net/peers.py
+++ b/zincstile/net/peers.py
@@ -24,6 +24,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
+        # asyncio sets this much aside for each datagram, 256 KiB unless told: most of what one costs
+        transport.max_size = 2 * self.turn.limits.datagram_bytes  # type: ignore[attr-defined]
 
     def datagram_received(self, data: bytes, sender: Address) -> None:
         number = self.numbers.get(sender[:2])
--- a/zincstile/policy.py
+++ b/zincstile/policy.py
@@ -118,9 +118,10 @@
             self._flush(now)
         elif live and kind == ASKED and live.leaf is None:
             self._seek(now, live)
-        elif live and kind == GUARD and not live.stream and now >= live.ask.give_up_ns:
-            self.acts.append(i.Fail(number))
-            self.close(live, self.set.cancel)
+        elif kind == GUARD:
+            for live in self.overdue(now, GUARD):
+                self.acts.append(i.Fail(live.ask.id))
+                self.close(live, self.set.cancel)
 
     def _tick(self, now: int) -> None:
         span, self.tick_ns = max(1, now - self.tick_ns) / SECOND, now
@@ -368,7 +369,7 @@
         if not spec.late_worth and not spec.stream:  # what can earn nothing more is worth no place in a queue
             until_ns = min(until_ns, now + spec.aim_ns)
         live = self.live[ask.id] = Live(ask, spec, self.set.plans[ask.plan], now, until_ns, c)
-        self.timer(ask.give_up_ns, ask.id * KINDS + GUARD)
+        self.guard(ask.give_up_ns, ask.id, GUARD)
         self._seek(now, live)
 
     def _decide(self, now: int, live: Live, inside: bool, counted: bool = False) -> None:
@@ -413,9 +414,10 @@
             due = self._cold(now, s) and s.cold_store >= ask.units * self.rng.random()
             if due and self._may(live, s) and self._doubted(s, ask.cls, ask.plan) < FAULTY:
                 return s
-        few = len(self.warm) <= 2 * CANDIDATES
+        pair = self.set.pair(ask.cls, ask.plan)
+        few, plain = len(self.warm) <= 2 * CANDIDATES, -min(self.usual[ask.cls], self.usual[pair])
         for s in self.warm if few else self.rng.sample(self.warm, CANDIDATES):
-            doubt = self._doubted(s, ask.cls, ask.plan)
+            doubt = self._doubted(s, ask.cls, ask.plan) if s.doubt else plain
             score = (len(s.out) + 1) * s.slowness * (1 + 2 * max(0.0, doubt - NOTABLE))
             score *= 1 + JITTER * self.rng.random() + (NEAR if s.info.zone != self.set.zone else 0.0)
             score += DISTRUST * (doubt if doubt >= FAULTY else 0)
--- a/zincstile/state.py
+++ b/zincstile/state.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import heapq
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 from . import interface as i
 from .interface import Backend, ClassSpec, PlanSpec, Request
@@ -190,7 +193,10 @@
         self.warm: list[Server] = []  # of the ready ones
         self.cold: list[Server] = []
         self.named: dict[int, Server] = {}  # by the hash that peers use
+        self.handlers: dict[type, Callable[[int, Any], None] | None] = {}  # found once for each kind of event
         self.live: dict[int, Live] = {}
+        self.guards: list[tuple[int, int]] = []  # heap of deadlines and requests, the ended ones too
+        self.guard_ns = math.inf  # when the next of them is looked at
         self.asked: dict[int, Live] = {}  # by the mark of the ask
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.customers: dict[int, Customer] = {}
@@ -214,9 +220,11 @@
     def handle(self, now: int, event: i.Event) -> list[i.Action]:
         """Hands the event to the method that is named for its kind; unknown kinds are ignored."""
         self.acts = []
-        kind = type(event).__name__
-        name = "on" + "".join("_" + c.lower() if c.isupper() else c for c in kind)
-        handler = getattr(self, name, None)
+        kind = type(event)
+        if kind not in self.handlers:
+            name = "on" + "".join("_" + c.lower() if c.isupper() else c for c in kind.__name__)
+            self.handlers[kind] = getattr(self, name, None)
+        handler = self.handlers[kind]
         if handler:
             handler(now, event)
         return self.acts
@@ -289,6 +297,28 @@
     def timer(self, at: int, token: int) -> None:
         self.acts.append(i.SetTimer(at, token))
 
+    def guard(self, at: int, request: int, token: int) -> None:
+        """Guards against a timer for each request: most end long before their deadline, so that one timer for
+        the first deadline that may still matter does for all."""
+        heapq.heappush(self.guards, (at, request))
+        if at < self.guard_ns:
+            self.guard_ns = at
+            self.timer(at, token)
+
+    def overdue(self, now: int, token: int) -> list[Live]:
+        """The requests whose deadline has come; asks for the next timer where the last one is spent."""
+        due = []
+        while self.guards and (self.guards[0][0] <= now or self.guards[0][1] not in self.live):
+            live = self.live.get(heapq.heappop(self.guards)[1])
+            if live and not live.stream:
+                due.append(live)
+        if self.guard_ns <= now:
+            self.guard_ns = math.inf
+            if self.guards:
+                self.guard_ns = self.guards[0][0]
+                self.timer(self.guards[0][0], token)
+        return due
+
     def close(self, live: Live, cancel: bool) -> None:
         """The request is over; cancel: so are the attempts that are still out."""
         del self.live[live.ask.id]
