Test the program over sockets in a small scenario language

Seen: nothing tested the network code. Writing them showed two faults: a client that had only just connected counted as resting and was closed to make room (frontend._make_room), and a listener that had paused was only resumed when a client left.

--- /dev/null
+++ b/tests/scenario.py
@@ -0,0 +1,275 @@
+"""A small language for scenarios played against the real program over sockets: send, expect, close, wait.
+
+Who takes part is named in the second word of a line:
+
+    c1, c2 ...  clients; each connects when it is first named
+    a1, a2 ...  connections that the gateway opened to backend server a (b, c ...), in their order
+    d1, d2 ...  watches that the gateway opened at discovery
+    p1          the other gateway
+    gw          the program itself
+
+    send c1 look 1 d=900        a call of class look under id 1, with other values than the usual ones
+    send c1 raw PING\\r\\n        bytes as they stand; `send c1 slowly look 1` sends them one by one
+    send a1 ok hello            an answer with that value; `send a1 -BUSY` any other line
+    send d1 full a=Ready        the whole server table; `change`: what changed in it; `say`: a line as it is
+    send p1 raw hello           a datagram to the gateway
+    send gw TERM                a signal
+    expect c1 ok hello          the next answer; a line may hold * and ?
+    expect c1 end               the connection is closed
+    expect a1 look 1            the next command there is that call, its time no longer than the client's
+    expect gw ready*            a log line like it comes; `expect gw exit 0`
+    expect p1 message           a datagram comes in
+    close c1                    `close a` closes the listening socket of a
+    wait gw left=1              until the counters say so
+"""
+
+from __future__ import annotations
+
+import contextlib
+import fnmatch
+import json
+import os
+import queue
+import re
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+from test_wire import SETTINGS
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+PATIENCE = 20  # seconds until something expected counts as missing; nothing waits for it when all is well
+PACE = 0.01  # seconds between two looks at the counters
+SECOND = 10**9
+CUSTOMER = "00000000b4d65521"
+EFFECTS = {"look": "free", "book": "single_shot", "put": "guarded"}
+
+
+def settings():
+    classes = [{"name": name, "aim_ns": 4 * SECOND, "deadline_ns": 30 * SECOND, "effect": effect, "gain": 1.0,
+                "late_worth": 0.2, "group": "all", "window_ns": 6 * SECOND}
+               for name, effect in EFFECTS.items()]
+    plan = SETTINGS["plans"][0] | {"name": "team", "refill": 1000.0, "burst": 2000.0}
+    small = plan | {"name": "small", "refill": 0.001, "burst": 1.0}
+    return SETTINGS | {"balancers": 2, "ordinal": 0, "classes": classes, "plans": [plan, small],
+                       "zones": ["z"], "skus": ["k"]}
+
+
+def merge(table, over):
+    return {k: merge(table[k], v) if isinstance(v, dict) and isinstance(table.get(k), dict) else v
+            for k, v in (table | over).items()}
+
+
+def listener():
+    sock = socket.create_server(("127.0.0.1", 0))
+    sock.settimeout(PATIENCE)
+    return sock
+
+
+def where(sock):
+    return "{}:{}".format(*sock.getsockname()[:2])
+
+
+def encode(words):
+    words = [w.encode() if isinstance(w, str) else w for w in words]
+    return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%b\r\n" % (len(w), w) for w in words)
+
+
+def call(name, number, *over, body=None):
+    fields = {"c": name, "t": "team", "d": "20000", "units": "1", "spread": "1", "first": "0"}
+    if EFFECTS.get(name) == "guarded":
+        fields["k"] = "5c0f6e1a2b3d4c59"
+    for part in over:
+        key, _, value = part.partition("=")
+        if key == "body":
+            body = value.encode() if not value.isdigit() else b"x" * int(value)
+        else:
+            fields[key] = value
+    verb = "CALL.GET" if EFFECTS.get(name, "free") == "free" else "CALL.POST"
+    words = [verb, CUSTOMER, f"{int(number):016x}", ",".join(f"{k}={v}" for k, v in fields.items() if v)]
+    return words + ([body] if body else [])
+
+
+class Line:
+    """One side of a TCP connection, read in whole RESP messages."""
+
+    def __init__(self, sock):
+        self.sock, self.file = sock, sock.makefile("rb")
+        sock.settimeout(PATIENCE)
+
+    def message(self):
+        line = self.file.readline()
+        if line[:1] == b"$" and line != b"$-1\r\n":
+            return self.file.read(int(line[1:]) + 2)[:-2]
+        if line[:1] == b"*":
+            return [self.message() for _ in range(int(line[1:]))]
+        return line.decode().rstrip("\r\n")
+
+    def close(self):
+        self.file.close()
+        self.sock.close()
+
+
+class World:
+    """The program and all that it speaks with, each on a port of its own that the system chose."""
+
+    def __init__(self, folder, config=None):
+        self.listeners = {name: listener() for name in "abcd"}
+        self.lines = {}
+        self.peer = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.peer.bind(("127.0.0.1", 0))
+        self.peer.settimeout(PATIENCE)
+        self.asked, self.index, self.said, self.log = {}, 0, [], queue.Queue()
+        table = {"name": "n0", "listen": "127.0.0.1:0", "discovery": where(self.listeners["d"]),
+                 "seed": "8c1f", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                 "peer_listen": "127.0.0.1:0", "peers": ["127.0.0.1:1", where(self.peer)],
+                 "settings": settings(), "known": {"index": 0, "snapshot": True, "endpoints": []}}
+        for name in (config or {}).pop("known_servers", ""):
+            table["known"]["endpoints"].append(self.entry(f"{name}=Ready"))
+        path = folder / "config.json"
+        path.write_text(json.dumps(merge(table, config or {})))
+        env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
+        self.program = subprocess.Popen([sys.executable, "-m", "zincstile"], cwd=ROOT, stderr=subprocess.PIPE,
+                                        env=env | {"RELAY_CONFIG": str(path)}, text=True)
+        threading.Thread(target=self._read_log, daemon=True).start()
+        self.address, self.peer_address = (
+            (host, int(port)) for host, port in
+            re.findall(r"(127\S+):(\d+)", self.logged("start listening on *")))
+
+    def _read_log(self):
+        for line in self.program.stderr:
+            self.log.put(line.rstrip("\n").split(" ", 2)[-1])
+        self.log.put(None)
+
+    def logged(self, pattern):
+        end = time.monotonic() + PATIENCE
+        while (line := self.log.get(timeout=max(0.01, end - time.monotonic()))) is not None:
+            self.said = [*self.said[-9:], line]
+            if fnmatch.fnmatchcase(line, pattern):
+                return line
+        raise AssertionError(f"no log line like {pattern!r}: {self.said}")
+
+    def line(self, name):
+        while name not in self.lines:
+            if name[0] == "c":
+                self.lines[name] = Line(socket.create_connection(self.address, PATIENCE))
+                continue
+            number = sum(n[0] == name[0] for n in self.lines) + 1
+            self.lines[f"{name[0]}{number}"] = Line(self.listeners[name[0]].accept()[0])
+        return self.lines[name]
+
+    def fill(self, name):
+        """Takes a place in the line of a listener that accepts none."""
+        sock = socket.socket()
+        sock.setblocking(False)
+        sock.connect_ex(self.listeners[name].getsockname())
+        return sock
+
+    def entry(self, text):
+        name, _, status = text.partition("=")
+        status, _, since = status.partition("@")
+        return {"name": f"s-{name}", "address": where(self.listeners[name]), "zone": "z", "type": "k",
+                "group": 1, "status": status, "weight": 1.0, "since_ms": int(since or 0)}
+
+    def play(self, text):
+        rows = [row for row in text.splitlines() if row.strip()]
+        for number, row in enumerate(rows, 1):
+            verb, who, *rest = row.split()
+            try:
+                getattr(self, verb)(who, *rest)
+            except Exception as err:
+                raise AssertionError(f"line {number}: {row.strip()}: {err!r}; log: {self.said}") from err
+
+    def send(self, who, what, *rest):
+        if who == "gw":
+            self.program.send_signal(getattr(signal, f"SIG{what}"))
+        elif who[0] == "p":
+            self.peer.sendto(" ".join(rest).encode(), self.peer_address)
+        elif who[0] == "d":
+            self._tell(self.line(who), what, rest)
+        else:
+            sock, slowly = self.line(who).sock, what == "slowly"
+            data = self._bytes(what, rest) if not slowly else self._bytes(rest[0], rest[1:])
+            for part in [data[k:k + 1] for k in range(len(data))] if slowly else [data]:
+                sock.sendall(part)
+
+    def _bytes(self, what, rest):
+        if what == "raw":
+            return " ".join(rest).encode().decode("unicode_escape").encode("latin-1")
+        if what == "ok":
+            value = rest[0].encode() if not rest[0].isdigit() else b"v" * int(rest[0])
+            return b"*3\r\n$%d\r\n%b\r\n$-1\r\n$14\r\ninflight=7,q=2\r\n" % (len(value), value)
+        if what[0] in "-+*$":
+            return " ".join([what, *rest]).encode() + b"\r\n"
+        self.asked[rest[0]] = call(what, *rest)
+        return encode(self.asked[rest[0]])
+
+    def _tell(self, line, what, rest):
+        if not hasattr(line, "head"):
+            line.head = [line.file.readline() for _ in range(3)]
+            assert line.head[0].startswith(b"GET /v1/endpoints?stream=1&index=")
+            line.sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self.index += 1
+        body = " ".join(rest) if what == "say" else json.dumps(
+            {"index": self.index, "snapshot": what == "full", "endpoints": [self.entry(e) for e in rest]})
+        data = body.encode() + b"\n"
+        line.sock.sendall(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def expect(self, who, what, *rest):
+        if who == "gw":
+            if what == "exit":
+                assert self.program.wait(PATIENCE) == int(rest[0])
+            else:
+                self.logged(" ".join([what, *rest]))
+        elif who[0] == "p":
+            assert len(self.peer.recv(4096)) <= 256
+        elif what == "end":
+            with contextlib.suppress(ConnectionError):
+                assert self.line(who).file.read() == b""
+        elif what in EFFECTS:
+            found = self.line(who).message()
+            number = str(int(found[2], 16)) if rest[0] == "*" else rest[0]
+            self._expect_call(found, self.asked[number])
+        else:
+            found = self.line(who).message()
+            if what == "ok":
+                value = rest[0].encode() if not rest[0].isdigit() else b"v" * int(rest[0])
+                assert found == value, found[:99]
+            else:
+                pattern = " ".join([what, *rest])
+                assert isinstance(found, str) and fnmatch.fnmatchcase(found, pattern), found
+
+    @staticmethod
+    def _expect_call(found, asked):
+        def wait(words):
+            return int(re.search(r"(?:^|,)d=(\d+)", words[3]).group(1))
+        found, asked = [[w if isinstance(w, str) else w.decode() for w in words] for words in (found, asked)]
+        assert 0 < wait(found) <= wait(asked)
+        assert re.sub(r"d=\d+", "d=", found[3]) == re.sub(r"d=\d+", "d=", asked[3])
+        assert found[:3] + found[4:] == asked[:3] + asked[4:]
+
+    def close(self, who):
+        if len(who) == 1:
+            self.listeners.pop(who).close()
+        else:
+            self.line(who).close()
+
+    def wait(self, who, until):
+        name, _, value = until.partition("=")
+        end = time.monotonic() + PATIENCE
+        while (found := self.counters()[name]) != int(value):
+            assert time.monotonic() < end, f"{name} is {found}"
+            threading.Event().wait(PACE)
+
+    def counters(self):
+        self.program.send_signal(signal.SIGUSR1)
+        return json.loads(self.logged("counters *").split(" ", 1)[1])
+
+    def end(self):
+        self.program.kill()
+        self.program.wait()
+        for thing in [*self.lines.values(), *self.listeners.values(), self.peer]:
+            thing.close()
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,259 @@
+"""The real program, spoken to over sockets; tests/scenario.py tells what the lines mean."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+
+import pytest
+from scenario import ROOT, World, settings
+
+PING = r"raw *1\r\n$4\r\nPING\r\n"
+READY = "send d1 full a=Ready\nexpect gw ready*told\n"
+SERVES = "send c9 look 99\nexpect a1 look 99\nsend a1 ok still\nexpect c9 ok still\n"
+SCENARIOS = {
+    "a call goes on unchanged and its value comes back": READY + """
+        send c1 look 1
+        expect a1 look 1
+        send a1 ok hello
+        expect c1 ok hello
+        send c1 book 2 body=BODY
+        expect a1 book 2
+        send a1 ok done
+        expect c1 ok done
+        wait gw connects=1""",
+    "answers come in the order of the commands": READY + f"""
+        send c1 look 1
+        send c1 {PING}
+        send c1 look 2
+        expect a1 look 1
+        expect a2 look 2
+        send a2 ok second
+        send a1 ok first
+        expect c1 ok first
+        expect c1 +PONG
+        expect c1 ok second""",
+    "pieces and the largest values": READY + """
+        send c1 slowly look 1
+        expect a1 look 1
+        send a1 slowly ok hello
+        expect c1 ok hello
+        send c1 book 2 body=65536
+        expect a1 book 2
+        send a1 ok 65536
+        expect c1 ok 65536""",
+    "a value past the limit ends the client's connection": READY + """
+        send c1 book 2 body=65537
+        expect c1 -ERR*limit*
+        expect c1 end""" + "\n" + SERVES,
+    "odd commands are answered and go no further": READY + "".join(f"""
+        send c1 {odd}
+        expect c1 -ERR*""" for odd in (
+            r"raw *1\r\n$3\r\nGET\r\n", r"raw *2\r\n$8\r\nCALL.GET\r\n$1\r\n1\r\n", "look 1 c=none",
+            "look 1 t=x", "look 1 d=soon", "look 1 d=0", "look 1 d=", "look 1 units=nan", "look 1 units=-1",
+            "look 1 spread=0",
+            "look 1 body=B", "look 1 c=book", "put 1 k=", "look 1 c=look,x", r"raw *1\r\n$0\r\n\r\n",
+            r"raw *5\r\n$9\r\nCALL.POST\r\n$1\r\nz\r\n$1\r\n1\r\n$3\r\nc=a\r\n$0\r\n\r\n")) + "\n" + SERVES,
+    "no client is ready for PING before the table": f"""
+        send c1 {PING}
+        expect c1 -ERR not ready
+        send c1 look 1
+        expect c1 -BUSY
+        {READY}
+        send c1 {PING}
+        expect c1 +PONG""",
+    "a client that leaves is owed nothing": READY + """
+        send c1 look 1
+        expect a1 look 1
+        close c1
+        wait gw left=1
+        expect a1 end
+        send c2 raw *4\\r\\n$8\\r\\nCALL
+        close c2
+        send c3 look 2
+        expect a2 look 2
+        send a2 ok hello
+        expect c3 ok hello""",
+    "an unsafe call that may have run fails": READY + """
+        send c1 book 1
+        expect a1 book 1
+        close a1
+        expect c1 -ERR failed
+        wait gw reset=1""",
+    "an unsafe call that never ran is refused": READY + """
+        send c1 book 1
+        expect a1 book 1
+        send a1 -BUSY inflight=7,queue=2
+        expect c1 -BUSY*
+        wait gw full=1""",
+    "a keyed call that failed is not refused": READY + """
+        send c1 put 1
+        expect a1 put 1
+        send a1 -ERR failed inflight=7,queue=2
+        expect c1 -ERR failed""",
+    "a safe call goes to another backend server": READY + """
+        send c1 look 1
+        expect a1 look 1
+        send d1 change b=Ready
+        wait gw tables=2
+        close a1
+        expect b1 look 1
+        send b1 ok hello
+        expect c1 ok hello""",
+    "nobody listens there": READY + """
+        close a
+        send c1 book 1
+        expect c1 -BUSY*
+        wait gw connect_failed=1""",
+    "an answer that is none": READY + """
+        send c1 look 1
+        expect a1 look 1
+        send a1 raw !what\\r\\n
+        expect c1 -BUSY*
+        send c1 book 2
+        expect a2 book 2
+        send a2 raw *3\\r\\n$-1\\r\\n$-1\\r\\n$-1\\r\\n
+        expect c1 -ERR failed
+        send c1 look 3
+        expect a2 look 3
+        send a2 raw $5\\r\\nhello\\r\\n
+        expect c1 -BUSY*""",
+    "beyond the quota": READY + """
+        send c1 look 1 t=small
+        send c1 look 2 t=small
+        expect a1 look 1
+        send a1 ok hello
+        expect c1 ok hello
+        expect c1 -BUSY*""",
+    "the time is up": READY + """
+        send c1 book 1 d=200
+        expect a1 book 1
+        expect c1 -ERR failed
+        expect a1 end""",
+    "a draining backend server gets nothing new": READY + """
+        send c1 look 1
+        expect a1 look 1
+        send c2 look 2
+        expect a2 look 2
+        send a2 ok two
+        expect c2 ok two
+        send d1 change a=Terminating b=Ready
+        expect a2 end
+        send c2 look 3
+        expect b1 look 3
+        send a1 ok one
+        expect c1 ok one
+        expect a1 end""",
+    "a backend server that started anew gets new connections": READY + """
+        send c1 look 1
+        expect a1 look 1
+        send a1 ok one
+        expect c1 ok one
+        send d1 change a=Ready@1000
+        expect a1 end
+        send c1 look 2
+        expect a2 look 2""",
+    "a lost watch leaves the last list standing": READY + """
+        close d1
+        send c1 look 1
+        expect a1 look 1
+        send a1 ok one
+        expect c1 ok one
+        send d2 full b=Ready
+        expect a1 end
+        send d2 say {"index":"what"}
+        send d3 full b=Ready
+        send c1 look 2
+        expect b1 look 2""",
+    "a stop answers all that is taken": READY + """
+        send c1 look 1
+        expect a1 look 1
+        send gw TERM
+        expect gw stop with 1 sessions
+        send c1 look 2
+        send c2 look 3
+        expect a2 look *
+        expect a3 look *
+        send a1 ok one
+        send a2 ok both
+        send a3 ok both
+        expect c1 ok one
+        expect c1 ok both
+        expect c2 ok both
+        expect c1 end
+        expect gw counters*"served": 3*
+        expect gw exit 0""",
+    "datagrams of peers and others": READY + """
+        expect p1 message
+        send p1 raw hello
+        wait gw messages_bad=1""" + "\n" + SERVES,
+}
+
+
+def play(tmp_path, text, **config):
+    world = World(tmp_path, config)
+    try:
+        world.play(text)
+        assert world.program.poll() in (None, 0)
+        if world.program.poll() is None:
+            assert world.counters()["faults"] == 0
+    finally:
+        world.end()
+
+
+@pytest.mark.parametrize("name", SCENARIOS)
+def test_scenario(name, tmp_path):
+    play(tmp_path, SCENARIOS[name])
+
+
+def test_the_known_list_serves_while_discovery_is_silent(tmp_path):
+    play(tmp_path, "expect gw ready*as known before\n" + SERVES, known_servers="a")
+
+
+def test_what_waits_for_a_connection_is_withdrawn_from_a_draining_backend_server(tmp_path):
+    """The listener's line is full, so that connections never come up; the limit for that is far off."""
+    limits = {"limits": {"connect_timeout_ns": 10**12}}
+    world = World(tmp_path, {"settings": limits})
+    try:
+        world.listeners["a"].listen(0)
+        fill = [world.fill("a") for _ in range(3)]
+        world.play(READY + """
+            send c1 book 1
+            wait gw connects=1
+            send d1 change a=Terminating
+            expect c1 -BUSY*
+            wait gw attempts=0""")
+        assert fill
+    finally:
+        world.end()
+
+
+def test_resting_clients_make_room_for_new_ones(tmp_path):
+    clients = "".join(f"send c{k} {PING}\nexpect c{k} +PONG\n" for k in range(10, 60))
+    play(tmp_path, READY + clients + "expect c10 end\n" + SERVES, limits={"sockets": 60})
+
+
+def test_more_clients_than_descriptors_wait_their_turn(tmp_path):
+    """26 of 60 descriptors are for clients: with a command begun on each, the others have to wait."""
+    asks = "".join(f"send c{k} raw *4\\r\\n\n" for k in range(10, 40))
+    play(tmp_path, READY + asks + "wait gw clients=26\nclose c10\nclose c11\nwait gw clients=28\n",
+         limits={"sockets": 60})
+
+
+@pytest.mark.parametrize(("broken", "said"), [
+    ({"settings": None}, "settings"), ({"listen": "nowhere"}, "nowhere"), ({"seed": "xyz"}, "xyz"),
+    ({"settings": {"classes": []}}, "key"), ("{", "not JSON"), (None, "No such file"), ([], "")])
+def test_a_bad_configuration_is_one_line_and_exit_2(tmp_path, broken, said):
+    path = tmp_path / "config.json"
+    table = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
+             "settings": settings()}
+    if broken is not None:
+        path.write_text(json.dumps(table | broken if isinstance(broken, dict) else broken)
+                        if broken != "{" else "{")
+    env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")} | {"RELAY_CONFIG": str(path)}
+    done = subprocess.run([sys.executable, "-m", "zincstile"], cwd=ROOT, env=env, capture_output=True,
+                          text=True)
+    assert done.returncode == 2 and done.stdout == ""
+    assert len(done.stderr.splitlines()) == 1 and said in done.stderr
--- a/zincstile/net/frontend.py
+++ b/zincstile/net/frontend.py
@@ -252,11 +252,15 @@
         self._socket.listen(self.turn.limits.backlog)
         self._resume()
 
+    @property
+    def address(self) -> str:
+        return "{}:{}".format(*self._socket.getsockname()[:2])
+
     @property
     def counters(self) -> Counters:
         return self.turn.counters
 
-    def _resume(self) -> None:
+    def _resume(self, _: object = None) -> None:
         if self._socket is not None and not self._listening:
             self._listening = True
             self.turn.loop.add_reader(self._socket.fileno(), self._accept)
@@ -273,6 +277,8 @@
                 # Guards against running out of descriptors: the rest waits in the backlog until one is free.
                 self.turn.log.often("full", f"{len(self.clients)} client connections: taking no more for now")
                 self._pause()
+                self.turn.deadlines.add(time.monotonic_ns() + limits.spare_ns, self._resume)
+                self.turn.wake()
                 return
             try:
                 connection, _ = self._socket.accept()
@@ -296,8 +302,10 @@
             self._coming -= 1
 
     def _make_room(self) -> bool:
-        """Closes the client connection that has rested longest; its client opens another when needed."""
-        resting = [c for c in self.clients if c.idle]
+        """Closes the client connection that has rested longest; its client opens another when needed. One
+        that has only just come, or got its answer, is spared: its next request may be here, not yet read."""
+        before = time.monotonic_ns() - self.turn.limits.spare_ns
+        resting = [c for c in self.clients if c.idle and c.rested_ns < before]
         return bool(resting) and min(resting, key=lambda c: c.rested_ns).close_if_idle()
 
     def joined(self, client: ClientConnection) -> None:
@@ -316,6 +324,9 @@
             self._socket.close()
             self._socket = None
         self.closing = True
+        self.close_idle()
+
+    def close_idle(self) -> None:
         for client in list(self.clients):
             client.close_if_idle()
 
--- a/zincstile/net/gateway.py
+++ b/zincstile/net/gateway.py
@@ -44,7 +44,7 @@
         if self.config.known.get("endpoints"):  # discovery may be down: then the known list must do
             self.turn.deadlines.add(time.monotonic_ns() + self.config.limits.table_first_ns, self._ready)
         self.turn.wake()
-        self.log.line("start listening on {}:{}".format(*self.config.listen))
+        self.log.line(f"start listening on {self.door.address}, peers on {self.peers.address}")
         await self.ended
         self._count()
         self.log.line("end")
@@ -74,6 +74,7 @@
         self._end_if_empty(None)
 
     def _end_if_empty(self, _: object) -> None:
+        self.door.close_idle()  # also those that came last and ask nothing
         if self.door.empty:
             self._end(None)
         else:
--- a/zincstile/net/peers.py
+++ b/zincstile/net/peers.py
@@ -22,6 +22,12 @@
         family = socket.AF_INET6 if ":" in where[0] else socket.AF_INET
         await self.turn.loop.create_datagram_endpoint(lambda: self, local_addr=where, family=family)
 
+    @property
+    def address(self) -> str:
+        if self.transport is None:
+            return "none"
+        return "{}:{}".format(*self.transport.get_extra_info("sockname")[:2])
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
         # asyncio sets this much aside for each datagram, 256 KiB unless told: most of what one costs
