--- /dev/null
+++ b/tests/test_turn.py
@@ -0,0 +1,59 @@
+"""The loop's turn by itself: what a fault in one session does to the others."""
+
+import asyncio
+
+from zincstile import interface as i
+from zincstile.net.counters import Counters
+from zincstile.net.limits import Limits
+from zincstile.net.log import Log
+from zincstile.net.session import Call, Kind, Session
+from zincstile.net.turn import Turn
+
+
+class Failing:
+    """A module that can't bear request 1 nor the end of it, and fails every other request."""
+
+    def handle(self, now, event):
+        if isinstance(event, i.Gone | i.Request) and getattr(event, "id", 0) == 1:
+            raise KeyError("one")
+        return [i.Fail(event.id)] if isinstance(event, i.Request) else []
+
+
+class Client:
+    def __init__(self):
+        self.answers = []
+
+    def answer(self, session, answer):
+        self.answers.append((session.id, answer.kind))
+
+
+def test_a_fault_in_one_session_fails_that_session_alone(capsys):
+    async def play():
+        client = Client()
+        turn = Turn(asyncio.get_running_loop(), Failing(), Limits(), Counters(), Log("n0"))
+        for number in (1, 2):
+            call = Call(True, b"c", b"id", [b"d=1"], 0, None)
+            turn.take(Session(number, call, client, 10**18), i.Request(number, 0, 0, 7, 10**18, 1.0, 1, 0))
+        while len(client.answers) < 2:
+            await asyncio.sleep(0)
+        return client.answers, turn
+
+    answers, turn = asyncio.run(asyncio.wait_for(play(), 20))
+    assert answers == [(1, Kind.FAILED), (2, Kind.FAILED)]
+    assert turn.counters.faults == 1 and not turn.sessions
+    assert "fault KeyError" in capsys.readouterr().err
+
+
+def test_a_deadline_that_fails_does_not_stop_the_next(capsys):
+    async def play():
+        turn, done = Turn(asyncio.get_running_loop(), Failing(), Limits(), Counters(), Log("n0")), []
+        turn.deadlines.add(0, lambda _: 1 // 0)
+        turn.deadlines.add(1, done.append, "next")
+        turn.wake()
+        while not done:
+            await asyncio.sleep(0)
+        return turn
+
+    turn = asyncio.run(asyncio.wait_for(play(), 20))
+    assert turn.counters.faults == 1 and len(turn.deadlines) == 0
+    assert "ZeroDivisionError" in capsys.readouterr().err
