--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -119,7 +119,12 @@
         send c1 look 3
         expect a2 look 3
         send a2 raw $5\\r\\nhello\\r\\n
-        expect c1 -BUSY*""",
+        expect c1 -BUSY*
+        send c1 look 4
+        expect a2 look 4
+        send a2 raw *1\\r\\n$5\\r\\nhello\\r\\n*3\\r\\n
+        expect c1 ok hello
+        expect a2 end""",
     "beyond the quota": READY + """
         send c1 look 1 t=small
         send c1 look 2 t=small
@@ -235,6 +240,11 @@
     play(tmp_path, READY + clients + "expect c10 end\n" + SERVES, limits={"sockets": 60})
 
 
+def test_a_command_that_is_begun_and_never_ended_is_dropped(tmp_path):
+    play(tmp_path, READY + "send c1 raw *4\\r\\n\nexpect c1 end\n" + SERVES,
+         limits={"command_ns": 10**8, "tend_ns": 10**8})
+
+
 def test_more_clients_than_descriptors_wait_their_turn(tmp_path):
     """26 of 60 descriptors are for clients: with a command begun on each, the others have to wait."""
     asks = "".join(f"send c{k} raw *4\\r\\n\n" for k in range(10, 40))
@@ -244,7 +254,9 @@
 
 @pytest.mark.parametrize(("broken", "said"), [
     ({"settings": None}, "settings"), ({"listen": "nowhere"}, "nowhere"), ({"seed": "xyz"}, "xyz"),
-    ({"settings": {"classes": []}}, "key"), ("{", "not JSON"), (None, "No such file"), ([], "")])
+    ({"settings": {"classes": []}}, "key"),
+    ({"known": {"index": 1, "endpoints": [{"name": "a"}]}}, "known"),
+    ({"limits": {"idle_ns": 0}}, "limits"), ("{", "not JSON"), (None, "No such file"), ([], "")])
 def test_a_bad_configuration_is_one_line_and_exit_2(tmp_path, broken, said):
     path = tmp_path / "config.json"
     table = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
--- a/zincstile/__main__.py
+++ b/zincstile/__main__.py
@@ -7,11 +7,11 @@
 import os
 import sys
 
-from .net.config import ConfigError, load
+from .net.config import Config, ConfigError, load
 from .net.gateway import Gateway
 
 
-async def _run(config) -> None:
+async def _run(config: Config) -> None:
     gateway = Gateway(config, asyncio.get_running_loop())
     gc.freeze()  # what stands by now stays
     await gateway.run()
@@ -19,12 +19,10 @@
 
 def main() -> int:
     try:
-        config = load(os.environ)
+        asyncio.run(_run(load(os.environ)))
     except ConfigError as err:
         print(f"zincstile: {' '.join(str(err).split())}", file=sys.stderr)
         return 2
-    try:
-        asyncio.run(_run(config))
     except OSError as err:
         print(f"zincstile: can't start: {err}", file=sys.stderr)
         return 1
--- a/zincstile/net/backend.py
+++ b/zincstile/net/backend.py
@@ -19,6 +19,7 @@
 Result = i.Result
 READ, WRITE = b"CALL.GET", b"CALL.POST"
 BUSY = b"BUSY"
+COUNTERS = {r: r.name.lower() for r in Result}
 
 
 class Attempt:
@@ -71,6 +72,11 @@
         """The command's last byte is written."""
         return not self._unwritten
 
+    @property
+    def idle(self) -> bool:
+        """Nothing came behind the last answer."""
+        return self._parser.idle
+
     def pause_writing(self) -> None:
         self._unwritten = True
 
@@ -296,9 +302,9 @@
         return resp.command(words)
 
     def answered(self, connection: BackendConnection, attempt: Attempt, reply: resp.Reply) -> None:
-        if connection.whole:
+        if connection.whole and connection.idle:
             self._rest(connection)
-        else:  # answered before it was all there: what is left to write would confuse the next
+        else:  # what is left to write, or came behind the answer, would confuse the next
             connection.transport.abort()
         attempt.connection = None
         if isinstance(reply, resp.ErrorLine):
@@ -340,7 +346,7 @@
         if session is None:
             self.turn.post(i.Probed(backend, result, latency, figures))
             return
-        name = result.name.lower()
+        name = COUNTERS[result]
         setattr(self.turn.counters, name, getattr(self.turn.counters, name) + 1)
         self.turn.post(i.Outcome(session.id, number, backend, result, latency, session.over, 0, 0.0, figures))
 
--- a/zincstile/net/config.py
+++ b/zincstile/net/config.py
@@ -4,7 +4,7 @@
 
 import json
 import os
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from typing import Any
 
 from .. import wire
@@ -64,7 +64,10 @@
     settings = t["settings"]
     decoded = wire.read_settings(json.dumps(settings).encode())
     limits = settings["limits"]
-    sockets = int((t.get("limits") or {}).get("sockets", 1024))
+    own = t.get("limits") or {}
+    given = {f.name: int(own[f.name]) for f in fields(Limits) if f.name in own}
+    if min(given.values(), default=1) < 1:
+        raise ConfigError("limits: all must be above 0")
     peers = [address(p) for p in t.get("peers") or []]
     return Config(
         name=str(env.get("RELAY_NAME") or t["name"]),
@@ -74,7 +77,8 @@
         zones=[str(z) for z in settings.get("zones") or []],
         kinds=[str(k) for k in settings.get("skus") or []],
         limits=Limits.for_gateway(
-            sockets, int(limits.get("max_open", 20000)), int(limits.get("connect_timeout_ns", 250_000_000)),
-            int(limits.get("idle_close_ns", 30_000_000_000))),
+            int(own.get("sockets", 1024)), int(limits.get("max_open", 20000)),
+            int(limits.get("connect_timeout_ns", 250_000_000)),
+            int(limits.get("idle_close_ns", 30_000_000_000)), decoded.longest_ns, given),
         known=t.get("known") or {},
         peer_listen=address(t["peer_listen"]) if t.get("peer_listen") else None, peers=peers)
--- a/zincstile/net/frontend.py
+++ b/zincstile/net/frontend.py
@@ -76,7 +76,7 @@
     """One client. Its commands are answered in order; it is read no further while too much is unanswered."""
 
     __slots__ = ("door", "turn", "counters", "transport", "_parser", "_waiting", "_out", "_dirty", "_closing",
-                 "_full", "_paused", "rested_ns")
+                 "_full", "_paused", "rested_ns", "begun_ns")
 
     def __init__(self, door: FrontDoor) -> None:
         self.door, self.turn, self.counters = door, door.turn, door.turn.counters
@@ -86,6 +86,7 @@
         self._out: list[bytes] = []
         self._dirty = self._closing = self._full = self._paused = False
         self.rested_ns = 0
+        self.begun_ns = 0  # when the command that is not whole yet began
 
     # ---- asyncio
 
@@ -133,6 +134,7 @@
             return
         for words in self._parser.feed(data):
             self._command(words)
+        self.begun_ns = 0 if self._parser.idle else self.begun_ns or time.monotonic_ns()
         if self._parser.error:  # nothing after it can be understood
             self.counters.malformed += 1
             self._reply(resp.error("Protocol error: " + self._parser.error))
@@ -221,6 +223,11 @@
         if self._paused:
             self._throttle()
 
+    def drop_if_stuck(self, before: int) -> None:
+        """Guards the descriptors against clients that begin a command and never end it."""
+        if 0 < self.begun_ns < before and not self._waiting and not self.transport.is_closing():
+            self.transport.abort()
+
     def close_if_idle(self) -> bool:
         if self.idle and not self.transport.is_closing():
             self._closing = True
@@ -251,6 +258,13 @@
         self._socket.bind(address)
         self._socket.listen(self.turn.limits.backlog)
         self._resume()
+        self._tend(None)
+
+    def _tend(self, _: object) -> None:
+        now, limits = time.monotonic_ns(), self.turn.limits
+        for client in list(self.clients):
+            client.drop_if_stuck(now - limits.command_ns)
+        self.turn.deadlines.add(now + limits.tend_ns, self._tend)
 
     @property
     def address(self) -> str:
--- a/zincstile/net/limits.py
+++ b/zincstile/net/limits.py
@@ -30,6 +30,8 @@
     accepts: int = 64  # connections taken in one turn
     # times
     connect_ns: int = 250 * MS
+    command_ns: int = 10 * SECOND  # a command that is begun has to be whole by then
+    tend_ns: int = SECOND  # how often that is looked at
     idle_ns: int = 20 * SECOND  # a resting backend connection is closed after this
     spare_ns: int = 100 * MS  # a client's connection that rested this long may be closed to make room
     margin_ns: int = 2 * MS  # a request's way here, taken off the time that its client waits
@@ -38,12 +40,16 @@
     backoff_ns: int = 50 * MS
     backoff_most_ns: int = SECOND
     drain_ns: int = 450 * MS  # after SIGTERM, how long connections go on being taken and kept
-    drain_most_ns: int = 3600 * MS  # after SIGTERM, when the process ends in any case
+    drain_most_ns: int = 3600 * MS  # after SIGTERM, the end: the longest deadline and more
 
     @classmethod
-    def for_gateway(cls, sockets: int, max_open: int, connect_ns: int, idle_close_ns: int) -> Limits:
-        """Splits the descriptors: a reserve for what is neither client nor backend, and three to two."""
+    def for_gateway(cls, sockets: int, max_open: int, connect_ns: int, idle_close_ns: int,
+                    longest_ns: int, given: dict[str, int]) -> Limits:
+        """Splits the descriptors: a reserve for what is neither client nor backend, and three to two. What is
+        given by name goes before."""
         reserve = max(16, sockets // 25)
         rest = max(2, sockets - reserve)
-        return cls(frontend_connections=rest * 3 // 5, backend_connections=rest - rest * 3 // 5,
-                   sessions=max(1, max_open), connect_ns=connect_ns, idle_ns=idle_close_ns * 2 // 3)
+        return cls(**{
+            "frontend_connections": rest * 3 // 5, "backend_connections": rest - rest * 3 // 5,
+            "sessions": max(1, max_open), "connect_ns": connect_ns, "idle_ns": idle_close_ns * 2 // 3,
+            "drain_most_ns": longest_ns + 600 * MS, **given})
--- a/zincstile/net/resp.py
+++ b/zincstile/net/resp.py
@@ -91,17 +91,30 @@
         words: list[bytes] = []
         if at < 0:
             return words, -1
-        for _ in range(count):
-            if at >= len(buf):
+        most, line, size = self.limits.value_bytes, self.limits.line_bytes, len(buf)
+        for _ in range(count):  # what _bulk does, in line: most of a request's parsing is here
+            if at >= size:
                 return words, -1
             if buf[at] != 36:  # '$'
                 raise RespError("expected '$'")
-            word, at = self._bulk(buf, at)
-            if at < 0:
+            end = buf.find(CRLF, at + 1, at + line)
+            if end < 0:
+                if size - at >= line:
+                    raise RespError("too long a line")
                 return words, -1
-            if word is None:
+            digits = buf[at + 1:end]
+            if not digits.isdigit() or len(digits) > 9:
                 raise RespError("invalid length")
-            words.append(word)
+            start = end + 2
+            end = start + int(digits)
+            if end - start > most:
+                raise RespError("length past the limit")
+            if size < end + 2:
+                return words, -1
+            if buf[end:end + 2] != CRLF:
+                raise RespError("a value without its end")
+            words.append(buf[start:end])
+            at = end + 2
         return words, at
 
 
--- a/zincstile/net/server_table.py
+++ b/zincstile/net/server_table.py
@@ -61,7 +61,10 @@
 
     def begin(self, known: dict[str, Any]) -> None:
         if known.get("endpoints"):
-            self._take(known, i.ListKind.CACHED)
+            try:
+                self._take(known, i.ListKind.CACHED)
+            except (ValueError, KeyError, TypeError, AttributeError) as err:
+                raise ConfigError(f"known: {type(err).__name__} {err}") from None
         else:
             self.turn.post(i.BackendList(i.ListKind.CACHED, 0, []))
         self.open(None)
--- a/zincstile/net/turn.py
+++ b/zincstile/net/turn.py
@@ -92,14 +92,23 @@
         now = time.monotonic_ns()
         self.counters.turns += 1
         for _, _, then, about in self.deadlines.sweep(now):
-            self._guarded(then, about)
+            try:
+                then(about)
+            except Exception as err:
+                self._fault(err, about)
         events, self._events = self._events, []
         for action in self._decide(now, events):
-            self._guarded(self.carry_out[type(action)], now, action)
+            try:
+                self.carry_out[type(action)](now, action)
+            except Exception as err:
+                self._fault(err, action)
         self._scheduled = False
         writers, self._writers = self._writers, []
         for writer in writers:
-            self._guarded(writer.flush)
+            try:
+                writer.flush()
+            except Exception as err:
+                self._fault(err, writer)
         if self._events or self._writers:
             self.wake()
         self._set_alarm()
@@ -113,14 +122,8 @@
                 self._fault(err, event)
         return actions
 
-    def _guarded(self, do: Callable[..., None], *args: Any) -> None:
-        """Guards the process against a fault in one session's handling: that session fails, no other."""
-        try:
-            do(*args)
-        except Exception as err:
-            self._fault(err, args[-1] if args else None)
-
     def _fault(self, err: Exception, about: object) -> None:
+        """Guards the process against a fault in one session's handling: that session fails, no other."""
         self.counters.faults += 1
         at = err.__traceback__
         while at is not None and at.tb_next is not None:
