Tell refused clients when to come back, by what the store lacks

Seen: every refusal was a bare -BUSY, as the settings here say that clients are not told; the operators want them told. To blame: wait_ns in Policy.__init__, which was nought where retry_after is unset. Beyond the quota the time is now what the store lacks over the rate, else the longest that clients comply with.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -55,7 +55,8 @@
     plan = SETTINGS["plans"][0] | {"name": "team", "refill": 1000.0, "burst": 2000.0}
     small = plan | {"name": "small", "refill": 0.001, "burst": 1.0}
     return SETTINGS | {"balancers": 2, "ordinal": 0, "classes": classes, "plans": [plan, small],
-                       "zones": ["z"], "skus": ["k"]}
+                       "zones": ["z"], "skus": ["k"],
+                       "limits": SETTINGS["limits"] | {"max_retry_after_ns": 7 * 10**8}}
 
 
 def merge(table, over):
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -100,3 +100,15 @@
         g = Gateway({"plans": [plan]}, backends=4)
         assert only(g.ask(units=2.0)[1], i.Send)
         assert bool(only(g.ask(units=2.0)[1], i.Send)) is sent
+
+
+def test_a_refusal_says_when_the_store_has_filled():
+    for over in ({}, {"retry_after": False}):
+        plan = i.PlanSpec("p", rate=20.0, burst=4.0)
+        g = Gateway({"plans": [plan], **over}, backends=4)
+        assert only(g.ask(units=4.0)[1], i.Send)
+        refused = only(g.ask(units=2.0)[1], i.Refuse)
+        assert [r.retry_in_ns for r in refused] == [100 * MS]  # two units at twenty a second
+        refused = only(g.ask(units=4.0, after=20 * MS)[1], i.Refuse)
+        assert [r.retry_in_ns for r in refused] == [180 * MS]
+        assert only(g.ask(units=3.6, after=180 * MS)[1], i.Send)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -131,7 +131,7 @@
         expect a1 look 1
         send a1 ok hello
         expect c1 ok hello
-        expect c1 -BUSY*""",
+        expect c1 -BUSY 700""",
     "the time is up": READY + """
         send c1 book 1 d=200
         expect a1 book 1
--- a/zincstile/policy.py
+++ b/zincstile/policy.py
@@ -85,7 +85,7 @@
         self.period_ns = int(SECOND * told / max(1.0, INTAKE * settings.peer_in_per_s))
         self.level = math.inf  # units out per good server that the budget aims at
         self.credit = CREDIT_MAX
-        self.wait_ns = settings.max_retry_after_ns * settings.retry_after  # most refusals outlast the longest
+        self.wait_ns = settings.max_retry_after_ns
         self.fresh: deque[tuple[int, i.Doubt]] = deque(maxlen=TOLD)  # last own samples of backends
         self.usual = [0.0] * len(settings.classes) * (1 + len(settings.plans))
         self.cut_every_ns = AIM_SHARE * min(c.aim_ns for c in settings.classes)  # late answers show by then
@@ -387,7 +387,7 @@
         if inside and counted != (server is not None):  # sent and not yet counted, or counted and not sent
             self._spend(now, c, -ask.units if counted else ask.units)
         if server is None:
-            self.acts.append(i.Refuse(ask.id, self.wait_ns))
+            self.acts.append(i.Refuse(ask.id, self._come_back_ns(live)))
             self.close(live, self.set.cancel)
             return
         leaf.sent += ask.units
@@ -395,6 +395,15 @@
         c.ceiling -= ask.units
         self._send(now, live, server)
 
+    def _come_back_ns(self, live: Live) -> int:
+        """When the client may come again, said also where the settings don't count on clients that heed it:
+        beyond the quota once the store has filled, inside it after the longest that clients comply with, as
+        most spells of pressure outlast that."""
+        lack, rate = live.ask.units - live.customer.level, live.plan.rate
+        if live.inside or not rate:
+            return self.wait_ns
+        return min(self.wait_ns, max(self.period_ns, int(SECOND * lack / rate)))
+
     def _warmth(self, now: int, s: Server) -> float:
         age = (now - s.info.started_ns) / max(1, self.set.cold_ns) if s.info.started_ns else 1.0
         return min(1.0, self.set.cold_share + (1 - self.set.cold_share) * max(0.0, age))
@@ -506,7 +515,7 @@
             self.credit -= cost
             self._send(now, live, server)
             return
-        self.acts.append(i.Refuse(ask.id, self.wait_ns) if free else i.Fail(ask.id))
+        self.acts.append(i.Refuse(ask.id, self._come_back_ns(live)) if free else i.Fail(ask.id))
         self.close(live, self.set.cancel)
 
     def on_gone(self, now: int, event: i.Gone) -> None:
