--- a/zincstile/policy.py
+++ b/zincstile/policy.py
@@ -211,6 +211,10 @@
         self.cold = [s for s, w in zip(self.ready, warmth, strict=True) if w < 1]
 
     def _split(self, budget: float) -> None:
+        if budget >= sum(x.arrivals for x in self.leaves):  # all get what arrives, by any weights
+            for leaf in self.leaves:
+                leaf.rate = 1.0
+            return
         flat = [[x for row in side for x in row] for side in self.tree]
         for side, n_side in zip(self.tree, split(budget, flat), strict=True):
             for row, n_row in zip(side, split(n_side, side), strict=True):
