--- a/tests/test_turn.py
+++ b/tests/test_turn.py
@@ -2,7 +2,10 @@
 
 import asyncio
 
+from conftest import backend, settings
+
 from zincstile import interface as i
+from zincstile.net.backend import Backends
 from zincstile.net.counters import Counters
 from zincstile.net.limits import Limits
 from zincstile.net.log import Log
@@ -57,3 +60,54 @@
     turn = asyncio.run(asyncio.wait_for(play(), 20))
     assert turn.counters.faults == 1 and len(turn.deadlines) == 0
     assert "ZeroDivisionError" in capsys.readouterr().err
+
+
+class Probing:
+    """A module that probes server 5 at the start and keeps what came of it."""
+
+    def __init__(self):
+        self.probed = []
+
+    def handle(self, now, event):
+        if isinstance(event, i.Probed):
+            self.probed.append(event)
+        return [i.Probe(5)] if isinstance(event, i.Started) else []
+
+
+def probe(answer):
+    """What the module hears of one probe of a backend server that answers so; None: nobody listens."""
+    async def play():
+        asked, module = [], Probing()
+
+        async def serve(reader, writer):
+            asked.append(await reader.readexactly(len(b"*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n")))
+            writer.write(answer)
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = server.sockets[0].getsockname()
+        if answer is None:
+            server.close()
+            await server.wait_closed()
+        turn = Turn(asyncio.get_running_loop(), module, Limits(), Counters(), Log("n0"))
+        backends = Backends(turn, settings(report_fields=["inflight", "queue"]), memoryview(bytearray(65536)))
+        backends.update([(backend(5), address)], True)
+        turn.post(i.Started())
+        while not module.probed:
+            await asyncio.sleep(0)
+        backends.shut()
+        server.close()
+        return asked, module.probed
+    return asyncio.run(asyncio.wait_for(play(), 20))
+
+
+def test_a_probe_asks_for_the_load_and_its_report_comes_back():
+    asked, probed = probe(b"$18\r\ninflight=7,queue=2\r\n")
+    assert asked == [b"*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n"]
+    assert [(p.backend, p.result, p.report) for p in probed] == [(5, i.Result.OK, [7.0, 2.0])]
+
+
+def test_a_probe_of_nobody_fails_to_connect():
+    asked, probed = probe(None)
+    assert not asked and [p.result for p in probed] == [i.Result.CONNECT_FAILED]
