--- a/tests/test_turn.py
+++ b/tests/test_turn.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import pytest
 from conftest import backend, settings
 
 from zincstile import interface as i
@@ -102,8 +103,10 @@
     return asyncio.run(asyncio.wait_for(play(), 20))
 
 
-def test_a_probe_asks_for_the_load_and_its_report_comes_back():
-    asked, probed = probe(b"$18\r\ninflight=7,queue=2\r\n")
+@pytest.mark.parametrize("report", [b"inflight=7,queue=2", b"rif=7,q=2", b"q=2,rif=7,lat_ms=3"])
+def test_a_probe_asks_for_the_load_and_its_report_comes_back(report):
+    """Also by the names that the settings use on the wire: those are what backend servers send."""
+    asked, probed = probe(b"$%d\r\n%b\r\n" % (len(report), report))
     assert asked == [b"*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n"]
     assert [(p.backend, p.result, p.report) for p in probed] == [(5, i.Result.OK, [7.0, 2.0])]
 
--- a/zincstile/net/backend.py
+++ b/zincstile/net/backend.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from .. import interface as i
+from ..wire import FIELD_NAMES
 from . import resp
 from .deadlines import Key
 from .session import Answer, Call, Kind, Session
@@ -351,11 +352,13 @@
         self.turn.post(i.Outcome(session.id, number, backend, result, latency, session.over, 0, 0.0, figures))
 
     def _figures(self, report: bytes) -> list[float]:
-        """In the order of the settings; empty where the report is none."""
+        """In the order of the settings; empty where the report is none. It may carry the names that the
+        settings use on the wire, as the decoder of the settings puts them into plain ones."""
         if not report:
             return []
         try:
-            given = dict(part.split("=", 1) for part in report.decode().split(","))
+            pairs = [part.split("=", 1) for part in report.decode().split(",")]
+            given = {FIELD_NAMES.get(name, name): value for name, value in pairs}
             return [float(given[name]) for name in self.settings.report_fields]
         except (ValueError, KeyError):
             return []
