Reload on SIGHUP: the watch moves to the new discovery, all else goes on

Cause: no handler for SIGHUP in net/gateway.Gateway.run, so the signal ended the process; and net/server_table.ServerTable.where could not change. Change: the file is read again (config.again; RELAY_DISCOVERY, told at the start, is older than the file); the new watch is opened beside the old one, whose lines count until the new one has spoken. Tries for an address that is no longer the one are dropped. An unusable file is one log line.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -4,7 +4,7 @@
 
     c1, c2 ...  clients; each connects when it is first named
     a1, a2 ...  connections that the gateway opened to backend server a (b, c ...), in their order
-    d1, d2 ...  watches that the gateway opened at discovery
+    d1, d2 ...  watches that the gateway opened at discovery; e1 ... where discovery is found after a reload
     p1          the other gateway
     gw          the program itself
 
@@ -13,7 +13,7 @@
     send a1 ok hello            an answer with that value; `send a1 -BUSY` any other line
     send d1 full a=Ready        the whole server table; `change`: what changed in it; `say`: a line as it is
     send p1 raw hello           a datagram to the gateway
-    send gw TERM                a signal
+    send gw TERM                a signal; `send gw reload e`: discovery moves to e, `reload TEXT`: that file
     expect c1 ok hello          the next answer; a line may hold * and ?
     expect c1 end               the connection is closed
     expect a1 look 1            the next command there is that call, its time no longer than the client's
@@ -118,7 +118,7 @@
     """The program and all that it speaks with, each on a port of its own that the system chose."""
 
     def __init__(self, folder, config=None):
-        self.listeners = {name: listener() for name in "abcd"}
+        self.listeners = {name: listener() for name in "abcde"}
         self.lines = {}
         self.peer = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.peer.bind(("127.0.0.1", 0))
@@ -130,8 +130,9 @@
                  "settings": settings(), "known": {"index": 0, "snapshot": True, "endpoints": []}}
         for name in (config or {}).pop("known_servers", ""):
             table["known"]["endpoints"].append(self.entry(f"{name}=Ready"))
-        path = folder / "config.json"
-        path.write_text(json.dumps(merge(table, config or {})))
+        self.path, self.table = folder / "config.json", merge(table, config or {})
+        path = self.path
+        path.write_text(json.dumps(self.table))
         env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
         self.program = subprocess.Popen([sys.executable, "-m", "zincstile"], cwd=ROOT, stderr=subprocess.PIPE,
                                         env=env | {"RELAY_CONFIG": str(path)}, text=True)
@@ -185,11 +186,16 @@
                 raise AssertionError(f"line {number}: {row.strip()}: {err!r}; log: {self.said}") from err
 
     def send(self, who, what, *rest):
-        if who == "gw":
+        if who == "gw" and what == "reload":
+            moved = rest[0] in self.listeners
+            self.path.write_text(json.dumps(self.table | {"discovery": where(self.listeners[rest[0]])})
+                                 if moved else rest[0])
+            self.program.send_signal(signal.SIGHUP)
+        elif who == "gw":
             self.program.send_signal(getattr(signal, f"SIG{what}"))
         elif who[0] == "p":
             self.peer.sendto(" ".join(rest).encode(), self.peer_address)
-        elif who[0] == "d":
+        elif who[0] in "de":
             self._tell(self.line(who), what, rest)
         else:
             sock, slowly = self.line(who).sock, what == "slowly"
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -191,6 +191,48 @@
         expect c1 end
         expect gw counters*"served": 3*
         expect gw exit 0""",
+    "a reload moves the watch while the table and all connections stand": READY + """
+        send c1 look 1
+        expect a1 look 1
+        send gw reload e
+        expect gw reload discovery at*
+        send c1 look 2
+        expect a2 look 2
+        send d1 change b=Ready
+        send e1 full b=Ready
+        expect d1 end
+        send a1 ok one
+        expect c1 ok one
+        send a2 ok two
+        expect c1 ok two
+        send c1 look 3
+        expect b1 look 3
+        send b1 ok three
+        expect c1 ok three
+        send gw TERM
+        expect gw exit 0""",
+    "a reload outlives the end of the old watch and a first try that fails": READY + """
+        send gw reload e
+        expect gw reload discovery at*
+        close d1
+        close d
+        close e1
+        send e2 full b=Ready
+        send c1 look 1
+        expect b1 look 1
+        send b1 ok one
+        expect c1 ok one""",
+    "an unusable file at a reload leaves the old configuration": READY + """
+        send gw reload {"name":
+        expect gw reload refused*not JSON; the old configuration stands
+        send gw reload []
+        expect gw reload refused*not an object; the old configuration stands
+        send d1 change a=Gone b=Ready
+        send c1 look 1
+        expect b1 look 1
+        send b1 ok one
+        expect c1 ok one
+        wait gw reloads=0""",
     "datagrams of peers and others": READY + """
         expect p1 message
         send p1 raw hello
--- a/zincstile/net/config.py
+++ b/zincstile/net/config.py
@@ -40,6 +40,11 @@
     return host.strip("[]"), int(port)
 
 
+def again(env: dict[str, str] | os._Environ[str]) -> Config:
+    """The same file as it is by now. What the start was told besides it is older, so the file goes before."""
+    return load({"RELAY_CONFIG": env.get("RELAY_CONFIG", "")})
+
+
 def load(env: dict[str, str] | os._Environ[str]) -> Config:
     path = env.get("RELAY_CONFIG")
     if not path:
@@ -51,6 +56,8 @@
         raise ConfigError(f"{path}: {err.strerror}") from None
     except (ValueError, RecursionError):
         raise ConfigError(f"{path}: not JSON") from None
+    if not isinstance(table, dict):
+        raise ConfigError(f"{path}: not an object")
     try:
         return _read(table, env)
     except ConfigError:
--- a/zincstile/net/counters.py
+++ b/zincstile/net/counters.py
@@ -10,7 +10,7 @@
     __slots__ = ("clients", "requests", "pings", "malformed", "served", "denied", "failed", "left",
                  "attempts", "ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot",
                  "connects", "messages_in", "messages_out", "messages_bad", "tables", "watches", "faults",
-                 "turns")
+                 "turns", "reloads")
 
     def __init__(self) -> None:
         for name in self.__slots__:
--- a/zincstile/net/gateway.py
+++ b/zincstile/net/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import time
 from typing import Any
@@ -10,7 +11,7 @@
 from .. import interface as i
 from ..policy import Policy
 from .backend import Backends
-from .config import Config
+from .config import Config, ConfigError, again
 from .counters import Counters
 from .frontend import FrontDoor
 from .log import Log
@@ -44,6 +45,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.stop)
         self.loop.add_signal_handler(signal.SIGUSR1, self._count)
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         if self.config.peer_listen:
             await self.peers.open(self.config.peer_listen)
         self.turn.post(i.Started())
@@ -66,6 +68,19 @@
     def _count(self) -> None:
         self.log.line(self.counters.line())
 
+    def reload(self) -> None:
+        """SIGHUP: where discovery is found is read again, all else stays as it is. Sessions, connections and
+        all that is remembered go on. Guards also against a file that is broken or half written."""
+        try:
+            config = again(os.environ)
+        except (ConfigError, OSError) as err:
+            self.log.line(f"reload refused: {' '.join(str(err).split())}; the old configuration stands")
+            return
+        self.counters.reloads += 1
+        self.config.discovery = config.discovery
+        self.table.move(config.discovery)
+        self.log.line("reload discovery at {}:{}".format(*config.discovery))
+
     def stop(self) -> None:
         """Serves on for as long as clients may still come, then answers what is left, then ends."""
         if self._stopping:
--- a/zincstile/net/server_table.py
+++ b/zincstile/net/server_table.py
@@ -56,6 +56,8 @@
         self.told = False  # discovery has said something since the start
         self.closed = False
         self._tries = 0
+        self._watch: Watch | None = None  # the last that was opened; an older one stands until it speaks
+        self._old: Watch | None = None
         self._task: asyncio.Task | None = None
         turn.carry_out[i.Watch] = lambda now, _: None  # the watch is always open, or being opened
 
@@ -69,32 +71,59 @@
             self.turn.post(i.BackendList(i.ListKind.CACHED, 0, []))
         self.open(None)
 
-    def open(self, _: object) -> None:
-        if not self.closed:
-            self._task = self.turn.loop.create_task(self._connect())
+    def open(self, where: Address | None) -> None:
+        """None, or the address that a try again was meant for: discovery may have moved since."""
+        if not self.closed and where in (None, self.where):
+            self._task = self.turn.loop.create_task(self._connect(self.where))
 
-    async def _connect(self) -> None:
+    def move(self, where: Address) -> None:
+        """Discovery is found elsewhere from now on. The table stands, and the old watch is heard, until the
+        new one has spoken."""
+        if where != self.where:
+            self.where, self._tries = where, 0
+            self.open(None)
+
+    async def _connect(self, where: Address) -> None:
         try:
             async with asyncio.timeout(self.turn.limits.backoff_most_ns / 1e9):
-                await self.turn.loop.create_connection(lambda: Watch(self), *self.where)
+                await self.turn.loop.create_connection(lambda: Watch(self, where), *where)
         except (OSError, TimeoutError) as err:
-            self.lost(f"can't connect: {err or type(err).__name__}")
+            self.lost(where, f"can't connect: {err or type(err).__name__}")
 
-    def lost(self, why: str) -> None:
-        """Tries again, each time a little later; the whole list comes first on the new watch."""
-        if self.closed:
+    def opened(self, watch: Watch) -> None:
+        if watch.where != self.where:  # moved on while it came up
+            watch.transport.abort()
             return
+        self._watch, old = watch, self._watch
+        if self._old is None:
+            self._old = old
+        elif old is not None:  # one that has not spoken yet stands for nothing
+            old.transport.abort()
+
+    def lost(self, where: Address, why: str, watch: Watch | None = None) -> None:
+        """Tries again, each time a little later; the whole list comes first on the new watch."""
+        if watch is not None and watch is self._old:
+            self._old = None
+        if self.closed or where != self.where or (watch is not None and watch is not self._watch):
+            return  # an old watch: another has been opened, or is being opened
         limits = self.turn.limits
+        self._watch = None
         self.turn.log.often("watch", f"lost: {why}; the last list stands")
         wait = min(limits.backoff_most_ns, limits.backoff_ns << min(self._tries, 16))
         self._tries += 1
-        self.turn.deadlines.add(time.monotonic_ns() + wait, self.open)
+        self.turn.deadlines.add(time.monotonic_ns() + wait, self.open, where)
         self.turn.wake()
 
-    def line(self, text: bytes) -> None:
+    def line(self, watch: Watch, text: bytes) -> None:
+        if watch is not self._watch and watch is not self._old:
+            return  # guards against an old watch that goes on after the new one has spoken
         table = json.loads(text)
         self._take(table, i.ListKind.FULL if table["snapshot"] else i.ListKind.DELTA)
-        self._tries = 0
+        if watch is self._watch:
+            self._tries = 0
+            if self._old is not None:
+                old, self._old = self._old, None
+                old.transport.abort()
         if not self.told:
             self.told = True
             self.first()
@@ -109,10 +138,10 @@
 class Watch(asyncio.BufferedProtocol):
     """One open watch."""
 
-    __slots__ = ("table", "transport", "_buffer", "_lines", "_why", "_deadline", "_heard_ns")
+    __slots__ = ("table", "where", "transport", "_buffer", "_lines", "_why", "_deadline", "_heard_ns")
 
-    def __init__(self, table: ServerTable) -> None:
-        self.table = table
+    def __init__(self, table: ServerTable, where: Address) -> None:
+        self.table, self.where = table, where
         self.transport: asyncio.Transport | None = None
         self._buffer = memoryview(bytearray(table.turn.limits.read_bytes))
         self._lines = http.LineReader(table.turn.limits)
@@ -123,7 +152,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
         self.table.turn.counters.watches += 1
-        host = f"{self.table.where[0]}:{self.table.where[1]}"
+        self.table.opened(self)
+        host = f"{self.where[0]}:{self.where[1]}"
         # from version 0: what was missed may be too old to be told as changes, the whole list never is
         self.transport.write(http.get(host, "/v1/endpoints?stream=1&index=0"))
         self._await(None)
@@ -148,7 +178,7 @@
                 if self._lines.status != 200:
                     raise http.HttpError(f"status {self._lines.status}")
                 if line.strip():
-                    self.table.line(line)
+                    self.table.line(self, line)
             if self._lines.done:
                 self.transport.close()
         except (ValueError, KeyError, TypeError, AttributeError, ConfigError) as err:
@@ -160,4 +190,4 @@
 
     def connection_lost(self, err: Exception | None) -> None:
         self.table.turn.deadlines.drop(self._deadline)
-        self.table.lost(self._why)
+        self.table.lost(self.where, self._why, self)
