Spoilt answers told apart and good ones kept; strangers checked and closed in time

New outcome SPOILT, weighed SMOOTH. Ruled out: reset and error line: on Linux the line was still read; the test stands as a guard.

--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -13,6 +13,7 @@
 PING = r"raw *1\r\n$4\r\nPING\r\n"
 READY = "send d1 full a=Ready\nexpect gw ready*told\n"
 SERVES = "send c9 look 99\nexpect a1 look 99\nsend a1 ok still\nexpect c9 ok still\n"
+GOOD = r"*3\r\n$5\r\nhello\r\n$-1\r\n$-1\r\n"
 SCENARIOS = {
     "a call goes on unchanged and its value comes back": READY + """
         send c1 look 1
@@ -54,6 +55,7 @@
             r"raw *1\r\n$3\r\nGET\r\n", r"raw *2\r\n$8\r\nCALL.GET\r\n$1\r\n1\r\n", "look 1 c=none",
             "look 1 t=x", "look 1 d=soon", "look 1 d=1_0", "look 1 d=+5", "look 1 first=-1", "look 1 d=0",
             "look 1 d=", "look 1 units=nan", "look 1 units=-1", "look 1 spread=0",
+            "look 1 units=5", "look 1 spread=3", "look 1 first=2", "look 1 units=inf",
             "look 1 body=B", "look 1 c=book", "put 1 k=", "look 1 c=look,x", r"raw *1\r\n$0\r\n\r\n",
             r"raw *5\r\n$9\r\nCALL.POST\r\n$1\r\nz\r\n$1\r\n1\r\n$3\r\nc=a\r\n$0\r\n\r\n")) + "\n" + SERVES,
     "no client is ready for PING before the table": f"""
@@ -117,14 +119,65 @@
         send a2 raw *3\\r\\n$-1\\r\\n$-1\\r\\n$-1\\r\\n
         expect c1 -ERR failed
         send c1 look 3
-        expect a2 look 3
-        send a2 raw $5\\r\\nhello\\r\\n
+        expect a3 look 3
+        send a3 raw $5\\r\\nhello\\r\\n
         expect c1 -BUSY*
         send c1 look 4
-        expect a2 look 4
-        send a2 raw *1\\r\\n$5\\r\\nhello\\r\\n*3\\r\\n
+        expect a4 look 4
+        send a4 raw *1\\r\\n$5\\r\\nhello\\r\\n
+        expect c1 -BUSY*
+        wait gw spoilt=4""",
+    "a good answer counts whatever comes behind it": READY + "".join(f"""
+        send c1 book {k}
+        expect a{k} book {k}
+        send a{k} raw {GOOD}{more}
+        expect c1 ok hello
+        expect a{k} end""" for k, more in enumerate((GOOD, "noise", "$3", "*3\\r\\n$999999999\\r\\nv"), 1)),
+    "what comes late behind an answer is not taken for the next one's": READY + f"""
+        send c1 look 1
+        expect a1 look 1
+        send a1 raw {GOOD}
+        expect c1 ok hello
+        send a1 raw {GOOD}
+        expect a1 end
+        send c1 look 2
+        expect a2 look 2
+        send a2 ok two
+        expect c1 ok two""",
+    "spoilt answers are not served, and may have run": READY + "".join(f"""
+        send c1 book {k}
+        expect a{k} book {k}
+        send a{k} raw {odd}
+        expect c1 -ERR failed
+        expect a{k} end""" for k, odd in enumerate((
+            r"*3\r\n+hello\r\n$-1\r\n$-1\r\n", r"*3\r\n:5\r\n$-1\r\n$-1\r\n", r"+hello\r\n",
+            r"*3\r\n$5\r\nhello!\r\n$-1\r\n$-1\r\n", r"*3\r\n$10\r\nhello\r\n$-1\r\n$-1\r\n",
+            r"*4\r\n$5\r\nhello\r\n$-1\r\n$-1\r\n$-1\r\n", r"*3\r\n$3000000000\r\nhello",
+            r"*2\r\n$5\r\nhello\r\n$-1\r\n", r"-WHAT\r\n"), 1)),
+    "the id of an open request, copied, is turned away and disturbs nobody": READY + """
+        send c1 look 1
+        expect a1 look 1
+        send c2 look 1
+        expect c2 -ERR*id*
+        close c2
+        send a1 ok one
+        expect c1 ok one
+        send c1 look 1
+        expect a1 look 1
+        send a1 ok again
+        expect c1 ok again""",
+    "the error line comes through, however much is left unread": READY + """
+        send c1 book 1 body=900000
+        expect c1 -ERR*limit*
+        expect c1 end""" + "\n" + SERVES,
+    "what was asked before a line that can't be read is still answered": READY + f"""
+        send c1 look 1
+        expect a1 look 1
+        send c1 raw nonsense\\r\\n
+        send a1 raw {GOOD}
         expect c1 ok hello
-        expect a2 end""",
+        expect c1 -ERR*
+        expect c1 end""",
     "beyond the quota": READY + """
         send c1 look 1 t=small
         send c1 look 2 t=small
@@ -241,6 +294,7 @@
 
 
 def play(tmp_path, text, **config):
+    tmp_path.mkdir(exist_ok=True)
     world = World(tmp_path, config)
     try:
         world.play(text)
@@ -291,15 +345,27 @@
 
 
 def test_resting_clients_make_room_for_new_ones(tmp_path):
+    """26 of 60 descriptors are for clients. Those that never asked go first, though they came last."""
     clients = "".join(f"send c{k} {PING}\nexpect c{k} +PONG\n" for k in range(10, 60))
-    play(tmp_path, READY + clients + "expect c10 end\n" + SERVES, limits={"sockets": 60})
+    limits = {"sockets": 60, "spare_ns": 10**8, "silent_ns": 10**12, "rest_ns": 10**12}
+    play(tmp_path, READY + clients + "expect c10 end\n" + SERVES, limits=limits)
+    asked = "".join(f"send c{k} {PING}\nexpect c{k} +PONG\n" for k in range(10, 30))
+    silent = "".join(f"send c{k} raw\n" for k in range(30, 80))
+    play(tmp_path / "b", READY + asked + silent + "expect c30 end\n" + SERVES
+         + f"send c10 {PING}\nexpect c10 +PONG\n", limits=limits | {"spare_ns": 10**12})
 
 
 def test_a_command_that_is_begun_and_never_ended_is_dropped(tmp_path):
-    play(tmp_path, READY + "send c1 raw *4\\r\\n\nexpect c1 end\n" + SERVES,
+    play(tmp_path, READY + "send c1 raw *4\\r\\n\nexpect c1 -ERR*\nexpect c1 end\n" + SERVES,
          limits={"command_ns": 10**8, "tend_ns": 10**8})
 
 
+@pytest.mark.parametrize(("asked", "limit"), [("send c1 raw", "silent_ns"),
+                                              (f"send c1 {PING}\nexpect c1 +PONG", "rest_ns")])
+def test_a_client_that_says_nothing_or_no_more_is_closed(tmp_path, asked, limit):
+    play(tmp_path, READY + asked + "\nexpect c1 end\n" + SERVES, limits={limit: 10**8, "tend_ns": 10**8})
+
+
 def test_a_client_with_much_unanswered_is_read_no_further(tmp_path):
     world = World(tmp_path, {"limits": {"pipelined": 2, "read_bytes": 512}})
     try:
--- a/tests/test_turn.py
+++ b/tests/test_turn.py
@@ -111,6 +111,13 @@
     assert [(p.backend, p.result, p.report) for p in probed] == [(5, i.Result.OK, [7.0, 2.0])]
 
 
+@pytest.mark.parametrize("report", [b"inflight=nan,queue=2", b"inflight=7,queue=inf", b"inflight=-1,queue=2",
+                                    b"inflight=7", b"inflight=7,queue=2,x", b"\xff"])
+def test_a_report_that_can_not_be_is_none(report):
+    _, probed = probe(b"$%d\r\n%b\r\n" % (len(report), report))
+    assert [(p.result, p.report) for p in probed] == [(i.Result.OK, [])]
+
+
 def test_a_probe_of_nobody_fails_to_connect():
     asked, probed = probe(None)
     assert not asked and [p.result for p in probed] == [i.Result.CONNECT_FAILED]
--- a/zincstile/interface.py
+++ b/zincstile/interface.py
@@ -32,6 +32,7 @@
     RESET = "reset"
     CANCELLED = "cancelled"
     MOOT = "moot"
+    SPOILT = "spoilt"  # it ran, and its answer can't be read
 
 
 class Mode(Enum):
--- a/zincstile/net/backend.py
+++ b/zincstile/net/backend.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from dataclasses import dataclass, field
 
@@ -15,11 +16,12 @@
 from . import resp
 from .deadlines import Key
 from .session import Answer, Call, Kind, Session
-from .turn import Turn
+from .turn import Turn, readable
 
 Result = i.Result
 READ, WRITE = b"CALL.GET", b"CALL.POST"
 BUSY = b"BUSY"
+DENIALS = (BUSY, b"ERR failed")  # error lines after which the connection serves on
 COUNTERS = {r: r.name.lower() for r in Result}
 
 
@@ -50,7 +52,8 @@
 
 
 class BackendConnection(asyncio.BufferedProtocol):
-    __slots__ = ("pools", "server", "transport", "attempt", "rested_ns", "_parser", "_unwritten")
+    __slots__ = ("pools", "server", "transport", "attempt", "rested_ns", "_parser", "_unwritten",
+                 "_half")
 
     def __init__(self, pools: Backends, server: BackendServer, attempt: Attempt | None) -> None:
         self.pools, self.server, self.attempt = pools, server, attempt
@@ -58,6 +61,7 @@
         self.rested_ns = 0
         self._parser = resp.ReplyParser(pools.turn.limits)
         self._unwritten = False  # part of a command has not left this process
+        self._half = False  # part of an answer has come
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
@@ -66,6 +70,7 @@
 
     def carry(self, attempt: Attempt) -> None:
         self.attempt, attempt.connection, attempt.begun = attempt, self, True
+        self._half = False
         self.transport.write(self.pools.encode(attempt))
 
     @property
@@ -74,9 +79,10 @@
         return not self._unwritten
 
     @property
-    def idle(self) -> bool:
-        """Nothing came behind the last answer."""
-        return self._parser.idle
+    def quiet(self) -> bool:
+        """Nothing came since it rests, not even its end. Guards against taking what came late behind an
+        answer for the next one's, and against a reset where the backend server has closed it."""
+        return not self.transport.is_closing() and not readable(self.transport)
 
     def pause_writing(self) -> None:
         self._unwritten = True
@@ -88,13 +94,19 @@
         return self.pools.buffer
 
     def buffer_updated(self, size: int) -> None:
-        replies = self._parser.feed(bytes(self.pools.buffer[:size]))
-        if self.attempt is None or len(replies) > 1 or self._parser.error:
-            self.pools.turn.log.often("backend", f"{self.server.address} sent what nobody asked for")
+        attempt, parser, pools = self.attempt, self._parser, self.pools
+        replies = parser.feed(bytes(pools.buffer[:size]))
+        if attempt is None:
+            pools.turn.log.often("backend", f"{self.server.address} sent what nobody asked for")
             self.transport.abort()
-        elif replies:
-            attempt, self.attempt = self.attempt, None
-            self.pools.answered(self, attempt, replies[0])
+        elif replies:  # the first is the answer, whatever came behind it
+            self.attempt = None
+            pools.answered(self, attempt, replies[0], len(replies) == 1 and parser.idle and not parser.error)
+        elif parser.error:
+            pools.spoilt(attempt, parser.error)
+        elif not self._half:
+            self._half = True
+            pools.begun(attempt)
 
     def eof_received(self) -> None:
         return None
@@ -179,10 +191,11 @@
             self.attempts[session.id, number] = attempt
         while server.resting:
             connection = server.resting.pop()
-            if not connection.transport.is_closing():
+            if connection.quiet:
                 self._limit(attempt, until_ns)
                 connection.carry(attempt)
                 return
+            connection.transport.abort()
         if len(self.connections) >= self.turn.limits.backend_connections and not self._make_room():
             # Guards against running out of descriptors: it was never sent, and is nobody's fault over there.
             self.turn.log.often("full", f"{len(self.connections)} backend connections: no more for now")
@@ -302,13 +315,33 @@
         self.turn.counters.attempts += 1
         return resp.command(words)
 
-    def answered(self, connection: BackendConnection, attempt: Attempt, reply: resp.Reply) -> None:
-        if connection.whole and connection.idle:
+    def begun(self, attempt: Attempt) -> None:
+        """Guards against an answer whose length is more than what comes: backend servers write it at once."""
+        now = time.monotonic_ns()
+        if now + self.turn.limits.answer_ns < attempt.until_ns:
+            self.turn.deadlines.drop(attempt.deadline)
+            attempt.deadline = self.turn.deadlines.add(now + self.turn.limits.answer_ns, self._cut, attempt)
+            self.turn.wake()
+
+    def _cut(self, attempt: Attempt) -> None:
+        attempt.deadline = None
+        self.spoilt(attempt, "it does not go on")
+
+    def spoilt(self, attempt: Attempt, why: str) -> None:
+        """It ran. The connection is of no further use."""
+        self.turn.log.often("spoilt", f"answer of {attempt.server.address}: {why}")
+        self.finish(attempt, Result.SPOILT)
+
+    def answered(self, connection: BackendConnection, attempt: Attempt, reply: resp.Reply,
+                 alone: bool) -> None:
+        found, denial = resp.answer(reply), isinstance(reply, resp.ErrorLine)
+        if connection.whole and alone and (
+                reply.startswith(DENIALS) if denial else found is not None or attempt.session is None):
             self._rest(connection)
         else:  # what is left to write, or came behind the answer, would confuse the next
             connection.transport.abort()
         attempt.connection = None
-        if isinstance(reply, resp.ErrorLine):
+        if denial:
             word, _, rest = reply.partition(b" ")
             result = Result.FULL if word == BUSY else Result.ERROR
             report = rest.rpartition(b" ")[2]
@@ -316,14 +349,11 @@
                 self.turn.log.often("backend", f"{attempt.server.address} says {bytes(reply[:80])!r}")
             self.finish(attempt, result, report=report)
         elif attempt.session is None:
-            self.finish(attempt, Result.OK, report=reply if isinstance(reply, bytes) else b"")
-        elif isinstance(reply, list) and reply and isinstance(reply[0], bytes) \
-                and not isinstance(reply[0], resp.ErrorLine):
-            report = reply[2] if len(reply) > 2 and isinstance(reply[2], bytes) else b""
-            self.finish(attempt, Result.OK, reply[0], report)
+            self.finish(attempt, Result.OK, report=reply if type(reply) is bytes else b"")
+        elif found is not None:
+            self.finish(attempt, Result.OK, *found)
         else:
-            self.turn.log.often("backend", f"{attempt.server.address} sent an answer of another form")
-            self.finish(attempt, Result.ERROR)
+            self.spoilt(attempt, f"not of the form agreed on: {str(reply)[:80]}")
 
     def finish(self, attempt: Attempt, result: Result, value: bytes = b"", report: bytes = b"") -> None:
         """The one outcome of an attempt. A connection that still carries it is closed."""
@@ -359,6 +389,7 @@
         try:
             pairs = [part.split("=", 1) for part in report.decode().split(",")]
             given = {FIELD_NAMES.get(name, name): value for name, value in pairs}
-            return [float(given[name]) for name in self.settings.report_fields]
+            figures = [float(given[name]) for name in self.settings.report_fields]
         except (ValueError, KeyError):
             return []
+        return figures if all(0 <= x < math.inf for x in figures) else []  # also not where one is nan
--- a/zincstile/net/frontend.py
+++ b/zincstile/net/frontend.py
@@ -11,7 +11,7 @@
 from . import resp
 from .counters import Counters
 from .session import Answer, Call, Kind, Session
-from .turn import Turn
+from .turn import Turn, readable
 
 READ, WRITE = b"CALL.GET", b"CALL.POST"
 SERVED, DENIED = Kind.SERVED, Kind.DENIED
@@ -24,9 +24,11 @@
 class CallReader:
     """Reads a client's command: what it asks of the module, and what is passed on."""
 
-    __slots__ = ("classes", "plans", "margin_ns")
+    __slots__ = ("classes", "plans", "margin_ns", "gateways", "largest_units", "id_bytes")
 
-    def __init__(self, settings: i.Settings, margin_ns: int) -> None:
+    def __init__(self, settings: i.Settings, margin_ns: int, id_bytes: int) -> None:
+        self.gateways, self.largest_units = settings.gateways, settings.largest_units
+        self.id_bytes = id_bytes
         self.classes = {c.name.encode(): (k, c) for k, c in enumerate(settings.classes)}
         self.plans = {p.name.encode(): k for k, p in enumerate(settings.plans)}
         self.margin_ns = margin_ns
@@ -59,9 +61,12 @@
             raise CallError(f"missing or unknown: {err.args[0]!r}") from None
         except ValueError:
             raise CallError("a value that is no number") from None
-        if len(words[1]) != 16 or not words[1].isalnum() or customer >= 2**33 or not words[2]:
+        if len(words[1]) != 16 or not words[1].isalnum() or customer >= 2**33 \
+                or not 0 < len(words[2]) <= self.id_bytes:
             raise CallError("no such customer or id")
-        if not (0 < wait_ms <= 3_600_000 and 0 < units < 1e6 and 0 < spread < 2**16 and 0 <= first < 2**16):
+        # Guards the customer's quota too: what a stranger says under its name would be remembered.
+        if not (0 < wait_ms <= 3_600_000 and 0 < units <= self.largest_units
+                and 0 < spread <= self.gateways and first < self.gateways):
             raise CallError("a value out of range")
         if (spec.effect is i.Effect.SAFE) != (verb == READ):
             raise CallError("the wrong command for this class")
@@ -78,7 +83,7 @@
     """One client. Its commands are answered in order; it is read no further while too much is unanswered."""
 
     __slots__ = ("door", "turn", "counters", "transport", "_parser", "_waiting", "_out", "_dirty", "_closing",
-                 "_full", "_paused", "rested_ns", "begun_ns")
+                 "_full", "_paused", "_drained", "rested_ns", "begun_ns", "asked")
 
     def __init__(self, door: FrontDoor) -> None:
         self.door, self.turn, self.counters = door, door.turn, door.turn.counters
@@ -89,6 +94,8 @@
         self._dirty = self._closing = self._full = self._paused = False
         self.rested_ns = 0
         self.begun_ns = 0  # when the command that is not whole yet began
+        self.asked = False  # a whole command that was none to turn away has come
+        self._drained = 0  # bytes thrown away since the last answer was written
 
     # ---- asyncio
 
@@ -103,7 +110,12 @@
         return self.door.buffer
 
     def buffer_updated(self, size: int) -> None:
-        self._read(bytes(self.door.buffer[:size]))
+        if not self._closing:
+            self._read(bytes(self.door.buffer[:size]))
+            return
+        self._drained += size
+        if self._drained > self.turn.limits.drained_bytes:
+            self.transport.abort()
 
     def pause_writing(self) -> None:
         """Guards the memory against clients that ask and do not read their answers."""
@@ -123,6 +135,7 @@
         waiting, self._waiting = self._waiting, deque()
         for session in waiting:
             if isinstance(session, Session):
+                self.door.done(session)
                 self.turn.leave(session)
 
     # ---- commands in
@@ -132,39 +145,49 @@
         return not self._waiting and not self._out and self._parser.idle and not self._closing
 
     def _read(self, data: bytes) -> None:
-        if self._closing:
-            return
         for words in self._parser.feed(data):
             self._command(words)
         self.begun_ns = 0 if self._parser.idle else self.begun_ns or time.monotonic_ns()
         if self._parser.error:  # nothing after it can be understood
             self.counters.malformed += 1
-            self._reply(resp.error("Protocol error: " + self._parser.error))
-            self._closing = True
-            self.transport.pause_reading()
+            self._give_up("Protocol error: " + self._parser.error)
         self._throttle()
 
+    def _give_up(self, why: str) -> None:
+        """The last answer. What comes after it is thrown away: closing with bytes unread would reset the
+        connection, and the client could lose the line that tells why."""
+        self._closing = True
+        self._reply(resp.error(why))
+        if self._waiting:  # what it asked before is still answered; till then it is read no further
+            self._paused = True
+            self.transport.pause_reading()
+
     def _command(self, words: list[bytes]) -> None:
         if not words:
             return
         turn = self.turn
         if len(words) == 1 and words[0].upper() == b"PING":
             self.counters.pings += 1
+            self.asked = True
             self._reply(resp.PONG if self.door.ready else resp.error("not ready"))
             return
         number, now = turn.next_id(), time.monotonic_ns()
         try:
             call, request = self.door.reader.read(words, number, now)
+            if call.id in self.door.open:  # guards its session: backend servers would see a second copy
+                raise CallError("the id of an open request")
         except CallError as err:
             self.counters.malformed += 1
             self._reply(resp.error(str(err)))
             return
+        self.asked = True
         if len(turn.sessions) >= turn.limits.sessions or not self.door.ready:
             self.counters.denied += 1
             self._reply(resp.busy(0))
             return
         session = Session(number, call, self, request.give_up_ns)
         self._waiting.append(session)
+        self.door.open[call.id] = session
         turn.take(session, request)
 
     def _throttle(self) -> None:
@@ -194,6 +217,7 @@
             self.turn.write_later(self)
 
     def answer(self, session: Session, answer: Answer) -> None:
+        self.door.done(session)
         if answer.kind is SERVED:
             session.reply = resp.bulk(answer.value)
         elif answer.kind is DENIED:
@@ -219,23 +243,45 @@
                 self.transport.write(out[0] if len(out) == 1 else b"".join(out))
         if not waiting:
             self.rested_ns = time.monotonic_ns()
-            if self._closing or self.door.closing:
+            if self._closing:
+                self._finish()
+                return
+            if self.door.closing:
                 self.transport.close()
                 return
         if self._paused:
             self._throttle()
 
-    def drop_if_stuck(self, before: int) -> None:
-        """Guards the descriptors against clients that begin a command and never end it."""
-        if 0 < self.begun_ns < before and not self._waiting and not self.transport.is_closing():
+    def _finish(self) -> None:
+        """All is answered: the client reads the end, and has a while to close in its turn."""
+        if not self.transport.is_closing():
+            self.transport.write_eof()
+            if self._paused:
+                self.transport.resume_reading()
+            self.turn.deadlines.add(time.monotonic_ns() + self.turn.limits.drained_ns, self._cut)
+
+    def _cut(self, _: object) -> None:
+        if self.transport is not None and not self.transport.is_closing():
             self.transport.abort()
 
+    def tend(self, now: int) -> None:
+        """Guards the descriptors against clients that say nothing, begin a command and never end it, or ask
+        once and stay."""
+        limits = self.turn.limits
+        if self._closing or self._waiting or self.transport.is_closing():
+            return
+        if not self._parser.idle:
+            if now - self.begun_ns > limits.command_ns:
+                self._give_up("a command that does not end")
+        elif now - self.rested_ns > (limits.rest_ns if self.asked else limits.silent_ns):
+            self.close_if_idle()
+
     def close_if_idle(self) -> bool:
-        if self.idle and not self.transport.is_closing():
-            self._closing = True
-            self.transport.close()
-            return True
-        return False
+        if not self.idle or self.transport.is_closing() or readable(self.transport):
+            return False  # guards against closing beneath a request that has come but is not read yet
+        self._closing = True
+        self.transport.close()
+        return True
 
 
 class FrontDoor:
@@ -243,7 +289,8 @@
 
     def __init__(self, turn: Turn, settings: i.Settings, buffer: memoryview) -> None:
         self.turn, self.buffer = turn, buffer
-        self.reader = CallReader(settings, turn.limits.margin_ns)
+        self.reader = CallReader(settings, turn.limits.margin_ns, turn.limits.id_bytes)
+        self.open: dict[bytes, Session] = {}  # by the id that the client gave
         self.ready = False
         self.closing = False  # every connection is closed as soon as nothing is owed on it
         self.clients: dict[ClientConnection, None] = {}
@@ -263,10 +310,10 @@
         self._tend(None)
 
     def _tend(self, _: object) -> None:
-        now, limits = time.monotonic_ns(), self.turn.limits
+        now = time.monotonic_ns()
         for client in list(self.clients):
-            client.drop_if_stuck(now - limits.command_ns)
-        self.turn.deadlines.add(now + limits.tend_ns, self._tend)
+            client.tend(now)
+        self.turn.deadlines.add(now + self.turn.limits.tend_ns, self._tend)
 
     @property
     def address(self) -> str:
@@ -293,7 +340,7 @@
                 # Guards against running out of descriptors: the rest waits in the backlog until one is free.
                 self.turn.log.often("full", f"{len(self.clients)} client connections: taking no more for now")
                 self._pause()
-                self.turn.deadlines.add(time.monotonic_ns() + limits.spare_ns, self._resume)
+                self.turn.deadlines.add(time.monotonic_ns() + limits.newcomer_ns, self._resume)
                 self.turn.wake()
                 return
             try:
@@ -318,11 +365,16 @@
             self._coming -= 1
 
     def _make_room(self) -> bool:
-        """Closes the client connection that has rested longest; its client opens another when needed. One
-        that has only just come, or got its answer, is spared: its next request may be here, not yet read."""
-        before = time.monotonic_ns() - self.turn.limits.spare_ns
-        resting = [c for c in self.clients if c.idle and c.rested_ns < before]
-        return bool(resting) and min(resting, key=lambda c: c.rested_ns).close_if_idle()
+        """Closes a client connection that rests: first one that never asked, else the one that rested
+        longest. One that has just come, or got its answer, is spared: its next request may be on its way."""
+        now, limits = time.monotonic_ns(), self.turn.limits
+        resting = [(c.asked, c.rested_ns, k, c) for k, c in enumerate(self.clients)
+                   if now - c.rested_ns > (limits.spare_ns if c.asked else limits.newcomer_ns) and c.idle]
+        return any(c.close_if_idle() for *_, c in sorted(resting))
+
+    def done(self, session: Session) -> None:
+        if self.open.get(session.call.id) is session:
+            del self.open[session.call.id]
 
     def joined(self, client: ClientConnection) -> None:
         self.clients[client] = None
--- a/zincstile/net/limits.py
+++ b/zincstile/net/limits.py
@@ -19,6 +19,8 @@
     words: int = 16  # of a command
     line_bytes: int = 1024  # a header line of RESP or HTTP
     command_bytes: int = 131072
+    id_bytes: int = 64
+    drained_bytes: int = 1 << 20  # thrown away after a client's last answer before the connection is reset
     header_lines: int = 64
     table_bytes: int = 4 << 20  # one line of the server table
     datagram_bytes: int = 256
@@ -30,10 +32,15 @@
     accepts: int = 64  # connections taken in one turn
     # times
     connect_ns: int = 250 * MS
-    command_ns: int = 10 * SECOND  # a command that is begun has to be whole by then
-    tend_ns: int = SECOND  # how often that is looked at
+    command_ns: int = 1500 * MS  # a command that is begun has to be whole by then
+    silent_ns: int = 1500 * MS  # a client that has asked nothing by then is closed
+    rest_ns: int = 10 * SECOND  # a client's connection that rested this long is closed
+    tend_ns: int = 500 * MS  # how often these are looked at
+    drained_ns: int = 500 * MS  # after the last answer, how long the client's close is waited for
+    answer_ns: int = 250 * MS  # an answer that is begun has to be whole by then
     idle_ns: int = 20 * SECOND  # a resting backend connection is closed after this
-    spare_ns: int = 100 * MS  # a client's connection that rested this long may be closed to make room
+    spare_ns: int = 2 * SECOND  # a client's connection that rested this long may be closed to make room
+    newcomer_ns: int = 100 * MS  # the same for one that never asked
     margin_ns: int = 2 * MS  # a request's way here, taken off the time that its client waits
     table_first_ns: int = 300 * MS  # how long the start waits for discovery before the known list must do
     table_silence_ns: int = 7 * SECOND  # a watch says something every 2 s; one that does not is opened anew
--- a/zincstile/net/resp.py
+++ b/zincstile/net/resp.py
@@ -15,7 +15,11 @@
     """The text of an error reply, without its sign."""
 
 
-Reply = bytes | None | ErrorLine | list["Reply"]
+class PlainLine(bytes):
+    """The text of a simple string or the digits of an integer, without its sign: never a value."""
+
+
+Reply = bytes | None | ErrorLine | PlainLine | list["Reply"]
 
 
 class Parser:
@@ -151,7 +155,17 @@
                 raise RespError("too long a line")
             return None, -1
         text = buf[at + 1:end]
-        return (ErrorLine(text) if sign == 45 else text), end + 2
+        return (ErrorLine(text) if sign == 45 else PlainLine(text)), end + 2
+
+
+def answer(reply: Reply) -> tuple[bytes, bytes] | None:
+    """The value and the load report of a backend server's answer, where its form is the one agreed on. Guards
+    against serving what no backend server made: a length that swallowed what follows leaves too few parts."""
+    if not isinstance(reply, list) or len(reply) != 3:
+        return None
+    if type(reply[0]) is not bytes or any(part is not None and type(part) is not bytes for part in reply):
+        return None
+    return reply[0], reply[2] or b""
 
 
 def command(words: list[bytes]) -> bytes:
--- a/zincstile/net/turn.py
+++ b/zincstile/net/turn.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import time
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -22,6 +23,13 @@
     def flush(self) -> None: ...
 
 
+def readable(transport: asyncio.Transport) -> bool:
+    """Something has come on a connection that the loop has not read yet: bytes, or its end."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class Turn:
     """Holds the sessions, the events of the next turn, and the one alarm for the deadlines."""
 
--- a/zincstile/policy.py
+++ b/zincstile/policy.py
@@ -482,7 +482,7 @@
 
     def _learn(self, now: int, e: i.Outcome, attempt: Attempt) -> None:
         server, ratio = attempt.server, e.latency_ns / attempt.due_ns
-        if e.result in (Result.OK, Result.ERROR, Result.FULL):
+        if e.result in (Result.OK, Result.ERROR, Result.FULL, Result.SPOILT):
             server.heard_ns = now
         timed = e.result in (Result.OK, Result.TIMEOUT)
         if timed or (e.result is Result.CANCELLED and ratio > 1):
@@ -491,6 +491,8 @@
             self._sample(now, attempt, self.set.pair(attempt.cls, attempt.plan), 1.0, SURE)
         elif e.result in FAULTS:
             self._sample(now, attempt, attempt.cls, 1.0, SURE)
+        elif e.result is Result.SPOILT:  # any backend's answers may be: one alone is no reason to leave it
+            self._sample(now, attempt, attempt.cls, 1.0, SMOOTH)
         elif timed:
             self._sample(now, attempt, attempt.cls, min(1.0, max(0.0, ratio / PATIENCE - 1)), SMOOTH)
         if e.result is Result.OK:
