--- a/zincstile/policy.py
+++ b/zincstile/policy.py
@@ -268,7 +268,9 @@
         plan = self.set.plans[c.plan]
         out = c.open + c.open_at_peers(c.filled_ns - self.set.longest_ns) if plan.open_limit else -1
         share = 1.0 if c.wide else max(1 / c.spread, c.mine / max(c.mine + c.theirs, 1e-9))
-        room = not plan.rate or (c.level >= units and c.untold <= share * (c.level + c.untold))
+        # A draw: guards against all gateways of the set sending at once when a bare store has filled for one.
+        room = not plan.rate or (c.level >= units and
+                                 share * (c.level + c.untold) - c.untold >= units * self.rng.random())
         return room and out < plan.open_limit
 
     def _spend(self, now: int, c: Customer, units: float) -> None:
