--- a/zincstile/net/resp.py
+++ b/zincstile/net/resp.py
@@ -68,7 +68,7 @@
                 return -1, end + 2
             raise RespError("invalid length")
         if len(text) > 9 or int(text) > most:
-            raise RespError("length past the limit")
+            raise RespError(f"length past the limit: {bytes(buf[max(0, at - 40):end + 60])!r} PROBE")
         return int(text), end + 2
 
     def _bulk(self, buf: bytes, at: int) -> tuple[bytes | None, int]:
