--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -39,6 +39,14 @@
     assert taken(g, 1, units=4.0) in (0.0, 4.0)
 
 
+def test_a_bare_store_is_not_given_out_by_all_gateways_at_once():
+    """Each of three that see units for one request sends it in a third of the cases."""
+    g = gateway()
+    hear(g, [i.Share(k, 0, 0.0, 2.0, 0) for k in range(300)])
+    sent = [k for k in range(300) if only(g.ask(customer=k, units=2.0, spread=3)[1], i.Send)]
+    assert 60 <= len(sent) <= 140
+
+
 def test_sends_of_peers_leave_the_store():
     g = gateway()
     hear(g, [i.Share(7, 0, 0.0, 12.0, 0)])
--- a/zincstile/net/backend.py
+++ b/zincstile/net/backend.py
@@ -52,13 +52,14 @@
 
 
 class BackendConnection(asyncio.BufferedProtocol):
-    __slots__ = ("pools", "server", "transport", "attempt", "rested_ns", "_parser", "_unwritten",
+    __slots__ = ("pools", "server", "transport", "attempt", "rested_ns", "heard_ns", "_parser", "_unwritten",
                  "_half")
 
     def __init__(self, pools: Backends, server: BackendServer, attempt: Attempt | None) -> None:
         self.pools, self.server, self.attempt = pools, server, attempt
         self.transport: asyncio.Transport | None = None
         self.rested_ns = 0
+        self.heard_ns = 0  # when the answer that is not whole yet last went on
         self._parser = resp.ReplyParser(pools.turn.limits)
         self._unwritten = False  # part of a command has not left this process
         self._half = False  # part of an answer has come
@@ -104,9 +105,11 @@
             pools.answered(self, attempt, replies[0], len(replies) == 1 and parser.idle and not parser.error)
         elif parser.error:
             pools.spoilt(attempt, parser.error)
-        elif not self._half:
-            self._half = True
-            pools.begun(attempt)
+        else:
+            self.heard_ns = time.monotonic_ns()
+            if not self._half:
+                self._half = True
+                pools.begun(attempt)
 
     def eof_received(self) -> None:
         return None
@@ -316,16 +319,20 @@
         return resp.command(words)
 
     def begun(self, attempt: Attempt) -> None:
-        """Guards against an answer whose length is more than what comes: backend servers write it at once."""
-        now = time.monotonic_ns()
-        if now + self.turn.limits.answer_ns < attempt.until_ns:
+        """Guards against an answer that stops halfway, as one does whose length is more than what comes."""
+        at = attempt.connection.heard_ns + self.turn.limits.answer_ns
+        if at < attempt.until_ns:
             self.turn.deadlines.drop(attempt.deadline)
-            attempt.deadline = self.turn.deadlines.add(now + self.turn.limits.answer_ns, self._cut, attempt)
+            attempt.deadline = self.turn.deadlines.add(at, self._cut, attempt)
             self.turn.wake()
 
     def _cut(self, attempt: Attempt) -> None:
         attempt.deadline = None
-        self.spoilt(attempt, "it does not go on")
+        if attempt.connection.heard_ns + self.turn.limits.answer_ns > time.monotonic_ns():
+            self._limit(attempt, attempt.until_ns)
+            self.begun(attempt)  # it has gone on since
+        else:
+            self.spoilt(attempt, "it does not go on")
 
     def spoilt(self, attempt: Attempt, why: str) -> None:
         """It ran. The connection is of no further use."""
--- a/zincstile/net/config.py
+++ b/zincstile/net/config.py
@@ -84,7 +84,7 @@
         zones=[str(z) for z in settings.get("zones") or []],
         kinds=[str(k) for k in settings.get("skus") or []],
         limits=Limits.for_gateway(
-            int(own.get("sockets", 1024)), int(limits.get("max_open", 20000)),
+            int(own.get("sockets", 1024)), int(own.get("memory_mb", 192)), int(limits.get("max_open", 20000)),
             int(limits.get("connect_timeout_ns", 250_000_000)),
             int(limits.get("idle_close_ns", 30_000_000_000)), decoded.longest_ns, given),
         known=t.get("known") or {},
--- a/zincstile/net/frontend.py
+++ b/zincstile/net/frontend.py
@@ -150,6 +150,7 @@
         self.begun_ns = 0 if self._parser.idle else self.begun_ns or time.monotonic_ns()
         if self._parser.error:  # nothing after it can be understood
             self.counters.malformed += 1
+            self.turn.log.often("malformed", f"command: {self._parser.error}")
             self._give_up("Protocol error: " + self._parser.error)
         self._throttle()
 
@@ -271,7 +272,8 @@
         if self._closing or self._waiting or self.transport.is_closing():
             return
         if not self._parser.idle:
-            if now - self.begun_ns > limits.command_ns:
+            if now - self.begun_ns > limits.command_ns or \
+                    not self.asked and now - self.rested_ns > limits.silent_ns:
                 self._give_up("a command that does not end")
         elif now - self.rested_ns > (limits.rest_ns if self.asked else limits.silent_ns):
             self.close_if_idle()
--- a/zincstile/net/limits.py
+++ b/zincstile/net/limits.py
@@ -15,7 +15,8 @@
     backend_connections: int = 400
     # sizes
     read_bytes: int = 65536  # the one buffer that all connections read into
-    value_bytes: int = 65536
+    value_bytes: int = 65536  # of a command
+    answer_bytes: int = 1 << 20  # of a value that a backend server sends: many times a command's were seen
     words: int = 16  # of a command
     line_bytes: int = 1024  # a header line of RESP or HTTP
     command_bytes: int = 131072
@@ -32,12 +33,12 @@
     accepts: int = 64  # connections taken in one turn
     # times
     connect_ns: int = 250 * MS
-    command_ns: int = 1500 * MS  # a command that is begun has to be whole by then
-    silent_ns: int = 1500 * MS  # a client that has asked nothing by then is closed
+    command_ns: int = 10 * SECOND  # a command that is begun has to be whole by then
+    silent_ns: int = 2200 * MS  # a client that has sent no whole command by then is closed
     rest_ns: int = 10 * SECOND  # a client's connection that rested this long is closed
-    tend_ns: int = 500 * MS  # how often these are looked at
+    tend_ns: int = 250 * MS  # how often these are looked at
     drained_ns: int = 500 * MS  # after the last answer, how long the client's close is waited for
-    answer_ns: int = 250 * MS  # an answer that is begun has to be whole by then
+    answer_ns: int = 250 * MS  # an answer that is begun has to go on within this
     idle_ns: int = 20 * SECOND  # a resting backend connection is closed after this
     spare_ns: int = 2 * SECOND  # a client's connection that rested this long may be closed to make room
     newcomer_ns: int = 100 * MS  # the same for one that never asked
@@ -50,13 +51,16 @@
     drain_most_ns: int = 3600 * MS  # after SIGTERM, the end: the longest deadline and more
 
     @classmethod
-    def for_gateway(cls, sockets: int, max_open: int, connect_ns: int, idle_close_ns: int,
+    def for_gateway(cls, sockets: int, memory_mb: int, max_open: int, connect_ns: int, idle_close_ns: int,
                     longest_ns: int, given: dict[str, int]) -> Limits:
-        """Splits the descriptors: a reserve for what is neither client nor backend, and three to two. What is
-        given by name goes before."""
+        """Splits the descriptors: a reserve for what is neither client nor backend, and three to two. Where
+        memory is short, large values and unread answers get less of it. What is given by name goes before."""
+        usual, memory_mb = cls(), max(1, memory_mb)
         reserve = max(16, sockets // 25)
         rest = max(2, sockets - reserve)
         return cls(**{
             "frontend_connections": rest * 3 // 5, "backend_connections": rest - rest * 3 // 5,
+            "answer_bytes": min(usual.answer_bytes, memory_mb << 14),
+            "written_bytes": min(usual.written_bytes, memory_mb << 11),
             "sessions": max(1, max_open), "connect_ns": connect_ns, "idle_ns": idle_close_ns * 2 // 3,
             "drain_most_ns": longest_ns + 600 * MS, **given})
--- a/zincstile/net/resp.py
+++ b/zincstile/net/resp.py
@@ -25,10 +25,13 @@
 class Parser:
     """Whole messages out of the pieces fed; `error` tells why nothing after them can be understood."""
 
-    __slots__ = ("_kept", "error", "limits")
+    __slots__ = ("_kept", "_need", "_end", "_value_bytes", "_most", "error", "limits")
 
-    def __init__(self, limits: Limits) -> None:
-        self.limits, self._kept, self.error = limits, b"", ""
+    def __init__(self, limits: Limits, value_bytes: int, most: int) -> None:
+        self.limits, self._value_bytes, self._most = limits, value_bytes, most
+        self._kept, self.error = bytearray(), ""
+        self._need = 0  # bytes that have to be kept before a look at them can find anything new
+        self._end = 0  # where the value that is not whole yet will end
 
     @property
     def idle(self) -> bool:
@@ -36,20 +39,27 @@
         return not self._kept
 
     def feed(self, data: bytes) -> list:
-        buf, at, whole = (self._kept + data if self._kept else data), 0, []
+        buf, at, whole = data, 0, []
+        if self._kept:
+            self._kept += data
+            if len(self._kept) < self._need:  # guards against reading a large value anew for each piece of it
+                return whole
+            buf = bytes(self._kept)
+        self._need = self._end = 0
         try:
             while at < len(buf):
                 found, end = self._message(buf, at)
                 if end < 0:
-                    if len(buf) - at > self.limits.command_bytes:
+                    if max(len(buf), self._end) - at > self._most:
                         raise RespError("too long")
+                    self._need = self._end - at
                     break
                 whole.append(found)
                 at = end
         except RespError as err:
             self.error = str(err)
             at = len(buf)
-        self._kept = buf[at:] if at < len(buf) else b""
+        self._kept = bytearray(buf[at:])
         return whole
 
     def _message(self, buf: bytes, at: int) -> tuple[object, int]:
@@ -68,15 +78,16 @@
                 return -1, end + 2
             raise RespError("invalid length")
         if len(text) > 9 or int(text) > most:
-            raise RespError(f"length past the limit: {bytes(buf[max(0, at - 40):end + 60])!r} PROBE")
+            raise RespError("length past the limit")
         return int(text), end + 2
 
     def _bulk(self, buf: bytes, at: int) -> tuple[bytes | None, int]:
-        size, start = self._number(buf, at, self.limits.value_bytes)
+        size, start = self._number(buf, at, self._value_bytes)
         if start < 0 or size < 0:
             return None, start
         end = start + size
         if len(buf) < end + 2:
+            self._end = end + 2
             return None, -1
         if buf[end:end + 2] != CRLF:
             raise RespError("a value without its end")
@@ -88,6 +99,9 @@
 
     __slots__ = ()
 
+    def __init__(self, limits: Limits) -> None:
+        super().__init__(limits, limits.value_bytes, limits.command_bytes)
+
     def _message(self, buf: bytes, at: int) -> tuple[list[bytes], int]:
         if buf[at] != 42:  # '*'
             raise RespError("expected '*'")
@@ -95,7 +109,7 @@
         words: list[bytes] = []
         if at < 0:
             return words, -1
-        most, line, size = self.limits.value_bytes, self.limits.line_bytes, len(buf)
+        most, line, size = self._value_bytes, self.limits.line_bytes, len(buf)
         for _ in range(count):  # what _bulk does, in line: most of a request's parsing is here
             if at >= size:
                 return words, -1
@@ -114,6 +128,7 @@
             if end - start > most:
                 raise RespError("length past the limit")
             if size < end + 2:
+                self._end = end + 2
                 return words, -1
             if buf[end:end + 2] != CRLF:
                 raise RespError("a value without its end")
@@ -127,6 +142,9 @@
 
     __slots__ = ()
 
+    def __init__(self, limits: Limits) -> None:
+        super().__init__(limits, limits.answer_bytes, 2 * limits.answer_bytes)
+
     def _message(self, buf: bytes, at: int) -> tuple[Reply, int]:
         return self._reply(buf, at, True)
 
