A second copy beside a silent attempt; ends of kept connections weigh little and spare unsafe calls

Cause: the module made a further attempt only once the last had ended; net/backend told RESET whether or not the connection had carried others before. Change: an attempt that is silent for five dues gets a second copy, where the class allows one and the budget covers all that arrives (policy._second). STALE is the end of a kept connection before any byte of an answer: weight SMOOTH, half the credit. Where more than 1 in 100 attempts end so, calls that may not run again ask for a new connection (Send.fresh), in place of the one that rested longest.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,3 +1,4 @@
+import pytest
 from conftest import MS, SECOND, Gateway, backend, only
 
 from zincstile import interface as i
@@ -198,3 +199,53 @@
     assert strain(156 * MS, 100) < 1  # 2.6 times as long, a sixth of the aim
     assert g.policy.level == float("inf")
     assert strain(1500 * MS, 50) > 1
+
+
+@pytest.mark.parametrize(("cls", "over", "copies"), [(0, {}, 1), (1, {}, 0), (2, {}, 1),
+                                                     (0, {"second_copies": False}, 0)])
+def test_a_second_copy_beside_a_silent_attempt_where_the_class_allows_it(gateway, cls, over, copies):
+    g = gateway(over, backends=3)
+    rid, acts = g.ask(cls=cls)
+    first = only(acts, i.Send)[0]
+    seconds = []
+    for _ in range(30):
+        seconds += only(g.tick(), i.Send)
+    assert [s.request for s in seconds] == [rid] * copies
+    assert first.backend not in [s.backend for s in seconds]
+    if copies:  # either answer ends it
+        acts = g.outcome(rid, 1, seconds[0].backend, i.Result.OK)
+        assert [(c.request, c.attempt) for c in only(acts, i.Cancel)] == [(rid, 0)]
+
+
+def test_no_second_copies_under_pressure(gateway):
+    g = gateway(backends=3)
+    g.policy.leaves[-1].rate = 0.5
+    g.policy.level, g.policy.brim = 1.0, 1.0
+    g.policy.strain = 2.0
+    g.ask()
+    seconds = []
+    for _ in range(5):
+        g.policy.strain = 2.0
+        seconds += only(g.tick(), i.Send)
+    assert not seconds
+
+
+def test_one_spoilt_answer_is_no_reason_to_leave_a_backend(gateway):
+    """An error is: the two weigh differently."""
+    for result, left in ((i.Result.SPOILT, False), (i.Result.STALE, False), (i.Result.ERROR, True)):
+        g = gateway(backends=2)
+        rid, acts = g.ask(cls=1)
+        where = only(acts, i.Send)[0].backend
+        assert only(g.outcome(rid, 0, where, result), i.Fail)
+        server = g.policy.servers[where]
+        assert (g.policy._doubted(server, 1, 0) >= 0.3) is left
+
+
+def test_what_may_not_run_again_gets_a_new_connection_where_kept_ones_end(gateway):
+    g = gateway(backends=8)
+    sends = []
+    for cls in (1, 0, 1):
+        rid, acts = g.ask(cls=cls)
+        sends += only(acts, i.Send)
+        g.outcome(rid, 0, sends[-1].backend, i.Result.STALE, finished=True)
+    assert [s.fresh for s in sends] == [False, False, True]
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -102,6 +102,28 @@
         expect a1 put 1
         send a1 -ERR failed inflight=7,queue=2
         expect c1 -ERR failed""",
+    "a kept connection that ends beneath a call is no reset; the next unsafe call gets a new one": READY + """
+        send c1 look 1
+        expect a1 look 1
+        send a1 ok one
+        expect c1 ok one
+        send c1 book 2
+        expect a1 book 2
+        close a1
+        expect c1 -ERR failed
+        wait gw stale=1
+        wait gw reset=0
+        send c1 look 3
+        expect a2 look 3
+        send a2 ok three
+        expect c1 ok three
+        send c1 book 4
+        expect a3 book 4
+        send a3 ok four
+        expect c1 ok four
+        expect a2 end
+        send c1 look 5
+        expect a3 look 5""",
     "a safe call goes to another backend server": READY + """
         send c1 look 1
         expect a1 look 1
--- a/zincstile/interface.py
+++ b/zincstile/interface.py
@@ -32,6 +32,7 @@
     RESET = "reset"
     CANCELLED = "cancelled"
     MOOT = "moot"
+    STALE = "stale"  # the connection, kept from an earlier attempt, ended beneath it: it may have run
     SPOILT = "spoilt"  # it ran, and its answer can't be read
 
 
@@ -277,6 +278,7 @@
     request: int
     backend: int
     until_ns: int
+    fresh: bool = False  # on a connection that carried nothing before
 
 
 @dataclass(slots=True)
--- a/zincstile/net/backend.py
+++ b/zincstile/net/backend.py
@@ -53,7 +53,7 @@
 
 class BackendConnection(asyncio.BufferedProtocol):
     __slots__ = ("pools", "server", "transport", "attempt", "rested_ns", "heard_ns", "_parser", "_unwritten",
-                 "_half")
+                 "_half", "_kept")
 
     def __init__(self, pools: Backends, server: BackendServer, attempt: Attempt | None) -> None:
         self.pools, self.server, self.attempt = pools, server, attempt
@@ -63,13 +63,15 @@
         self._parser = resp.ReplyParser(pools.turn.limits)
         self._unwritten = False  # part of a command has not left this process
         self._half = False  # part of an answer has come
+        self._kept = False  # it has carried another attempt before
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
         self.transport.set_write_buffer_limits(high=0)  # so that the end of each command's writing is told
         self.pools.connected(self)
 
-    def carry(self, attempt: Attempt) -> None:
+    def carry(self, attempt: Attempt, kept: bool = False) -> None:
+        self._kept = kept
         self.attempt, attempt.connection, attempt.begun = attempt, self, True
         self._half = False
         self.transport.write(self.pools.encode(attempt))
@@ -118,7 +120,8 @@
         attempt, self.attempt = self.attempt, None
         self.pools.lost(self)
         if attempt is not None:
-            self.pools.finish(attempt, Result.RESET if self.whole else Result.CONNECT_FAILED)
+            broken = Result.STALE if self._kept and self._parser.idle else Result.RESET
+            self.pools.finish(attempt, broken if self.whole else Result.CONNECT_FAILED)
 
     def drop(self) -> None:
         self.attempt = None
@@ -182,9 +185,11 @@
         if session is None:
             return
         number, session.attempts = session.attempts, session.attempts + 1
-        self._launch(now, session, number, action.backend, min(action.until_ns, session.give_up_ns))
+        self._launch(now, session, number, action.backend, min(action.until_ns, session.give_up_ns),
+                     action.fresh)
 
-    def _launch(self, now: int, session: Session | None, number: int, backend: int, until_ns: int) -> None:
+    def _launch(self, now: int, session: Session | None, number: int, backend: int, until_ns: int,
+                fresh: bool = False) -> None:
         server = self.servers.get(backend)
         if server is None or not server.ready or until_ns <= now:
             self._report(session, number, backend, Result.MOOT, 0)
@@ -192,11 +197,13 @@
         attempt = Attempt(session, number, server, now, until_ns)
         if session is not None:
             self.attempts[session.id, number] = attempt
-        while server.resting:
+        if fresh and server.resting:  # in place of the one that rested longest, so that they don't add up
+            server.resting.pop(0).transport.close()
+        while server.resting and not fresh:
             connection = server.resting.pop()
             if connection.quiet:
                 self._limit(attempt, until_ns)
-                connection.carry(attempt)
+                connection.carry(attempt, True)
                 return
             connection.transport.abort()
         if len(self.connections) >= self.turn.limits.backend_connections and not self._make_room():
--- a/zincstile/net/counters.py
+++ b/zincstile/net/counters.py
@@ -9,7 +9,7 @@
 class Counters:
     __slots__ = ("clients", "requests", "pings", "malformed", "served", "denied", "failed", "left",
                  "attempts", "ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot",
-                 "spoilt",
+                 "spoilt", "stale",
                  "connects", "messages_in", "messages_out", "messages_bad", "tables", "watches", "faults",
                  "turns", "reloads")
 
--- a/zincstile/policy.py
+++ b/zincstile/policy.py
@@ -45,6 +45,8 @@
 GUARD, ASKED, TICK, FLUSH, KINDS = 0, 1, 2, 3, 4  # timer kinds, and their number
 FAULTS = (Result.ERROR, Result.RESET, Result.CONNECT_FAILED)
 KEPT, OPENED, BUSY = 0, 1, 2  # the connection of an attempt: rested and kept, new, heard of lately
+COSTS = {Result.FULL: 0.0, Result.STALE: 0.5}  # of credit: a refusal cost the backend nothing
+STALE = 0.01  # part of the attempts that ends so from which what may not run again gets a new connection
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
 
 
@@ -128,11 +130,14 @@
         ticks = span * SECOND / TICK_NS
         self.age(span, math.exp(-span / ARRIVAL_S), KEEP ** ticks, math.exp(-span / SPAN_S))
         self._fade(math.exp(-span / FADE_S))
-        for a in self.attempts.values():  # hung and silent backends show before the outcomes
-            if not a.late and now - a.sent_ns > LATE * a.due_ns:
-                a.late = True
-                self._sample(now, a, a.cls, 1.0, SMOOTH)
-                self._press(now - a.sent_ns, a, silent=True)
+        late = [(key[0], a) for key, a in self.attempts.items()  # hung backends show before the outcomes
+                if not a.late and now - a.sent_ns > LATE * a.due_ns]
+        for request, a in late:
+            a.late = True
+            self._sample(now, a, a.cls, 1.0, SMOOTH)
+            self._press(now - a.sent_ns, a, silent=True)
+            if request in self.live:
+                self._second(now, self.live[request], a)
         self._follow(now, span, ticks)
         if now - self.beat_ns > BEAT_NS:
             self.beat_ns = now
@@ -451,7 +456,9 @@
         bound = min(AIM_SHARE * spec.aim_ns, STRETCH * self.calm_ns[ask.cls] * size)
         self.launch(live, Attempt(server, now, live.due_ns, ask.units, bound, ask.cls, ask.plan,
                                   self._connection(now, server)))
-        self.acts.append(i.Send(ask.id, server.info.id, live.until_ns))
+        # Guards what may not run again against kept connections, where those end beneath requests
+        fresh = spec.effect is not Effect.SAFE and self.stale > STALE
+        self.acts.append(i.Send(ask.id, server.info.id, live.until_ns, fresh))
 
     def _connection(self, now: int, server: Server) -> int:
         """Guards against paths that forget a resting connection without a word, and what was sent on it with
@@ -480,7 +487,7 @@
         elif e.result not in NEVER_RAN and live.ran is None:
             live.ran, live.ran_ns = attempt.server, attempt.sent_ns
         if live.out == 0 and not e.finished:
-            self._again(now, live, 0 if e.result is Result.FULL else 1)  # a refusal cost the backend nothing
+            self._again(now, live, COSTS.get(e.result, 1.0))
 
     def _learn(self, now: int, e: i.Outcome, attempt: Attempt) -> None:
         server, ratio = attempt.server, e.latency_ns / attempt.due_ns
@@ -493,10 +500,11 @@
             self._sample(now, attempt, self.set.pair(attempt.cls, attempt.plan), 1.0, SURE)
         elif e.result in FAULTS:
             self._sample(now, attempt, attempt.cls, 1.0, SURE)
-        elif e.result is Result.SPOILT:  # any backend's answers may be: one alone is no reason to leave it
+        elif e.result in (Result.SPOILT, Result.STALE):  # one alone is no reason to leave that backend
             self._sample(now, attempt, attempt.cls, 1.0, SMOOTH)
         elif timed:
             self._sample(now, attempt, attempt.cls, min(1.0, max(0.0, ratio / PATIENCE - 1)), SMOOTH)
+        self.stale += FLEET * ((e.result is Result.STALE) - self.stale)
         if e.result is Result.OK:
             self.done_units += attempt.units
         if timed and not attempt.late:
@@ -513,18 +521,35 @@
         if self.set.settled_after and e.true_units and live.inside:
             self._spend(now, live.customer, e.true_units - ask.units)
 
-    def _again(self, now: int, live: Live, cost: int) -> None:
-        """A further attempt where the class allows one (rule 2), else the final answer."""
-        ask, free = live.ask, live.ran is None or live.spec.effect is Effect.SAFE
+    def _second(self, now: int, live: Live, first: Attempt) -> None:
+        """A second copy beside a first that is long silent. Guards against connections and backends that fell
+        silent, which hold a request until its deadline. Not under pressure, as copies would add to it."""
+        pressed = self.strain > CALM or any(x.rate < 1 for x in self.leaves)
+        if live.out > 1 or not self.set.second_copies or live.stream or pressed:
+            return
+        ran = live.ran, live.ran_ns
+        if live.ran is None:  # it may have run by now
+            live.ran, live.ran_ns = first.server, first.sent_ns
+        if not self._further(now, live, 1):
+            live.ran, live.ran_ns = ran
+
+    def _further(self, now: int, live: Live, cost: float) -> bool:
+        """A further attempt where the class allows one (rule 2) and the credit for it was earned."""
+        free = live.ran is None or live.spec.effect is Effect.SAFE
         may = free or (live.spec.effect is Effect.KEYED and now - live.ran_ns < live.spec.window_ns)
         more = may and len(live.tried) < self.set.max_attempts and self.credit >= cost
         server = self._choose(now, live) if more and live.until_ns - now > live.due_ns / 2 else None
         if server:
             self.credit -= cost
             self._send(now, live, server)
-            return
-        self.acts.append(i.Refuse(ask.id, self._come_back_ns(live)) if free else i.Fail(ask.id))
-        self.close(live, self.set.cancel)
+        return server is not None
+
+    def _again(self, now: int, live: Live, cost: float) -> None:
+        """A further attempt, else the final answer."""
+        if not self._further(now, live, cost):
+            free = live.ran is None or live.spec.effect is Effect.SAFE
+            self.acts.append(i.Refuse(live.ask.id, self._come_back_ns(live)) if free else i.Fail(live.ask.id))
+            self.close(live, self.set.cancel)
 
     def on_gone(self, now: int, event: i.Gone) -> None:
         if event.request in self.live:
--- a/zincstile/state.py
+++ b/zincstile/state.py
@@ -211,6 +211,7 @@
         self.brim, self.rose = float("inf"), True  # level at which pressure last began; since its last cut
         self.broken = [0.0, 0.0, 0.0]  # how bad attempts went by their connection: kept, opened, busy
         self.strain = self.done_units = self.level = 0.0
+        self.stale = 0.0  # part of the attempts whose kept connection ended beneath them
         self.unit_ns: list[float] = []
         self.usual: list[float] = []  # group: the doubt that a part of the fleet does not exceed
         self.mean_units, self.met, self.good = 1.0, 0, 1.0
