Parts of a ceiling follow the customer's recent use while all its peers are heard

Cause: Policy._decide gave each gateway an even part of the ceiling; customers come unevenly. Change: Policy._ceiling_part: by recent use, which sums up to one; even as soon as a peer is not heard for 1.2 s, and at the start. The quota, at 1/1.6 of the ceiling or less, holds what goes out where views differ. Ruled out: the limit on attempts out as a fault: it is part of the quota.

--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -102,6 +102,44 @@
     assert only(g.ask(spread=3)[1], i.Send)
 
 
+def under_a_ceiling():
+    """Two gateways have a ceiling that lets each send 2 a second in even parts; the quota would let 4."""
+    plan = i.PlanSpec("c", rate=4.0, burst=8.0, ceiling_rate=4.0, ceiling_burst=8.0)
+    g = Gateway({"plans": [plan], "gateways": 2}, backends=8)
+    g.now += 10 * SECOND  # the ceiling has filled since the start
+    return g
+
+
+def test_the_ceiling_is_parted_by_recent_use_while_all_peers_are_heard():
+    for heard, least, most in ((True, 26.0, 44.0), (False, 16.0, 24.0)):
+        g, sent = under_a_ceiling(), 0.0
+        for k in range(8 * 10):
+            if heard:
+                hear(g, [i.Share(7, 0, 0.0, 8.0, 0)])
+            g.now += 100 * MS
+            sent += taken(g, 1, units=1.0, spread=2)
+            if k % 10 == 9:
+                g.tick(after=0)
+                g.feed(i.Timer(3))
+        assert least <= sent <= most, (heard, sent)
+
+
+def test_parts_of_the_ceiling_sum_up_to_one():
+    one, other = under_a_ceiling(), under_a_ceiling()
+    for g in (one, other):
+        hear(g, [i.Share(7, 0, 0.0, 8.0, 0)])
+    sent = taken(one, 3, units=1.0, spread=2)
+    assert sent == 3.0
+    hear(other, [i.Share(7, 0, sent, 8.0 - sent, 0)], after=MS)
+    taken(other, 0)
+    parts = []
+    for g in (one, other):
+        c = g.policy.customers[7]
+        c.spread, c.told = 2, [1]
+        parts.append(g.policy._ceiling_part(g.now, c, g.policy.set.plans[0]))
+    assert parts[0] > 0.6 and abs(sum(parts) - 1) < 0.05
+
+
 def test_beyond_the_quota_only_where_it_earns():
     for over_worth, cost, sent in ((0.0, 0.5, False), (0.3, 0.0, True), (0.3, 0.3, False)):
         plan = i.PlanSpec("p", rate=0.001, burst=2.0, over_worth=over_worth, over_cost=cost)
--- a/zincstile/policy.py
+++ b/zincstile/policy.py
@@ -28,6 +28,7 @@
 SPAN_S, ENOUGH = 0.8, 10.0  # memory of the answers' lateness; so many of them are half believed in a tick
 # Quota gossip.
 BEAT_NS, SILENCE_NS, FORGET_NS = SECOND, 3 * SECOND, 120 * SECOND  # beat; unheard: even part; idle: gone
+HEARD_NS, PARTS_S = 6 * SECOND // 5, 1.0  # unheard: even ceiling; seconds at the quota that even parts weigh
 INTAKE, FLOW_S = 0.8, 5.0  # part of a peer's intake that may be filled; memory of who sends for a customer
 DIRECT, ASK_NS, ASKS = 4, SECOND // 12, 2  # most peers all told, others ask a relay; wait for it; so often
 TOTALS, MARKS = 2**28, 2**16  # totals of units are told modulo this; asks are marked modulo this
@@ -278,6 +279,16 @@
                                  share * (c.level + c.untold) - c.untold >= units * self.rng.random())
         return room and out < plan.open_limit
 
+    def _ceiling_part(self, now: int, c: Customer, plan: i.PlanSpec) -> float:
+        """Rule 5: this gateway's part of the ceiling, by recent use. The parts sum up to one where all know
+        the same, and are even as soon as a peer of the customer is unheard for more than a beat. Guards
+        against refusing inside the quota at the gateway that a customer mostly uses."""
+        if not plan.ceiling_rate or c.wide or not c.told \
+                or any(p not in self.heard or now - self.heard[p][1] > HEARD_NS for p in c.told):
+            return 1 / c.spread
+        even = PARTS_S * plan.rate
+        return (c.mine + even / c.spread) / (c.mine + c.theirs + even)
+
     def _spend(self, now: int, c: Customer, units: float) -> None:
         c.spend(units, TOTALS)
         self.dirty[c.key] = c
@@ -386,8 +397,8 @@
     def _decide(self, now: int, live: Live, inside: bool, counted: bool = False) -> None:
         ask, plan, c, live.inside = live.ask, live.plan, live.customer, inside
         leaf = live.leaf = self.tree[0 if inside else 1][ask.cls][ask.plan]
-        # Rule 5, under any loss: an even part each; empty at the start, as what was spent before is not known
-        c.fill_ceiling(now, plan.ceiling_rate / c.spread, plan.ceiling_burst / c.spread)
+        part = self._ceiling_part(now, c, plan)
+        c.fill_ceiling(now, plan.ceiling_rate * part, plan.ceiling_burst * part)
         capped = plan.ceiling_rate > 0 and c.ceiling + SAFELY * plan.ceiling_slack / c.spread < ask.units
         server = None
         if not capped and (inside or plan.over_worth > plan.over_cost):
