--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -249,3 +249,14 @@
         sends += only(acts, i.Send)
         g.outcome(rid, 0, sends[-1].backend, i.Result.STALE, finished=True)
     assert [s.fresh for s in sends] == [False, False, True]
+
+
+@pytest.mark.parametrize(("asked", "pressed"), [(9, False), (16, True)])
+def test_the_first_burst_is_pressure_only_from_ten_out_per_backend(gateway, asked, pressed):
+    g = gateway(backends=1)
+    for _ in range(asked):
+        g.ask(life=60 * SECOND)
+    for _ in range(20):
+        g.policy.strain = g.policy.silence = 0.0
+        g.tick()
+    assert (g.policy.level < float("inf")) is pressed
