One late answer tells at most four dues of a backend's slowness, not twenty

Cause: SLOWEST 20: one answer 20 times its due adds 4 to a slowness that fades in 8 s. Conclusion: kept at 4.

--- a/zincstile/policy.py
+++ b/zincstile/policy.py
@@ -36,7 +36,7 @@
 # Backends and further attempts.
 SMOOTH, SURE = 0.2, 0.4    # weight of a new sample of a backend: of an answer's time; of an error or a "full"
 FLEET, CREEP = 0.02, 0.0005  # and of one of the fleet, and of what counts as calm
-PATIENCE, LATE, SLOWEST = 3.0, 5.0, 20.0  # dues from which an attempt looks slow; is a failure; says no more
+PATIENCE, LATE, SLOWEST = 3.0, 5.0, 4.0  # dues from which an attempt looks slow; is a failure; says no more
 FAULTY, FLOOR = 0.3, 0.25  # doubt from which a backend is left, above that of this part of the fleet
 FADE_S, TOLD, FRESH_NS = 8.0, 8, 2 * SECOND  # memory of doubts; samples in a message, and how old they may be
 NOTABLE, FORGOTTEN, CANDIDATES = 0.1, 0.01, 10  # doubts: least that counts, dropped below; backends compared
