Ceilings open full where no peer had a word of sends before; an own request counts in the share

Cause: the ceilings' stores are empty at the start, as a restart does not know what was spent. And the draw on the share refuses first requests of customers that nobody else uses, at 1/3 of a full store. Every peer is now answered when it is first heard. The share counts the request itself.

--- a/zincstile/policy.py
+++ b/zincstile/policy.py
@@ -28,6 +28,7 @@
 SPAN_S, ENOUGH = 0.8, 10.0  # memory of the answers' lateness; so many of them are half believed in a tick
 # Quota gossip.
 BEAT_NS, SILENCE_NS, FORGET_NS = SECOND, 3 * SECOND, 120 * SECOND  # beat; unheard: even part; idle: gone
+QUIET_NS = SECOND // 4  # without a word of any peer's sends: there were none before the start
 LAG_S = 0.25  # how old the words of peers are, with a margin
 HEARD_NS, PARTS_S = 6 * SECOND // 5, 1.0  # unheard: even ceiling; seconds at the quota that even parts weigh
 INTAKE, FLOW_S = 0.8, 5.0  # part of a peer's intake that may be filled; memory of who sends for a customer
@@ -99,7 +100,7 @@
                      for c in settings.classes] for beyond in (False, True)])
 
     def on_started(self, now: int, _: i.Started) -> None:
-        self.start_ns = self.tick_ns = self.beat_ns = now
+        self.start_ns = self.spent_ns = self.tick_ns = self.beat_ns = now
         self.timer(now + TICK_NS, TICK)
         if self.set.ask_for_list:
             self.acts.append(i.Watch())
@@ -246,9 +247,15 @@
             calm = min(self.calm_ns[cls], self.unit_ns[cls])
             self.calm_ns[cls] = calm + CREEP * (self.unit_ns[cls] - calm)
 
+    def _begin(self, now: int) -> None:
+        """The first request or word of one. The ceilings' stores are empty at the start, as what was spent
+        before is not known; but where all peers are heard and none had a word for a while, nothing was."""
+        quiet = now - self.start_ns >= QUIET_NS and len(self.heard) == self.set.gateways - 1
+        self.begun, self.spent_ns = True, -(10**18) if quiet else self.start_ns
+
     def _meet(self, c: Customer, ask: i.Request) -> None:
         """A customer's first request here. All of a small set are told of it, the relay of a wide one."""
-        c.known, c.spread, c.used_ns = True, min(max(1, ask.spread), self.set.gateways), self.start_ns
+        c.known, c.spread, c.used_ns = True, min(max(1, ask.spread), self.set.gateways), self.spent_ns
         row = [(ask.first + k) % self.set.gateways for k in range(c.spread)]
         c.wide = c.spread > DIRECT + 1 and self.set.peers
         if c.wide:
@@ -274,7 +281,7 @@
     def _inside(self, c: Customer, units: float) -> bool:
         plan = self.set.plans[c.plan]
         out = c.open + c.open_at_peers(c.filled_ns - self.set.longest_ns) if plan.open_limit else -1
-        share = 1.0 if c.wide else max(1 / c.spread, c.mine / max(c.mine + c.theirs, 1e-9))
+        share = 1.0 if c.wide else max(1 / c.spread, (c.mine + units) / (c.mine + c.theirs + units))
         level = c.level - c.theirs * LAG_S / FLOW_S  # what peers have sent by now and not told yet
         # A draw: guards against all gateways of the set sending at once when a bare store has filled for one.
         room = not plan.rate or (level >= units and
@@ -326,7 +333,9 @@
         if sender >= self.set.gateways or any(s.plan >= len(self.set.plans) for s in event.shares):
             return
         known, self.heard[sender] = self.heard.get(sender), (event.start, now)
-        if sender in self.near and self.customers and (known is None or known[0] != event.start):
+        if event.shares and not self.begun:
+            self._begin(now)
+        if sender in self.near and (known is None or known[0] != event.start):
             told = [self._share(c) for c in self.customers.values() if not c.wide and sender in c.told]
             self._tell(sender, told)  # it has just started and knows nothing yet
         self.silent.pop(sender, None)
@@ -386,6 +395,8 @@
             self._decide(now, live, self._inside(live.customer, live.ask.units))
 
     def on_request(self, now: int, ask: i.Request) -> None:
+        if not self.begun:
+            self._begin(now)
         c = self.customer(ask.customer, ask.plan, self.set.plans[ask.plan].burst, now)
         if not c.known:
             self._meet(c, ask)
--- a/zincstile/state.py
+++ b/zincstile/state.py
@@ -188,6 +188,7 @@
     def __init__(self) -> None:
         self.acts: list[i.Action] = []
         self.start_ns = self.tick_ns = self.flush_ns = self.cut_ns = self.beat_ns = 0
+        self.spent_ns, self.begun = 0, False  # when ceilings were last spent, at most; a request has come
         self.servers: dict[int, Server] = {}
         self.ready: list[Server] = []
         self.warm: list[Server] = []  # of the ready ones
