Customers are forgotten once their store is full; a failed timer of the module rings again

Turn._decide lost the timer whose event failed, and the tick is a chain of timers. Change: Policy._idle: forgotten after 15 s if the store is full by then at the even rate, else after 120 s.

--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -186,3 +186,17 @@
         refused = only(g.ask(units=4.0, after=20 * MS)[1], i.Refuse)
         assert [r.retry_in_ns for r in refused] == [180 * MS]
         assert only(g.ask(units=3.6, after=180 * MS)[1], i.Send)
+
+
+def test_a_customer_is_forgotten_once_its_store_is_full():
+    """What was spent comes back by 2 units a second, or their third: 2 are back after 15 s, 100 are not."""
+    for units, left in ((2.0, False), (100.0, True)):
+        g = gateway(plans=[i.PlanSpec("p", rate=2.0, burst=120.0)])
+        hear(g, [i.Share(7, 0, 0.0, 120.0, 0)])
+        hear(g, [i.Share(7, 0, units, 120.0 - units, 0)], after=MS)
+        g.tick(after=10 * SECOND)
+        assert 7 in g.policy.customers
+        g.tick(after=7 * SECOND)
+        assert (7 in g.policy.customers) is left
+        g.tick(after=150 * SECOND)
+        assert 7 not in g.policy.customers
--- a/tests/test_turn.py
+++ b/tests/test_turn.py
@@ -63,6 +63,33 @@
     assert "ZeroDivisionError" in capsys.readouterr().err
 
 
+class Stumbling:
+    """A module that can't bear its timer the first time."""
+
+    def __init__(self):
+        self.rung = []
+
+    def handle(self, now, event):
+        if isinstance(event, i.Timer):
+            self.rung.append(event.token)
+            if len(self.rung) == 1:
+                raise KeyError("tick")
+        return [i.SetTimer(now, 7)] if isinstance(event, i.Started) else []
+
+
+def test_a_timer_that_the_module_fails_at_rings_again(capsys):
+    async def play():
+        module = Stumbling()
+        turn = Turn(asyncio.get_running_loop(), module, Limits(backoff_ns=1), Counters(), Log("n0"))
+        turn.post(i.Started())
+        while len(module.rung) < 2:
+            await asyncio.sleep(0)
+        return module.rung
+
+    assert asyncio.run(asyncio.wait_for(play(), 20)) == [7, 7]
+    assert "fault KeyError" in capsys.readouterr().err
+
+
 class Probing:
     """A module that probes server 5 at the start and keeps what came of it."""
 
--- a/zincstile/net/turn.py
+++ b/zincstile/net/turn.py
@@ -128,6 +128,8 @@
                 actions += self.policy.handle(now, event)
             except Exception as err:
                 self._fault(err, event)
+                if isinstance(event, i.Timer):  # guards what the module does by a chain of timers
+                    self.deadlines.add(now + self.limits.backoff_ns, self._timer, event.token)
         return actions
 
     def _fault(self, err: Exception, about: object) -> None:
--- a/zincstile/policy.py
+++ b/zincstile/policy.py
@@ -31,6 +31,7 @@
 QUIET_NS = SECOND // 4  # without a word of any peer's sends: there were none before the start
 LAG_S = 0.25  # how old the words of peers are, with a margin
 HEARD_NS, PARTS_S = 6 * SECOND // 5, 1.0  # unheard: even ceiling; seconds at the quota that even parts weigh
+IDLE_S = 15.0  # a customer whose store is full is forgotten after so long
 INTAKE, FLOW_S = 0.8, 5.0  # part of a peer's intake that may be filled; memory of who sends for a customer
 DIRECT, ASK_NS, ASKS = 4, SECOND // 12, 2  # most peers all told, others ask a relay; wait for it; so often
 TOTALS, MARKS = 2**28, 2**16  # totals of units are told modulo this; asks are marked modulo this
@@ -144,7 +145,7 @@
         self._follow(now, span, ticks)
         if now - self.beat_ns > BEAT_NS:
             self.beat_ns = now
-            self.forget(now - FORGET_NS)
+            self.forget([key for key, c in self.customers.items() if self._idle(now, c)])
             self._flush(now, beat=True)
 
     def _fade(self, keep: float) -> None:
@@ -253,6 +254,13 @@
         quiet = now - self.start_ns >= QUIET_NS and len(self.heard) == self.set.gateways - 1
         self.begun, self.spent_ns = True, -(10**18) if quiet else self.start_ns
 
+    def _idle(self, now: int, c: Customer) -> bool:
+        """Guards the memory against customers that come once: what is forgotten starts with a full store, so
+        that the own one has to be full by now, even if no peer was heard."""
+        plan, idle_s = self.set.plans[c.plan], (now - c.filled_ns) / SECOND
+        full = c.level + plan.rate * idle_s / c.spread >= plan.burst
+        return not c.open and idle_s > (IDLE_S if full and not c.wide else FORGET_NS / SECOND)
+
     def _meet(self, c: Customer, ask: i.Request) -> None:
         """A customer's first request here. All of a small set are told of it, the relay of a wide one."""
         c.known, c.spread, c.used_ns = True, min(max(1, ask.spread), self.set.gateways), self.spent_ns
--- a/zincstile/state.py
+++ b/zincstile/state.py
@@ -292,8 +292,8 @@
         for leaf, arrivals in zip(self.leaves, figures[after:], strict=False):
             leaf.arrivals = arrivals
 
-    def forget(self, before: int) -> None:
-        for key in [k for k, c in self.customers.items() if c.filled_ns < before and not c.open]:
+    def forget(self, keys: list[int]) -> None:
+        for key in keys:
             del self.customers[key]
 
     def timer(self, at: int, token: int) -> None:
