A stop serves on while calls come, ends before SIGKILL, and fails what is left before its end

Cause: Gateway._shut closed everything 0.45 s after SIGTERM. Change: all goes on while calls come, for 2.9 s at most; what is unanswered 0.1 s before the end is failed.

--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -6,6 +6,7 @@
 import os
 import subprocess
 import sys
+import time
 
 import pytest
 from scenario import ROOT, World, call, encode, settings
@@ -370,7 +371,33 @@
         send a1 ok hello
         expect c1 ok hello
         expect c1 end
-        expect gw exit 0""", limits={"drain_ns": 2 * 10**9})
+        expect gw exit 0""", limits={"drain_quiet_ns": 2 * 10**9})
+
+
+def test_a_stop_goes_on_while_calls_come_and_no_longer_than_its_time(tmp_path):
+    for limits in ({"drain_quiet_ns": 10**9, "drain_ns": 10**12, "drain_most_ns": 10**13},
+                   {"drain_quiet_ns": 10**12, "drain_ns": 15 * 10**8}):
+        tmp_path.mkdir(exist_ok=True)
+        world = World(tmp_path, {"limits": limits})
+        try:
+            world.play(READY + "send gw TERM\nexpect gw stop with 0 sessions")
+            end, number = time.monotonic() + 1.2, 0
+            while time.monotonic() < end:
+                number += 1
+                world.play(f"send c1 look {number}\nexpect a1 look {number}\nsend a1 ok x\nexpect c1 ok x")
+            world.play("expect c1 end\nexpect gw exit 0")
+        finally:
+            world.end()
+
+
+def test_a_stop_answers_what_can_not_be_waited_for(tmp_path):
+    play(tmp_path, READY + """
+        send c1 look 1 d=90000
+        expect a1 look 1
+        send gw TERM
+        expect c1 -ERR failed
+        expect c1 end
+        expect gw exit 0""", limits={"drain_most_ns": 10**9, "drain_ns": 1})
 
 
 @pytest.mark.parametrize(("asks", "gone"), [("raw", "c30"), (PING, "c10")], ids=["silent", "asked once"])
--- a/zincstile/net/frontend.py
+++ b/zincstile/net/frontend.py
@@ -195,6 +195,7 @@
             self.counters.denied += 1
             self._reply(resp.busy(0))
             return
+        self.door.heard_ns = now
         session = Session(number, call, self, request.give_up_ns)
         self._waiting.append(session)
         self.door.open[call.id] = session
@@ -303,6 +304,7 @@
         self.reader = CallReader(settings, turn.limits.margin_ns, turn.limits.id_bytes)
         self.open: dict[bytes, Session] = {}  # by the id that the client gave
         self.ready = False
+        self.heard_ns = 0  # the last call
         self.closing = False  # every connection is closed as soon as nothing is owed on it
         self.clients: dict[ClientConnection, None] = {}
         self._socket: socket.socket | None = None
--- a/zincstile/net/gateway.py
+++ b/zincstile/net/gateway.py
@@ -17,6 +17,7 @@
 from .log import Log
 from .peers import Peers
 from .server_table import ServerTable, TableReader
+from .session import FAILED
 from .turn import Turn
 
 
@@ -33,6 +34,7 @@
                                  self.backends.update, self._ready)
         self.ended = loop.create_future()
         self._stopping = False
+        self._stop_ns = 0
 
     def _caught(self, _: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         """What escaped a connection's callback: asyncio closes that connection, the process goes on."""
@@ -82,19 +84,33 @@
         self.log.line("reload discovery at {}:{}".format(*config.discovery))
 
     def stop(self) -> None:
-        """Serves on for as long as clients may still come, then answers what is left, then ends."""
+        """Serves on while clients come, as long as what they ask can still be answered; then answers what is
+        left, and ends. Guards against a front that goes on sending to a gateway until it finds it dead."""
         if self._stopping:
             return
         self._stopping = True
         self.log.line(f"stop with {len(self.turn.sessions)} sessions")
         now, limits = time.monotonic_ns(), self.config.limits
-        self.turn.deadlines.add(now + limits.drain_ns, self._shut)
+        self._stop_ns = self.door.heard_ns = now
+        self._shut_if_quiet(None)
+        self.turn.deadlines.add(now + limits.drain_most_ns - limits.drain_margin_ns, self._fail_rest)
         self.turn.deadlines.add(now + limits.drain_most_ns, self._end)
         self.turn.wake()
 
-    def _shut(self, _: object) -> None:
-        self.door.shut()
-        self._end_if_empty(None)
+    def _shut_if_quiet(self, _: object) -> None:
+        limits = self.config.limits
+        at = min(self._stop_ns + limits.drain_ns, self.door.heard_ns + limits.drain_quiet_ns)
+        if time.monotonic_ns() < at:
+            self.turn.deadlines.add(at, self._shut_if_quiet)
+        else:
+            self.door.shut()
+            self._end_if_empty(None)
+
+    def _fail_rest(self, _: object) -> None:
+        """Guards against ending with a request unanswered, however long its client would wait."""
+        for session in list(self.turn.sessions.values()):
+            if self.turn.end(session, FAILED):
+                self.turn.post(i.Gone(session.id))
 
     def _end_if_empty(self, _: object) -> None:
         self.door.close_idle()  # also those that came last and ask nothing
--- a/zincstile/net/limits.py
+++ b/zincstile/net/limits.py
@@ -47,7 +47,9 @@
     table_silence_ns: int = 7 * SECOND  # a watch says something every 2 s; one that does not is opened anew
     backoff_ns: int = 50 * MS
     backoff_most_ns: int = SECOND
-    drain_ns: int = 450 * MS  # after SIGTERM, how long connections go on being taken and kept
+    drain_quiet_ns: int = 450 * MS  # after SIGTERM, connections are kept until no call came for this
+    drain_ns: int = 2900 * MS  # and for this at most
+    drain_margin_ns: int = 100 * MS  # before the end, all has its answer
     drain_most_ns: int = 3600 * MS  # after SIGTERM, the end: the longest deadline and more
 
     @classmethod
@@ -57,10 +59,11 @@
         memory is short, large values and unread answers get less of it. What is given by name goes before."""
         usual, memory_mb = cls(), max(1, memory_mb)
         reserve = max(16, sockets // 25)
+        stop_ns = min(longest_ns, 3 * SECOND) + 600 * MS  # 0.1 s before SIGKILL
         rest = max(2, sockets - reserve)
         return cls(**{
             "frontend_connections": rest * 3 // 5, "backend_connections": rest - rest * 3 // 5,
             "answer_bytes": min(usual.answer_bytes, memory_mb << 14),
             "written_bytes": min(usual.written_bytes, memory_mb << 11),
             "sessions": max(1, max_open), "connect_ns": connect_ns, "idle_ns": idle_close_ns * 2 // 3,
-            "drain_most_ns": longest_ns + 600 * MS, **given})
+            "drain_most_ns": stop_ns, "drain_ns": max(1, stop_ns - 700 * MS), **given})
