A silent watch is opened anew after 2.6 s, one that never spoke after 0.8 s

Seen: an incident breaks the rule on drains: a request went to a draining backend server 0.32 s after the gateway "would have been told, had it asked". Cause: Limits.table_silence_ns was 7 s; what discovery has to tell counts as told after 6 s at the latest, and a watch that falls silent tells nothing. Change: a watch says something every 2 s: 2.6 s of silence open a new one, 0.8 s where it has said nothing yet.

--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -3,6 +3,8 @@
 import os
 import re
 
+from zincstile.net.limits import SECOND, Limits
+
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
 
@@ -24,3 +26,15 @@
     text = "\n".join(lines())
     for word in ("import time", "import os", "import socket", "random.random()", "datetime"):
         assert not re.search(r"(?<![\w.])" + re.escape(word), text), word
+
+
+def test_two_tries_of_a_silent_watch_fit_into_the_time_after_which_drains_count_as_told():
+    limits = Limits()
+    assert limits.table_silence_ns > 2 * SECOND  # a watch that is well says something every 2 s
+    assert limits.table_silence_ns + limits.table_answer_ns + 2 * limits.backoff_most_ns < 6 * SECOND
+
+
+def test_a_stop_ends_before_the_platform_kills():
+    for longest, kill in ((SECOND, 1.7), (3 * SECOND, 3.7), (9 * SECOND, 3.7)):
+        limits = Limits.for_gateway(256, 32, 100, 1, 1, longest, {})
+        assert limits.drain_ns < limits.drain_most_ns < kill * SECOND
--- a/zincstile/net/limits.py
+++ b/zincstile/net/limits.py
@@ -44,7 +44,8 @@
     newcomer_ns: int = 100 * MS  # the same for one that never asked, or only once
     margin_ns: int = 2 * MS  # a request's way here, taken off the time that its client waits
     table_first_ns: int = 300 * MS  # how long the start waits for discovery before the known list must do
-    table_silence_ns: int = 7 * SECOND  # a watch says something every 2 s; one that does not is opened anew
+    table_silence_ns: int = 2600 * MS  # a watch says something every 2 s; one that does not is opened anew
+    table_answer_ns: int = 800 * MS  # the same for one that has said nothing yet
     backoff_ns: int = 50 * MS
     backoff_most_ns: int = SECOND
     drain_quiet_ns: int = 450 * MS  # after SIGTERM, connections are kept until no call came for this
--- a/zincstile/net/server_table.py
+++ b/zincstile/net/server_table.py
@@ -138,7 +138,8 @@
 class Watch(asyncio.BufferedProtocol):
     """One open watch."""
 
-    __slots__ = ("table", "where", "transport", "_buffer", "_lines", "_why", "_deadline", "_heard_ns")
+    __slots__ = ("table", "where", "transport", "_buffer", "_lines", "_why", "_deadline", "_heard_ns",
+                 "_spoke")
 
     def __init__(self, table: ServerTable, where: Address) -> None:
         self.table, self.where = table, where
@@ -148,6 +149,7 @@
         self._why = "it ended"
         self._heard_ns = time.monotonic_ns()
         self._deadline = None
+        self._spoke = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
@@ -159,8 +161,10 @@
         self._await(None)
 
     def _await(self, _: object) -> None:
-        """Guards against an agent that died without a word: what is silent for long is opened anew."""
-        silence, now = self.table.turn.limits.table_silence_ns, time.monotonic_ns()
+        """Guards against a watch that fell silent: what discovery has to tell counts as told after 6 s, so
+        that drains would be missed. It is opened anew, in time for another try."""
+        limits, now = self.table.turn.limits, time.monotonic_ns()
+        silence = limits.table_silence_ns if self._spoke else limits.table_answer_ns
         if now - self._heard_ns >= silence:
             self._why = "silent"
             self.transport.abort()
@@ -173,6 +177,10 @@
 
     def buffer_updated(self, size: int) -> None:
         self._heard_ns = time.monotonic_ns()
+        if not self._spoke:
+            self._spoke = True
+            self.table.turn.deadlines.drop(self._deadline)
+            self._await(None)
         try:
             for line in self._lines.feed(bytes(self._buffer[:size])):
                 if self._lines.status != 200:
