The seam: time, sockets and the log reach net by one host handed down

Need: the network code must run on a virtual clock and network, by seed; it called the clock in twenty places, polled descriptors and opened a raw socket by itself. Change: net/host holds the machine as net uses it; Gateway takes it and hands it down.

--- a/zincstile/net/backend.py
+++ b/zincstile/net/backend.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import math
-import time
 from dataclasses import dataclass, field
 
 from .. import interface as i
@@ -16,7 +15,7 @@
 from . import resp
 from .deadlines import Key
 from .session import Answer, Call, Kind, Session
-from .turn import Turn, readable
+from .turn import Turn
 
 Result = i.Result
 READ, WRITE = b"CALL.GET", b"CALL.POST"
@@ -85,7 +84,7 @@
     def quiet(self) -> bool:
         """Nothing came since it rests, not even its end. Guards against taking what came late behind an
         answer for the next one's, and against a reset where the backend server has closed it."""
-        return not self.transport.is_closing() and not readable(self.transport)
+        return not self.transport.is_closing() and not self.pools.turn.readable(self.transport)
 
     def pause_writing(self) -> None:
         self._unwritten = True
@@ -108,7 +107,7 @@
         elif parser.error:
             pools.spoilt(attempt, parser.error)
         else:
-            self.heard_ns = time.monotonic_ns()
+            self.heard_ns = pools.turn.now_ns()
             if not self._half:
                 self._half = True
                 pools.begun(attempt)
@@ -274,7 +273,7 @@
         if self.closing or self.servers.get(server.id) is not server or not server.ready:
             connection.transport.close()
             return
-        connection.rested_ns = time.monotonic_ns()
+        connection.rested_ns = self.turn.now_ns()
         server.resting.append(connection)
 
     def lost(self, connection: BackendConnection) -> None:
@@ -299,7 +298,7 @@
 
     def _tend(self, _: object) -> None:
         """Closes what has rested long, before the backend server does it beneath a request."""
-        now, limits = time.monotonic_ns(), self.turn.limits
+        now, limits = self.turn.now_ns(), self.turn.limits
         for server in self.servers.values():
             while server.resting and now - server.resting[0].rested_ns > limits.idle_ns:
                 server.resting.pop(0).transport.close()
@@ -316,7 +315,7 @@
         if attempt.session is None:
             return resp.command([b"INFO", b"load"])
         call: Call = attempt.session.call
-        wait_ms = max(1, (attempt.until_ns - time.monotonic_ns()) // 1_000_000)
+        wait_ms = max(1, (attempt.until_ns - self.turn.now_ns()) // 1_000_000)
         fields = call.fields.copy()
         fields[call.wait_at] = b"d=%d" % wait_ms
         words = [READ if call.repeatable else WRITE, call.customer, call.id, b",".join(fields)]
@@ -335,7 +334,7 @@
 
     def _cut(self, attempt: Attempt) -> None:
         attempt.deadline = None
-        if attempt.connection.heard_ns + self.turn.limits.answer_ns > time.monotonic_ns():
+        if attempt.connection.heard_ns + self.turn.limits.answer_ns > self.turn.now_ns():
             self._limit(attempt, attempt.until_ns)
             self.begun(attempt)  # it has gone on since
         else:
@@ -382,7 +381,7 @@
             connection.drop()
         if session is not None and result is Result.OK:
             self.turn.end(session, Answer(Kind.SERVED, value))
-        latency = time.monotonic_ns() - attempt.sent_ns
+        latency = self.turn.now_ns() - attempt.sent_ns
         self._report(session, attempt.number, attempt.server.id, result, latency, report)
 
     def _report(self, session: Session | None, number: int, backend: int, result: Result, latency: int,
--- a/zincstile/net/counters.py
+++ b/zincstile/net/counters.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import json
-import resource
+
+from .host import HOST, Host
 
 
 class Counters:
@@ -17,9 +18,6 @@
         for name in self.__slots__:
             setattr(self, name, 0)
 
-    def line(self) -> str:
+    def line(self, host: Host = HOST) -> str:
         counts = {name: getattr(self, name) for name in self.__slots__}
-        used = resource.getrusage(resource.RUSAGE_SELF)
-        counts["cpu_ms"] = round((used.ru_utime + used.ru_stime) * 1000)
-        counts["memory_kb"] = used.ru_maxrss
-        return "counters " + json.dumps(counts)
+        return "counters " + json.dumps(counts | host.usage())
--- a/zincstile/net/frontend.py
+++ b/zincstile/net/frontend.py
@@ -4,14 +4,14 @@
 
 import asyncio
 import socket
-import time
 from collections import deque
 
 from .. import interface as i
 from . import resp
 from .counters import Counters
+from .host import Host
 from .session import Answer, Call, Kind, Session
-from .turn import Turn, readable
+from .turn import Turn
 
 READ, WRITE = b"CALL.GET", b"CALL.POST"
 SERVED, DENIED = Kind.SERVED, Kind.DENIED
@@ -102,7 +102,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
         self.transport.set_write_buffer_limits(high=self.turn.limits.written_bytes)
-        self.rested_ns = time.monotonic_ns()
+        self.rested_ns = self.turn.now_ns()
         self.counters.clients += 1
         self.door.joined(self)
 
@@ -156,7 +156,7 @@
     def _read(self, data: bytes) -> None:
         for words in self._parser.feed(data):
             self._command(words)
-        self.begun_ns = 0 if self._parser.idle else self.begun_ns or time.monotonic_ns()
+        self.begun_ns = 0 if self._parser.idle else self.begun_ns or self.turn.now_ns()
         if self._parser.error:  # nothing after it can be understood
             self.counters.malformed += 1
             self.turn.log.often("malformed", f"command: {self._parser.error}")
@@ -181,7 +181,7 @@
             self.asked += 1
             self._reply(resp.PONG if self.door.ready else resp.error("not ready"))
             return
-        number, now = turn.next_id(), time.monotonic_ns()
+        number, now = turn.next_id(), self.turn.now_ns()
         try:
             call, request = self.door.reader.read(words, number, now)
             if call.id in self.door.open:  # guards its session: backend servers would see a second copy
@@ -253,7 +253,7 @@
             if not self.transport.is_closing():
                 self.transport.write(out[0] if len(out) == 1 else b"".join(out))
         if not waiting:
-            self.rested_ns = time.monotonic_ns()
+            self.rested_ns = self.turn.now_ns()
             if self._closing:
                 self._finish()
                 return
@@ -269,7 +269,7 @@
             self.transport.write_eof()
             if self._paused:
                 self.transport.resume_reading()
-            self.turn.deadlines.add(time.monotonic_ns() + self.turn.limits.drained_ns, self._cut)
+            self.turn.deadlines.add(self.turn.now_ns() + self.turn.limits.drained_ns, self._cut)
 
     def _cut(self, _: object) -> None:
         if self.transport is not None and not self.transport.is_closing():
@@ -289,7 +289,7 @@
             self.close_if_idle()
 
     def close_if_idle(self) -> bool:
-        if not self.idle or self.transport.is_closing() or readable(self.transport):
+        if not self.idle or self.transport.is_closing() or self.turn.readable(self.transport):
             return False  # guards against closing beneath a request that has come but is not read yet
         self._closing = True
         self.transport.close()
@@ -299,8 +299,8 @@
 class FrontDoor:
     """The listening socket and all clients that came in by it."""
 
-    def __init__(self, turn: Turn, settings: i.Settings, buffer: memoryview) -> None:
-        self.turn, self.buffer = turn, buffer
+    def __init__(self, turn: Turn, settings: i.Settings, buffer: memoryview, host: Host) -> None:
+        self.turn, self.buffer, self.host = turn, buffer, host
         self.reader = CallReader(settings, turn.limits.margin_ns, turn.limits.id_bytes)
         self.open: dict[bytes, Session] = {}  # by the id that the client gave
         self.ready = False
@@ -313,17 +313,12 @@
         self._tasks: set[asyncio.Task] = set()
 
     def listen(self, address: tuple[str, int]) -> None:
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        self._socket = socket.socket(family, socket.SOCK_STREAM)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._socket.setblocking(False)
-        self._socket.bind(address)
-        self._socket.listen(self.turn.limits.backlog)
+        self._socket = self.host.listen(address, self.turn.limits.backlog)
         self._resume()
         self._tend(None)
 
     def _tend(self, _: object) -> None:
-        now = time.monotonic_ns()
+        now = self.turn.now_ns()
         for client in list(self.clients):
             client.tend(now)
         self.turn.deadlines.add(now + self.turn.limits.tend_ns, self._tend)
@@ -354,7 +349,7 @@
                 self.turn.log.often("full", f"{len(self.clients)} client connections {self._kinds()}: "
                                             "taking no more for now")
                 self._pause()
-                self.turn.deadlines.add(time.monotonic_ns() + limits.newcomer_ns, self._resume)
+                self.turn.deadlines.add(self.turn.now_ns() + limits.newcomer_ns, self._resume)
                 self.turn.wake()
                 return
             try:
@@ -388,7 +383,7 @@
         """Closes the client connection that has rested longest: first of those that never asked, then of
         those that asked once, which crowds of clients leave behind, and at last, after a longer rest, of
         those used again and again. Each is spared for a while: its next request may be on its way."""
-        now, limits = time.monotonic_ns(), self.turn.limits
+        now, limits = self.turn.now_ns(), self.turn.limits
         least = (limits.newcomer_ns, limits.newcomer_ns, limits.spare_ns)
         resting = [(min(c.asked, 2), c.rested_ns, k, c) for k, c in enumerate(self.clients)
                    if now - c.rested_ns > least[min(c.asked, 2)] and c.idle]
--- a/zincstile/net/gateway.py
+++ b/zincstile/net/gateway.py
@@ -3,17 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import signal
-import time
 from typing import Any
 
 from .. import interface as i
 from ..policy import Policy
 from .backend import Backends
-from .config import Config, ConfigError, again
+from .config import Config, ConfigError
 from .counters import Counters
 from .frontend import FrontDoor
+from .host import HOST, Host
 from .log import Log
 from .peers import Peers
 from .server_table import ServerTable, TableReader
@@ -22,15 +21,16 @@
 
 
 class Gateway:
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
-        self.config, self.loop = config, loop
-        self.log, self.counters = Log(config.name), Counters()
-        self.turn = Turn(loop, Policy(config.settings, config.seed), config.limits, self.counters, self.log)
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, host: Host = HOST) -> None:
+        self.config, self.loop, self.host = config, loop, host
+        self.log, self.counters = Log(config.name, host=host), Counters()
+        self.turn = Turn(loop, Policy(config.settings, config.seed), config.limits, self.counters, self.log,
+                         host)
         buffer = memoryview(bytearray(config.limits.read_bytes))  # each read is taken out of it at once
-        self.door = FrontDoor(self.turn, config.settings, buffer)
+        self.door = FrontDoor(self.turn, config.settings, buffer, host)
         self.backends = Backends(self.turn, config.settings, buffer)
         self.peers = Peers(self.turn, config.peers)
-        self.table = ServerTable(self.turn, TableReader(config.zones, config.kinds), config.discovery,
+        self.table = ServerTable(self.turn, TableReader(config.zones, config.kinds, host), config.discovery,
                                  self.backends.update, self._ready)
         self.ended = loop.create_future()
         self._stopping = False
@@ -54,7 +54,7 @@
         self.table.begin(self.config.known)
         self.door.listen(self.config.listen)
         if self.config.known.get("endpoints"):  # discovery may be down: then the known list must do
-            self.turn.deadlines.add(time.monotonic_ns() + self.config.limits.table_first_ns, self._ready)
+            self.turn.deadlines.add(self.turn.now_ns() + self.config.limits.table_first_ns, self._ready)
         self.turn.wake()
         self.log.line(f"start listening on {self.door.address}, peers on {self.peers.address}")
         await self.ended
@@ -68,13 +68,13 @@
                           f"{'told' if self.table.told else 'as known before'}")
 
     def _count(self) -> None:
-        self.log.line(self.counters.line())
+        self.log.line(self.counters.line(self.host))
 
     def reload(self) -> None:
         """SIGHUP: where discovery is found is read again, all else stays as it is. Sessions, connections and
         all that is remembered go on. Guards also against a file that is broken or half written."""
         try:
-            config = again(os.environ)
+            config = self.host.again()
         except (ConfigError, OSError) as err:
             self.log.line(f"reload refused: {' '.join(str(err).split())}; the old configuration stands")
             return
@@ -90,7 +90,7 @@
             return
         self._stopping = True
         self.log.line(f"stop with {len(self.turn.sessions)} sessions")
-        now, limits = time.monotonic_ns(), self.config.limits
+        now, limits = self.turn.now_ns(), self.config.limits
         self._stop_ns = self.door.heard_ns = now
         self._shut_if_quiet(None)
         self.turn.deadlines.add(now + limits.drain_most_ns - limits.drain_margin_ns, self._fail_rest)
@@ -100,7 +100,7 @@
     def _shut_if_quiet(self, _: object) -> None:
         limits = self.config.limits
         at = min(self._stop_ns + limits.drain_ns, self.door.heard_ns + limits.drain_quiet_ns)
-        if time.monotonic_ns() < at:
+        if self.turn.now_ns() < at:
             self.turn.deadlines.add(at, self._shut_if_quiet)
         else:
             self.door.shut()
@@ -117,7 +117,7 @@
         if self.door.empty:
             self._end(None)
         else:
-            self.turn.deadlines.add(time.monotonic_ns() + self.config.limits.backoff_ns, self._end_if_empty)
+            self.turn.deadlines.add(self.turn.now_ns() + self.config.limits.backoff_ns, self._end_if_empty)
 
     def _end(self, _: object) -> None:
         if not self.ended.done():
--- a/zincstile/net/log.py
+++ b/zincstile/net/log.py
@@ -2,30 +2,28 @@
 
 from __future__ import annotations
 
-import sys
-import time
+import contextlib
+
+from .host import HOST, Host
 
 
 class Log:
     """Few lines: of a kind that may repeat, one a second at most; the next tells how many were left out."""
 
-    __slots__ = ("_last", "_left_out", "_name", "_sink", "_every_ns")
+    __slots__ = ("_last", "_left_out", "_name", "_host", "_every_ns")
 
-    def __init__(self, name: str, every_ns: int = 1_000_000_000) -> None:
-        self._name, self._sink, self._every_ns = name, sys.stderr, every_ns
+    def __init__(self, name: str, every_ns: int = 1_000_000_000, host: Host = HOST) -> None:
+        self._name, self._host, self._every_ns = name, host, every_ns
         self._last: dict[str, int] = {}
         self._left_out: dict[str, int] = {}
 
     def line(self, text: str) -> None:
         """Always written."""
-        try:
-            self._sink.write(f"{time.time():.3f} {self._name} {text}\n")
-            self._sink.flush()
-        except OSError:
-            pass  # a log that can't be written is no reason to stop serving
+        with contextlib.suppress(OSError):  # a log that can't be written is no reason to stop serving
+            self._host.log(f"{self._host.unix_ns() / 1e9:.3f} {self._name} {text}\n")
 
     def often(self, kind: str, text: str) -> None:
-        now = time.monotonic_ns()
+        now = self._host.monotonic_ns()
         if now - self._last.get(kind, -self._every_ns) < self._every_ns:
             self._left_out[kind] = self._left_out.get(kind, 0) + 1
             return
--- a/zincstile/net/server_table.py
+++ b/zincstile/net/server_table.py
@@ -5,13 +5,13 @@
 import asyncio
 import hashlib
 import json
-import time
 from collections.abc import Callable
 from typing import Any
 
 from .. import interface as i
 from . import http
 from .config import Address, ConfigError, address
+from .host import Host
 from .turn import Turn
 
 MODES = {"Ready": i.Mode.READY, "Terminating": i.Mode.DRAINING, "Gone": i.Mode.GONE}
@@ -26,12 +26,12 @@
 class TableReader:
     """Discovery's JSON to the module's entries."""
 
-    def __init__(self, zones: list[str], kinds: list[str]) -> None:
+    def __init__(self, zones: list[str], kinds: list[str], host: Host) -> None:
         self.zones = {z: k for k, z in enumerate(zones)}
         self.kinds = {t: k for k, t in enumerate(kinds)}
         # Unix time is put on the module's clock by one difference for good: a start must stay the same number
         # in every list, else the same process would look like a new one.
-        self.apart_ns = time.monotonic_ns() - time.time_ns()
+        self.apart_ns = host.monotonic_ns() - host.unix_ns()
 
     def read(self, table: dict[str, Any]) -> tuple[int, bool, Entries]:
         entries = [self._entry(e) for e in table["endpoints"]]
@@ -111,7 +111,7 @@
         self.turn.log.often("watch", f"lost: {why}; the last list stands")
         wait = min(limits.backoff_most_ns, limits.backoff_ns << min(self._tries, 16))
         self._tries += 1
-        self.turn.deadlines.add(time.monotonic_ns() + wait, self.open, where)
+        self.turn.deadlines.add(self.turn.now_ns() + wait, self.open, where)
         self.turn.wake()
 
     def line(self, watch: Watch, text: bytes) -> None:
@@ -147,7 +147,7 @@
         self._buffer = memoryview(bytearray(table.turn.limits.read_bytes))
         self._lines = http.LineReader(table.turn.limits)
         self._why = "it ended"
-        self._heard_ns = time.monotonic_ns()
+        self._heard_ns = self.table.turn.now_ns()
         self._deadline = None
         self._spoke = False
 
@@ -163,7 +163,7 @@
     def _await(self, _: object) -> None:
         """Guards against a watch that fell silent: what discovery has to tell counts as told after 6 s, so
         that drains would be missed. It is opened anew, in time for another try."""
-        limits, now = self.table.turn.limits, time.monotonic_ns()
+        limits, now = self.table.turn.limits, self.table.turn.now_ns()
         silence = limits.table_silence_ns if self._spoke else limits.table_answer_ns
         if now - self._heard_ns >= silence:
             self._why = "silent"
@@ -176,7 +176,7 @@
         return self._buffer
 
     def buffer_updated(self, size: int) -> None:
-        self._heard_ns = time.monotonic_ns()
+        self._heard_ns = self.table.turn.now_ns()
         if not self._spoke:
             self._spoke = True
             self.table.turn.deadlines.drop(self._deadline)
--- a/zincstile/net/turn.py
+++ b/zincstile/net/turn.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import select
-import time
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -12,6 +10,7 @@
 from ..policy import Policy
 from .counters import Counters
 from .deadlines import Deadlines
+from .host import HOST, Host
 from .limits import Limits
 from .log import Log
 from .session import DENIED, FAILED, Answer, Kind, Session
@@ -23,19 +22,13 @@
     def flush(self) -> None: ...
 
 
-def readable(transport: asyncio.Transport) -> bool:
-    """Something has come on a connection that the loop has not read yet: bytes, or its end."""
-    poll = select.poll()
-    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
-    return bool(poll.poll(0))
-
-
 class Turn:
     """Holds the sessions, the events of the next turn, and the one alarm for the deadlines."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, policy: Policy, limits: Limits, counters: Counters,
-                 log: Log) -> None:
+                 log: Log, host: Host = HOST) -> None:
         self.loop, self.policy, self.limits, self.counters, self.log = loop, policy, limits, counters, log
+        self.now_ns, self.readable = host.monotonic_ns, host.readable  # for all that are handed the turn
         self.deadlines = Deadlines()
         self.sessions: dict[int, Session] = {}
         self.carry_out: dict[type, Callable[[int, Any], None]] = {
@@ -97,7 +90,7 @@
     # ---- the turn
 
     def run(self) -> None:
-        now = time.monotonic_ns()
+        now = self.now_ns()
         self.counters.turns += 1
         for _, _, then, about in self.deadlines.sweep(now):
             try:
