--- a/zincstile/__main__.py
+++ b/zincstile/__main__.py
@@ -1,4 +1,7 @@
-"""Starts one real gateway: `python -m zincstile`, told where it is by RELAY_CONFIG and its like."""
+"""Starts one real gateway: `python -m zincstile`, told where it is by RELAY_CONFIG and its like.
+
+With words after it, it is the command line (`zincstile.cli`), which is loaded only then.
+"""
 
 from __future__ import annotations
 
@@ -17,7 +20,11 @@
     await gateway.run()
 
 
-def main() -> int:
+def main(words: list[str]) -> int:
+    if words:
+        from .cli import main as command
+
+        return command(words)
     try:
         asyncio.run(_run(load(os.environ)))
     except ConfigError as err:
@@ -30,4 +37,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/zincstile/cli/commands.py
@@ -0,0 +1,63 @@
+"""The tree of commands, each found by its name in a module of its own when it is asked for."""
+
+from __future__ import annotations
+
+import importlib
+import sys
+
+import click
+
+from . import missing
+
+# word: module beside this one, and what it is for
+GROUPS = {"sim": ("sim", "Worlds by seed: run one, sweep many, shrink a failing one."),
+          "demo": ("demo", "Three real gateways and all they speak with, on loopback, for a short load.")}
+
+
+class Told(click.ClickException):
+    """Bad input: one line, exit 2."""
+
+    exit_code = 2
+
+    def show(self, file=None) -> None:
+        print(f"zincstile: {' '.join(self.format_message().split())}", file=sys.stderr)
+
+
+class Lazy(click.Group):
+    """Loads a command's module when it is named, and not before."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return list(GROUPS)
+
+    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        if name not in GROUPS:
+            return None
+        return importlib.import_module(f".{GROUPS[name][0]}", __package__).command
+
+    def format_commands(self, ctx: click.Context, formatter: click.HelpFormatter) -> None:
+        with formatter.section("Commands"):
+            formatter.write_dl([(name, text) for name, (_, text) in GROUPS.items()])
+
+
+@click.command(cls=Lazy, context_settings={"help_option_names": ["-h", "--help"]})
+def zincstile() -> None:
+    """An admission gateway. Without words it serves, as RELAY_CONFIG says."""
+
+
+def run(words: list[str]) -> int:
+    """Exit code: 0 all well, 1 a rule is broken or a run failed, 2 bad input."""
+    try:
+        return int(zincstile.main(args=words, prog_name="zincstile", standalone_mode=False) or 0)
+    except click.exceptions.Exit as err:
+        return err.exit_code
+    except click.UsageError as err:
+        Told(err.format_message()).show()
+        return 2
+    except click.ClickException as err:
+        err.show()
+        return err.exit_code
+    except (click.Abort, KeyboardInterrupt):
+        print("zincstile: interrupted", file=sys.stderr)
+        return 130
+    except ModuleNotFoundError as err:
+        return missing(err)
--- /dev/null
+++ b/zincstile/cli/sim.py
@@ -0,0 +1,154 @@
+"""`sim`: worlds by seed, on virtual time."""
+
+from __future__ import annotations
+
+import os
+import sys
+import time
+from pathlib import Path
+
+import click
+
+from ..worlds import plan as plans
+from ..worlds.plan import Plan
+from .commands import Told
+
+
+@click.group("sim")
+def command() -> None:
+    """Real gateways on a virtual clock and network, with faults by seed and the rules checked at every
+    step."""
+
+
+def _plan(seed: int | None, path: str | None) -> Plan:
+    if path is None and seed is None:
+        raise Told("sim: give --seed N or --plan FILE")
+    if path is None:
+        return plans.draw(seed)
+    try:
+        plan = plans.load(path)
+    except plans.PlanError as err:
+        raise Told(str(err)) from None
+    if seed is not None:
+        plan.seed = seed
+    return plan
+
+
+def seeds(text: str) -> range:
+    """`A:B`, A in and B out."""
+    first, colon, last = text.partition(":")
+    if not colon or not first.isdecimal() or not last.isdecimal() or int(first) >= int(last):
+        raise Told(f"--seeds {text}: not a range of seeds A:B with A below B")
+    return range(int(first), int(last))
+
+
+@command.command("run")
+@click.option("--seed", type=click.IntRange(min=0), help="The world to play.")
+@click.option("--plan", "path", type=click.Path(), help="A plan in YAML in place of the drawn one.")
+@click.option("--trace", type=click.Path(dir_okay=False),
+              help="Write a line for all that crosses the network.")
+@click.option("--logs", is_flag=True, help="Print the gateways' logs.")
+def run(seed: int | None, path: str | None, trace: str | None, logs: bool) -> int:
+    """Plays one world; exit 1 where a rule is broken."""
+    from ..worlds.world import Run
+
+    plan = _plan(seed, path)
+    world = Run(plan, keep_trace=trace is not None)
+    result = world.play()
+    if trace is not None:
+        try:
+            Path(trace).write_text("\n".join([*world.network.trace, ""]), encoding="utf-8")
+        except OSError as err:
+            raise Told(f"{trace}: {err.strerror}") from None
+    if logs:
+        sys.stdout.writelines(world.logs)
+    kinds = ", ".join(f"{k} {n}" for k, n in sorted(result.tally.items()))
+    click.echo(f"{result.seconds:.1f} virtual seconds, {len(plan.faults)} faults, {result.attempts} tries, "
+               f"requests: {kinds}")
+    if result.breach is not None:
+        click.echo(result.breach.text)
+        for line in result.breach.history:
+            click.echo(f"  {line}")
+    click.echo(result.line())
+    return 1 if result.breach is not None else 0
+
+
+@command.command("plan")
+@click.option("--seed", type=click.IntRange(min=0), required=True)
+def show(seed: int) -> None:
+    """Prints the plan of a seed, in the form that --plan takes."""
+    click.echo(plans.dump(plans.draw(seed)), nl=False)
+
+
+@command.command("sweep")
+@click.option("--seeds", "span", required=True, metavar="A:B", help="Seeds from A on, B not.")
+@click.option("--jobs", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True)
+def sweep(span: str, jobs: int) -> int:
+    """Plays many worlds over many processes; exit 1 where any breaks a rule."""
+    from ..worlds.sweep import digest_of, play_all
+
+    chosen, began, last = seeds(span), time.monotonic(), 0.0
+    done, broken = [], []
+    for result in play_all(chosen, jobs):
+        done.append(result)
+        if result.breach is not None:
+            broken.append(result)
+        now = time.monotonic()
+        if now - last > 2:
+            last = now
+            print(f"{len(done)} of {len(chosen)} seeds, {len(broken)} broken", file=sys.stderr, flush=True)
+    for result in broken:
+        click.echo(f"{result.line()}: {result.breach.text}")
+        click.echo(f"  replay: python -m zincstile sim run --seed {result.seed}")
+    requests = sum(r.requests for r in done)
+    click.echo(f"{requests / len(done):.0f} requests, {sum(r.faults for r in done) / len(done):.1f} faults, "
+               f"{sum(r.seconds for r in done) / len(done):.1f} virtual seconds and "
+               f"{sum(r.steps for r in done) / len(done):.0f} steps a seed")
+    click.echo(f"sweep seeds={len(done)} ok={len(done) - len(broken)} broken={len(broken)} "
+               f"seconds={time.monotonic() - began:.1f} digest={digest_of(done)}")
+    return 1 if broken else 0
+
+
+@command.command("shrink")
+@click.option("--seed", type=click.IntRange(min=0))
+@click.option("--plan", "path", type=click.Path())
+@click.option("--out", required=True, type=click.Path(dir_okay=False), help="Where the smallest plan goes.")
+@click.option("--runs", type=click.IntRange(1), default=600, show_default=True, help="Runs at most.")
+def shrink(seed: int | None, path: str | None, out: str, runs: int) -> int:
+    """Makes a failing plan as small as it still breaks the same rule."""
+    from ..worlds.shrink import smallest
+
+    plan = _plan(seed, path)
+    found = smallest(plan, runs, lambda text: print(text, file=sys.stderr, flush=True))
+    if found is None:
+        raise Told(f"seed {plan.seed}: no rule is broken, there is nothing to shrink")
+    try:
+        Path(out).write_text(plans.dump(found.plan), encoding="utf-8")
+    except OSError as err:
+        raise Told(f"{out}: {err.strerror}") from None
+    wanted = found.plan.requests if found.plan.only is None else len(found.plan.only)
+    click.echo(f"{len(plan.faults)} faults and {plan.requests} requests came down to "
+               f"{len(found.plan.faults)} and {wanted} in {found.runs} runs")
+    click.echo(found.result.line())
+    return 0
+
+
+@command.command("mutants")
+@click.option("--seeds", "most", type=click.IntRange(1), default=500, show_default=True,
+              help="Seeds to try for each at most.")
+@click.option("--jobs", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True)
+@click.option("--only", multiple=True, help="Names of those to try.")
+def mutants(most: int, jobs: int, only: tuple[str, ...]) -> int:
+    """Breaks the gateway on purpose, one way after another: how many seeds until the right rule names it?"""
+    from ..worlds import mutants as them
+
+    unknown = set(only) - them.MUTANTS.keys()
+    if unknown:
+        raise Told(f"--only {sorted(unknown)[0]}: no such mutant; there are {', '.join(them.MUTANTS)}")
+    missed = 0
+    for row in them.try_all(only or tuple(them.MUTANTS), most, jobs):
+        missed += row.seeds is None
+        click.echo(f"{row.name:24} {row.rule or '-':10} "
+                   f"{'not named in ' + str(most) if row.seeds is None else row.seeds}")
+    click.echo(f"mutants={len(only or them.MUTANTS)} missed={missed}")
+    return 1 if missed else 0
--- a/zincstile/net/config.py
+++ b/zincstile/net/config.py
@@ -59,7 +59,7 @@
     if not isinstance(table, dict):
         raise ConfigError(f"{path}: not an object")
     try:
-        return _read(table, env)
+        return read(table, env)
     except ConfigError:
         raise
     except (ValueError, TypeError, KeyError, AttributeError, OverflowError) as err:
@@ -67,7 +67,8 @@
         raise ConfigError(f"{path}: {said}") from None
 
 
-def _read(t: dict[str, Any], env: dict[str, str] | os._Environ[str]) -> Config:
+def read(t: dict[str, Any], env: dict[str, str] | os._Environ[str]) -> Config:
+    """A table as the file holds it. ValueError, TypeError, KeyError and their like where it can't be used."""
     settings = t["settings"]
     decoded = wire.read_settings(json.dumps(settings).encode())
     limits = settings["limits"]
--- /dev/null
+++ b/zincstile/rules/__init__.py
@@ -0,0 +1,17 @@
+"""Checkers of the rules, without I/O: fed with what really crossed the network, they name what broke.
+
+`referee.Referee` hears everything and hands it to a checker for each rule:
+
+    answer     exactly one final answer, in time, on the connection and in the order of the commands
+    value      what is served is what a guide box made for that very request
+    repeat     nothing that may have run goes out again unless its class allows it
+    drain      nothing new to a box 250 ms after the gateway was told that it drains or is gone
+    cold       no just-started box is sent more than it bears, by all gateways together
+    ceiling    all gateways together send on no more than a plan's ceiling, for each customer
+    foreign    nothing goes to a guide box or to discovery that their protocol does not have
+    resources  descriptors within the limit; nothing left over at the end; no exception
+    progress   nothing asks to be called at once, for ever
+
+Nothing here reads a clock, opens anything, or knows of the gateway's code: the numbers come from PROTOCOL
+and the settings, and the clock of the run is handed in.
+"""
--- /dev/null
+++ b/zincstile/worlds/plan.py
@@ -0,0 +1,176 @@
+"""A world's plan: sizes, the network's manners, and faults with their instants.
+
+A plan is drawn from a seed (`draw`), so that one seed is one world; or written by hand as YAML (`load`),
+where all that is left out takes its usual value. Times are milliseconds from the first request on.
+"""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+from typing import Annotated, Literal
+
+import msgspec
+import yaml
+
+Kind = Literal[
+    "crash", "roll", "deploy", "box_crash", "drain", "slow", "hang", "refuse", "spoil", "err", "reset",
+    "peers_cut", "peers_loss", "discovery_late", "discovery_silent", "discovery_moved", "shift", "surge",
+    "rude", "pause", "leave", "skew", "unreachable", "full", "lag", "extra", "watch_lost"]
+
+At = Annotated[int, msgspec.Meta(ge=-1000, le=60_000)]
+For = Annotated[int, msgspec.Meta(ge=0, le=60_000)]
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+
+
+class PlanError(ValueError):
+    """The plan can't be used; the text says where and why in one line."""
+
+
+class Fault(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
+    """One thing that goes wrong. `who` counts gateways or boxes, round; `amount` is as the kind says."""
+
+    kind: Kind
+    at_ms: At
+    for_ms: For = 0
+    who: list[int] = []
+    amount: float = 0.0
+
+
+class Plan(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
+    """All of one world."""
+
+    seed: int
+    gateways: Annotated[int, msgspec.Meta(ge=1, le=20)] = 3
+    boxes: Annotated[int, msgspec.Meta(ge=1, le=100)] = 10
+    requests: Annotated[int, msgspec.Meta(ge=0, le=100_000)] = 160
+    only: list[int] | None = None  # numbers of the requests that are asked; none: all
+    last_ms: Annotated[int, msgspec.Meta(ge=1, le=60_000)] = 3500  # requests come until then
+    quantum_us: Annotated[int, msgspec.Meta(ge=0, le=20_000)] = 0  # a gateway looks once in so long
+    window_bytes: Annotated[int, msgspec.Meta(ge=16, le=1 << 20)] = 65536
+    read_bytes: Annotated[int, msgspec.Meta(ge=0, le=1 << 20)] = 0
+    split: Annotated[float, msgspec.Meta(ge=0, le=0.9)] = 0.0
+    udp_loss: Share = 0.03
+    udp_twice: Share = 0.0
+    drops_left: bool = True  # boxes drop waiting work whose connection ended
+    connect_ms: Annotated[int, msgspec.Meta(ge=1, le=10_000)] = 250  # a gateway waits so long for one
+    plus_beyond: bool = False  # what `plus` asks beyond its quota is worth more than it costs
+    sockets: Annotated[int, msgspec.Meta(ge=40, le=4096)] = 256
+    faults: list[Fault] = []
+
+
+TRIO: tuple[Kind, ...] = ("crash", "deploy", "shift")  # the operators' worst: restart, cold boxes, a move
+COMMON: tuple[Kind, ...] = ("crash", "roll", "deploy", "drain", "box_crash", "shift", "surge")
+RARE: tuple[Kind, ...] = ("slow", "hang", "refuse", "spoil", "err", "reset", "peers_cut", "peers_loss",
+                          "discovery_late", "discovery_silent", "discovery_moved", "rude", "pause", "leave",
+                          "skew", "unreachable", "full", "lag", "extra", "watch_lost")
+
+
+def draw(seed: int) -> Plan:
+    """The world of a seed: most of its faults fall into one second."""
+    rng = random.Random(f"plan {seed}")
+    plan = Plan(
+        seed=seed, gateways=rng.choice((3, 3, 3, 4)), boxes=rng.randint(10, 12),
+        requests=rng.randint(150, 190), quantum_us=rng.choice((0, 0, 100, 500, 2000)),
+        window_bytes=rng.choice((65536, 65536, 65536, 4096, 300)),
+        read_bytes=rng.choice((0, 0, 0, 0, 37)), split=rng.choice((0.0, 0.0, 0.1, 0.3)),
+        udp_loss=rng.choice((0.0, 0.03, 0.08)), udp_twice=rng.choice((0.0, 0.0, 0.1)),
+        drops_left=rng.random() < 0.6, sockets=rng.choice((64, 128, 256, 256)),
+        connect_ms=rng.choice((250, 250, 800, 1500)), plus_beyond=rng.random() < 0.3,
+        last_ms=9000 if rng.random() < 0.1 else 3500)
+    heart = rng.randint(700, 2200)
+    hearts = rng.sample(range(plan.boxes), 3)  # most faults of boxes meet here
+    kinds: list[Kind] = list(TRIO) if rng.random() < 0.35 else [rng.choice(COMMON)]
+    kinds += [rng.choice(COMMON if rng.random() < 0.4 else RARE) for _ in range(rng.randint(2, 4))]
+    for kind in kinds:
+        near = rng.random() < 0.8
+        at = heart + rng.randint(-200, 700) if near else rng.randint(0, plan.last_ms)
+        plan.faults.append(_fault(rng, kind, at, plan, hearts))
+    plan.faults.sort(key=lambda f: (f.at_ms, f.kind))
+    return plan
+
+
+def _fault(rng: random.Random, kind: Kind, at: int, plan: Plan, hearts: list[int]) -> Fault:
+    one_gateway, boxes = [rng.randrange(plan.gateways)], list(range(plan.boxes))
+    few = rng.sample(hearts if rng.random() < 0.6 else boxes, rng.randint(1, 3))
+    made: dict[str, tuple[int, list[int], float]] = {  # how long, whom, how much
+        "crash": (rng.randint(200, 2500), one_gateway, 0),
+        "roll": (rng.randint(200, 1500), one_gateway, 0),
+        "deploy": (rng.randint(300, 1500), rng.sample(boxes, rng.randint(1, 5)), rng.random()),
+        "box_crash": (rng.randint(100, 1500), few, rng.random()),
+        "drain": (rng.choice((0, rng.randint(200, 2000))), few, 0),
+        "slow": (rng.randint(500, 3000), [], rng.uniform(1.3, 2.6)),
+        "hang": (rng.randint(300, 2500), few, 0),
+        "refuse": (rng.randint(300, 2000), few, 0),
+        "spoil": (rng.randint(500, 2500), rng.sample(boxes, rng.randint(1, len(boxes))),
+                  rng.uniform(0.05, 0.5)),
+        "err": (rng.randint(500, 2500), few, rng.uniform(0.2, 1.0)),
+        "reset": (0, few, 0),
+        "peers_cut": (rng.randint(300, 3000), one_gateway, 0),
+        "peers_loss": (rng.randint(300, 3000), [], rng.uniform(0.2, 0.9)),
+        "discovery_late": (rng.randint(500, 3000), one_gateway, rng.uniform(0.2, 2.0)),
+        "discovery_silent": (rng.randint(300, 3500), one_gateway, 0),
+        "discovery_moved": (0, one_gateway, 0),
+        "shift": (0, [], rng.uniform(0.1, 0.6)),
+        "surge": (rng.randint(300, 1500), [], rng.uniform(2.0, 8.0)),
+        "rude": (rng.randint(200, 1500), one_gateway, rng.randint(3, 25)),
+        "pause": (rng.randint(5, 180), one_gateway, 0),
+        "leave": (rng.randint(100, 1000), [], rng.uniform(0.2, 0.8)),
+        "skew": (0, one_gateway, rng.uniform(-0.5, 0.5)),
+        "unreachable": (rng.randint(300, 2500), few, 0),
+        "full": (rng.randint(300, 1500), few, 0),
+        "lag": (rng.randint(300, 2500), few, rng.randint(20, 450)),
+        "extra": (rng.randint(500, 3000), rng.sample(boxes, len(boxes) // 2), rng.uniform(0.1, 0.8)),
+        "watch_lost": (0, one_gateway, 0),
+    }
+    length, who, amount = made[kind]
+    return Fault(kind, at, length, who, round(amount, 3))
+
+
+def dump(plan: Plan) -> str:
+    """As YAML; `load` of it gives the same plan."""
+    return yaml.safe_dump(msgspec.to_builtins(plan), sort_keys=False, default_flow_style=None, width=100)
+
+
+def load(path: str | Path) -> Plan:
+    """PlanError names file, place and reason."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as err:
+        raise PlanError(f"{path}: {getattr(err, 'strerror', None) or 'not UTF-8'}") from None
+    return parse(text, str(path))
+
+
+def parse(text: str, path: str) -> Plan:
+    """A plan as written; `path` is for the messages."""
+    try:
+        node = yaml.compose(text, Loader=yaml.SafeLoader)
+        table = yaml.safe_load(text)
+    except yaml.MarkedYAMLError as err:
+        line = err.problem_mark.line + 1 if err.problem_mark else 1
+        raise PlanError(f"{path}:{line}: not YAML: {err.problem}") from None
+    except yaml.YAMLError as err:
+        raise PlanError(f"{path}: not YAML: {' '.join(str(err).split())}") from None
+    try:
+        return msgspec.convert(table, Plan)
+    except msgspec.ValidationError as err:
+        reason, _, place = str(err).partition(" - at `")
+        place = place.rstrip("`")
+        raise PlanError(f"{path}:{_line(node, place)}: {place or '$'}: {reason}") from None
+
+
+def _line(node: yaml.Node | None, place: str) -> int:
+    """Line of a place as msgspec names it (`$.faults[2].kind`), or of the nearest one that is there."""
+    line = 1
+    for part in place.removeprefix("$").replace("[", ".[").strip(".").split("."):
+        if node is None or not part:
+            break
+        line = node.start_mark.line + 1
+        found = None
+        if part.startswith("[") and isinstance(node, yaml.SequenceNode):
+            number = part[1:-1]
+            found = node.value[int(number)] if number.isdigit() and int(number) < len(node.value) else None
+        elif isinstance(node, yaml.MappingNode):
+            found = next((v for k, v in node.value if k.value == part), None)
+        node = found
+    return node.start_mark.line + 1 if node is not None else line
--- /dev/null
+++ b/zincstile/worlds/shrink.py
@@ -0,0 +1,99 @@
+"""A failing plan made small: fewest faults, then requests, then the plainest network, by delta debugging.
+
+A candidate counts when it breaks the same rule as the plan did, by whatever request. The search is greedy and
+bounded in runs: what it gives fails for sure, and leaving out any one part that was still tried does not.
+Reference: Zeller and Hildebrandt, "Simplifying and Isolating Failure-Inducing Input" (2002), ddmin.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from .plan import Plan
+from .world import Result, Run
+
+PLAIN = {"quantum_us": 0, "split": 0.0, "read_bytes": 0, "window_bytes": 65536, "udp_loss": 0.0,
+         "udp_twice": 0.0, "drops_left": True, "sockets": 256, "plus_beyond": False, "connect_ms": 250}
+
+
+@dataclass(slots=True)
+class Smallest:
+    """What was found: the plan, what comes of it, and the runs that it took."""
+
+    plan: Plan
+    result: Result
+    runs: int
+
+
+class _Spent(Exception):  # noqa: N818 - no error: the search ends here
+    pass
+
+
+class _Search:
+    def __init__(self, plan: Plan, rule: str, most: int, tell: Callable[[str], None]) -> None:
+        self.best, self.rule, self.most, self.tell, self.runs = plan, rule, most, tell, 1
+        self.result: Result | None = None
+
+    def holds(self, candidate: Plan) -> bool:
+        """It breaks the same rule: then it is the best so far."""
+        if self.runs >= self.most:
+            raise _Spent
+        self.runs += 1
+        result = Run(candidate).play()
+        if result.breach is None or result.breach.rule != self.rule:
+            return False
+        self.best, self.result = candidate, result
+        return True
+
+    def fewest(self, items: list[Any], put: Callable[[Plan, list[Any]], Plan]) -> None:
+        """ddmin over a list: parts of it are left out, coarse ones first."""
+        parts = 2
+        while items:
+            size = max(1, len(items) // parts)
+            for at in range(0, len(items), size):
+                rest = items[:at] + items[at + size:]
+                if self.holds(put(self.best, rest)):
+                    items, parts = rest, max(2, parts - 1)
+                    break
+            else:
+                if size == 1:
+                    return
+                parts = min(len(items), parts * 2)
+
+
+def smallest(plan: Plan, most: int, tell: Callable[[str], None]) -> Smallest | None:
+    """None where the plan breaks no rule."""
+    first = Run(plan).play()
+    if first.breach is None:
+        return None
+    search = _Search(plan, first.breach.rule, most, tell)
+    search.result = first
+    tell(f"{first.line()}: {first.breach.text}")
+    replace = msgspec.structs.replace
+    try:
+        search.fewest(list(plan.faults), lambda p, faults: replace(p, faults=faults))
+        tell(f"{len(search.best.faults)} faults are left after {search.runs} runs")
+        for at in range(len(search.best.faults)):  # and each of them concerns as few as can be
+            while len(search.best.faults[at].who) > 1:
+                now = search.best.faults[at]
+                for one in now.who:
+                    fewer = replace(now, who=[n for n in now.who if n != one])
+                    faults = [fewer if k == at else f for k, f in enumerate(search.best.faults)]
+                    if search.holds(replace(search.best, faults=faults)):
+                        break
+                else:
+                    break
+        numbers = list(range(plan.requests)) if search.best.only is None else list(search.best.only)
+        search.fewest(numbers, lambda p, only: replace(p, only=only))
+        tell(f"{len(search.best.only or numbers)} requests are left after {search.runs} runs")
+        for name, plain in PLAIN.items():
+            if getattr(search.best, name) != plain:
+                search.holds(replace(search.best, **{name: plain}))
+        search.fewest(list(search.best.faults), lambda p, faults: replace(p, faults=faults))
+    except _Spent:
+        tell(f"the {most} runs are spent")
+    return Smallest(search.best, search.result, search.runs)
--- /dev/null
+++ b/zincstile/worlds/traffic.py
@@ -0,0 +1,131 @@
+"""Who asks what and when, from a plan alone; and the settings that gateways are told with it.
+
+The figures have the shape of the brief: classes, plans, quotas, customers that stay within theirs, that
+use nearly all, and that ask for far more. They are scaled to a world of a few seconds, with boxes of a
+core or two. One more class, `pin-change`, may never be repeated. Each request is drawn by itself from the
+seed and its number, so that leaving one out changes no other.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from ..rules.cases import ClassRule, Figures, PlanRule
+from ..standin.clients import Want
+from .plan import Plan
+
+MS = 1_000_000
+ZONES = ["floor-3", "floor-4", "floor-5"]
+WARM_MS, FALL_MS, LONGEST_MS = 6000, 3000, 3000
+KEYED_MS = 6000
+WORK_MS = {"guide-read": 48, "settings-save": 30, "ppv-order": 30, "pin-change": 30}  # of a unit
+MOST_UNITS = 6
+
+# name: aim, deadline, effect in the settings' words, gain, worth when late, share of the requests
+CLASSES = {
+    "guide-read": (1000, 3000, "free", 2.0, 0.2, 0.45),
+    "settings-save": (600, 1500, "free", 1.0, 0.2, 0.30),
+    "ppv-order": (750, 3000, "guarded", 2.0, 0.0, 0.15),
+    "pin-change": (750, 2000, "single_shot", 1.5, 0.0, 0.10),
+}
+# name: price, rate, burst in seconds, attempts out, ceiling over the rate, customers
+PLANS = {
+    "basic": (0.55, 2.0, 5.0, 0, 0.0, 5),
+    "standard": (0.8, 6.0, 4.0, 0, 0.0, 4),
+    "plus": (1.3, 6.0, 4.0, 4, 1.8, 3),
+    "premium": (1.8, 20.0, 1.5, 0, 0.0, 2),
+}
+
+
+def figures() -> Figures:
+    """The rules' figures of these worlds."""
+    effects = {"free": "safe", "guarded": "keyed", "single_shot": "unsafe"}
+    return Figures(
+        classes={n: ClassRule(effects[c[2]], "cell", KEYED_MS * MS) for n, c in CLASSES.items()},
+        plans={n: PlanRule(p[1] * p[4], p[1] * p[2] * p[4], max(0.1 * p[1] * p[2] * p[4], MOST_UNITS))
+               for n, p in PLANS.items()},
+        cold_window_ns=FALL_MS * MS,
+        cold_slack_ns=int(1.5 * MOST_UNITS * max(WORK_MS.values()) * MS))
+
+
+def settings(plan: Plan, number: int) -> dict[str, Any]:
+    """What a gateway is told, in the simulator's words."""
+    beyond = {"plus": (0.5, 0.1)} if plan.plus_beyond else {}  # worth and cost of what is beyond the quota
+    classes = [{"name": n, "aim_ns": aim * MS, "deadline_ns": deadline * MS, "effect": effect, "gain": gain,
+                "late_worth": late, "group": "cell", "window_ns": KEYED_MS * MS, "stream": False}
+               for n, (aim, deadline, effect, gain, late, _) in CLASSES.items()]
+    plans = [{"name": n, "price": price, "refill": rate, "burst": rate * burst, "concurrency": out,
+              "over_worth": beyond.get(n, (0.0, 1.0))[0], "beyond_costs": beyond.get(n, (0.0, 1.0))[1],
+              "never_over_rate": rate * ceiling, "hard_burst": rate * burst * ceiling,
+              "tolerance": max(0.1 * rate * burst * ceiling, MOST_UNITS)}
+             for n, (price, rate, burst, out, ceiling, _) in PLANS.items()]
+    return {
+        "balancers": plan.gateways, "ordinal": number, "zone": number % len(ZONES), "zones": ZONES,
+        "skus": ["std"],
+        "discovery": "pushed", "classes": classes, "plans": plans,
+        "domain": {"peer_intake": 60.0, "units_top": MOST_UNITS, "cost_after": False},
+        "limits": {"cancel": True, "connect_timeout_ns": plan.connect_ms * MS, "idle_close_ns": 30_000 * MS,
+                   "max_open": 20000, "max_retry_after_ns": 1000 * MS, "may_duplicate": True, "peers": True,
+                   "probes": True, "retry_after": False, "send_cap": 6},
+        "obligations": {"drain_grace_ns": 250 * MS, "fall_ns": FALL_MS * MS, "overload_factor": 2.0,
+                        "start_capacity": 0.25, "warm_up_ns": WARM_MS * MS},
+        "prices": {"cross_zone": 0.009},
+        "telemetry": {"fields": ["rif", "lat_ms", "q"], "via": "piggyback"}}
+
+
+class Customers:
+    """The customers of a world: plan, set of gateways, and how much of the quota they ask for."""
+
+    def __init__(self, plan: Plan) -> None:
+        rng = random.Random(f"customers {plan.seed}")
+        self.rows: list[tuple[int, str, int, int]] = []  # key, plan, spread, first
+        self.weights: list[float] = []
+        for name, (_, rate, _, _, _, count) in PLANS.items():
+            for _ in range(count):
+                heavy = rng.choices((0.4, 0.95, 2.5, 6.0), (0.7, 0.2, 0.06, 0.04))[0]
+                spread = rng.randint(min(2, plan.gateways), min(4, plan.gateways))
+                self.rows.append((rng.getrandbits(33), name, spread, rng.randrange(plan.gateways)))
+                self.weights.append(rate * heavy)
+
+
+def wants(plan: Plan, start_s: float) -> list[Want]:
+    """All first tries, in order of time. More of them fall on the instants of faults, and more deadlines."""
+    customers = Customers(plan)
+    instants = {a for f in plan.faults for a in (f.at_ms, f.at_ms + f.for_ms)}
+    anchors = sorted(a for a in instants if 0 <= a <= plan.last_ms)
+    chosen = range(plan.requests) if plan.only is None else plan.only
+    made = [_want(plan, number, customers, anchors, start_s) for number in chosen]
+    return sorted(made, key=lambda w: (w.at_s, w.customer))
+
+
+def _want(plan: Plan, number: int, customers: Customers, anchors: list[int], start_s: float) -> Want:
+    rng = random.Random(f"want {plan.seed} {number}")
+    surges = [f for f in plan.faults if f.kind == "surge"]
+    leaving = [f for f in plan.faults if f.kind == "leave"]
+    at_ms: float = rng.random() * plan.last_ms
+    wait_share = 0.5 + 0.5 * rng.random()
+    if anchors and rng.random() < 0.3:
+        at_ms = rng.choice(anchors) + rng.choice((rng.uniform(-2, 2), rng.uniform(-150, 300)))
+    key, name, spread, first = rng.choices(customers.rows, customers.weights)[0]
+    for surge in surges:  # a customer of `plus` asks for so many times its quota
+        if rng.random() < 0.35:
+            plus = [row for row in customers.rows if row[1] == "plus"]
+            key, name, spread, first = plus[plan.seed % len(plus)]
+            at_ms = surge.at_ms + rng.random() * surge.for_ms
+    cls = rng.choices(list(CLASSES), [c[5] for c in CLASSES.values()])[0]
+    _, deadline, effect, _, _, _ = CLASSES[cls]
+    wait_ms = int(deadline * wait_share)
+    if anchors and rng.random() < 0.2:  # its time is up about when something goes wrong
+        wait_ms = max(30, min(deadline, int(rng.choice(anchors) + rng.uniform(-3, 3) - at_ms)))
+    leaves = 0.0
+    for fault in leaving:
+        if 0 <= at_ms - fault.at_ms <= fault.for_ms and rng.random() < fault.amount:
+            leaves = rng.uniform(0.0005, 0.2)
+    return Want(
+        at_s=start_s + max(0.0, at_ms) / 1000, cls=cls, plan=name, customer=key,
+        units=rng.choices((1.0, 2.0, 3.0, 6.0), (0.5, 0.3, 0.15, 0.05))[0], spread=spread, first=first,
+        wait_ms=wait_ms, repeats=effect == "free",
+        key=b"%016x" % rng.getrandbits(64) if effect == "guarded" else b"",
+        tries=rng.choice((0, 1, 2)), again_s=rng.choice((0.0, 0.05, 0.2)), leaves_s=leaves,
+        behind=rng.random() < 0.1, heeds=rng.random() < 0.5)
--- /dev/null
+++ b/zincstile/worlds/world.py
@@ -0,0 +1,331 @@
+"""One world: gateways, stand-ins and faults on one virtual network, run step by step under the checkers.
+
+The gateways are the program's own: `net.gateway.Gateway` with its decision module, started as `python -m
+zincstile` starts it, each in a process with a machine of its own. `Run.play` ends at the first broken
+rule, or when all is answered and nothing may be left over.
+"""
+
+from __future__ import annotations
+
+import gc
+import random
+import signal
+from dataclasses import dataclass, field
+from typing import Any
+
+from ..net import config
+from ..net.gateway import Gateway
+from ..rules.cases import Breach
+from ..rules.referee import Referee
+from ..standin import wire
+from ..standin.clients import Front, Want
+from ..standin.discovery import Agent, Entry, Roster
+from ..standin.guidebox import GuideBox, Model, Rack
+from ..virtual.clock import MS, SECOND, Scheduler, StuckError
+from ..virtual.host import VirtualHost
+from ..virtual.network import Network, Ways
+from ..virtual.process import Process
+from ..virtual.tcp import Endpoint
+from . import faults, traffic
+from .plan import Plan
+
+START_NS = 1000 * SECOND  # of virtual time
+UNIX_NS = 1_800_000_000 * SECOND - START_NS  # Unix time less virtual time
+LEAD_NS = 700 * MS  # from the start until the first request
+RACKS = 3
+CALM_NS = 4500 * MS  # after the last request or fault, until all must be answered and given back
+FACTOR = 1.3  # cores' speed differs by so much at most
+
+
+@dataclass(slots=True)
+class Result:
+    """What came of one run."""
+
+    seed: int
+    steps: int
+    seconds: float  # of virtual time
+    requests: int
+    attempts: int
+    faults: int
+    digest: str
+    breach: Breach | None
+    tally: dict[str, int] = field(default_factory=dict)
+    nearest: dict[str, float] = field(default_factory=dict)  # to the rules that have a measure: 1 is at it
+
+    def line(self) -> str:
+        """The last line that the command prints."""
+        if self.breach is not None:
+            return f"seed {self.seed} {self.breach.line()}"
+        return f"seed {self.seed} ok steps={self.steps} requests={self.requests} digest={self.digest}"
+
+
+@dataclass(slots=True)
+class Seat:
+    """A gateway's place in the tier: its machine stays while processes come and go."""
+
+    number: int
+    name: str
+    host: str
+    agent: Agent
+    discovery: tuple[str, int]
+    skew_ns: int = 0
+    starts: int = 0
+    process: Process | None = None
+    gateway: Gateway | None = None
+    machine: VirtualHost | None = None
+    moves: int = 0
+    stopping: bool = False
+
+
+@dataclass(slots=True)
+class Place:
+    """A guide box's process, and its line in the list."""
+
+    entry: Entry
+    process: Process
+    box: GuideBox
+    host: str
+    port: int
+    zone: int
+    model: Model
+
+
+class Run:
+    """A world from its plan."""
+
+    def __init__(self, plan: Plan, keep_trace: bool = False) -> None:
+        self.plan = plan
+        self.scheduler = Scheduler(START_NS)
+        self.rng = random.Random(f"world {plan.seed}")  # of faults and stand-ins, in the order of events
+        ways = Ways(window_bytes=plan.window_bytes, read_bytes=plan.read_bytes, split=plan.split,
+                    udp_loss=plan.udp_loss, udp_twice=plan.udp_twice)
+        self.network = Network(self.scheduler, random.Random(f"network {plan.seed}"), ways)
+        self.network.on_connected = self._connected
+        if keep_trace:
+            self.network.trace = []
+        self.referee = Referee(traffic.figures(), lambda: (self.scheduler.steps, self.scheduler.now_ns))
+        self.roster = Roster(self.referee)
+        self.racks = [Rack(traffic.KEYED_MS / 1000) for _ in range(RACKS)]
+        self.places: dict[str, Place] = {}  # by the box's name
+        self.boxes: list[str] = []  # names, in the plan's order; a deploy puts the new one in its place
+        self.hosts: dict[str, str] = {}
+        self.seats: list[Seat] = []
+        self.logs: list[str] = []
+        self.began_ns = START_NS + LEAD_NS
+        self._boxes = 0
+
+    # ---- building
+
+    def _build(self) -> None:
+        plan = self.plan
+        for k in range(plan.boxes):
+            place = self.box(f"10.1.0.{k + 1}", 6379, k % len(traffic.ZONES), cold=False)
+            self.boxes.append(place.entry.name)
+            self.roster.put(place.entry)
+        for k in range(plan.gateways):
+            host = f"10.0.0.{k + 1}"
+            process = Process(self.network, f"agent{k}", host, k % len(traffic.ZONES))
+            agent = Agent(process.loop, self.roster, f"g{k}", self.referee)
+            self.do(process, agent.start(host, 8500))
+            self.seats.append(Seat(k, f"g{k}", host, agent, (host, 8500)))
+        for seat in self.seats:
+            self.start_gateway(seat)
+        self.clients = Process(self.network, "clients", "10.9.0.1", 0)
+        self.front = Front(self.clients.loop, random.Random(f"front {plan.seed}"), self.referee,
+                           {s.name: (s.host, 6379) for s in self.seats}, dead_s=(0.3, 1.5))
+        self.front.was_read = lambda transport, end: transport.peer is None or transport.peer.taken >= end
+        weights = random.Random(f"weights {plan.seed}")
+        self.shares: dict[tuple[int, str], float] = {}
+        self.weights = weights
+        self.front.weigh = self._weigh
+        self.clients.loop.call_soon(self.front.watch)
+        start = self.began_ns / 1e9
+        for want in traffic.wants(plan, start):
+            self.clients.loop.call_at(want.at_s, self.front.want, want)
+        for fault in plan.faults:
+            at = self.began_ns + fault.at_ms * MS
+            self.scheduler.at(at, faults.begin, self, fault)
+
+    def do(self, process: Process, coro: Any) -> None:
+        """Runs a coroutine of a stand-in in its process."""
+        process.loop.create_task(coro)
+
+    def box(self, host: str, port: int, zone: int, cold: bool, cell: int | None = None) -> Place:
+        """A new guide box, listening at once. Who stands at an address stands in its rack."""
+        self._boxes += 1
+        number, name = self._boxes, f"s-{self._boxes:02x}"
+        rng = random.Random(f"box {self.plan.seed} {number}")
+        cell = number % RACKS if cell is None else cell
+        model = Model(
+            cores=1 + number % 2, speed=rng.uniform(1 / FACTOR, FACTOR), places=rng.randint(8, 24),
+            work_ns={n: ms * MS for n, ms in traffic.WORK_MS.items()}, cold_share=0.25,
+            warm_s=traffic.WARM_MS / 1000, drops_left=self.plan.drops_left)
+        return self.place(name, host, port, zone, cell, model, cold)
+
+    def place(self, name: str, host: str, port: int, zone: int, cell: int, model: Model, cold: bool) -> Place:
+        process = Process(self.network, name, host, zone)
+        box = GuideBox(process.loop, name, model, self.racks[cell], random.Random(f"{name} {self.plan.seed} "
+                       f"{self.scheduler.now_ns}"), self.referee, cold)
+        box.gateway_of = _other
+        self.do(process, box.start(host, port))
+        since = (self.scheduler.now_ns + UNIX_NS) // MS if cold else 0
+        entry = Entry(name, f"{host}:{port}", traffic.ZONES[zone], "std", cell, "Ready", 1.0, since)
+        self.referee.boxes[name] = zone, cell
+        self.referee.cold.began(name, since, box.capacity, lambda: box.warmth() >= 1)
+        self.places[name] = Place(entry, process, box, host, port, zone, model)
+        return self.places[name]
+
+    def _weigh(self, want: Want, names: list[str]) -> list[float]:
+        """How unevenly a customer's requests come in; `shift` draws it anew."""
+        return [self.shares.setdefault((want.customer, n), self.weights.random() ** 2) for n in names]
+
+    # ---- gateways
+
+    def table(self, seat: Seat) -> dict[str, Any]:
+        """The gateway's configuration file, as it stands now."""
+        known = {"index": seat.agent.index, "snapshot": True,
+                 "endpoints": [{"name": e.name, "address": e.address, "zone": e.zone, "type": e.type,
+                                "group": e.group, "status": e.status, "weight": e.weight,
+                                "since_ms": e.since_ms} for e in seat.agent.entries.values()]}
+        return {
+            "name": seat.name, "listen": f"{seat.host}:6379", "discovery": "{}:{}".format(*seat.discovery),
+            "seed": f"{random.Random(f'{seat.name} {self.plan.seed} {seat.starts}').getrandbits(64):x}",
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": self.plan.sockets},
+            "peer_listen": f"{seat.host}:7946", "peers": [f"{s.host}:7946" for s in self.seats],
+            "known": known, "settings": traffic.settings(self.plan, seat.number)}
+
+    def start_gateway(self, seat: Seat) -> None:
+        """As the platform does: from nothing but its configuration and the last list."""
+        seat.starts += 1
+        seat.stopping = False
+        process = Process(self.network, seat.name, seat.host, seat.number % len(traffic.ZONES),
+                          descriptors=self.plan.sockets, quantum_ns=self.plan.quantum_us * 1000)
+        machine = VirtualHost(process, lambda: config.read(self.table(seat), {}), UNIX_NS + seat.skew_ns)
+        machine.log = lambda line: self._log(seat, line)
+        self.referee.started(seat.name)
+        self.network.note("start", seat.name)
+        gateway = Gateway(config.read(self.table(seat), {}), process.loop, machine)
+        seat.process, seat.gateway, seat.machine = process, gateway, machine
+        process.loop.create_task(gateway.run()).add_done_callback(lambda task: self._ended(seat, process))
+
+    def _log(self, seat: Seat, line: str) -> None:
+        self.logs.append(line)
+        if " fault " in line:
+            self.referee.fault(seat.name, line.split(" fault ", 1)[1].strip())
+
+    def _ended(self, seat: Seat, process: Process) -> None:
+        """Its own end after SIGTERM: what it took and did not answer is lost, so it is not taken for dead."""
+        if process.alive:
+            self.referee.event(f"{seat.name} ended by itself")
+            self.network.note("ended", seat.name)
+            self._check_process(seat)
+            process.kill()
+
+    def kill(self, seat: Seat) -> None:
+        if seat.process.alive:
+            self._check_process(seat)
+            self.referee.ended(seat.name)
+            seat.process.kill()
+
+    def terminate(self, seat: Seat) -> None:
+        if seat.process.alive and not seat.stopping:
+            seat.stopping = True
+            self.referee.event(f"{seat.name} gets SIGTERM")
+            seat.process.signal(signal.SIGTERM)
+
+    def _check_process(self, seat: Seat) -> None:
+        self.referee.descriptors(seat.name, seat.process.most_opened, self.plan.sockets)
+        for fault in seat.process.loop.faults:
+            self.referee.fault(seat.name, fault)
+
+    # ---- what crosses the network
+
+    def _connected(self, opener: Endpoint, taker: Endpoint) -> None:
+        gateway, box = opener.process.name, taker.process.name
+        if gateway[0] == "g" and box in self.places:
+            opener.on_sent = Tap(self.referee, gateway, box, self.scheduler).feed
+
+    # ---- the run
+
+    def play(self) -> Result:
+        self._build()
+        plan = self.plan
+        last = max([plan.last_ms, *(f.at_ms + f.for_ms for f in plan.faults)])
+        until = self.began_ns + last * MS + CALM_NS
+        enabled = gc.isenabled()
+        gc.disable()  # what a run drops goes at once or with the run; the collector's times are not its own
+        try:
+            if not self.scheduler.run(until, self.referee.watch):
+                self._finish()
+        except StuckError as err:
+            self.referee.breach("progress", str(err))
+        finally:
+            if enabled:
+                gc.enable()
+        breach = self.referee.breaches[0] if self.referee.breaches else None
+        counts, tally = self.referee.counts, {}
+        for (_, kind), n in self.front.tally.items():
+            tally[kind] = tally.get(kind, 0) + n
+        return Result(
+            plan.seed, self.scheduler.steps, (self.scheduler.now_ns - START_NS) / 1e9, counts["asked"],
+            counts["attempts"], len(plan.faults), self.network.digest(), breach, tally,
+            {"cold": round(self.referee.cold.nearest, 4), "ceiling": round(self.referee.ceilings.nearest, 4)})
+
+    def _finish(self) -> None:
+        """All has long been answered: nothing may be left."""
+        for seat in self.seats:
+            self._check_process(seat)
+            if not seat.process.alive:
+                continue
+            gateway = seat.gateway
+            if seat.stopping:
+                continue
+            module, backends, tasks = gateway.turn.policy, gateway.backends, seat.process.loop.tasks
+            self.referee.left_over(seat.name, {
+                "sessions": len(gateway.turn.sessions), "attempts": len(backends.attempts),
+                "open ids": len(gateway.door.open), "requests in the module": len(module.live),
+                "attempts in the module": len(module.attempts), "asks": len(module.asked),
+                "queued attempts": sum(len(s.queued) for s in backends.servers.values()),
+                "clients lost": len(gateway.door.clients) - sum(
+                    c.transport in seat.process.endpoints for c in gateway.door.clients),
+                "connections lost": len(backends.connections) - sum(
+                    c.transport in seat.process.endpoints for c in backends.connections),
+                "connections that nobody knows": sum(
+                    e.remote[1] == 6379 and e not in {c.transport for c in backends.connections}
+                    for e in seat.process.endpoints if e.local[1] != 6379),
+                "tasks": max(0, len(tasks) - 1 - (gateway.table._watch is None)),
+                "deadlines": max(0, len(gateway.turn.deadlines) - 40)})
+
+
+def _other(transport: Any) -> str:
+    """Whose connection this is, on the virtual network."""
+    return transport.peer.process.name
+
+
+class Tap:
+    """Reads what a gateway sends a guide box, as it leaves the gateway."""
+
+    __slots__ = ("referee", "gateway", "box", "scheduler", "_commands", "_first_ns", "_try")
+
+    def __init__(self, referee: Referee, gateway: str, box: str, scheduler: Scheduler) -> None:
+        self.referee, self.gateway, self.box, self.scheduler = referee, gateway, box, scheduler
+        self._commands = wire.Commands()
+        self._first_ns = 0
+        self._try = None
+
+    def feed(self, data: bytes) -> None:
+        """Whole commands come one by one, as a connection carries one attempt at a time."""
+        if self._commands.idle:
+            self._first_ns = self.scheduler.now_ns
+        try:
+            whole = self._commands.feed(data)
+        except wire.ForeignError as err:
+            self.referee.foreign(self.box, self.gateway, str(err))
+            return
+        words = whole[0] if whole else self._commands.words
+        if self._try is None and len(words) > 2:
+            self._try = self.referee.sent(self.gateway, self.box, words[2], self._first_ns)
+        if whole:
+            if self._try is not None:
+                self.referee.whole(words[2], self._try)
+            self._try = None
