Worlds find two faults: attempts of clients that left, ceilings beyond quotas; both mended

Five: where more than the quota is let in, the ceiling's parts by recent use sum up to more than one while views differ. One: a client leaves in the very turn that begins its request's next attempt; Backends._send found no session and said nothing, so the module counted it as out for good.

--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -200,3 +200,15 @@
         assert (7 in g.policy.customers) is left
         g.tick(after=150 * SECOND)
         assert 7 not in g.policy.customers
+
+
+def test_parts_of_the_ceiling_are_even_where_more_than_the_quota_is_let_in():
+    """Guards the ceiling while words travel: beyond the quota nothing else holds what all send together."""
+    for over_worth, least, most in ((0.0, 0.6, 1.0), (0.5, 0.5, 0.5)):
+        plan = i.PlanSpec("c", rate=4.0, burst=8.0, over_worth=over_worth, over_cost=0.1, ceiling_rate=8.0,
+                          ceiling_burst=16.0)
+        g = Gateway({"plans": [plan], "gateways": 2}, backends=8)
+        g.now += 10 * SECOND
+        hear(g, [i.Share(7, 0, 0.0, 8.0, 0)])
+        taken(g, 3, units=1.0, spread=2)
+        assert least <= g.policy._ceiling_part(g.now, g.policy.customers[7], plan) <= most
--- /dev/null
+++ b/tests/test_referee.py
@@ -0,0 +1,214 @@
+"""The checkers of the rules, each fed by hand with what breaks it and with what only just does not."""
+
+from __future__ import annotations
+
+import pytest
+
+from zincstile.rules.cases import ClassRule, Figures, PlanRule
+from zincstile.rules.referee import Referee
+from zincstile.standin.witness import Asked
+
+MS, SECOND = 1_000_000, 1_000_000_000
+
+
+class Bench:
+    """A referee and its clock."""
+
+    def __init__(self):
+        self.now, self.step = 0, 0
+        self.figures = Figures(
+            classes={"read": ClassRule("safe"), "order": ClassRule("keyed", "cell", 6 * SECOND),
+                     "pin": ClassRule("unsafe")},
+            plans={"plus": PlanRule(10.0, 20.0, 2.0), "basic": PlanRule()}, answer_grace_ns=58 * MS)
+        self.referee = Referee(self.figures, lambda: (self.step, self.now))
+        self.referee.boxes = {"b1": (0, 1), "b2": (0, 1), "b3": (0, 2)}
+        for gateway in ("g0", "g1"):
+            self.referee.started(gateway)
+
+    def at(self, ms):
+        self.now, self.step = int(ms * MS), self.step + 1
+        self.referee.watch(self.now)
+        return self.referee
+
+    def ask(self, number=b"1", cls="read", plan="basic", units=1.0, wait=1000, line=1, gateway="g0"):
+        key = b"k" if cls == "order" else b""
+        self.referee.asked(Asked(number, cls, plan, b"c", units, key, wait, gateway, line))
+
+    def send(self, box, number=b"1", gateway="g0"):
+        one = self.referee.sent(gateway, box, number, self.now)
+        self.referee.whole(number, one)
+
+    def arrive(self, box, number=b"1", gateway="g0", work=0):
+        self.referee.arrived(box, number, self.referee.cases[number].key, gateway, work)
+
+    @property
+    def broken(self):
+        return [b.rule for b in self.referee.breaches]
+
+
+@pytest.fixture
+def bench():
+    return Bench()
+
+
+def test_an_answer_in_time_is_right_and_one_too_many_is_not(bench):
+    bench.ask()
+    bench.at(1057).answered(b"1", "failed", b"")
+    assert bench.broken == []
+    bench.at(1058).answered(b"1", "failed", b"")
+    assert bench.broken == ["answer"]
+
+
+def test_no_answer_in_time_names_the_request_and_its_history(bench):
+    bench.ask()
+    bench.at(1059)
+    breach = bench.referee.breaches[0]
+    assert (breach.rule, breach.request, breach.step) == ("answer", "1", 1)
+    assert "asked of g0" in str(breach.history) and "no answer in its time" in breach.text
+
+
+def test_what_waits_behind_others_has_their_time_too(bench):
+    bench.ask(b"1", wait=1000)
+    bench.ask(b"2", wait=10)
+    bench.at(900).answered(b"1", "failed", b"")
+    bench.at(900).answered(b"2", "failed", b"")
+    assert bench.broken == []
+
+
+def test_a_pause_of_the_gateway_is_not_its_fault(bench):
+    bench.ask(wait=100)
+    bench.at(90).paused("g0", 50 * MS)
+    bench.at(200).answered(b"1", "failed", b"")
+    assert bench.broken == []
+
+
+def test_a_dead_gateway_owes_nothing_and_a_living_one_that_drops_does(bench):
+    bench.ask(b"1", gateway="g0")
+    bench.ask(b"2", gateway="g1", line=2)
+    bench.referee.ended("g0")
+    bench.referee.dropped(b"1")
+    assert bench.broken == []
+    bench.referee.dropped(b"2")
+    assert bench.broken == ["answer"]
+
+
+def test_a_value_has_to_be_made_for_that_request(bench):
+    bench.ask(b"1")
+    bench.ask(b"2", line=2)
+    bench.referee.made("b1", b"1", b"v1")
+    bench.referee.answered(b"1", "served", b"v1")
+    assert bench.broken == []
+    bench.referee.answered(b"2", "served", b"v1")
+    assert bench.broken == ["value"]
+
+
+@pytest.mark.parametrize(("cls", "first", "second", "later_ms", "rule"), [
+    ("read", "b1", "b3", 1, []), ("order", "b1", "b2", 1, []), ("order", "b1", "b3", 1, ["repeat"]),
+    ("order", "b1", "b2", 6001, ["repeat"]), ("pin", "b1", "b2", 1, ["repeat"])])
+def test_what_may_have_run_goes_out_again_only_as_its_class_allows(bench, cls, first, second, later_ms, rule):
+    bench.ask(cls=cls, wait=9000)
+    bench.send(first)
+    bench.at(later_ms)
+    bench.send(second)
+    assert bench.broken == rule
+
+
+def test_what_never_ran_may_go_anywhere(bench):
+    bench.ask(cls="pin")
+    bench.send("b1")
+    bench.arrive("b1")
+    bench.referee.turned_away("b1", b"1")
+    bench.send("b3")
+    assert bench.broken == []
+    bench.referee.sent("g0", "b2", b"1", 0)  # begun and never whole
+    bench.send("b2")
+    assert bench.broken == ["repeat"]  # by the whole one at b3
+
+
+def test_more_attempts_than_the_settings_allow(bench):
+    bench.ask()
+    for _ in range(6):
+        bench.send("b1")
+    assert bench.broken == []
+    bench.send("b1")
+    assert bench.broken == ["repeat"]
+
+
+@pytest.mark.parametrize(("told", "at_ms", "rule"), [
+    (True, 250, []), (True, 251, ["drain"]), (False, 6250, []), (False, 6251, ["drain"])])
+def test_nothing_new_goes_to_a_box_that_drains(bench, told, at_ms, rule):
+    bench.ask(wait=20_000)
+    bench.referee.changed("b1", "Terminating", 0)
+    if told:
+        bench.referee.told("g0", "b1", "Terminating", 0)
+    bench.at(at_ms)
+    bench.send("b1")
+    assert bench.broken == rule
+
+
+def test_a_gateway_that_starts_knows_nothing_of_what_the_last_was_told(bench):
+    bench.ask(wait=20_000)
+    bench.referee.told("g0", "b1", "Terminating", 0)
+    bench.referee.started("g0")
+    bench.at(1000)
+    bench.send("b1")
+    assert bench.broken == []
+
+
+def test_a_cold_box_is_sent_no_more_than_it_bears_by_all_together(bench):
+    cold = bench.referee.cold
+    cold.began("b1", 7, lambda: 0.25, lambda: False)
+    for number in range(4):
+        bench.ask(b"%d" % number, line=number)
+    for gateway in ("g0", "g1"):
+        bench.referee.told(gateway, "b1", "Ready", 7)
+    bench.arrive("b1", b"0", "g0", 700 * MS)  # it bears 2 x 0.25 x 3 s
+    bench.arrive("b1", b"1", "g1", 800 * MS)
+    assert bench.broken == [] and cold.nearest == pytest.approx(1.0)
+    bench.arrive("b1", b"2", "g1", 1 * MS)
+    assert bench.broken == ["cold"]
+
+
+def test_who_was_not_told_of_a_start_pushes_nobody_over(bench):
+    bench.referee.cold.began("b1", 7, lambda: 0.25, lambda: False)
+    bench.ask()
+    bench.arrive("b1", work=5 * SECOND)
+    assert bench.broken == []
+
+
+def test_work_of_long_ago_weighs_no_more(bench):
+    bench.referee.cold.began("b1", 7, lambda: 0.25, lambda: False)
+    bench.referee.told("g0", "b1", "Ready", 7)
+    bench.ask(b"1", wait=9000)
+    bench.ask(b"2", wait=9000, line=2)
+    bench.arrive("b1", b"1", work=1400 * MS)
+    bench.at(3000)
+    bench.arrive("b1", b"2", work=1400 * MS)
+    assert bench.broken == []
+
+
+def test_a_ceiling_holds_over_all_gateways_and_fills_again(bench):
+    for number in range(9):
+        bench.ask(b"%d" % number, plan="plus", units=5.0, line=number, wait=60_000,
+                  gateway=f"g{number % 2}")
+    for number in range(4):
+        bench.arrive("b1", b"%d" % number)
+    assert bench.broken == []  # the burst is spent; the slack is 2, and 1.5 for sockets
+    bench.at(200)
+    bench.arrive("b1", b"4")
+    assert bench.broken == []
+    bench.arrive("b2", b"4")  # a further attempt takes nothing
+    assert bench.broken == []
+    bench.arrive("b1", b"5")
+    assert bench.broken == ["ceiling"]
+
+
+def test_what_no_client_asked_and_what_is_left_over(bench):
+    bench.send_unknown = bench.referee.sent("g0", "b1", b"77", 0)
+    assert bench.send_unknown is None and bench.broken == ["foreign"]
+    bench.referee.left_over("g0", {"sessions": 0, "attempts": 0})
+    assert bench.broken == ["foreign"]
+    bench.referee.left_over("g0", {"sessions": 2, "attempts": 0})
+    assert bench.referee.breaches[-1].text == "g0 holds at the end: 2 sessions"
+    bench.referee.descriptors("g1", 65, 64)
+    assert len(bench.broken) == 2  # one breach of a rule for each request, here none
--- a/tests/test_turn.py
+++ b/tests/test_turn.py
@@ -148,3 +148,39 @@
 def test_a_probe_of_nobody_fails_to_connect():
     asked, probed = probe(None)
     assert not asked and [p.result for p in probed] == [i.Result.CONNECT_FAILED]
+
+
+class Leaving:
+    """A module that tries again when an attempt was turned away, and keeps what it is told of attempts."""
+
+    def __init__(self):
+        self.sent, self.told = 0, []
+
+    def handle(self, now, event):
+        if isinstance(event, i.Outcome):
+            self.told.append((event.attempt, event.result))
+        if isinstance(event, i.Request) or (isinstance(event, i.Outcome) and event.result is i.Result.FULL):
+            self.sent += 1
+            return [i.Send(1, 5, 10**18)]
+        return []
+
+
+def test_an_attempt_of_a_client_that_left_in_the_same_turn_is_told_to_have_ended():
+    """Guards the module's count of what is out: a client left in the very turn that begins the next
+    attempt."""
+    async def play():
+        module = Leaving()
+        turn = Turn(asyncio.get_running_loop(), module, Limits(), Counters(), Log("n0"))
+        backends = Backends(turn, settings(), memoryview(bytearray(65536)))
+        backends.update([(backend(5), ("127.0.0.1", 1))], True)
+        session = Session(1, Call(True, b"c", b"id", [b"d=1"], 0, None), Client(), 10**18)
+        turn.sessions[1] = session
+        session.attempts = 1
+        turn.post(i.Outcome(1, 0, 5, i.Result.FULL, 1, False))
+        turn.leave(session)
+        while len(module.told) < 2:
+            await asyncio.sleep(0)
+        assert not backends.attempts and not turn.over
+        return module
+    module = asyncio.run(asyncio.wait_for(play(), 20))
+    assert module.sent == 1 and module.told == [(0, i.Result.FULL), (1, i.Result.MOOT)]
--- /dev/null
+++ b/zincstile/cli/demo.py
@@ -0,0 +1,179 @@
+"""`demo`: the real program three times over, and the stand-ins, on loopback ports that the system chose."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import click
+from rich.console import Console
+from rich.table import Table
+
+from ..rules.referee import Referee
+from ..standin.clients import Front
+from ..standin.discovery import Agent, Entry, Roster
+from ..standin.guidebox import GuideBox, Model, Rack
+from ..worlds import traffic
+from ..worlds.plan import Plan
+
+HOST = "127.0.0.1"
+GATEWAYS, BOXES, RACKS = 3, 10, 3
+READY_S, END_S = 15.0, 6.0  # how long the gateways may take to start, and what is open to end
+
+
+class Arrivals:
+    """The referee's ears on real sockets: an attempt is seen when it arrives, not when it leaves a
+    gateway."""
+
+    def __init__(self, referee: Referee) -> None:
+        self.referee = referee
+
+    def __getattr__(self, name: str):
+        return getattr(self.referee, name)
+
+    def arrived(self, box: str, request: bytes, key: bytes, gateway: str, work_ns: int) -> None:
+        one = self.referee.sent(gateway, box, request, time.monotonic_ns())
+        if one is not None:
+            self.referee.whole(request, one)
+        self.referee.arrived(box, request, key, gateway, work_ns)
+
+
+@click.command("demo")
+@click.option("--seconds", type=click.IntRange(1, 60), default=4, show_default=True,
+              help="Length of the load.")
+@click.option("--seed", type=click.IntRange(min=0), default=1, show_default=True)
+def command(seconds: int, seed: int) -> int:
+    """Starts three gateways and all they speak with, plays a short calm load, and checks the rules.
+
+    Exit 0 only where every rule held."""
+    plan = Plan(seed=seed, gateways=GATEWAYS, boxes=BOXES, requests=45 * seconds, last_ms=1000 * seconds)
+    with tempfile.TemporaryDirectory(prefix="zincstile-demo-") as folder:
+        return asyncio.run(Demo(plan, Path(folder)).play())
+
+
+def free_ports(count: int, kind: int) -> list[int]:
+    """Ports that the system gave and that are free again."""
+    with contextlib.ExitStack() as stack:
+        socks = [stack.enter_context(socket.socket(socket.AF_INET, kind)) for _ in range(count)]
+        for sock in socks:
+            sock.bind((HOST, 0))
+        return [sock.getsockname()[1] for sock in socks]
+
+
+class Demo:
+    """One run."""
+
+    def __init__(self, plan: Plan, folder: Path) -> None:
+        self.plan, self.folder = plan, folder
+        self.referee = Referee(traffic.figures(), lambda: (0, time.monotonic_ns()))
+        self.witness = Arrivals(self.referee)
+        self.programs: list[subprocess.Popen] = []
+        self.console = Console()
+
+    async def play(self) -> int:
+        try:
+            front = await self._start()
+            if front is None:
+                return 1
+            await self._load(front)
+            return self._tell(front)
+        finally:
+            self._stop()
+
+    async def _start(self) -> Front | None:
+        loop, plan, rng = asyncio.get_running_loop(), self.plan, random.Random(self.plan.seed)
+        roster = Roster(self.witness)
+        racks = [Rack(traffic.KEYED_MS / 1000) for _ in range(RACKS)]
+        work = {n: ms * 1_000_000 for n, ms in traffic.WORK_MS.items()}
+        for k in range(plan.boxes):
+            name = f"s-{k:02x}"
+            model = Model(cores=2, speed=rng.uniform(0.8, 1.3), work_ns=work)
+            box = GuideBox(loop, name, model, racks[k % RACKS], random.Random(k), self.witness, cold=False)
+            port = await box.start(HOST)
+            zone = traffic.ZONES[k % len(traffic.ZONES)]
+            self.referee.boxes[name] = k % len(traffic.ZONES), k % RACKS
+            roster.put(Entry(name, f"{HOST}:{port}", zone, "std", k % RACKS))
+        listens = free_ports(plan.gateways, socket.SOCK_STREAM)
+        peers = [f"{HOST}:{p}" for p in free_ports(plan.gateways, socket.SOCK_DGRAM)]
+        for k, port in enumerate(listens):
+            agent = Agent(loop, roster, f"g{k}", self.witness)
+            discovery = await agent.start(HOST)
+            self._gateway(traffic.configuration(
+                plan, k, f"{HOST}:{port}", f"{HOST}:{discovery}", peers, rng.getrandbits(64), agent.whole()))
+        front = Front(loop, rng, self.witness, {f"g{k}": (HOST, p) for k, p in enumerate(listens)})
+        front.watch()
+        until = time.monotonic() + READY_S
+        while not all(front.up.values()):
+            if time.monotonic() > until or any(p.poll() is not None for p in self.programs):
+                down = [n for n, up in front.up.items() if not up]
+                print(f"zincstile: demo: not ready: {', '.join(down)}; their logs say:", file=sys.stderr)
+                for path in sorted(self.folder.glob("*.log")):
+                    sys.stderr.write(path.read_text()[-2000:])
+                return None
+            await asyncio.sleep(0.05)
+        return front
+
+    def _gateway(self, table: dict) -> None:
+        """The program as the platform starts it, without words."""
+        path = self.folder / f"{table['name']}.json"
+        path.write_text(json.dumps(table), encoding="utf-8")
+        env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
+        env["PYTHONPATH"] = str(Path(__file__).resolve().parents[2])
+        with open(path.with_suffix(".log"), "w", encoding="utf-8") as log:
+            self.programs.append(subprocess.Popen(
+                [sys.executable, "-m", "zincstile"], stderr=log, cwd=self.folder,
+                env=env | {"RELAY_CONFIG": str(path)}))
+
+    async def _load(self, front: Front) -> None:
+        loop = asyncio.get_running_loop()
+        wants = traffic.wants(self.plan, loop.time() + 0.5)  # the first beats of the gateways pass by then
+        for want in wants:
+            loop.call_at(want.at_s, front.want, want)
+        last = wants[-1].at_s + END_S
+        while loop.time() < last and (loop.time() < wants[-1].at_s or front.open or front.coming):
+            await asyncio.sleep(0.05)
+            self.referee.watch(time.monotonic_ns())
+
+    def _tell(self, front: Front) -> int:
+        kinds = ("served", "denied", "failed", "unreached")
+        table = Table(title=f"{front.asked} tries by {GATEWAYS} gateways to {BOXES} guide boxes")
+        for name in ("plan", *kinds):
+            table.add_column(name, justify="left" if name == "plan" else "right")
+        for plan in traffic.PLANS:
+            table.add_row(plan, *(str(front.tally.get((plan, kind), 0)) for kind in kinds))
+        self.console.print(table)
+        waits = sorted(front.waits_s)
+        if waits:
+            half, most = (1000 * waits[int(len(waits) * share)] for share in (0.5, 0.99))
+            self.console.print(f"half of the served had their answer within {half:.0f} ms, 99 in 100 within "
+                               f"{most:.0f} ms")
+        for breach in self.referee.breaches:
+            self.console.print(f"rule {breach.rule} broken: {breach.text}")
+            for line in breach.history:
+                self.console.print(f"  {line}")
+        if front.open:
+            self.console.print(f"{front.open} requests were never answered")
+        ok = not self.referee.breaches and not front.open and bool(waits)
+        self.console.print("every rule held" if ok else "not every rule held")
+        return 0 if ok else 1
+
+    def _stop(self) -> None:
+        for program in self.programs:
+            if program.poll() is None:
+                program.send_signal(signal.SIGTERM)
+        for program in self.programs:
+            try:
+                program.wait(10)
+            except subprocess.TimeoutExpired:
+                program.kill()
+                program.wait()
--- a/zincstile/cli/sim.py
+++ b/zincstile/cli/sim.py
@@ -9,6 +9,7 @@
 
 import click
 
+from ..rules.cases import NAMES
 from ..worlds import plan as plans
 from ..worlds.plan import Plan
 from .commands import Told
@@ -34,6 +35,17 @@
     return plan
 
 
+def _rules(names: tuple[str, ...]) -> tuple[str, ...]:
+    """The rules to look at; all where none is named."""
+    for name in names:
+        if name not in NAMES:
+            raise Told(f"--rule {name}: no such rule; there are {', '.join(NAMES)}")
+    return names or NAMES
+
+
+RULE = click.option("--rule", "rules", multiple=True, metavar="NAME", help="Look at this rule only.")
+
+
 def seeds(text: str) -> range:
     """`A:B`, A in and B out."""
     first, colon, last = text.partition(":")
@@ -48,12 +60,13 @@
 @click.option("--trace", type=click.Path(dir_okay=False),
               help="Write a line for all that crosses the network.")
 @click.option("--logs", is_flag=True, help="Print the gateways' logs.")
-def run(seed: int | None, path: str | None, trace: str | None, logs: bool) -> int:
+@RULE
+def run(seed: int | None, path: str | None, trace: str | None, logs: bool, rules: tuple[str, ...]) -> int:
     """Plays one world; exit 1 where a rule is broken."""
     from ..worlds.world import Run
 
     plan = _plan(seed, path)
-    world = Run(plan, keep_trace=trace is not None)
+    world = Run(plan, keep_trace=trace is not None, rules=_rules(rules))
     result = world.play()
     if trace is not None:
         try:
@@ -83,13 +96,14 @@
 @command.command("sweep")
 @click.option("--seeds", "span", required=True, metavar="A:B", help="Seeds from A on, B not.")
 @click.option("--jobs", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True)
-def sweep(span: str, jobs: int) -> int:
+@RULE
+def sweep(span: str, jobs: int, rules: tuple[str, ...]) -> int:
     """Plays many worlds over many processes; exit 1 where any breaks a rule."""
     from ..worlds.sweep import digest_of, play_all
 
-    chosen, began, last = seeds(span), time.monotonic(), 0.0
+    chosen, looked_at, began, last = seeds(span), _rules(rules), time.monotonic(), 0.0
     done, broken = [], []
-    for result in play_all(chosen, jobs):
+    for result in play_all(chosen, jobs, looked_at):
         done.append(result)
         if result.breach is not None:
             broken.append(result)
@@ -114,12 +128,14 @@
 @click.option("--plan", "path", type=click.Path())
 @click.option("--out", required=True, type=click.Path(dir_okay=False), help="Where the smallest plan goes.")
 @click.option("--runs", type=click.IntRange(1), default=600, show_default=True, help="Runs at most.")
-def shrink(seed: int | None, path: str | None, out: str, runs: int) -> int:
+@RULE
+def shrink(seed: int | None, path: str | None, out: str, runs: int, rules: tuple[str, ...]) -> int:
     """Makes a failing plan as small as it still breaks the same rule."""
     from ..worlds.shrink import smallest
 
     plan = _plan(seed, path)
-    found = smallest(plan, runs, lambda text: print(text, file=sys.stderr, flush=True))
+    found = smallest(plan, runs, lambda text: print(text, file=sys.stderr, flush=True),
+                     _rules(rules))
     if found is None:
         raise Told(f"seed {plan.seed}: no rule is broken, there is nothing to shrink")
     try:
--- a/zincstile/net/backend.py
+++ b/zincstile/net/backend.py
@@ -180,10 +180,15 @@
     # ---- actions
 
     def _send(self, now: int, action: i.Send) -> None:
-        session = self.turn.sessions.get(action.request)
+        session = self.turn.sessions.get(action.request) or self.turn.over.get(action.request)
         if session is None:
             return
         number, session.attempts = session.attempts, session.attempts + 1
+        if session.over:
+            # Guards against an attempt that the module takes for out for good: the client left, or was
+            # answered, in the very turn in which a further attempt was decided on.
+            self._report(session, number, action.backend, Result.MOOT, 0)
+            return
         self._launch(now, session, number, action.backend, min(action.until_ns, session.give_up_ns),
                      action.fresh)
 
--- a/zincstile/net/turn.py
+++ b/zincstile/net/turn.py
@@ -33,6 +33,7 @@
         self.sessions: dict[int, Session] = {}
         self.carry_out: dict[type, Callable[[int, Any], None]] = {
             i.SetTimer: self._set_timer, i.Refuse: self._deny, i.Fail: self._fail, i.Log: self._note}
+        self.over: dict[int, Session] = {}  # ended since the last turn's end: the module may not know it yet
         self._events: list[i.Event] = []
         self._writers: list[Writer] = []
         self._scheduled = False
@@ -70,6 +71,7 @@
             return False
         session.over = True
         self.sessions.pop(session.id, None)
+        self.over[session.id] = session
         if answer.kind is Kind.SERVED:
             self.counters.served += 1
         elif answer.kind is Kind.DENIED:
@@ -84,6 +86,7 @@
         if not session.over:
             session.over = True
             self.sessions.pop(session.id, None)
+            self.over[session.id] = session
             self.counters.left += 1
             self.post(i.Gone(session.id))
 
@@ -104,6 +107,7 @@
             except Exception as err:
                 self._fault(err, action)
         self._scheduled = False
+        self.over.clear()
         writers, self._writers = self._writers, []
         for writer in writers:
             try:
--- a/zincstile/policy.py
+++ b/zincstile/policy.py
@@ -299,8 +299,10 @@
     def _ceiling_part(self, now: int, c: Customer, plan: i.PlanSpec) -> float:
         """Rule 5: this gateway's part of the ceiling, by recent use. The parts sum up to one where all know
         the same, and are even as soon as a peer of the customer is unheard for more than a beat. Guards
-        against refusing inside the quota at the gateway that a customer mostly uses."""
-        if not plan.ceiling_rate or c.wide or not c.told \
+        against refusing inside the quota at the gateway that a customer mostly uses. Views differ for as
+        long as words travel; the quota, which is lower, then holds what goes out. Where more than it is
+        let in, nothing does: parts are even there."""
+        if not plan.ceiling_rate or c.wide or not c.told or plan.over_worth > plan.over_cost \
                 or any(p not in self.heard or now - self.heard[p][1] > HEARD_NS for p in c.told):
             return 1 / c.spread
         even = PARTS_S * plan.rate
--- a/zincstile/virtual/clock.py
+++ b/zincstile/virtual/clock.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import heapq
+import math
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
@@ -74,10 +75,11 @@
         """When the next thing happens, cancelled ones included."""
         return self._heap[0][0] if self._heap else None
 
-    def step(self) -> bool:
-        """The next thing happens; False where there is none. What a process raises goes to its loop."""
+    def step(self, until_ns: float = math.inf) -> bool:
+        """The next thing happens; False where there is none by then. What a process raises goes to its
+        loop."""
         heap = self._heap
-        while heap:
+        while heap and heap[0][0] <= until_ns:
             at_ns, number, entry = heapq.heappop(heap)
             then, process = entry.then, entry.process
             if then is None or process is not None and not process.alive:
@@ -104,15 +106,13 @@
             return True
         return False
 
-    def run(self, until_ns: int, watch: Callable[[], bool] | None = None) -> bool:
-        """Step by step up to that time. True where `watch`, asked after each step, ended it before.
+    def run(self, until_ns: int, watch: Callable[[int], bool] | None = None) -> bool:
+        """Step by step up to that time. True where `watch`, told the time after each step, ended it before.
         StuckError where so much happens at one instant that time will not go on."""
         before, instant = self.steps, self.now_ns
         try:
-            while self._heap and self._heap[0][0] <= until_ns:
-                if not self.step():
-                    break
-                if watch is not None and watch():
+            while self.step(until_ns):
+                if watch is not None and watch(self.now_ns):
                     return True
                 if self.now_ns != instant:
                     before, instant = self.steps, self.now_ns
--- /dev/null
+++ b/zincstile/worlds/mutants.py
@@ -0,0 +1,373 @@
+"""Deliberate faults of the gateway and its module: each must be named by the right rule, within some seeds.
+
+A mutant that no seed names is a hole in the worlds or the checkers. Each is a function that changes the code
+in this process and gives what puts it back; `try_all` plays seed after seed under it, in a process of its
+own.
+"""
+
+from __future__ import annotations
+
+import math
+import multiprocessing
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from .. import interface as i
+from ..net import backend, deadlines, frontend, gateway, resp, server_table, turn
+from ..policy import Policy
+from ..state import Memory
+from . import plan
+from .world import Run
+
+Undo = Callable[[], None]
+
+
+@dataclass(slots=True)
+class Row:
+    """What came of one mutant: the rule that named it, and how many seeds that took; None: not named."""
+
+    name: str
+    rule: str
+    seeds: int | None
+    seed: int | None = None
+
+
+@dataclass(slots=True)
+class Mutant:
+    """A fault, and the rules by which it may rightly be named."""
+
+    rules: tuple[str, ...]
+    put: Callable[[], Undo]
+
+
+def _swap(owner: Any, name: str, new: Any) -> Undo:
+    old = owner.__dict__[name]
+    setattr(owner, name, new)
+    return lambda: setattr(owner, name, old)
+
+
+def _both(*undo: Undo) -> Undo:
+    def put_back() -> None:
+        for one in undo:
+            one()
+    return put_back
+
+
+def _no_withdrawal() -> Undo:
+    """What waits for a connection is begun although the box drains by now."""
+    return _swap(backend.Backends, "_withdraw", lambda self, server: None)
+
+
+def _drain_unseen() -> Undo:
+    """A box that drains is taken for one that is ready."""
+    old = server_table.MODES["Terminating"]
+    server_table.MODES["Terminating"] = i.Mode.READY
+    return lambda: server_table.MODES.__setitem__("Terminating", old)
+
+
+def _watch_trusted() -> Undo:
+    """A watch that fell silent is never opened anew."""
+    return _swap(server_table.Watch, "_await", lambda self, _: None)
+
+
+def _two_answers() -> Undo:
+    """The guard of the one final answer is left out, here and where answers are written."""
+    def end(self, session, answer):
+        session.over = True
+        self.sessions.pop(session.id, None)
+        session.frontend.answer(session, answer)
+        return True
+
+    old = frontend.ClientConnection.__dict__["answer"]
+
+    def again(self, session, answer):
+        if session not in self._waiting:
+            self._out.append(resp.bulk(answer.value))
+        old(self, session, answer)
+
+    return _both(_swap(turn.Turn, "end", end), _swap(frontend.ClientConnection, "answer", again))
+
+
+def _out_of_order() -> Undo:
+    """Answers go out as they come, whatever was asked before."""
+    def flush(self):
+        self._dirty = False
+        ready = [x for x in self._waiting if not isinstance(x, frontend.Session) or x.reply is not None]
+        for one in ready:
+            self._waiting.remove(one)
+            self._out.append(one if isinstance(one, bytes) else one.reply)
+        out, self._out = self._out, []
+        if out and not self.transport.is_closing():
+            self.transport.write(b"".join(out))
+        if not self._waiting:
+            self.rested_ns = self.turn.now_ns()
+            if self._closing:
+                self._finish()
+            elif self.door.closing:
+                self.transport.close()
+    return _swap(frontend.ClientConnection, "flush", flush)
+
+
+def _any_rack() -> Undo:
+    """A key that may have run goes to whatever rack."""
+    return _swap(Policy, "_may", lambda self, live, s: s not in live.tried)
+
+
+def _repeats_all() -> Undo:
+    """What may not run again is tried again like anything else."""
+    old = Policy.__dict__["_again"]
+
+    def again(self, now, live, cost):
+        live.ran = None
+        old(self, now, live, cost)
+    return _swap(Policy, "_again", again)
+
+
+def _window_forgotten() -> Undo:
+    """A key goes out again however long ago its first attempt was, and to any box."""
+    old = Policy.__dict__["_further"]
+
+    def further(self, now, live, cost):
+        if live.spec.effect is i.Effect.KEYED:
+            live.ran = None
+        return old(self, now, live, cost)
+    return _swap(Policy, "_further", further)
+
+
+def _reset_never_ran() -> Undo:
+    """A connection that breaks behind a whole command is taken for one that never carried it."""
+    def lost(self, err):
+        attempt, self.attempt = self.attempt, None
+        self.pools.lost(self)
+        if attempt is not None:
+            self.pools.finish(attempt, i.Result.CONNECT_FAILED)
+    return _swap(backend.BackendConnection, "connection_lost", lost)
+
+
+def _copies_all() -> Undo:
+    """A second copy goes out beside a silent first, whatever the class."""
+    def second(self, now, live, first):
+        if live.out <= 1:
+            self._further(now, live, 1)
+    return _swap(Policy, "_second", second)
+
+
+def _cold_unlimited() -> Undo:
+    """A cold box's store is never empty."""
+    def cold(self, now, s):
+        s.cold_store = math.inf
+        return self._warmth(now, s) < 1
+    return _swap(Policy, "_cold", cold)
+
+
+def _cold_unseen() -> Undo:
+    """When a box started is not looked at: a cold one is taken for a warm one."""
+    return _swap(Policy, "_warmth", lambda self, now, s: 1.0)
+
+
+def _ceiling_ignored() -> Undo:
+    """Each gateway takes the whole of every ceiling for itself."""
+    return _swap(Policy, "_ceiling_part", lambda self, now, c, plan: 1.0)
+
+
+def _give_up_late() -> Undo:
+    """The time that a client waits is counted a tenth too long."""
+    old = frontend.CallReader.__dict__["read"]
+
+    def read(self, words, number, now):
+        call, request = old(self, words, number, now)
+        request.give_up_ns += (request.give_up_ns - now) // 10
+        return call, request
+    return _swap(frontend.CallReader, "read", read)
+
+
+def _give_up_one_off() -> Undo:
+    """Each request is given the time of the one before it."""
+    old, last = frontend.CallReader.__dict__["read"], [0]
+
+    def read(self, words, number, now):
+        call, request = old(self, words, number, now)
+        last[0], request.give_up_ns = request.give_up_ns, max(last[0], now + 1_000_000)
+        return call, request
+    return _swap(frontend.CallReader, "read", read)
+
+
+def _deadlines_off() -> Undo:
+    """Neither an attempt's time nor the module's guard ends a request. One alone does: they back each
+    other."""
+    def limit(self, attempt, at_ns):
+        attempt.deadline = None
+    return _both(_swap(backend.Backends, "_limit", limit), _swap(Memory, "overdue", lambda self, now,
+    token: []))
+
+
+def _never_rests() -> Undo:
+    """Every turn asks for the next."""
+    old = turn.Turn.__dict__["run"]
+
+    def run(self):
+        old(self)
+        self.wake()
+    return _swap(turn.Turn, "run", run)
+
+
+def _deadline_lost() -> Undo:
+    """Of two deadlines for the same time, one is lost."""
+    old = deadlines.Deadlines.__dict__["add"]
+
+    def add(self, at_ns, then, about=None):
+        if any(item[0] == at_ns for item in self._items):
+            self._number += 1
+            return at_ns, self._number
+        return old(self, at_ns, then, about)
+    return _swap(deadlines.Deadlines, "add", add)
+
+
+def _reused_dirty() -> Undo:
+    """A connection is used again with bytes behind its answer, read or not."""
+    old = backend.Backends.__dict__["answered"]
+
+    def answered(self, connection, attempt, reply, alone):
+        old(self, connection, attempt, reply, True)
+
+    def updated(self, size):
+        if self.attempt is None:
+            return
+        replies = self._parser.feed(bytes(self.pools.buffer[:size]))
+        if replies:
+            attempt, self.attempt = self.attempt, None
+            self.pools.answered(self, attempt, replies[0], True)
+
+    quiet = property(lambda self: not self.transport.is_closing())
+    return _both(_swap(backend.Backends, "answered", answered),
+                 _swap(backend.BackendConnection, "buffer_updated", updated),
+                 _swap(backend.BackendConnection, "quiet", quiet))
+
+
+def _kept_after_timeout() -> Undo:
+    """An attempt that is given up leaves its connection to the next one."""
+    def drop(self):
+        self.attempt = None
+        self.pools._rest(self)
+    return _swap(backend.BackendConnection, "drop", drop)
+
+
+def _stop_at_once() -> Undo:
+    """SIGTERM ends the gateway where it stands."""
+    return _swap(gateway.Gateway, "stop", lambda self: self._end(None))
+
+
+def _stop_forgets() -> Undo:
+    """After SIGTERM a connection is closed whether something is owed on it or not."""
+    def close_if_idle(self):
+        if self.door.closing:
+            self.transport.close()
+        return True
+    return _swap(frontend.ClientConnection, "close_if_idle", close_if_idle)
+
+
+def _ids_leak() -> Undo:
+    """The ids of requests that are over are kept."""
+    return _swap(frontend.FrontDoor, "done", lambda self, session: None)
+
+
+def _connections_leak() -> Undo:
+    """A connection to a box that has ended is still counted."""
+    return _swap(backend.Backends, "lost", lambda self, connection: None)
+
+
+def _attempts_leak() -> Undo:
+    """A cancelled attempt is left as it is."""
+    def cancel(self, _, action):
+        attempt = self.attempts.get((action.request, action.attempt))
+        if attempt is not None:
+            self.turn.deadlines.drop(attempt.deadline)
+    return _swap(backend.Backends, "_cancel", cancel)
+
+
+def _key_lost() -> Undo:
+    """The key is not passed on."""
+    old = backend.Backends.__dict__["encode"]
+
+    def encode(self, attempt):
+        if attempt.session is not None:
+            call = attempt.session.call
+            call.fields = [b"x=1" if f.startswith(b"k=") else f for f in call.fields]
+        return old(self, attempt)
+    return _swap(backend.Backends, "encode", encode)
+
+
+def _length_trusted() -> Undo:
+    """Whatever comes first in an answer is served."""
+    def answer(reply):
+        if isinstance(reply, list) and reply and isinstance(reply[0], bytes):
+            return bytes(reply[0]), b""
+        return (bytes(reply), b"") if isinstance(reply, bytes) else None
+    return _both(_swap(resp, "answer", answer))
+
+
+def _fault_in_turn() -> Undo:
+    """An outcome that comes when its request is over is not borne."""
+    old = Policy.__dict__["on_outcome"]
+
+    def on_outcome(self, now, e):
+        _ = self.live[e.request]
+        old(self, now, e)
+    return _swap(Policy, "on_outcome", on_outcome)
+
+
+MUTANTS: dict[str, Mutant] = {
+    "withdrawal-left-out": Mutant(("drain",), _no_withdrawal),
+    "drain-unseen": Mutant(("drain",), _drain_unseen),
+    "watch-trusted": Mutant(("drain",), _watch_trusted),
+    "two-answers": Mutant(("answer",), _two_answers),
+    "answers-out-of-order": Mutant(("answer", "value"), _out_of_order),
+    "key-to-any-rack": Mutant(("repeat",), _any_rack),
+    "repeats-all": Mutant(("repeat",), _repeats_all),
+    "key-forgets-its-rack": Mutant(("repeat",), _window_forgotten),
+    "reset-never-ran": Mutant(("repeat",), _reset_never_ran),
+    "copies-all": Mutant(("repeat",), _copies_all),
+    "cold-store-unlimited": Mutant(("cold",), _cold_unlimited),
+    "cold-unseen": Mutant(("cold",), _cold_unseen),
+    "ceiling-ignored": Mutant(("ceiling",), _ceiling_ignored),
+    "give-up-late": Mutant(("answer",), _give_up_late),
+    "give-up-one-off": Mutant(("answer",), _give_up_one_off),
+    "deadlines-off": Mutant(("answer",), _deadlines_off),
+    "never-rests": Mutant(("progress",), _never_rests),
+    "deadline-lost": Mutant(("answer", "resources"), _deadline_lost),
+    "connection-reused-dirty": Mutant(("value", "resources"), _reused_dirty),
+    "kept-after-timeout": Mutant(("value", "resources"), _kept_after_timeout),
+    "stop-at-once": Mutant(("answer",), _stop_at_once),
+    "stop-forgets": Mutant(("answer",), _stop_forgets),
+    "ids-leak": Mutant(("resources",), _ids_leak),
+    "connections-leak": Mutant(("resources",), _connections_leak),
+    "attempts-leak": Mutant(("resources",), _attempts_leak),
+    "key-lost": Mutant(("foreign",), _key_lost),
+    "any-answer-served": Mutant(("value",), _length_trusted),
+    "outcome-not-borne": Mutant(("resources",), _fault_in_turn),
+}
+
+
+def find(name: str, most: int, first: int = 1) -> Row:
+    """Seeds from `first` on, until one breaks a rule that names the mutant."""
+    mutant = MUTANTS[name]
+    undo = mutant.put()
+    try:
+        for number, seed in enumerate(range(first, first + most), 1):
+            breach = Run(plan.draw(seed)).play().breach
+            if breach is not None and breach.rule in mutant.rules:
+                return Row(name, breach.rule, number, seed)
+    finally:
+        undo()
+    return Row(name, "", None)
+
+
+def _find(job: tuple[str, int]) -> Row:
+    return find(*job)
+
+
+def try_all(names: tuple[str, ...], most: int, jobs: int) -> Iterator[Row]:
+    """In the order of the names."""
+    with multiprocessing.get_context("spawn").Pool(min(jobs, len(names))) as pool:
+        yield from pool.imap(_find, [(name, most) for name in names])
