--- a/tests/test_worlds.py
+++ b/tests/test_worlds.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from zincstile import typed_yaml
 from zincstile.worlds import mutants, plan, shrink, sweep
 from zincstile.worlds.plan import Fault, Plan
 from zincstile.worlds.world import Run
@@ -76,8 +77,8 @@
     ("seed: 1\nfaults: [\n", "p.yaml:3: not YAML"), ("- 1\n", "p.yaml:1: $"), ("", "p.yaml:1: $"),
     ("seed: 1\ncolour: red\n", "p.yaml:1: $"), ("seed: 1\nsplit: 2.0\n", "p.yaml:2: $.split")])
 def test_a_plan_that_cannot_be_used_is_named_by_file_and_place(text, place):
-    with pytest.raises(plan.PlanError) as err:
-        plan.parse(text, "p.yaml")
+    with pytest.raises(typed_yaml.FileError) as err:
+        typed_yaml.parse(text, "p.yaml", Plan)
     assert str(err.value).startswith(place) and "\n" not in str(err.value)
 
 
--- a/zincstile/cli/sim.py
+++ b/zincstile/cli/sim.py
@@ -10,6 +10,7 @@
 import click
 
 from ..rules.cases import NAMES
+from ..typed_yaml import FileError
 from ..worlds import plan as plans
 from ..worlds.plan import Plan
 from .commands import Told
@@ -28,7 +29,7 @@
         return plans.draw(seed)
     try:
         plan = plans.load(path)
-    except plans.PlanError as err:
+    except FileError as err:
         raise Told(str(err)) from None
     if seed is not None:
         plan.seed = seed
@@ -168,3 +169,28 @@
                    f"{'not named in ' + str(most) if row.seeds is None else row.seeds}")
     click.echo(f"mutants={len(only or them.MUTANTS)} missed={missed}")
     return 1 if missed else 0
+
+
+@command.command("keeper")
+@click.option("--seeds", "span", required=True, metavar="A:B")
+@click.option("--gateways", type=click.IntRange(2, 20), default=3, show_default=True)
+@click.option("--jobs", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True)
+def keeper(span: str, gateways: int, jobs: int) -> int:
+    """Accounts against a count keeper that fails: overshoot beside its bound; exit 1 where one is passed."""
+    from ..worlds import trial
+
+    chosen, passed = seeds(span), 0
+    click.echo(f"{'failure':14}{'worst units':>12}{'of its bound':>14}{'of a minute':>13}{'sent':>7}"
+               f"{'calls/try':>11}")
+    for name, rows in trial.try_failures(chosen, gateways, jobs):
+        over = [row for row in rows if row.overshoot > row.bound + 1e-6]
+        passed += len(over)
+        near = max(row.overshoot / max(row.bound, 1e-9) for row in rows)
+        click.echo(f"{name:14}{max(row.overshoot for row in rows):12.2f}{near:14.2f}"
+                   f"{100 * max(row.share for row in rows):12.2f}%"
+                   f"{sum(row.served for row in rows) / len(rows):7.2f}"
+                   f"{sum(row.calls_per_try for row in rows) / len(rows):11.2f}")
+        for row in over[:3]:
+            click.echo(f"  seed {row.seed}: {row.overshoot:.2f} units, over its bound of {row.bound:.2f}")
+    click.echo(f"trials={len(chosen) * len(trial.FAILURES)} over={passed}")
+    return 1 if passed else 0
--- a/zincstile/worlds/plan.py
+++ b/zincstile/worlds/plan.py
@@ -13,6 +13,8 @@
 import msgspec
 import yaml
 
+from .. import typed_yaml
+
 Kind = Literal[
     "crash", "roll", "deploy", "box_crash", "drain", "slow", "hang", "refuse", "spoil", "err", "reset",
     "peers_cut", "peers_loss", "discovery_late", "discovery_silent", "discovery_moved", "shift", "surge",
@@ -23,10 +25,6 @@
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 
 
-class PlanError(ValueError):
-    """The plan can't be used; the text says where and why in one line."""
-
-
 class Fault(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
     """One thing that goes wrong. `who` counts gateways or boxes, round; `amount` is as the kind says."""
 
@@ -158,44 +156,5 @@
 
 
 def load(path: str | Path) -> Plan:
-    """PlanError names file, place and reason."""
-    try:
-        text = Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as err:
-        raise PlanError(f"{path}: {getattr(err, 'strerror', None) or 'not UTF-8'}") from None
-    return parse(text, str(path))
-
-
-def parse(text: str, path: str) -> Plan:
-    """A plan as written; `path` is for the messages."""
-    try:
-        node = yaml.compose(text, Loader=yaml.SafeLoader)
-        table = yaml.safe_load(text)
-    except yaml.MarkedYAMLError as err:
-        line = err.problem_mark.line + 1 if err.problem_mark else 1
-        raise PlanError(f"{path}:{line}: not YAML: {err.problem}") from None
-    except yaml.YAMLError as err:
-        raise PlanError(f"{path}: not YAML: {' '.join(str(err).split())}") from None
-    try:
-        return msgspec.convert(table, Plan)
-    except msgspec.ValidationError as err:
-        reason, _, place = str(err).partition(" - at `")
-        place = place.rstrip("`")
-        raise PlanError(f"{path}:{_line(node, place)}: {place or '$'}: {reason}") from None
-
-
-def _line(node: yaml.Node | None, place: str) -> int:
-    """Line of a place as msgspec names it (`$.faults[2].kind`), or of the nearest one that is there."""
-    line = 1
-    for part in place.removeprefix("$").replace("[", ".[").strip(".").split("."):
-        if node is None or not part:
-            break
-        line = node.start_mark.line + 1
-        found = None
-        if part.startswith("[") and isinstance(node, yaml.SequenceNode):
-            number = part[1:-1]
-            found = node.value[int(number)] if number.isdigit() and int(number) < len(node.value) else None
-        elif isinstance(node, yaml.MappingNode):
-            found = next((v for k, v in node.value if k.value == part), None)
-        node = found
-    return node.start_mark.line + 1 if node is not None else line
+    """FileError names file, line, place and reason."""
+    return typed_yaml.load(path, Plan)
