--- a/zincstile/net/counters.py
+++ b/zincstile/net/counters.py
@@ -12,7 +12,7 @@
                  "attempts", "ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot",
                  "spoilt", "stale",
                  "connects", "messages_in", "messages_out", "messages_bad", "tables", "watches", "faults",
-                 "turns", "reloads")
+                 "turns", "reloads", "keeper_calls", "keeper_unanswered", "keeper_full")
 
     def __init__(self) -> None:
         for name in self.__slots__:
--- a/zincstile/net/http.py
+++ b/zincstile/net/http.py
@@ -15,6 +15,11 @@
     return f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()
 
 
+def post(host: str, path: str) -> bytes:
+    """Without a body."""
+    return f"POST {path} HTTP/1.1\r\nHost: {host}\r\nContent-Length: 0\r\n\r\n".encode()
+
+
 class LineReader:
     """The body of one answer, line by line, whether it comes in chunks, by length or until the end."""
 
@@ -39,6 +44,11 @@
             pass
         return lines
 
+    @property
+    def rest(self) -> bytes:
+        """What came behind the answer, once that is done."""
+        return self._buf
+
     def _head(self) -> bytes | None:
         end = self._buf.find(CRLF)
         if end < 0:
@@ -76,7 +86,10 @@
                     raise HttpError("no length")
                 self._length = int(value)
             return True
-        if self._chunked:
+        if 100 <= self.status < 200:  # an interim answer has no body: the one asked for comes behind it
+            self._headers, self._chunked, self._length = 0, False, -1
+            self._state = self._status_line
+        elif self._chunked:
             self._state = self._chunk_size
         else:
             self._left = self._length if self._length >= 0 else -1
@@ -146,3 +159,24 @@
             self._line = bytearray(rest)
         if len(self._line) > self.limits.table_bytes:
             raise HttpError("too long a line of the body")
+
+
+class Answers:
+    """Answers to requests that were written one behind another, in their order."""
+
+    __slots__ = ("_limits", "_reader", "_lines")
+
+    def __init__(self, limits: Limits) -> None:
+        self._limits, self._reader = limits, LineReader(limits)
+        self._lines: list[bytes] = []
+
+    def feed(self, data: bytes) -> list[tuple[int, bytes]]:
+        """Status and body of those that are whole by now. HttpError where nothing after can be understood."""
+        whole: list[tuple[int, bytes]] = []
+        while data:
+            self._lines += self._reader.feed(data)
+            if not self._reader.done:
+                break
+            whole.append((self._reader.status, b"\n".join(self._lines)))
+            data, self._reader, self._lines = self._reader.rest, LineReader(self._limits), []
+        return whole
