Gateways hold quotas through a count keeper where a file says so, and state the bound

Need: leases and views were tried by themselves; the operators want quotas held by whole gateways, off on the platform. Change: keeper/module puts leases in the place of the gossip's parts and leaves the rest of the decision module as it is; keeper/words; features.keeper in the configuration, read with typed settings and refused by its bound; worlds with keepers that go, are swapped, slow or split, and a rule for the stated bound. These worlds found that totals of seven digits looked like a keeper that forgot.

--- a/zincstile/keeper/accounts.py
+++ b/zincstile/keeper/accounts.py
@@ -19,6 +19,7 @@
 from .view import View
 
 KEPT = 1e-9
+DIGITS = 1e-6  # a total is told to seven digits
 BACK = 8  # epochs that are read at most, to find what they left
 USE_S = 1.0  # memory of a customer's use
 TTL_MS = 60_000
@@ -68,6 +69,11 @@
     reading: int = 0  # calls on their way for that
 
 
+def _less(total: float, added: float) -> bool:
+    """A total is less than what was added to it, beyond what its digits leave open."""
+    return total + DIGITS * max(1.0, abs(total), abs(added)) < added
+
+
 class Accounts:
     """Of one gateway. It returns calls; whoever carries them out hands their answers back."""
 
@@ -78,7 +84,7 @@
         "shrunk": 0,
                        "told late": 0.0}
         self._calls: list[Call] = []
-        self._granted: dict[int, None] = {}  # customers that got a lease since the last calls
+        self._granted: dict[int, int] = {}  # customers that got a lease since the last calls, and its epoch
         self._plans: dict[Quota, tuple[float, float]] = {}
 
     def account(self, key: int, quota: Quota, row: list[int], now: int) -> Account:
@@ -94,13 +100,17 @@
         """Those to make, since the last time this was asked: after what waited for an answer was tried again.
         What was leased for a single try and is still in hand is given back."""
         granted, self._granted = self._granted, {}
-        for key in granted:
-            account = self.accounts[key]
+        for key, number in granted.items():
+            account = self.accounts.get(key)
+            if account is None:
+                continue
             rest = account.hand - account.hand_most
             if rest > KEPT:
                 account.hand -= rest
-                number = max(account.epochs)
-                account.epochs[number].mine -= rest
+                # to the epoch that it is of: another one's total would fall below what was added there, which
+                # is the mark of a keeper that forgot
+                if number in account.epochs:
+                    account.epochs[number].mine -= rest
                 self.counts["given back"] += rest
                 self._call(self._name(account, number), -rest, lambda at, told: None)
         made, self._calls = self._calls, []
@@ -109,10 +119,11 @@
 
     # ---- sending
 
-    def take(self, now: int, account: Account, units: float) -> bool:
+    def take(self, now: int, account: Account, units: float, again: bool = False) -> bool:
         """A try is to be sent on: True where its units are in hand, and taken. Asks for more ahead of
         need."""
-        self._use(now, account, units)
+        if not again:  # else it has been asked for before, and waited
+            self._use(now, account, units)
         if account.hand + KEPT >= units:
             account.hand -= units
             self._ahead(now, account, 0.0)
@@ -216,7 +227,7 @@
     def _told(self, now: int, account: Account, number: int, one: int, total: float | None) -> None:
         account.reading -= 1
         epoch = account.epochs.get(one)
-        if total is not None and epoch is not None and total + KEPT < epoch.mine:
+        if total is not None and epoch is not None and _less(total, epoch.mine):
             self._shrunk(now, account)
         elif total is not None:
             account.closed[one] = total
@@ -249,7 +260,7 @@
             epoch = Epoch(shut=True)  # too long ago
         epoch.mine += amount
         epoch.seen = total
-        if total + KEPT < epoch.mine:  # less than this gateway alone has added
+        if _less(total, epoch.mine):  # less than this gateway alone has added
             self._shrunk(now, account)
             return
         if epoch.shut or not self.view.may_lease(now):
@@ -259,9 +270,9 @@
             start = number * self.settings.epoch_ns
             into = min(self.settings.epoch_ns, max(0, asked_ns - start))
             allowed = epoch.part * (epoch.open + account.quota.rate * into / SECOND)
-            granted = min(amount, max(0.0, amount - (total - allowed)))
+            granted = min(amount, max(0.0, amount - (total * (1 + DIGITS) - allowed)))
         account.hand += granted
-        self._granted[account.key] = None
+        self._granted[account.key] = number
         self.counts["granted"] += granted
         rest = amount - granted
         if rest > KEPT:
--- a/zincstile/net/config.py
+++ b/zincstile/net/config.py
@@ -31,6 +31,8 @@
     known: dict[str, Any]
     peer_listen: Address | None
     peers: list[Address]
+    counter: Address | None = None
+    keeper: Any = None  # keeper.settings.KeeperSettings, where quotas are held through the count keeper
 
 
 def address(text: object) -> Address:
@@ -89,4 +91,31 @@
             int(limits.get("connect_timeout_ns", 250_000_000)),
             int(limits.get("idle_close_ns", 30_000_000_000)), decoded.longest_ns, given),
         known=t.get("known") or {},
-        peer_listen=address(t["peer_listen"]) if t.get("peer_listen") else None, peers=peers)
+        peer_listen=address(t["peer_listen"]) if t.get("peer_listen") else None, peers=peers,
+        counter=address(t["counter"]) if _feature(t, "keeper") and t.get("counter") else None,
+        keeper=_keeper(t, decoded))
+
+
+def _feature(t: dict[str, Any], name: str) -> Any:
+    """The file that switches a feature on, or None."""
+    return (t.get("features") or {}).get(name)
+
+
+def _keeper(t: dict[str, Any], settings: Settings) -> Any:
+    """Off unless `features.keeper` names a file. ConfigError where that can't be used, or a plan not held."""
+    path = _feature(t, "keeper")
+    if not path:
+        return None
+    if not t.get("counter"):
+        raise ConfigError("features.keeper: no counter is given")
+    from ..keeper.bound import Quota  # here only: the platform's gateway loads no library
+    from . import features
+
+    try:
+        found, _ = features.keeper(str(path))
+        features.check(str(path), found, [
+            Quota(p.name, p.rate, p.burst, spread, settings.largest_units)
+            for p in settings.plans if p.rate for spread in range(1, settings.gateways + 1)])
+    except features.FileError as err:
+        raise ConfigError(str(err)) from None
+    return found
--- a/zincstile/net/gateway.py
+++ b/zincstile/net/gateway.py
@@ -24,18 +24,61 @@
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, host: Host = HOST) -> None:
         self.config, self.loop, self.host = config, loop, host
         self.log, self.counters = Log(config.name, host=host), Counters()
-        self.turn = Turn(loop, Policy(config.settings, config.seed), config.limits, self.counters, self.log,
-                         host)
+        self.turn = Turn(loop, self._module(), config.limits, self.counters, self.log, host)
         buffer = memoryview(bytearray(config.limits.read_bytes))  # each read is taken out of it at once
         self.door = FrontDoor(self.turn, config.settings, buffer, host)
         self.backends = Backends(self.turn, config.settings, buffer)
         self.peers = Peers(self.turn, config.peers)
         self.table = ServerTable(self.turn, TableReader(config.zones, config.kinds, host), config.discovery,
                                  self.backends.update, self._ready)
+        self.keeper = self._keep(buffer) if config.keeper else None
         self.ended = loop.create_future()
         self._stopping = False
         self._stop_ns = 0
 
+    def _module(self) -> Policy:
+        """Quotas by gossip, or through a count keeper where a file under deploy/ says so."""
+        config = self.config
+        if not config.keeper:
+            return Policy(config.settings, config.seed)
+        from ..keeper.module import KeptPolicy
+
+        apart_ns = self.host.unix_ns() - self.host.monotonic_ns()
+        return KeptPolicy(config.settings, config.seed, config.keeper, apart_ns)
+
+    def _keep(self, buffer: memoryview) -> Any:
+        """The count keeper's client, and the words between gateways that belong to it."""
+        from ..keeper import module, words
+        from .keeper import Keeper
+
+        keeper, turn = Keeper(self.turn, self.config.counter, buffer), self.turn
+
+        def call(_: int, action: module.KeeperCall) -> None:
+            keeper.call(action.name, action.amount, action.ttl_ms,
+                        lambda at, total: turn.post(module.KeeperAnswer(action.number, total)))
+
+        def heard(sender: int, data: bytes) -> module.KeeperWord | None:
+            word = words.unpack(sender, data)
+            return None if word is None else module.KeeperWord(word)
+
+        turn.carry_out[module.KeeperCall] = call
+        turn.carry_out[module.KeeperTell] = lambda _, action: self.peers.send(
+            action.peer, words.pack(action.word))
+        self.peers.others[words.MAGIC] = heard
+        return keeper
+
+    def _state_bounds(self) -> None:
+        """The error by which quotas are held, stated before anything fails."""
+        from ..keeper.bound import Quota, bounds
+
+        settings = self.config.settings
+        for plan in settings.plans:
+            if plan.rate:
+                quota = Quota(plan.name, plan.rate, plan.burst, settings.gateways, settings.largest_units)
+                worst = max(bounds(quota, self.config.keeper), key=lambda b: b.units)
+                self.log.line(f"bound plan {plan.name}: {worst.units:.2f} units at most beyond a quota, "
+                              f"{100 * worst.share:.1f}% of a minute, by {worst.failure}")
+
     def _caught(self, _: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         """What escaped a connection's callback: asyncio closes that connection, the process goes on."""
         self.counters.faults += 1
@@ -56,6 +99,8 @@
         if self.config.known.get("endpoints"):  # discovery may be down: then the known list must do
             self.turn.deadlines.add(self.turn.now_ns() + self.config.limits.table_first_ns, self._ready)
         self.turn.wake()
+        if self.config.keeper:
+            self._state_bounds()
         self.log.line(f"start listening on {self.door.address}, peers on {self.peers.address}")
         await self.ended
         self._count()
@@ -81,6 +126,8 @@
         self.counters.reloads += 1
         self.config.discovery = config.discovery
         self.table.move(config.discovery)
+        if self.keeper is not None and config.counter:
+            self.keeper.move(config.counter)
         self.log.line("reload discovery at {}:{}".format(*config.discovery))
 
     def stop(self) -> None:
--- a/zincstile/net/peers.py
+++ b/zincstile/net/peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 
 from .. import interface as i
 from .. import wire
@@ -16,6 +17,7 @@
         self.turn, self.addresses = turn, addresses
         self.numbers = {a: k for k, a in enumerate(addresses)}
         self.transport: asyncio.DatagramTransport | None = None
+        self.others: dict[int, Callable[[int, bytes], object | None]] = {}  # by a message's first byte
         turn.carry_out[i.Tell] = self._tell
 
     async def open(self, where: Address) -> None:
@@ -37,7 +39,8 @@
         number = self.numbers.get(sender[:2])
         message = None
         if number is not None and len(data) <= self.turn.limits.datagram_bytes:
-            message = wire.unpack_tell(number, data)
+            other = self.others.get(data[0]) if data and self.others else None
+            message = other(number, data) if other else wire.unpack_tell(number, data)
         if message is None:
             self.turn.counters.messages_bad += 1
             return
@@ -47,6 +50,12 @@
     def error_received(self, err: OSError) -> None:
         pass  # a peer that is down: messages may be lost in any case
 
+    def send(self, peer: int, message: bytes) -> None:
+        """A message of another kind, to one peer."""
+        if self.transport is not None and 0 <= peer < len(self.addresses):
+            self.turn.counters.messages_out += 1
+            self.transport.sendto(message, self.addresses[peer])
+
     def _tell(self, _: int, action: i.Tell) -> None:
         if self.transport is None or not 0 <= action.peer < len(self.addresses):
             return
--- a/zincstile/rules/__init__.py
+++ b/zincstile/rules/__init__.py
@@ -10,6 +10,7 @@
     ceiling    all gateways together send on no more than a plan's ceiling, for each customer
     foreign    nothing goes to a guide box or to discovery that their protocol does not have
     resources  descriptors within the limit; nothing left over at the end; no exception
+    quota      where a bound is stated: what all send on for a customer passes its quota by no more than that
     progress   nothing asks to be called at once, for ever
 
 Nothing here reads a clock, opens anything, or knows of the gateway's code: the numbers come from PROTOCOL
--- a/zincstile/rules/cases.py
+++ b/zincstile/rules/cases.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-NAMES = ("answer", "value", "repeat", "drain", "cold", "ceiling", "foreign", "resources", "progress")
+NAMES = ("answer", "value", "repeat", "drain", "cold", "ceiling", "foreign", "resources", "progress", "quota")
 
 
 @dataclass(slots=True)
--- a/zincstile/rules/referee.py
+++ b/zincstile/rules/referee.py
@@ -15,13 +15,14 @@
 from .ceilings import Ceilings
 from .cold import ColdStarts
 from .drains import Drains
+from .quotas import Quotas
 
 
 class Referee:
     """All checkers of one run."""
 
     def __init__(self, figures: Figures, clock: Callable[[], tuple[int, int]],
-                 rules: tuple[str, ...] = NAMES) -> None:
+                 rules: tuple[str, ...] = NAMES, quotas: Quotas | None = None) -> None:
         self.figures, self._clock = figures, clock  # the clock gives step and nanoseconds
         self.rules = rules  # those that are looked at
         self.cases: dict[bytes, Case] = {}
@@ -33,6 +34,7 @@
         self.drains = Drains(figures)
         self.cold = ColdStarts(figures)
         self.ceilings = Ceilings(figures)
+        self.quotas = quotas
         self._due: list[tuple[int, bytes]] = []
         self._line_due: dict[int, int] = {}  # when the last request of a connection is due
         self._pauses: dict[str, int] = {}  # gateway: until when it gets no CPU
@@ -168,6 +170,11 @@
                 self.breach("ceiling",
                 f"customer {case.customer.decode()} of {case.plan} is {over:.2f} units "
                                        "past the slack", case)
+            if self.quotas is not None:
+                over = self.quotas.take(now, case.plan, case.customer, case.units)
+                if over > 0:
+                    self.breach("quota", f"customer {case.customer.decode()} of {case.plan} is {over:.2f} "
+                                         "units past the stated bound", case)
         over_ns = self.cold.take(now, box, gateway, work_ns)
         if over_ns > 0:
             self.breach("cold", f"{box} was sent {over_ns / 1e6:.0f} ms of work more than it bears", case)
--- a/zincstile/worlds/faults.py
+++ b/zincstile/worlds/faults.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from ..standin.clients import Rude, rude_pieces
+from ..standin.counter import Counter
 from ..virtual.clock import MS, SECOND
 from .plan import Fault
 
@@ -270,6 +271,47 @@
         seat.process.signal(signal.SIGHUP)
 
 
+# ---- the count keeper
+
+
+def _keeper_gone(run: Run, fault: Fault) -> None:
+    """It vanishes, and is back with all it knew."""
+    if run.counters:
+        run.network.hush("10.2.0.1")
+        _after(run, fault.for_ms, run.network.mend, "10.2.0.1")
+
+
+def _keeper_swapped(run: Run, fault: Fault) -> None:
+    """It dies, and one that knows nothing takes its place."""
+    if run.counters:
+        run.counters[0][0].kill()
+        _after(run, fault.for_ms, run.start_counter, 0)
+
+
+def _keeper_slow(run: Run, fault: Fault) -> None:
+    if run.counters:
+        counter = run.counters[0][1]
+        counter.call_s, counter.per_s = 0.03, 1 / (0.001 + 0.001 * fault.amount)
+        _after(run, fault.for_ms, _keeper_quick, counter)
+
+
+def _keeper_quick(counter: Counter) -> None:
+    counter.call_s, counter.per_s = 0.001, 1500.0
+
+
+def _keeper_split(run: Run, fault: Fault) -> None:
+    """These gateways find it elsewhere, where another one counts; later they find the first again."""
+    for seat in _seats(run, fault):
+        _keeper_at(run, seat, 1)
+        _after(run, fault.for_ms, _keeper_at, run, seat, 0)
+
+
+def _keeper_at(run: Run, seat: Seat, number: int) -> None:
+    seat.counter = number
+    if run.counters and seat.process.alive and not seat.stopping:
+        seat.process.signal(signal.SIGHUP)
+
+
 # ---- clients
 
 
@@ -311,4 +353,5 @@
     "discovery_late": _discovery_late, "discovery_silent": _discovery_silent,
     "discovery_moved": _discovery_moved, "shift": _shift, "rude": _rude, "surge": _in_traffic,
     "leave": _in_traffic, "lag": _lag, "extra": _with_models("extra", 0.0),
-    "watch_lost": _watch_lost}
+    "watch_lost": _watch_lost, "keeper_gone": _keeper_gone, "keeper_swapped": _keeper_swapped,
+    "keeper_slow": _keeper_slow, "keeper_split": _keeper_split}
--- a/zincstile/worlds/plan.py
+++ b/zincstile/worlds/plan.py
@@ -18,7 +18,8 @@
 Kind = Literal[
     "crash", "roll", "deploy", "box_crash", "drain", "slow", "hang", "refuse", "spoil", "err", "reset",
     "peers_cut", "peers_loss", "discovery_late", "discovery_silent", "discovery_moved", "shift", "surge",
-    "rude", "pause", "leave", "skew", "unreachable", "full", "lag", "extra", "watch_lost"]
+    "rude", "pause", "leave", "skew", "unreachable", "full", "lag", "extra", "watch_lost",
+    "keeper_gone", "keeper_swapped", "keeper_slow", "keeper_split"]
 
 At = Annotated[int, msgspec.Meta(ge=-1000, le=60_000)]
 For = Annotated[int, msgspec.Meta(ge=0, le=60_000)]
@@ -53,6 +54,7 @@
     drops_left: bool = True  # boxes drop waiting work whose connection ended
     connect_ms: Annotated[int, msgspec.Meta(ge=1, le=10_000)] = 250  # a gateway waits so long for one
     cancel: bool = True  # the settings let a gateway take attempts back
+    keeper: bool = False  # quotas through a count keeper, with a stated bound
     plus_beyond: bool = False  # what `plus` asks beyond its quota is worth more than it costs
     sockets: Annotated[int, msgspec.Meta(ge=40, le=4096)] = 256
     faults: list[Fault] = []
--- a/zincstile/worlds/traffic.py
+++ b/zincstile/worlds/traffic.py
@@ -11,6 +11,8 @@
 import random
 from typing import Any
 
+from ..keeper.bound import Quota, bounds
+from ..keeper.settings import KeeperSettings
 from ..rules.cases import ClassRule, Figures, PlanRule
 from ..standin.clients import Want
 from .plan import Plan
@@ -84,6 +86,12 @@
         "peer_listen": peers[number], "peers": peers, "known": known, "settings": settings(plan, number)}
 
 
+def stated_bounds(plan: Plan, keeper: KeeperSettings) -> dict[str, tuple[float, float, float]]:
+    """Rate, burst and the largest bound of each plan, as the gateways state them."""
+    return {n: (p[1], p[1] * p[2], max(b.units for b in bounds(
+        Quota(n, p[1], p[1] * p[2], plan.gateways, MOST_UNITS), keeper))) for n, p in PLANS.items()}
+
+
 class Customers:
     """The customers of a world: plan, set of gateways, and how much of the quota they ask for."""
 
--- a/zincstile/worlds/trial.py
+++ b/zincstile/worlds/trial.py
@@ -127,7 +127,7 @@
         self.held = []
         for until, account, units, ideal in held:
             if now < until:
-                if self.accounts.take(now, account, units):
+                if self.accounts.take(now, account, units, again=True):
                     ideal.take(self.trial.scheduler.now_ns, units)
                 elif self.accounts.waits(now, account):
                     self.held.append((until, account, units, ideal))
