--- a/tests/test_worlds.py
+++ b/tests/test_worlds.py
@@ -25,9 +25,10 @@
 
 
 def test_a_sweep_keeps_the_rules():
-    """On failure: python -m zincstile sim run --seed N"""
     results = list(sweep.play_all(range(100_000, 100_120), 4))
-    assert [f"{r.line()}: {r.breach.text}" for r in results if r.breach] == []
+    broken = [f"{r.line()}: {r.breach.text}; replay: python -m zincstile sim run --seed {r.seed}"
+              for r in results if r.breach]
+    assert not broken, "\n".join(broken)
     assert sum(r.requests for r in results) / len(results) >= 150
     assert sum(r.faults for r in results) / len(results) >= 3
     for kind in ("served", "denied", "failed"):
