--- a/zincstile/keeper/__init__.py
+++ b/zincstile/keeper/__init__.py
@@ -4,6 +4,8 @@
     bound      the most that all gateways together can send beyond a quota, for each failure, in units
     view       what a gateway believes of its keeper and of whom else that keeper counts
     accounts   leases of allowance, taken from the keeper ahead of need; the even part where there is none
+    module     the decision module with its quotas held so, and the events and actions that it needs besides
+    words      what gateways tell each other of their keeper, packed
 
 The keeper is the counter of PROTOCOL: it adds an amount to a named number and tells the total. It may
 answer late, never, or with no number; it may vanish, be split in two that both answer, or be replaced by
