Relays are asked only where an answer can help, and others stand in for silent ones

All its tries ask one relay, which takes in 60 messages a second; what it left unanswered marked it silent for 3 s, and each of 23 gateways granted a part of its own. Checked and ruled out: plain losses (1% of asks unanswered twice), the relay's accounts (exact by replay). Lines at fault: Policy._seek, which asked before the budget's draw and after a word that said the store was bare, and called a relay silent that had just been heard; Policy._relay without a second choice. Change: the draw is made once, before the ask; after a word of a bare store, a gateway asks again when four even parts of the refill could cover the try; three relays in order; silent is who was not heard for a beat.

--- a/tests/test_wide.py
+++ b/tests/test_wide.py
@@ -167,6 +167,56 @@
     assert sum(seconds) > 0 and max(seconds) <= 2.0 * 0.1 * rate
 
 
+def answer(g, told, level, granted):
+    """The relay's word on what was asked."""
+    s = told.shares[0]
+    want = s.want if granted else -s.want
+    return g.feed(i.PeerMessage(told.peer, 1, [i.Share(s.customer, 0, 0.0, level, 0, want, s.mark, True)]))
+
+
+def test_a_customer_whose_store_is_bare_is_not_asked_for_at_each_try():
+    asks = let_in = 0
+    for me in range(WIDE):  # the whole set, each with ten tries in a second, of a customer that all serve
+        g = gateway(me=me, seed=me)
+        if me == relay_of():
+            continue
+        for _ in range(10):
+            g.now += 100 * MS
+            _, acts, told = asked(g, units=2.0)
+            asks += len(told)
+            if told:
+                let_in += len(sends(answer(g, told[0], 0.0, False)))
+    assert let_in == 0 and asks <= 1.5 * WIDE  # a relay takes in 60 a second, of all customers
+
+
+def test_no_relay_is_asked_where_the_budgets_draw_refuses():
+    g = gateway()
+    for row in g.policy.tree[0]:
+        for leaf in row:
+            leaf.rate = 0.0
+    _, acts, told = asked(g)
+    assert not told and len(only(acts, i.Refuse)) == 1
+
+
+def test_another_relay_stands_in_for_a_silent_one_and_one_that_was_heard_is_not_silent():
+    g = gateway()
+
+    def unanswered():
+        _, acts, told = asked(g)
+        for _ in range(2):
+            timer = next(t for t in only(acts, i.SetTimer) if t.at_ns < g.now + SECOND)
+            acts = g.feed(i.Timer(timer.token), after=100 * MS)
+        return told[0].peer
+
+    first = unanswered()
+    second = asked(g)[2][0].peer
+    assert second == (first + 1) % WIDE  # the next of its set, for every gateway alike
+    other = gateway()
+    other.feed(i.PeerMessage(first, 1, []))  # its words are lost now and then, but it lives
+    g = other
+    assert unanswered() == first == asked(g)[2][0].peer
+
+
 def test_what_many_cold_backends_can_do_is_used_by_gateways_that_send_little():
     over = {"cold_share": 0.5, "cold_ns": 10**6 * SECOND, "cold_multiple": 2.0, "cold_window_ns": 3 * SECOND,
             "plans": [i.PlanSpec("p", rate=1e6, burst=1e6)]}
--- a/zincstile/policy.py
+++ b/zincstile/policy.py
@@ -36,6 +36,7 @@
 IDLE_S = 15.0  # a customer whose store is full is forgotten after so long
 INTAKE, FLOW_S = 0.8, 5.0  # part of a peer's intake that may be filled; memory of who sends for a customer
 DIRECT, ASK_NS, ASKS = 4, SECOND // 12, 2  # most peers all told, others ask a relay; wait for it; so often
+RELAYS, CLAIM = 3, 4.0  # of a wide set, a later one stands in for silent ones; even parts hoped for when bare
 TOTALS, MARKS = 2**28, 2**16  # totals of units are told modulo this; asks are marked modulo this
 # Backends and further attempts.
 SMOOTH, SURE, CERTAIN = 0.2, 0.4, 0.8  # weight of a backend's sample: a time; error or "full"; no connection
@@ -288,18 +289,19 @@
         c.ceiling = max(0.0, plan.ceiling_burst - plan.burst) / c.spread * (plan.over_worth <= plan.over_cost)
         c.wide = c.spread > DIRECT + 1 and self.set.peers
         if c.wide:
-            c.told = [row[scatter(ask.customer) % c.spread]]
+            c.told = [row[(scatter(ask.customer) + k) % c.spread] for k in range(RELAYS)]
         else:
             c.told = [p for p in row if p != self.set.me]
             self.near.update(dict.fromkeys(c.told, True))
 
     def _relay(self, now: int, c: Customer) -> int:
-        return -1 if now - self.silent.get(c.told[0], -SILENCE_NS) < SILENCE_NS else c.told[0]
+        """The first that is not silent: else each of a wide set grants itself a part, in all many quotas."""
+        return next((p for p in c.told if now - self.silent.get(p, -SILENCE_NS) >= SILENCE_NS), -1)
 
     def _refill(self, now: int, c: Customer) -> None:
         """At the whole quota by a relay or while a peer of the customer is heard, else at the even part."""
         if c.wide:
-            heard = c.told[0] == self.set.me
+            heard = self.set.me in c.told
         else:
             heard = not c.told or any(now - self.heard[p][1] < SILENCE_NS for p in c.told if p in self.heard)
         plan, part = self.set.plans[c.plan], 1.0 if heard else 1.0 / c.spread
@@ -412,18 +414,23 @@
         live = self.asked.pop(s.mark, None)
         if live is None or live.customer is not c or live.ask.id not in self.live or live.leaf:
             return
-        c.level, c.word_ns, c.mark = s.level, now, s.mark
+        c.level, c.word, c.word_ns, c.mark = s.level, s.level, now, s.mark
         if s.want > 0:  # the relay has counted it already
             c.total = (c.total + live.ask.units) % TOTALS
         self._decide(now, live, s.want > 0, counted=s.want > 0)
 
     def _seek(self, now: int, live: Live) -> None:
-        """Asks where the set is wide, after a loss again; else the last word of the customer decides here."""
-        if live.asks == ASKS:
+        """Asks where the set is wide, after a loss again; else the last word of the customer decides. Not
+        where no answer could help: guards a relay's intake against customers of many tries, and jams."""
+        ask, c = live.ask, live.customer
+        if live.asks == ASKS and now - self.heard.get(live.asked, (0, 0))[1] > BEAT_NS:
             self.silent[live.asked] = now
-        self._refill(now, live.customer)
-        if live.asks == ASKS or not live.customer.wide or not self._ask(now, live):
-            self._decide(now, live, self._inside(live.customer, live.ask.units))
+        self._refill(now, c)
+        age, claim = now - c.word_ns, live.plan.rate * min(1.0, CLAIM / c.spread)
+        spent = c.wide and age < SILENCE_NS and c.word + claim * age / SECOND < ask.units
+        idle = spent or live.draw >= self.tree[0][ask.cls][ask.plan].rate or live.asks == ASKS or not c.wide
+        if idle or not self._ask(now, live):
+            self._decide(now, live, not spent and self._inside(c, ask.units))
 
     def on_request(self, now: int, ask: i.Request) -> None:
         if not self.begun:
@@ -434,7 +441,8 @@
         spec, until_ns = self.set.classes[ask.cls], ask.give_up_ns
         if not spec.late_worth and not spec.stream:  # what can earn nothing more is worth no place in a queue
             until_ns = min(until_ns, now + spec.aim_ns)
-        live = self.live[ask.id] = Live(ask, spec, self.set.plans[ask.plan], now, until_ns, c)
+        plan, draw = self.set.plans[ask.plan], self.rng.random()
+        live = self.live[ask.id] = Live(ask, spec, plan, now, until_ns, c, draw)
         self.guard(ask.give_up_ns, ask.id, GUARD)
         self._seek(now, live)
 
@@ -449,7 +457,7 @@
             leaf.arrived += ask.units
             self.met += 1
             self.mean_units += max(FLEET, 1 / self.met) * (ask.units - self.mean_units)
-            server = self._choose(now, live) if self.rng.random() < leaf.rate else None
+            server = self._choose(now, live) if live.draw < leaf.rate else None
         if inside and counted != (server is not None):  # sent and not yet counted, or counted and not sent
             self._spend(now, c, -ask.units if counted else ask.units)
         if server is None:
--- a/zincstile/state.py
+++ b/zincstile/state.py
@@ -96,6 +96,7 @@
     wide: bool = False  # told to a relay, not to all of its gateways
     told: list[int] = field(default_factory=list)  # the peers, or the relay of a wide set
     word_ns: int = -(10**18)  # a relay's last word of it
+    word: float = 0.0  # the level that it told
     mark: int = 0  # of the ask that it answered
     mine: float = 0.0  # recent own units, fading
     theirs: float = 0.0  # recent units of the peers, fading
@@ -163,6 +164,7 @@
     came_ns: int
     until_ns: int  # when it can earn nothing any more
     customer: Customer
+    draw: float = 0.0  # against its group's rate: made once, so that nobody is asked in vain
     leaf: Leaf | None = None  # none while a relay is asked
     inside: bool = False
     asked: int = -1  # the relay
