Worlds of a fleet on virtual time find asks kept for good; the module lets them go

Cause: Policy._ask notes an ask by its mark, and only an answer took it out again; of a killed relay none comes. Worlds of 10, 20 and 40 gateways broke the rule on what is left over at the end (up to 9 asks a gateway in 5 s). Change: worlds/fleet draws half of the boxes replaced and seven in ten gateways killed, at any size; plans know wide sets; the timer of an ask takes its note out.

--- a/zincstile/policy.py
+++ b/zincstile/policy.py
@@ -125,8 +125,10 @@
         elif kind == FLUSH:
             self.flushing = False
             self._flush(now)
-        elif live and kind == ASKED and live.leaf is None:
-            self._seek(now, live)
+        elif kind == ASKED:
+            self.asked.pop(number % MARKS, None)  # else what nobody answered is kept for good
+            if live and live.leaf is None:
+                self._seek(now, live)
         elif kind == GUARD:
             for live in self.overdue(now, GUARD):
                 self.acts.append(i.Fail(live.ask.id))
--- /dev/null
+++ b/zincstile/worlds/fleet.py
@@ -0,0 +1,31 @@
+"""Worlds of a growing fleet by seed, and counts over all of its gateways.
+
+Half of the boxes are replaced within a moment, then most gateways are killed; customers come in through half
+of the gateways or more. Boxes are one and a half times the gateways, requests 40 for each, so that a gateway
+sees little of any box at every size.
+"""
+
+from __future__ import annotations
+
+import random
+
+from .plan import Fault, Plan
+from .world import Run
+
+
+def draw(seed: int, gateways: int) -> Plan:
+    rng, boxes = random.Random(f"fleet {seed} {gateways}"), gateways * 3 // 2
+    faults = [Fault("deploy", 900, 500, rng.sample(range(boxes), boxes // 2), 0.3)]
+    for g in rng.sample(range(gateways), gateways * 7 // 10):
+        faults.append(Fault("crash", 1900 + rng.randint(0, 100), rng.randint(500, 1200), [g], 0))
+    return Plan(seed=seed, gateways=gateways, boxes=boxes, wide=True, requests=40 * gateways, last_ms=5000,
+                udp_loss=0.05, faults=sorted(faults, key=lambda f: (f.at_ms, f.kind)))
+
+
+def counts(run: Run) -> dict[str, float]:
+    """Of the gateways' last processes together; `busiest` is the most messages that one of them took in."""
+    counters = [seat.gateway.counters for seat in run.seats]
+    names = ("attempts", "connects", "watches", "messages_in", "messages_out", "messages_bad", "faults")
+    found = {n: float(sum(getattr(c, n) for c in counters)) for n in names}
+    cold = [p for p in run.places.values() if p.entry.since_ms]
+    return found | {"busiest": float(max(c.messages_in for c in counters)), "replaced": float(len(cold))}
--- a/zincstile/worlds/plan.py
+++ b/zincstile/worlds/plan.py
@@ -40,7 +40,8 @@
     """All of one world."""
 
     seed: int
-    gateways: Annotated[int, msgspec.Meta(ge=1, le=20)] = 3
+    gateways: Annotated[int, msgspec.Meta(ge=1, le=64)] = 3
+    wide: bool = False  # customers come in through half of the gateways or more, those of `plus` excepted
     boxes: Annotated[int, msgspec.Meta(ge=1, le=100)] = 10
     requests: Annotated[int, msgspec.Meta(ge=0, le=100_000)] = 160
     only: list[int] | None = None  # numbers of the requests that are asked; none: all
--- a/zincstile/worlds/traffic.py
+++ b/zincstile/worlds/traffic.py
@@ -103,6 +103,8 @@
             for _ in range(count):
                 heavy = rng.choices((0.4, 0.95, 2.5, 6.0), (0.7, 0.2, 0.06, 0.04))[0]
                 spread = rng.randint(min(2, plan.gateways), min(4, plan.gateways))
+                if plan.wide and name != "plus":
+                    spread = rng.randint(-(-plan.gateways // 2), plan.gateways)
                 self.rows.append((rng.getrandbits(33), name, spread, rng.randrange(plan.gateways)))
                 self.weights.append(rate * heavy)
 
