After a move, a new discovery is not asked by the old one's version

Seen on reading the change once more: after SIGHUP the old watch is heard until the new one speaks, and what it told set the version that the new discovery was then asked for. Line at fault: ServerTable._take, which took any watch's version. Change: only the version told at the present address counts. Measured: the test of it fails without the change; 83 tests of the table, scenarios, fleets and virtual time pass.

--- a/zincstile/net/server_table.py
+++ b/zincstile/net/server_table.py
@@ -68,7 +68,7 @@
     def begin(self, known: dict[str, Any]) -> None:
         if known.get("endpoints"):
             try:
-                self._take(known, i.ListKind.CACHED)
+                self._take(known, i.ListKind.CACHED, self.where)
             except (ValueError, KeyError, TypeError, AttributeError) as err:
                 raise ConfigError(f"known: {type(err).__name__} {err}") from None
             wait = self.rng.randint(1, self.turn.limits.table_first_ask_ns)
@@ -127,7 +127,7 @@
         if watch is not self._watch and watch is not self._old:
             return  # guards against an old watch that goes on after the new one has spoken
         table = json.loads(text)
-        self._take(table, i.ListKind.FULL if table["snapshot"] else i.ListKind.DELTA)
+        self._take(table, i.ListKind.FULL if table["snapshot"] else i.ListKind.DELTA, watch.where)
         if watch is self._watch:
             self._tries = 0
             if self._old is not None:
@@ -137,9 +137,10 @@
             self.told = True
             self.first()
 
-    def _take(self, table: dict[str, Any], kind: i.ListKind) -> None:
+    def _take(self, table: dict[str, Any], kind: i.ListKind, where: Address) -> None:
         version, _, entries = self.reader.read(table)
-        self.version = version
+        if where == self.where:  # an old watch may still speak after a move, and count in another way
+            self.version = version
         self.turn.counters.tables += 1
         self.update(entries, kind is not i.ListKind.DELTA)
         self.turn.post(i.BackendList(kind, version, [b for b, _ in entries]))
