--- a/zincstile/net/config.py
+++ b/zincstile/net/config.py
@@ -33,6 +33,8 @@
     peers: list[Address]
     counter: Address | None = None
     keeper: Any = None  # keeper.settings.KeeperSettings, where quotas are held through the count keeper
+    socket_fd: int | None = None  # the clients' listening socket, inherited ($RELAY_SOCKET_FD)
+    control: Address | None = None  # the operators' door ($RELAY_CONTROL)
 
 
 def address(text: object) -> Address:
@@ -95,7 +97,28 @@
         known=t.get("known") or {},
         peer_listen=address(t["peer_listen"]) if t.get("peer_listen") else None, peers=peers,
         counter=address(t["counter"]) if _feature(t, "keeper") and t.get("counter") else None,
-        keeper=_keeper(t, decoded))
+        keeper=_keeper(t, decoded), socket_fd=_descriptor(env.get("RELAY_SOCKET_FD")),
+        control=_control(t, env))
+
+
+def _control(t: dict[str, Any], env: dict[str, str] | os._Environ[str]) -> Address | None:
+    """The operators' door: `$RELAY_CONTROL` before `control`; None where neither is given."""
+    given = env.get("RELAY_CONTROL") or t.get("control")
+    if not given:
+        return None
+    try:
+        return address(given)
+    except ConfigError as err:
+        raise ConfigError(f"control: {err}") from None
+
+
+def _descriptor(text: str | None) -> int | None:
+    """A descriptor's number, or None where none is named."""
+    if text is None or not text.strip():
+        return None
+    if not text.strip().isdecimal():
+        raise ConfigError(f"$RELAY_SOCKET_FD: not a descriptor: {text!r}")
+    return int(text)
 
 
 def _feature(t: dict[str, Any], name: str) -> Any:
--- /dev/null
+++ b/zincstile/net/control.py
@@ -0,0 +1,177 @@
+"""The operators' door: HTTP/1.1 at `control`, one call a connection, and the hand-over file in `$TMPDIR`.
+
+The calls are parsed and answered by `control.http` and `control.operator`; what they change is handed to the
+gateway by `apply`. Every answer is written in the turn in which its call became whole. Guards against callers
+that send nothing or half a call and stay: each is answered 408 and closed when its time is up, and where
+there are as many as the limits allow, the oldest is, so that the next caller is heard.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+from ..control import handover as ho
+from ..control.http import Bounds, CallError, CallParser, answer
+from ..control.operator import Operator, Reply
+from .config import Address
+from .host import Host
+from .turn import Turn
+
+
+class ControlConnection(asyncio.Protocol):
+    __slots__ = ("door", "transport", "parser", "came_ns", "done")
+
+    def __init__(self, door: ControlDoor) -> None:
+        self.door = door
+        self.transport: asyncio.Transport | None = None
+        self.parser = CallParser(door.bounds)
+        self.came_ns = door.turn.now_ns()
+        self.done = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]
+        self.door.joined(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self.done:
+            return
+        try:
+            call = self.parser.feed(data)
+        except CallError as err:
+            self.door.counters.control_bad += 1
+            self.finish(err.status, str(err))
+            return
+        if call is not None:
+            try:
+                reply = self.door.operator.call(call, self.door.ready())
+                self.door.apply(reply)
+            except Exception as err:  # guards the door: a fault fails this call alone
+                self.door.counters.faults += 1
+                self.door.turn.log.often("control", f"fault: {type(err).__name__}: {err}")
+                reply = Reply(500, "fault")
+            self.finish(reply.status, reply.text)
+
+    def finish(self, status: int, text: str) -> None:
+        if self.done:
+            return
+        self.done = True
+        self.door.counters.control_calls += 1
+        if status >= 400:
+            self.door.counters.control_no += 1
+        self.transport.write(answer(status, text))
+        self.transport.close()
+
+    def eof_received(self) -> bool:
+        if not self.done:  # half a call and its end: nothing more will come
+            self.finish(400, "the call ended before it was whole")
+        return False
+
+    def connection_lost(self, err: Exception | None) -> None:
+        self.done = True
+        self.door.left(self)
+
+
+class ControlDoor:
+    def __init__(self, turn: Turn, operator: Operator, apply: Callable[[Reply], None],
+                 ready: Callable[[], bool], host: Host) -> None:
+        self.turn, self.operator, self.apply, self.ready, self.host = turn, operator, apply, ready, host
+        self.counters = turn.counters
+        limits = turn.limits
+        self.bounds = Bounds(limits.line_bytes, limits.header_lines, limits.line_bytes)
+        self.connections: dict[ControlConnection, None] = {}
+        self.server: asyncio.Server | None = None
+
+    async def open(self, where: Address) -> None:
+        family = socket.AF_INET6 if ":" in where[0] else socket.AF_INET
+        self.server = await self.turn.loop.create_server(
+            lambda: ControlConnection(self), *where, family=family, reuse_address=True,
+            backlog=self.turn.limits.control_connections)
+        self._tend(None)
+
+    @property
+    def address(self) -> str:
+        return "{}:{}".format(*self.server.sockets[0].getsockname()[:2]) if self.server else "-"
+
+    def joined(self, c: ControlConnection) -> None:
+        self.connections[c] = None
+        if len(self.connections) > self.turn.limits.control_connections:
+            oldest = next(iter(self.connections))
+            oldest.finish(503, "too many callers at once")
+
+    def left(self, c: ControlConnection) -> None:
+        self.connections.pop(c, None)
+
+    def _tend(self, _: object) -> None:
+        now, limits = self.turn.now_ns(), self.turn.limits
+        for c in list(self.connections):
+            if now - c.came_ns >= limits.control_call_ns:
+                self.counters.control_bad += 1
+                c.finish(408, "no whole call in time")
+        self.turn.deadlines.add(now + limits.control_call_ns // 4, self._tend)
+        self.turn.wake()
+
+    def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+
+
+class HandoverFile:
+    """The file by which processes of one gateway share what operators said: written whole on each change
+    and well within `handover_stale_ns`, read where another process wrote it since."""
+
+    def __init__(self, turn: Turn, operator: Operator, gateway: str, path: str, host: Host,
+                 adopt: Callable[[set[str], set[str]], None]) -> None:
+        self.turn, self.operator, self.gateway, self.path, self.host = turn, operator, gateway, path, host
+        self.adopt = adopt
+        self._seen: tuple[int, int, int] | None = None  # (inode, mtime_ns, size), as last read or written
+        self._written_ns = 0
+
+    def first(self) -> str:
+        """At the start: takes what an earlier or older process left. The log line says what was found."""
+        data = self.host.read_file(self.path)
+        if data is None:
+            return "none"
+        try:
+            h = ho.unpack(data, self.gateway, self.host.unix_ns(), self.turn.limits.handover_stale_ns)
+        except ho.HandoverError as err:
+            self.counters_bad()
+            return f"ignored: {self.path}: {err}"
+        self.operator.adopt(set(h.banned), h.version)
+        self._seen = self.host.stat(self.path)
+        return f"{len(h.banned)} under maintenance, version {h.version}"
+
+    def counters_bad(self) -> None:
+        self.turn.counters.handover_bad += 1
+
+    def write(self) -> None:
+        o = self.operator
+        data = ho.pack(ho.Handover(self.gateway, o.version, self.host.unix_ns(), frozenset(o.banned)))
+        try:
+            self.host.write_file(self.path, data)
+            self._seen = self.host.stat(self.path)
+            self._written_ns = self.turn.now_ns()
+        except OSError as err:
+            self.turn.log.often("handover", f"can't write {self.path}: {err.strerror or err}")
+
+    def watch(self, _: object = None) -> None:
+        """Reads the file where it changed, and keeps it fresh."""
+        limits, now = self.turn.limits, self.turn.now_ns()
+        seen = self.host.stat(self.path)
+        if seen is not None and seen != self._seen:
+            self._seen = seen
+            data = self.host.read_file(self.path)
+            try:
+                h = ho.unpack(data or b"", self.gateway, self.host.unix_ns(), limits.handover_stale_ns)
+                newly, back = self.operator.adopt(set(h.banned), h.version)
+                if newly or back:
+                    self.adopt(newly, back)
+            except ho.HandoverError as err:
+                self.counters_bad()
+                self.turn.log.often("handover", f"ignored: {self.path}: {err}")
+        if now - self._written_ns >= limits.handover_keep_ns:
+            self.write()
+        self.turn.deadlines.add(now + limits.handover_poll_ns, self.watch)
+        self.turn.wake()
--- a/zincstile/net/counters.py
+++ b/zincstile/net/counters.py
@@ -12,7 +12,8 @@
                  "attempts", "ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot",
                  "spoilt", "stale",
                  "connects", "messages_in", "messages_out", "messages_bad", "tables", "watches", "faults",
-                 "turns", "reloads", "keeper_calls", "keeper_unanswered", "keeper_full")
+                 "turns", "reloads", "keeper_calls", "keeper_unanswered", "keeper_full",
+                 "control_calls", "control_no", "control_bad", "handover_bad", "standby_closed")
 
     def __init__(self) -> None:
         for name in self.__slots__:
--- a/zincstile/net/frontend.py
+++ b/zincstile/net/frontend.py
@@ -179,7 +179,9 @@
         if len(words) == 1 and words[0].upper() == b"PING":
             self.counters.pings += 1
             self.asked += 1
-            self._reply(resp.PONG if self.door.ready else resp.error("not ready"))
+            door = self.door
+            self._reply(resp.error("standby") if door.standby else resp.PONG if door.ready else
+                        resp.error("not ready"))
             return
         number, now = turn.next_id(), self.turn.now_ns()
         try:
@@ -257,7 +259,7 @@
             if self._closing:
                 self._finish()
                 return
-            if self.door.closing:
+            if self.door.closing or self.door.standby:
                 self.transport.close()
                 return
         if self._paused:
@@ -285,8 +287,10 @@
             if now - self.begun_ns > limits.command_ns or \
                     not self.asked and now - self.rested_ns > limits.silent_ns:
                 self._give_up("a command that does not end")
-        elif now - self.rested_ns > (limits.rest_ns if self.asked else limits.silent_ns):
-            self.close_if_idle()
+        elif now - self.rested_ns > (limits.standby_rest_ns if self.door.standby else
+                                     limits.rest_ns if self.asked else limits.silent_ns):
+            closed = self.close_if_idle()
+            self.counters.standby_closed += closed and self.door.standby
 
     def close_if_idle(self) -> bool:
         if not self.idle or self.transport.is_closing() or self.turn.readable(self.transport):
@@ -306,14 +310,19 @@
         self.ready = False
         self.heard_ns = 0  # the last call
         self.closing = False  # every connection is closed as soon as nothing is owed on it
+        self.standby = False  # by an operator: PING says no, and connections are closed when nothing is owed
         self.clients: dict[ClientConnection, None] = {}
         self._socket: socket.socket | None = None
         self._coming = 0
         self._listening = False
+        self.inherited = False
         self._tasks: set[asyncio.Task] = set()
 
-    def listen(self, address: tuple[str, int]) -> None:
-        self._socket = self.host.listen(address, self.turn.limits.backlog)
+    def listen(self, address: tuple[str, int], inherited: int | None = None) -> None:
+        """On the address, or on the socket that the platform hands down, which an old process shares."""
+        self.inherited = inherited is not None
+        self._socket = self.host.inherit(inherited) if self.inherited else \
+            self.host.listen(address, self.turn.limits.backlog)
         self._resume()
         self._tend(None)
 
@@ -401,16 +410,29 @@
         if not self.closing:
             self._resume()
 
-    def shut(self) -> None:
-        """Takes no more connections, and closes each one when nothing is owed on it."""
+    def shut(self, take_queued: bool = True) -> None:
+        """Takes no more connections, and closes each one when nothing is owed on it. take_queued: what the
+        machine has accepted is taken first; not where another process shares the socket and takes it."""
         if self._socket is not None:
-            self._accept()  # what the machine has accepted is taken
+            if take_queued:
+                self._accept()
             self._pause()
             self._socket.close()
             self._socket = None
         self.closing = True
         self.close_idle()
 
+    def set_standby(self, standby: bool) -> None:
+        """The front asks PING every 0.1 s and stops sending new connections soon after a no; clients keep
+        what they have. So each connection is closed once nothing is owed on it, and one that rests closed
+        after `standby_rest_ns`, so that none is held idle when the front counts. Requests that still come
+        are served."""
+        self.standby = standby
+        if standby:
+            for client in list(self.clients):
+                if client.close_if_idle():
+                    self.counters.standby_closed += 1
+
     def close_idle(self) -> None:
         for client in list(self.clients):
             client.close_if_idle()
--- a/zincstile/net/gateway.py
+++ b/zincstile/net/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 import signal
 from typing import Any
@@ -17,6 +18,7 @@
 from .log import Log
 from .peers import Peers
 from .server_table import ServerTable, TableReader
+from .server_table import number as name_number
 from .session import FAILED
 from .turn import Turn
 
@@ -33,6 +35,9 @@
         self.table = ServerTable(self.turn, TableReader(config.zones, config.kinds, host), config.discovery,
                                  self.backends.update, self._ready, random.Random(config.seed))
         self.keeper = self._keep(buffer) if config.keeper else None
+        self.operator, self.control, self.handover = None, None, None
+        if config.control:
+            self._operate()
         self.ended = loop.create_future()
         self._stopping = False
         self._stop_ns = 0
@@ -68,6 +73,42 @@
         self.peers.others[words.MAGIC] = heard
         return keeper
 
+    def _operate(self) -> None:
+        """The operators' door, what they said, and the file by which another process of this gateway hears
+        it."""
+        from ..control.operator import Operator
+        from .control import ControlDoor, HandoverFile
+
+        self.operator = Operator(listed=self.table.reader.names)
+        self.control = ControlDoor(self.turn, self.operator, self._apply, lambda: self.door.ready and
+                                   not self._stopping, self.host)
+        path = os.path.join(self.host.tmpdir(), f"zincstile-{self.config.name}.handover")
+        self.handover = HandoverFile(self.turn, self.operator, self.config.name, path, self.host, self._adopt)
+
+    def _apply(self, reply: Any) -> None:
+        from ..control.operator import Change
+
+        if reply.change is Change.STANDBY:
+            self.log.line("standby: PING says no; connections are closed once nothing is owed on them")
+            self.door.set_standby(True)
+        elif reply.change is Change.ACTIVE:
+            self.log.line("active: taking clients again")
+            self.door.set_standby(False)
+        elif reply.change in (Change.BAN, Change.UNBAN):
+            banned = reply.change is Change.BAN
+            self.table.maintain(reply.name, banned)
+            self.log.line(f"maintenance {'enter' if banned else 'exit'} {reply.name}")
+            self.handover.write()
+        self.turn.wake()
+
+    def _adopt(self, newly: set[str], back: set[str]) -> None:
+        """What another process of this gateway was told."""
+        for name in newly:
+            self.table.maintain(name, True)
+        for name in back:
+            self.table.maintain(name, False)
+        self.log.line(f"handover: maintenance enter {sorted(newly)} exit {sorted(back)} by another process")
+
     def _state_bounds(self) -> None:
         """The error by which quotas are held, stated before anything fails."""
         from ..keeper.bound import Quota, bounds
@@ -95,14 +136,24 @@
         if self.config.peer_listen:
             await self.peers.open(self.config.peer_listen)
         self.turn.post(i.Started())
+        if self.handover is not None:
+            self.log.line(f"handover: {self.handover.first()}")
+            for name in self.operator.banned:
+                self.table.banned.add(name_number(name))
         self.table.begin(self.config.known)
-        self.door.listen(self.config.listen)
+        self.door.listen(self.config.listen, self.config.socket_fd)
+        if self.control is not None:
+            await self.control.open(self.config.control)
+            self.handover.watch()
         if self.config.known.get("endpoints"):  # discovery may be down: then the known list must do
             self.turn.deadlines.add(self.turn.now_ns() + self.config.limits.table_first_ns, self._ready)
         self.turn.wake()
         if self.config.keeper:
             self._state_bounds()
-        self.log.line(f"start listening on {self.door.address}, peers on {self.peers.address}")
+        inherited = " (inherited)" if self.door.inherited else ""
+        operators = f", operators on {self.control.address}" if self.control else ""
+        self.log.line(f"start listening on {self.door.address}{inherited}, peers on {self.peers.address}"
+                      f"{operators}")
         await self.ended
         self._count()
         self.log.line("end")
@@ -140,7 +191,13 @@
         self.log.line(f"stop with {len(self.turn.sessions)} sessions")
         now, limits = self.turn.now_ns(), self.config.limits
         self._stop_ns = self.door.heard_ns = now
-        self._shut_if_quiet(None)
+        if self.door.inherited:
+            # The listening socket is shared with the new process, which takes what comes from now on; what is
+            # in its queue is left to it. Each connection is closed once nothing is owed on it.
+            self.door.shut(take_queued=False)
+            self._end_if_empty(None)
+        else:
+            self._shut_if_quiet(None)
         self.turn.deadlines.add(now + limits.drain_most_ns - limits.drain_margin_ns, self._fail_rest)
         self.turn.deadlines.add(now + limits.drain_most_ns, self._end)
         self.turn.wake()
--- a/zincstile/net/host.py
+++ b/zincstile/net/host.py
@@ -16,7 +16,7 @@
 import sys
 import time
 
-from .config import Address, Config, again
+from .config import Address, Config, ConfigError, again
 
 
 class Host:
@@ -37,6 +37,27 @@
         sock.listen(backlog)
         return sock
 
+    def inherit(self, fd: int) -> socket.socket:
+        """The clients' listening socket that the platform holds and hands down (`$RELAY_SOCKET_FD`), so that
+        an old and a new process take clients by one queue. ConfigError where the descriptor is no listening
+        TCP socket: taken for one, it would fail later and far from its cause."""
+        where = f"$RELAY_SOCKET_FD={fd}"
+        try:
+            sock = socket.socket(fileno=fd)
+        except OSError as err:
+            raise ConfigError(f"{where}: {err.strerror or err}") from None
+        try:
+            listening = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+        except OSError as err:
+            sock.detach()
+            raise ConfigError(f"{where}: {err.strerror or err}") from None
+        if sock.family not in (socket.AF_INET, socket.AF_INET6) or sock.type != socket.SOCK_STREAM \
+                or not listening:
+            sock.detach()
+            raise ConfigError(f"{where}: not a listening TCP socket")
+        sock.setblocking(False)
+        return sock
+
     def readable(self, transport: asyncio.Transport) -> bool:
         """Something has come on a connection that the loop has not read yet: bytes, or its end."""
         poll = select.poll()
@@ -47,6 +68,32 @@
         """The configuration as its file is by now; ConfigError or OSError where it can't be used."""
         return again(os.environ)
 
+    def tmpdir(self) -> str:
+        return os.environ.get("TMPDIR") or "/tmp"
+
+    def read_file(self, path: str) -> bytes | None:
+        """None where there is no such file or it can't be read."""
+        try:
+            with open(path, "rb") as f:
+                return f.read(1 << 20)
+        except OSError:
+            return None
+
+    def write_file(self, path: str, data: bytes) -> None:
+        """Whole or not at all: written beside it and renamed over it. OSError where that fails."""
+        part = f"{path}.{os.getpid()}"
+        with open(part, "wb") as f:
+            f.write(data)
+        os.replace(part, path)
+
+    def stat(self, path: str) -> tuple[int, int, int] | None:
+        """(inode, mtime in ns, size), or None where there is no such file; a rename gives a new inode."""
+        try:
+            st = os.stat(path)
+        except OSError:
+            return None
+        return st.st_ino, st.st_mtime_ns, st.st_size
+
     def log(self, line: str) -> None:
         """A line of the log, whole; OSError where it can't be written."""
         sys.stderr.write(line)
--- a/zincstile/net/limits.py
+++ b/zincstile/net/limits.py
@@ -61,6 +61,13 @@
     drain_ns: int = 2900 * MS  # and for this at most
     drain_margin_ns: int = 100 * MS  # before the end, all has its answer
     drain_most_ns: int = 3600 * MS  # after SIGTERM, the end: the longest deadline and more
+    # the operators' door
+    control_connections: int = 16  # callers at once; where more come, the oldest is answered and closed
+    control_call_ns: int = 900 * MS  # a call has to be whole by then: its answer is due within 1 s
+    handover_poll_ns: int = 50 * MS  # how often the hand-over file is looked at: a ban holds within 250 ms
+    handover_keep_ns: int = 10 * SECOND  # how often a living process writes it anew
+    handover_stale_ns: int = 60 * SECOND  # a file that nobody wrote for this long is not trusted
+    standby_rest_ns: int = 500 * MS  # in standby, a connection that rested this long is closed
 
     @classmethod
     def for_gateway(cls, sockets: int, memory_mb: int, max_open: int, connect_ns: int, idle_close_ns: int,
--- a/zincstile/net/peers.py
+++ b/zincstile/net/peers.py
@@ -22,7 +22,9 @@
 
     async def open(self, where: Address) -> None:
         family = socket.AF_INET6 if ":" in where[0] else socket.AF_INET
-        await self.turn.loop.create_datagram_endpoint(lambda: self, local_addr=where, family=family)
+        # A new version binds beside the old one while that still serves: both take datagrams until it ends.
+        await self.turn.loop.create_datagram_endpoint(lambda: self, local_addr=where, family=family,
+                                                   reuse_port=True)
 
     @property
     def address(self) -> str:
--- a/zincstile/net/server_table.py
+++ b/zincstile/net/server_table.py
@@ -7,6 +7,7 @@
 import json
 import random
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from .. import interface as i
@@ -33,6 +34,7 @@
         # Unix time is put on the module's clock by one difference for good: a start must stay the same number
         # in every list, else the same process would look like a new one.
         self.apart_ns = host.monotonic_ns() - host.unix_ns()
+        self.names: dict[str, int] = {}  # every name read since the start, and its number
 
     def read(self, table: dict[str, Any]) -> tuple[int, bool, Entries]:
         entries = [self._entry(e) for e in table["endpoints"]]
@@ -42,8 +44,10 @@
         since = int(e.get("since_ms") or 0)
         started = since * 1_000_000 + self.apart_ns if since else 0
         mode = MODES[e["status"]]
+        name = str(e["name"])
+        self.names[name] = number(name)
         where = ("", 0) if mode is i.Mode.GONE and not e.get("address") else address(e["address"])
-        return i.Backend(number(str(e["name"])), self.zones.get(e.get("zone"), len(self.zones)),
+        return i.Backend(self.names[name], self.zones.get(e.get("zone"), len(self.zones)),
                          self.kinds.get(e.get("type"), len(self.kinds)), int(e.get("group") or 0), mode,
                          float(e.get("weight") or 1.0), started), where
 
@@ -63,6 +67,8 @@
         self._watch: Watch | None = None  # the last that was opened; an older one stands until it speaks
         self._old: Watch | None = None
         self._task: asyncio.Task | None = None
+        self.banned: set[int] = set()  # under maintenance: told as draining, whatever discovery says
+        self.last: dict[int, tuple[i.Backend, Address]] = {}  # discovery's own word, by number
         turn.carry_out[i.Watch] = lambda now, _: None  # the watch is always open, or being opened
 
     def begin(self, known: dict[str, Any]) -> None:
@@ -142,9 +148,39 @@
         if where == self.where:  # an old watch may still speak after a move, and count in another way
             self.version = version
         self.turn.counters.tables += 1
+        if kind is not i.ListKind.DELTA:
+            self.last.clear()
+        for entry in entries:
+            self.last[entry[0].id] = entry
+        if self.banned:
+            entries = [self._masked(e) for e in entries]
         self.update(entries, kind is not i.ListKind.DELTA)
         self.turn.post(i.BackendList(kind, version, [b for b, _ in entries]))
 
+    def _masked(self, entry: tuple[i.Backend, Address]) -> tuple[i.Backend, Address]:
+        b, where = entry
+        if b.id in self.banned and b.mode is i.Mode.READY:
+            return replace(b, mode=i.Mode.DRAINING), where
+        return entry
+
+    def maintain(self, name: str, banned: bool) -> bool:
+        """An operator's word on a backend server, told as a change of the list where discovery listed it;
+        False where the name was never read. Guards the rule on drains: the module and the pools hear it in
+        the same turn, before any further attempt is decided on."""
+        number_ = self.reader.names.get(name)
+        if number_ is None:
+            number_ = number(name)  # banned before it was listed here: by another process of this gateway
+        if banned:
+            self.banned.add(number_)
+        else:
+            self.banned.discard(number_)
+        entry = self.last.get(number_)
+        if entry is not None:
+            entry = self._masked(entry)
+            self.update([entry], False)
+            self.turn.post(i.BackendList(i.ListKind.DELTA, self.version, [entry[0]]))
+        return name in self.reader.names
+
 
 class Watch(asyncio.BufferedProtocol):
     """One open watch."""
