A backend server back from maintenance is told as started at the call back, so cold

A trace of the lists told to the module (a probe, not kept) showed that discovery may list a backend that was restarted during maintenance with its old since_ms, or with a new one later; the module took it for warm, with what it knew of the old process.

Change: the server table remembers since when a backend is banned; at the call back, where discovery's start is older, it tells the module a start at the call back (cold, ramped as new) until discovery tells a later start.

--- a/zincstile/net/gateway.py
+++ b/zincstile/net/gateway.py
@@ -139,7 +139,7 @@
         if self.handover is not None:
             self.log.line(f"handover: {self.handover.first()}")
             for name in self.operator.banned:
-                self.table.banned.add(name_number(name))
+                self.table.banned[name_number(name)] = self.turn.now_ns()
         self.table.begin(self.config.known)
         self.door.listen(self.config.listen, self.config.socket_fd)
         if self.control is not None:
--- a/zincstile/net/server_table.py
+++ b/zincstile/net/server_table.py
@@ -67,7 +67,8 @@
         self._watch: Watch | None = None  # the last that was opened; an older one stands until it speaks
         self._old: Watch | None = None
         self._task: asyncio.Task | None = None
-        self.banned: set[int] = set()  # under maintenance: told as draining, whatever discovery says
+        self.banned: dict[int, int] = {}  # under maintenance, since: told as draining, whatever is listed
+        self.reborn: dict[int, int] = {}  # back from maintenance: started then, where discovery says earlier
         self.last: dict[int, tuple[i.Backend, Address]] = {}  # discovery's own word, by number
         turn.carry_out[i.Watch] = lambda now, _: None  # the watch is always open, or being opened
 
@@ -152,15 +153,21 @@
             self.last.clear()
         for entry in entries:
             self.last[entry[0].id] = entry
-        if self.banned:
+        if self.banned or self.reborn:
             entries = [self._masked(e) for e in entries]
         self.update(entries, kind is not i.ListKind.DELTA)
         self.turn.post(i.BackendList(kind, version, [b for b, _ in entries]))
 
     def _masked(self, entry: tuple[i.Backend, Address]) -> tuple[i.Backend, Address]:
+        """Discovery's word as operators have changed it."""
         b, where = entry
         if b.id in self.banned and b.mode is i.Mode.READY:
             return replace(b, mode=i.Mode.DRAINING), where
+        reborn = self.reborn.get(b.id)
+        if reborn is not None:
+            if b.started_ns < reborn:
+                return replace(b, started_ns=reborn), where
+            del self.reborn[b.id]  # discovery tells a later start: its word holds again
         return entry
 
     def maintain(self, name: str, banned: bool) -> bool:
@@ -170,11 +177,14 @@
         number_ = self.reader.names.get(name)
         if number_ is None:
             number_ = number(name)  # banned before it was listed here: by another process of this gateway
+        since = self.banned.pop(number_, None)
         if banned:
-            self.banned.add(number_)
-        else:
-            self.banned.discard(number_)
+            self.banned[number_] = since or self.turn.now_ns()
         entry = self.last.get(number_)
+        if not banned and since is not None and (entry is None or entry[0].started_ns < since):
+            # Guards against pushing over what comes back: it was restarted while out, whether or not
+            # discovery told it, and is cold. Started at the call back as the module counts, it is ramped up.
+            self.reborn[number_] = self.turn.now_ns()
         if entry is not None:
             entry = self._masked(entry)
             self.update([entry], False)
