Values over 64 KiB are passed on as they come, read in paced small pieces

Design: an answer of the agreed form whose value is over stream_bytes (64 KiB) is served from its first byte: the session ends with a Stream, the client connection writes its pieces in the order of its commands, and the backend connection is read no further while the client has not taken written_bytes. Its outcome is told to the module once whole (with the load report behind it) or cut. Way not taken: a larger answer_bytes; 4 MiB values, many at once, at half the memory, and the first bytes would still wait for the last.

Now only one silent for 10 s past its client's time is cut. A connection that brings a piece under 16 KiB is now left for 5 ms to gather more.

--- /dev/null
+++ b/tests/test_stream.py
@@ -0,0 +1,93 @@
+"""Large values through the real program: passed on as they come, in small pieces from a slow backend server,
+with the time of the first bytes and the memory held measured; cut where the backend server cuts."""
+
+from __future__ import annotations
+
+import contextlib
+import threading
+import time
+
+from scenario import World
+
+READY = "send d1 full a=Ready\nexpect gw ready*told\n"
+MIB = 1 << 20
+
+
+def head(size: int) -> bytes:
+    return b"*3\r\n$%d\r\n" % size
+
+
+def read_bulk(line, size: int, first: list[float]) -> bytes:
+    """The client's side: the time its first byte came, then the whole value."""
+    start = line.file.read(1)
+    first.append(time.monotonic())
+    rest = line.file.readline()
+    assert start + rest == b"$%d\r\n" % size
+    value = line.file.read(size + 2)
+    return value[:-2]
+
+
+def slowly(sock, data: bytes, piece: int, pause_s: float) -> float:
+    """A slow backend server: the value in small pieces. The time of its first byte."""
+    began = time.monotonic()
+    for at in range(0, len(data), piece):
+        sock.sendall(data[at:at + piece])
+        time.sleep(pause_s)
+    return began
+
+
+def test_a_4_mib_value_in_small_pieces_goes_on_at_once_and_is_not_held_whole(tmp_path):
+    world = World(tmp_path, {"limits": {"memory_mb": 96}})
+    try:
+        world.play(READY + "send c1 look 1\nexpect a1 look 1")
+        before = world.counters()["memory_kb"]
+        size = 4 * MIB
+        value = bytes(range(256)) * (size // 256)
+        got, first = [], []
+        reader = threading.Thread(target=lambda: got.append(read_bulk(world.line("c1"), size, first)))
+        reader.start()
+        backend = world.line("a1").sock
+        began = slowly(backend, head(size) + value[:4096], 4096, 0.0)
+        time.sleep(0.2)
+        slowly(backend, value[4096:] + b"\r\n$-1\r\n$-1\r\n", 16384, 0.0005)
+        reader.join(30)
+        assert got == [value]
+        lag = first[0] - began
+        assert lag < 0.15, f"first bytes {lag:.3f} s after the backend server's"
+        counters = world.counters()
+        assert counters["streamed"] == 1 and counters["streams_cut"] == 0
+        held_kb = counters["memory_kb"] - before
+        print(f"first bytes after {1000 * lag:.1f} ms; most memory grew by {held_kb} KB for a 4096 KB value")
+        assert held_kb < 3 * 1024  # not held whole: at most what the client has not read, and the pieces
+        world.play("send c1 look 2\nexpect a1 look 2\nsend a1 ok after\nexpect c1 ok after")  # kept, in order
+    finally:
+        world.end()
+
+
+def test_a_value_cut_by_its_backend_server_ends_the_clients_connection(tmp_path):
+    world = World(tmp_path)
+    try:
+        world.play(READY + "send c1 look 1\nexpect a1 look 1")
+        world.line("a1").sock.sendall(head(MIB) + b"v" * 100_000)
+        line = world.line("c1")
+        assert line.file.readline() == b"$%d\r\n" % MIB
+        world.close("a1")
+        data = b""
+        with contextlib.suppress(ConnectionError):
+            data = line.file.read()
+        assert len(data) < MIB  # the client can tell that it is not whole
+        world.wait("gw", "streams_cut=1")
+    finally:
+        world.end()
+
+
+def test_a_client_that_leaves_in_the_middle_frees_the_backend_connection(tmp_path):
+    world = World(tmp_path)
+    try:
+        world.play(READY + "send c1 look 1\nexpect a1 look 1")
+        world.line("a1").sock.sendall(head(MIB) + b"v" * 100_000)
+        assert world.line("c1").file.readline() == b"$%d\r\n" % MIB
+        world.close("c1")
+        world.play("expect a1 end")
+    finally:
+        world.end()
--- a/zincstile/net/backend.py
+++ b/zincstile/net/backend.py
@@ -14,7 +14,7 @@
 from ..wire import FIELD_NAMES
 from . import resp
 from .deadlines import Key
-from .session import Answer, Call, Kind, Session
+from .session import Answer, Call, Kind, Session, Stream
 from .turn import Turn
 
 Result = i.Result
@@ -52,7 +52,8 @@
 
 class BackendConnection(asyncio.BufferedProtocol):
     __slots__ = ("pools", "server", "transport", "attempt", "rested_ns", "heard_ns", "_parser", "_unwritten",
-                 "_half", "_kept")
+                 "_half", "_kept", "_decided", "stream", "left", "last2", "tail", "tail_parts", "held",
+                 "paced")
 
     def __init__(self, pools: Backends, server: BackendServer, attempt: Attempt | None) -> None:
         self.pools, self.server, self.attempt = pools, server, attempt
@@ -63,6 +64,14 @@
         self._unwritten = False  # part of a command has not left this process
         self._half = False  # part of an answer has come
         self._kept = False  # it has carried another attempt before
+        self._decided = False  # whether the answer is passed on as it comes is known
+        self.stream: Stream | None = None  # the value that is passed on as it comes
+        self.left = 0  # bytes of it still to come, through the end of its line
+        self.last2 = b""  # the last two bytes of it that came
+        self.tail: resp.ReplyParser | None = None  # what comes behind it: the figures and the load report
+        self.tail_parts: list[resp.Reply] = []
+        self.held = False  # not read while the client has not taken what came
+        self.paced = False  # not read for a while, so that small pieces come together
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
@@ -72,7 +81,7 @@
     def carry(self, attempt: Attempt, kept: bool = False) -> None:
         self._kept = kept
         self.attempt, attempt.connection, attempt.begun = attempt, self, True
-        self._half = False
+        self._half = self._decided = False
         self.transport.write(self.pools.encode(attempt))
 
     @property
@@ -97,7 +106,19 @@
 
     def buffer_updated(self, size: int) -> None:
         attempt, parser, pools = self.attempt, self._parser, self.pools
-        replies = parser.feed(bytes(pools.buffer[:size]))
+        data = bytes(pools.buffer[:size])
+        if self.stream is not None:
+            pools.streaming(self, data)
+            return
+        if not self._decided and attempt is not None and attempt.session is not None:
+            kept = parser.kept()
+            head = resp.stream_head(kept[:16] + data[:16], pools.turn.limits.stream_bytes)
+            self._decided = head is None
+            if head is not None and head[0]:
+                self._parser = resp.ReplyParser(pools.turn.limits)
+                pools.stream_begin(self, attempt, head[0], (kept + data)[head[1]:])
+                return
+        replies = parser.feed(data)
         if attempt is None:
             pools.turn.log.often("backend", f"{self.server.address} sent what nobody asked for")
             self.transport.abort()
@@ -115,7 +136,43 @@
     def eof_received(self) -> None:
         return None
 
+    def hold(self) -> None:
+        if not self.held:
+            self.held = True
+            if not self.paced:
+                self.transport.pause_reading()
+
+    def more(self) -> None:
+        """The client took what came of the value."""
+        if self.held:
+            self.held = False
+            self._resume()
+
+    def pace(self, until_ns: int) -> None:
+        """Guards the CPU against a value in many small pieces: each read costs a turn, so what comes is left
+        to gather in the socket for a while. The first bytes have gone on by then."""
+        if not self.paced:
+            self.paced = True
+            self.transport.pause_reading()
+            self.pools.turn.deadlines.add(until_ns, self._paced)
+
+    def _paced(self, _: object) -> None:
+        if self.paced:
+            self.paced = False
+            self._resume()
+
+    def _resume(self) -> None:
+        if not self.held and not self.paced and not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def abandon(self) -> None:
+        """The client left before the value was whole."""
+        if not self.transport.is_closing():
+            self.transport.abort()
+
     def connection_lost(self, err: Exception | None) -> None:
+        if self.stream is not None:
+            self.pools.stream_lost(self)
         attempt, self.attempt = self.attempt, None
         self.pools.lost(self)
         if attempt is not None:
@@ -350,6 +407,97 @@
         self.turn.log.often("spoilt", f"answer of {attempt.server.address}: {why}")
         self.finish(attempt, Result.SPOILT)
 
+    # ---- values passed on as they come
+
+    def stream_begin(self, connection: BackendConnection, attempt: Attempt, size: int, data: bytes) -> None:
+        """The answer is served from its first byte on: no other attempt can answer it, and none is made
+        again. Its outcome is told to the module once it is whole or cut."""
+        session, now, limits = attempt.session, self.turn.now_ns(), self.turn.limits
+        self.attempts.pop((session.id, attempt.number), None)
+        self.turn.deadlines.drop(attempt.deadline)
+        attempt.deadline = None
+        stream = Stream(connection)
+        connection.stream, connection.left = stream, len(b"$%d\r\n" % size) + size + 2
+        connection.last2, connection.tail, connection.tail_parts = b"", None, []
+        connection.held = connection.paced = False
+        if not self.turn.end(session, Answer(Kind.SERVED, stream=stream)):
+            connection.abandon()  # the client left or was answered meanwhile
+            return
+        self.turn.counters.streamed += 1
+        connection.heard_ns = now
+        attempt.deadline = self.turn.deadlines.add(now + limits.stream_stall_ns, self._stalled, attempt)
+        self.turn.wake()
+        self.streaming(connection, data)
+
+    def streaming(self, connection: BackendConnection, data: bytes) -> None:
+        stream, limits = connection.stream, self.turn.limits
+        connection.heard_ns = self.turn.now_ns()
+        if connection.left:
+            piece = data[:connection.left]
+            data = data[len(piece):]
+            connection.left -= len(piece)
+            connection.last2 = (connection.last2 + piece[-2:])[-2:]
+            stream.push(piece)
+            if connection.left == 0:
+                if connection.last2 != resp.CRLF:  # the value's length was not its length
+                    self.turn.log.often("cut", f"a value of {connection.server.address} without its end")
+                    connection.abandon()
+                    return
+                stream.end(cut=False)
+                connection.tail = resp.ReplyParser(limits)
+            elif stream.pending > limits.written_bytes:
+                connection.hold()
+            elif len(piece) < limits.stream_piece_bytes:
+                connection.pace(connection.heard_ns + limits.stream_pace_ns)
+        if connection.left == 0 and data:
+            tail = connection.tail
+            connection.tail_parts += tail.feed(data)
+            if len(connection.tail_parts) >= 2 or tail.error:
+                parts = connection.tail_parts
+                clean = len(parts) == 2 and tail.idle and not tail.error
+                report = parts[1] if clean and type(parts[1]) is bytes else b""
+                self._stream_over(connection, Result.OK, report)
+                if clean and connection.whole:
+                    self._rest(connection)
+                else:
+                    connection.transport.abort()
+
+    def _stalled(self, attempt: Attempt) -> None:
+        """Guards against a backend server that falls silent in the middle of a value: cut, as the client can
+        tell, once its client's time is over and nothing came for long. What still comes is never cut."""
+        attempt.deadline = None
+        connection = attempt.connection
+        if connection is None or connection.stream is None:
+            return
+        at = max(connection.heard_ns + self.turn.limits.stream_stall_ns, attempt.session.give_up_ns)
+        if at > self.turn.now_ns() or connection.held:
+            at = max(at, self.turn.now_ns() + 1)
+            attempt.deadline = self.turn.deadlines.add(at, self._stalled, attempt)
+            return
+        self.turn.log.often("cut", f"a value of {connection.server.address} that does not go on")
+        connection.transport.abort()
+
+    def stream_lost(self, connection: BackendConnection) -> None:
+        stream = connection.stream
+        whole = stream.whole
+        if not whole:
+            self.turn.counters.streams_cut += 1
+            where, short = connection.server.address, connection.left
+            self.turn.log.often("cut", f"a value of {where}: {short} bytes short")
+            stream.end(cut=True)
+        self._stream_over(connection, Result.OK if whole else Result.RESET)
+
+    def _stream_over(self, connection: BackendConnection, result: Result, report: bytes = b"") -> None:
+        attempt, connection.attempt, connection.stream = connection.attempt, None, None
+        connection.held = False
+        if attempt is None:
+            return
+        attempt.connection = None
+        self.turn.deadlines.drop(attempt.deadline)
+        attempt.deadline = None
+        self._report(attempt.session, attempt.number, attempt.server.id, result,
+                     self.turn.now_ns() - attempt.sent_ns, report)
+
     def answered(self, connection: BackendConnection, attempt: Attempt, reply: resp.Reply,
                  alone: bool) -> None:
         found, denial = resp.answer(reply), isinstance(reply, resp.ErrorLine)
--- a/zincstile/net/counters.py
+++ b/zincstile/net/counters.py
@@ -13,7 +13,8 @@
                  "spoilt", "stale",
                  "connects", "messages_in", "messages_out", "messages_bad", "tables", "watches", "faults",
                  "turns", "reloads", "keeper_calls", "keeper_unanswered", "keeper_full",
-                 "control_calls", "control_no", "control_bad", "handover_bad", "standby_closed")
+                 "control_calls", "control_no", "control_bad", "handover_bad", "standby_closed",
+                 "streamed", "streams_cut")
 
     def __init__(self) -> None:
         for name in self.__slots__:
--- a/zincstile/net/frontend.py
+++ b/zincstile/net/frontend.py
@@ -10,7 +10,7 @@
 from . import resp
 from .counters import Counters
 from .host import Host
-from .session import Answer, Call, Kind, Session
+from .session import Answer, Call, Kind, Session, Stream
 from .turn import Turn
 
 READ, WRITE = b"CALL.GET", b"CALL.POST"
@@ -125,6 +125,8 @@
     def resume_writing(self) -> None:
         self._full = False
         self._throttle()
+        if self._waiting and isinstance(self._waiting[0], Session) and type(self._waiting[0].reply) is Stream:
+            self._mark()  # a value that is passed on goes on
 
     def eof_received(self) -> None:
         return None  # the client is gone: the transport closes itself
@@ -135,6 +137,8 @@
         waiting, self._waiting = self._waiting, deque()
         for session in waiting:
             if isinstance(session, Session):
+                if type(session.reply) is Stream:
+                    session.reply.abandon()
                 self.door.done(session)
                 self.turn.leave(session)
 
@@ -231,7 +235,10 @@
 
     def answer(self, session: Session, answer: Answer) -> None:
         self.door.done(session)
-        if answer.kind is SERVED:
+        if answer.stream is not None:
+            session.reply = answer.stream
+            answer.stream.writer = self
+        elif answer.kind is SERVED:
             session.reply = resp.bulk(answer.value)
         elif answer.kind is DENIED:
             session.reply = resp.busy(answer.retry_ms)
@@ -239,21 +246,41 @@
             session.reply = resp.error("failed")
         self._mark()
 
+    def poke(self) -> None:
+        """A value that is passed on has more, or its end."""
+        self._mark()
+
     def flush(self) -> None:
-        """Writes once what can be answered by now, in the order of the commands."""
+        """Writes once what can be answered by now, in the order of the commands. A value that is passed on
+        is written as far as it came, while the client reads; where it was cut, the connection is ended, so
+        that the client can tell that it is not whole."""
         self._dirty = False
-        waiting, out = self._waiting, self._out
+        waiting, out, cut = self._waiting, self._out, False
         while waiting:
             first = waiting[0]
             reply = first.reply if isinstance(first, Session) else first
             if reply is None:
                 break
-            out.append(reply)
+            if type(reply) is Stream:
+                if self._full:
+                    break
+                out += reply.take()
+                if reply.cut:
+                    cut = True
+                    break
+                if not reply.whole:
+                    break
+            else:
+                out.append(reply)
             waiting.popleft()
         if out:
             self._out = []
             if not self.transport.is_closing():
                 self.transport.write(out[0] if len(out) == 1 else b"".join(out))
+        if cut:
+            self._closing = True
+            self.transport.abort()
+            return
         if not waiting:
             self.rested_ns = self.turn.now_ns()
             if self._closing:
--- a/zincstile/net/limits.py
+++ b/zincstile/net/limits.py
@@ -61,6 +61,11 @@
     drain_ns: int = 2900 * MS  # and for this at most
     drain_margin_ns: int = 100 * MS  # before the end, all has its answer
     drain_most_ns: int = 3600 * MS  # after SIGTERM, the end: the longest deadline and more
+    # large values
+    stream_bytes: int = 65536  # a value larger than this is passed on as it comes: its first bytes are timed
+    stream_stall_ns: int = 10 * SECOND  # one that says nothing this long, past its client's time, is cut
+    stream_pace_ns: int = 5 * MS  # a value that comes in small pieces is read at most this often
+    stream_piece_bytes: int = 16384  # a piece smaller than this is small
     # the operators' door
     control_connections: int = 16  # callers at once; where more come, the oldest is answered and closed
     control_call_ns: int = 900 * MS  # a call has to be whole by then: its answer is due within 1 s
--- a/zincstile/net/resp.py
+++ b/zincstile/net/resp.py
@@ -38,6 +38,10 @@
         """Nothing begun and not yet whole."""
         return not self._kept
 
+    def kept(self) -> bytes:
+        """What is begun and not yet whole."""
+        return bytes(self._kept)
+
     def feed(self, data: bytes) -> list:
         buf, at, whole = data, 0, []
         if self._kept:
@@ -176,6 +180,23 @@
         return (ErrorLine(text) if sign == 45 else PlainLine(text)), end + 2
 
 
+def stream_head(buf: bytes | bytearray, least: int) -> tuple[int, int] | None:
+    """Where a backend server's answer begins with a value larger than `least` bytes: (its size, where its
+    bulk string begins), so that it can be passed on as it comes. None where it is another answer, (0, 0)
+    where the head is not whole yet. Guards against streaming what is not of the form agreed on."""
+    if len(buf) < 5:
+        return (0, 0) if b"*3\r\n$".startswith(bytes(buf)) else None
+    if buf[:5] != b"*3\r\n$":
+        return None
+    end = buf.find(CRLF, 5, 16)
+    if end < 0:
+        return (0, 0) if len(buf) < 16 and bytes(buf[5:]).isdigit() else None
+    digits = bytes(buf[5:end])
+    if not digits.isdigit() or len(digits) > 10 or int(digits) <= least:
+        return None
+    return int(digits), 4
+
+
 def answer(reply: Reply) -> tuple[bytes, bytes] | None:
     """The value and the load report of a backend server's answer, where its form is the one agreed on. Guards
     against serving what no backend server made: a length that swallowed what follows leaves too few parts."""
--- a/zincstile/net/session.py
+++ b/zincstile/net/session.py
@@ -30,6 +30,49 @@
     kind: Kind
     value: bytes = b""
     retry_ms: int = 0
+    stream: Stream | None = None  # a large value, passed on as it comes; `value` is then empty
+
+
+class Stream:
+    """A value passed on as it comes, from one backend connection to one client connection, so that its first
+    bytes go out at once and no more of it is held than the client has not read.
+
+    The backend side pushes pieces and marks it whole, or cut; the client side takes the pieces. Each side
+    tells the other by the object it hands in: `writer.poke()` where there is more to write, `reader.more()`
+    where what is held was taken, `reader.abandon()` where the client left."""
+
+    __slots__ = ("pieces", "pending", "whole", "cut", "reader", "writer")
+
+    def __init__(self, reader: object) -> None:
+        self.pieces: list[bytes] = []
+        self.pending = 0  # bytes pushed and not yet taken
+        self.whole = self.cut = False
+        self.reader: object = reader
+        self.writer: object | None = None
+
+    def push(self, data: bytes) -> None:
+        self.pieces.append(data)
+        self.pending += len(data)
+        self._poke()
+
+    def end(self, cut: bool) -> None:
+        if not self.whole and not self.cut:
+            self.whole, self.cut = not cut, cut
+            self._poke()
+
+    def take(self) -> list[bytes]:
+        pieces, self.pieces, self.pending = self.pieces, [], 0
+        self.reader.more()  # type: ignore[attr-defined]
+        return pieces
+
+    def abandon(self) -> None:
+        if not self.whole and not self.cut:
+            self.cut = True
+            self.reader.abandon()  # type: ignore[attr-defined]
+
+    def _poke(self) -> None:
+        if self.writer is not None:
+            self.writer.poke()  # type: ignore[attr-defined]
 
 
 FAILED = Answer(Kind.FAILED)
@@ -51,4 +94,4 @@
         self.id, self.call, self.frontend, self.give_up_ns = number, call, frontend, give_up_ns
         self.attempts = 0  # made so far
         self.over = False
-        self.reply: bytes | None = None
+        self.reply: bytes | Stream | None = None
