Tests on loopback: an upgrade on an inherited socket under load, drain, silent control callers

- Upgrade: two processes on one inherited listening socket, four clients each request on a new connection, a ban said to the old process, SIGTERM once the new one says yes.
- Drain: 20 connections (10 asked once, 10 never), /standby, PING says no; after 4 s none is held; /active and PING says +PONG again.
- Control door: 40 callers that say nothing or half a call; /status answered within 1 s meanwhile; unknown id 404, unknown path 404, junk 400; the quiet ones get 408 or 503.

--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,225 @@
+"""The operators' days on loopback with the real program: a new version started beside the old one on an
+inherited listening socket, under load; drain to standby and back; the control door's callers that say
+nothing. Backend server and discovery are stand-ins of this file."""
+
+from __future__ import annotations
+
+import contextlib
+import itertools
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+from scenario import CUSTOMER, ROOT, Line, encode, listener, settings, where
+
+VALUE = b"*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n"
+
+
+class Backend:
+    """Answers every call at once, on as many connections as come."""
+
+    def __init__(self) -> None:
+        self.sock, self.calls = listener(), 0
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                conn, _ = self.sock.accept()
+                threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
+
+    def _serve(self, conn: socket.socket) -> None:
+        line = Line(conn)
+        with contextlib.suppress(OSError, ValueError, IndexError):
+            while True:
+                words = line.message()
+                if not words:
+                    return
+                self.calls += 1
+                conn.sendall(VALUE)
+
+
+def http(address: tuple[str, int], method: str, path: str, body: bytes = b"") -> int:
+    with socket.create_connection(address, timeout=2) as s:
+        head = f"{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
+        s.sendall(head.encode() + body)
+        return int(s.makefile("rb").readline().split()[1])
+
+
+class Gateway:
+    """One process of the gateway, on the inherited socket, with a control door of its own."""
+
+    def __init__(self, folder, listening: socket.socket, backend: Backend, silent: socket.socket) -> None:
+        self.control = ("127.0.0.1", _free_port())
+        endpoint = {"name": "s-a", "address": where(backend.sock), "zone": "z", "type": "k", "group": 1,
+                    "status": "Ready", "weight": 1.0, "since_ms": 0}
+        table = {"name": "n0", "listen": where(listening), "discovery": where(silent), "seed": "8c1f",
+                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                 "peer_listen": "127.0.0.1:0", "peers": ["127.0.0.1:1", "127.0.0.1:2"],
+                 "settings": settings(), "known": {"index": 1, "snapshot": True, "endpoints": [endpoint]}}
+        path = folder / f"config-{self.control[1]}.json"
+        path.write_text(json.dumps(table))
+        env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
+        env |= {"RELAY_CONFIG": str(path), "RELAY_CONTROL": "{}:{}".format(*self.control),
+                "RELAY_SOCKET_FD": str(listening.fileno()), "TMPDIR": str(folder)}
+        self.program = subprocess.Popen([sys.executable, "-m", "zincstile"], cwd=ROOT, env=env,
+                                        pass_fds=(listening.fileno(),), stderr=subprocess.DEVNULL)
+
+    def status(self) -> int:
+        try:
+            return http(self.control, "GET", "/status")
+        except OSError:
+            return 0
+
+    def until_ready(self, within_s: float = 10) -> float:
+        began = time.monotonic()
+        while self.status() != 200:
+            assert time.monotonic() - began < within_s and self.program.poll() is None
+            time.sleep(0.02)
+        return time.monotonic() - began
+
+    def end(self) -> None:
+        if self.program.poll() is None:
+            self.program.kill()
+        self.program.wait()
+
+
+def _free_port() -> int:
+    with socket.socket() as s:
+        s.bind(("127.0.0.1", 0))
+        return s.getsockname()[1]
+
+
+def request(number: int) -> bytes:
+    return encode(["CALL.GET", CUSTOMER, f"{number:016x}", "c=look,t=team,d=2000,units=1,spread=1,first=0"])
+
+
+class Clients:
+    """Each request on a new connection, as on the operators' days; counts what met a refused, reset or
+    unread connection."""
+
+    def __init__(self, address: tuple[str, int], threads: int = 4) -> None:
+        self.address, self.served, self.broken, self.other = address, 0, 0, 0
+        self.going, self.numbers, self.said = True, itertools.count(1), b""
+        self.threads = [threading.Thread(target=self._run, daemon=True) for _ in range(threads)]
+        for t in self.threads:
+            t.start()
+
+    def _run(self) -> None:
+        while self.going:
+            number = next(self.numbers)  # one at a time: the GIL holds it
+            try:
+                with socket.create_connection(self.address, timeout=3) as s:
+                    s.sendall(request(number))
+                    answer = s.makefile("rb").readline()
+                if answer == b"$2\r\n":
+                    self.served += 1
+                elif not answer:
+                    self.broken += 1  # unread: closed beneath it
+                else:
+                    self.other += 1
+                    self.said = answer
+            except OSError:
+                self.broken += 1
+            time.sleep(0.002)
+
+    def stop(self) -> None:
+        self.going = False
+        for t in self.threads:
+            t.join(5)
+
+
+def test_a_new_version_under_load_takes_over_with_no_connection_refused_or_reset(tmp_path):
+    listening, backend, silent = socket.create_server(("127.0.0.1", 0)), Backend(), listener()
+    old = Gateway(tmp_path, listening, backend, silent)
+    new = None
+    try:
+        old.until_ready()
+        clients = Clients(listening.getsockname())
+        time.sleep(1.0)
+        assert http(old.control, "POST", "/maintenance/enter", b"s-a") == 200
+        new = Gateway(tmp_path, listening, backend, silent)
+        ready_s = new.until_ready()
+        old.program.send_signal(signal.SIGTERM)
+        assert old.program.wait(5) == 0  # it ends by itself, before any SIGKILL
+        assert http(new.control, "GET", "/status") == 200
+        assert http(new.control, "POST", "/maintenance/exit", b"s-a") == 200  # the ban came along
+        time.sleep(1.0)
+        clients.stop()
+        print(f"new version ready after {ready_s:.2f} s; served {clients.served}, "
+              f"refused or reset or unread {clients.broken}, others {clients.other} ({clients.said!r})")
+        assert clients.served > 100 and clients.broken <= 2
+    finally:
+        for g in (old, new):
+            if g is not None:
+                g.end()
+        listening.close()
+
+
+def test_drain_to_standby_leaves_no_idle_connection_and_comes_back(tmp_path):
+    listening, backend, silent = socket.create_server(("127.0.0.1", 0)), Backend(), listener()
+    gw = Gateway(tmp_path, listening, backend, silent)
+    try:
+        gw.until_ready()
+        kept = [socket.create_connection(listening.getsockname(), timeout=3) for _ in range(20)]
+        for k, s in enumerate(kept[:10]):  # half of them asked once, half never
+            s.sendall(request(10_000 + k))
+            assert s.makefile("rb").readline() == b"$2\r\n"
+        assert http(gw.control, "POST", "/standby") == 200
+        ping = socket.create_connection(listening.getsockname(), timeout=3)
+        ping.sendall(b"*1\r\n$4\r\nPING\r\n")
+        assert ping.makefile("rb").readline().startswith(b"-")  # no: any other answer than +PONG
+        time.sleep(4.0)
+        open_idle = 0
+        for s in kept:
+            s.setblocking(False)
+            try:
+                open_idle += s.recv(1) != b""
+            except BlockingIOError:
+                open_idle += 1  # nothing to read and not closed: held idle
+            except OSError:
+                pass
+        print(f"after 4 s of standby: {open_idle} of {len(kept)} idle connections still held")
+        assert open_idle == 0
+        assert http(gw.control, "GET", "/status") == 503
+        assert http(gw.control, "POST", "/active") == 200
+        assert http(gw.control, "GET", "/status") == 200
+        again = socket.create_connection(listening.getsockname(), timeout=3)
+        again.sendall(b"*1\r\n$4\r\nPING\r\n")
+        assert again.makefile("rb").readline() == b"+PONG\r\n"
+    finally:
+        gw.end()
+        listening.close()
+
+
+def test_control_callers_that_say_nothing_or_half_do_not_stop_others(tmp_path):
+    listening, backend, silent = socket.create_server(("127.0.0.1", 0)), Backend(), listener()
+    gw = Gateway(tmp_path, listening, backend, silent)
+    try:
+        gw.until_ready()
+        quiet = [socket.create_connection(gw.control, timeout=5) for _ in range(40)]
+        for s in quiet[::2]:
+            s.sendall(b"POST /maintenance/enter HTTP/1.1\r\nContent-Le")
+        began = time.monotonic()
+        assert gw.status() == 200
+        assert time.monotonic() - began < 1.0
+        assert http(gw.control, "POST", "/maintenance/enter", b"s-never") == 404
+        assert http(gw.control, "GET", "/nothing") == 404
+        with socket.create_connection(gw.control, timeout=2) as s:
+            s.sendall(b"junk junk\r\n\r\n")
+            assert s.makefile("rb").readline().split()[1] == b"400"
+        statuses = []
+        for s in quiet:
+            with contextlib.suppress(OSError):
+                line = s.makefile("rb").readline()
+                statuses.append(int(line.split()[1]) if line else 0)
+        assert all(code in (0, 408, 503) for code in statuses) and 408 in statuses
+        assert gw.program.poll() is None
+    finally:
+        gw.end()
+        listening.close()
