A large value's head cut right after its $ or its \r is waited for, not read whole

Found by a new test that cuts the head of a large answer at every byte: a piece that ended after '*3\r\n$' or after the digits' '\r' was taken for another answer, so that the value was read whole, and past answer_bytes given up as spoilt. Now an empty or digits-only rest, with or without its '\r', waits for more. Tests: the head at every cut; other answers never streamed; a stream tells each side and is cut once.

--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -91,3 +91,43 @@
         world.play("expect a1 end")
     finally:
         world.end()
+
+
+def test_the_head_of_a_large_value_is_found_in_any_piece():
+    from zincstile.net.resp import stream_head
+
+    whole = b"*3\r\n$70000\r\n" + b"v" * 10
+    for cut in range(len(whole)):
+        got = stream_head(whole[:cut], 65536)
+        assert got in ((0, 0), (70000, 4)), (cut, got)
+    assert stream_head(whole, 65536) == (70000, 4)
+    assert stream_head(b"*3\r\n$65536\r\n", 65536) is None  # not larger: read whole as before
+    for other in (b"-BUSY\r\n", b"*2\r\n$9\r\n", b"*3\r\n:1\r\n", b"*3\r\n$-1\r\n", b"*3\r\n$1x\r\n",
+                  b"*3\r\n$" + b"9" * 12):
+        assert stream_head(other, 65536) is None, other
+
+
+def test_a_stream_tells_each_side_and_is_cut_once():
+    from zincstile.net.session import Stream
+
+    told = []
+
+    class Side:
+        def more(self):
+            told.append("more")
+
+        def abandon(self):
+            told.append("abandon")
+
+        def poke(self):
+            told.append("poke")
+
+    s = Stream(Side())
+    s.writer = Side()
+    s.push(b"ab")
+    s.push(b"cd")
+    assert s.pending == 4 and s.take() == [b"ab", b"cd"] and s.pending == 0
+    s.abandon()
+    s.abandon()
+    s.end(cut=False)  # too late: it was cut
+    assert told == ["poke", "poke", "more", "abandon"] and s.cut and not s.whole
--- a/zincstile/net/resp.py
+++ b/zincstile/net/resp.py
@@ -190,7 +190,8 @@
         return None
     end = buf.find(CRLF, 5, 16)
     if end < 0:
-        return (0, 0) if len(buf) < 16 and bytes(buf[5:]).isdigit() else None
+        digits = bytes(buf[5:]).removesuffix(b"\r")
+        return (0, 0) if len(buf) < 16 and (not digits or digits.isdigit()) else None
     digits = bytes(buf[5:end])
     if not digits.isdigit() or len(digits) > 10 or int(digits) <= least:
         return None
