--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -223,3 +223,80 @@
     finally:
         gw.end()
         listening.close()
+
+
+def test_standby_active_standby_with_a_value_half_passed_on(tmp_path):
+    """A large value that is half passed on when standby comes is finished; then its connection is closed."""
+    listening, silent = socket.create_server(("127.0.0.1", 0)), listener()
+    slow = listener()
+
+    class Slow:
+        sock = slow
+
+    gw = Gateway(tmp_path, listening, Slow, silent)
+    try:
+        gw.until_ready()
+        client = socket.create_connection(listening.getsockname(), timeout=5)
+        client.sendall(request(1))
+        backend, _ = slow.accept()
+        backend.settimeout(5)
+        Line(backend).message()
+        size = 1 << 20
+        backend.sendall(b"*3\r\n$%d\r\n" % size + b"v" * 100_000)
+        reader = client.makefile("rb")
+        assert reader.readline() == b"$%d\r\n" % size
+        for call in ("/standby", "/active", "/standby"):
+            assert http(gw.control, "POST", call) == 200
+        backend.sendall(b"v" * (size - 100_000) + b"\r\n$-1\r\n$-1\r\n")
+        assert len(reader.read(size + 2)) == size + 2  # whole
+        assert reader.read() == b""  # and then closed: standby
+        ping = socket.create_connection(listening.getsockname(), timeout=3)
+        ping.sendall(b"*1\r\n$4\r\nPING\r\n")
+        assert ping.makefile("rb").readline() == b"-ERR standby\r\n"
+    finally:
+        gw.end()
+        listening.close()
+
+
+def start(tmp_path, env_over: dict[str, str], table_over: dict | None = None) -> subprocess.CompletedProcess:
+    table = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
+             "settings": settings()} | (table_over or {})
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(table))
+    env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")} | {"RELAY_CONFIG": str(path)}
+    return subprocess.run([sys.executable, "-m", "zincstile"], cwd=ROOT, env=env | env_over, timeout=20,
+                          capture_output=True, text=True, pass_fds=tuple(
+                              int(v) for k, v in env_over.items() if k == "RELAY_SOCKET_FD" and v.isdigit()))
+
+
+def test_a_bad_control_setting_or_socket_is_told_in_one_line_with_exit_2(tmp_path):
+    udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        for env, table, said in [({"RELAY_CONTROL": "nowhere"}, None, "control: not an address"),
+                                 ({}, {"control": "127.0.0.1:99999"}, "control: not an address"),
+                                 ({"RELAY_SOCKET_FD": "x"}, None, "not a descriptor"),
+                                 ({"RELAY_SOCKET_FD": str(udp.fileno())}, None, "not a listening TCP")]:
+            done = start(tmp_path, env, table)
+            lines = done.stderr.strip().splitlines()
+            assert done.returncode == 2 and len(lines) == 1 and said in lines[0], (env, table, done.stderr)
+    finally:
+        udp.close()
+
+
+def test_a_spoilt_or_foreign_handover_file_is_told_and_not_trusted(tmp_path):
+    listening, backend, silent = socket.create_server(("127.0.0.1", 0)), Backend(), listener()
+    (tmp_path / "zincstile-n0.handover").write_text('{"form": 1, "gateway": "n9", "version": 5, '
+                                                   '"written_ns": 0, "banned": ["s-a"]}')
+    gw = Gateway(tmp_path, listening, backend, silent)
+    try:
+        gw.until_ready()
+        with socket.create_connection(gw.control, timeout=2) as s:
+            s.sendall(b"GET /status HTTP/1.1\r\n\r\n")
+            text = s.makefile("rb").read()
+        assert b"maintenance" not in text  # the foreign ban is not held
+        client = socket.create_connection(listening.getsockname(), timeout=3)
+        client.sendall(request(1))
+        assert client.makefile("rb").readline() == b"$2\r\n"  # s-a is used
+    finally:
+        gw.end()
+        listening.close()
