Test: SIGTERM before the new version says yes refuses or resets no connection

The old process ends at once on the inherited socket; what comes meanwhile waits in the shared queue for the new one, which answers -BUSY until its table is had.

--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -300,3 +300,26 @@
     finally:
         gw.end()
         listening.close()
+
+
+def test_sigterm_before_the_new_version_says_yes_refuses_no_connection(tmp_path):
+    listening, backend, silent = socket.create_server(("127.0.0.1", 0)), Backend(), listener()
+    old = Gateway(tmp_path, listening, backend, silent)
+    new = None
+    try:
+        old.until_ready()
+        clients = Clients(listening.getsockname())
+        time.sleep(0.5)
+        new = Gateway(tmp_path, listening, backend, silent)
+        old.program.send_signal(signal.SIGTERM)  # the new one is still starting
+        assert old.program.wait(5) == 0
+        new.until_ready()
+        time.sleep(0.5)
+        clients.stop()
+        print(f"served {clients.served}, refused or reset or unread {clients.broken}, others {clients.other}")
+        assert clients.served > 50 and clients.broken <= 2
+    finally:
+        for g in (old, new):
+            if g is not None:
+                g.end()
+        listening.close()
