An old process serves on after SIGTERM until a new one says it is ready, which waits to accept

Seen on loopback (tests/test_operators.py): SIGTERM before the new version's yes left a gap in which the old process took no connections and the new one answered -BUSY until its table was had: 185 of 549 answers were -BUSY, 364 served in 1 s.

Change: the hand-over file names the process that said last that it takes clients (ready_by, its seed). On SIGTERM with an inherited socket, the old process stops accepting at once only where another has said so; else it serves on as at a planned restart and stops as soon as the file says so. A process on an inherited socket takes connections only once it is ready, so that the shared queue is served by the old one meanwhile. Way not taken: the old process asking the new one's door (it does not know its address).

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -135,3 +135,12 @@
     for why, data in bad.items():
         with pytest.raises(ho.HandoverError):
             ho.unpack(data, "n3", 10**18 + (10**12 if why == "stale" else 0), 60 * 10**9)
+
+
+def test_the_handover_names_who_said_last_that_it_takes_clients():
+    h = ho.Handover("n3", 1, 10**18, frozenset(), ready_by="8c1f")
+    assert ho.unpack(ho.pack(h), "n3", 10**18, 10**9).ready_by == "8c1f"
+    older = b'{"form": 1, "gateway": "n3", "version": 1, "written_ns": 1, "banned": []}'
+    assert ho.unpack(older, "n3", 1, 10**9).ready_by == ""  # a file of a version before it: nobody
+    with pytest.raises(ho.HandoverError, match="ready_by"):
+        ho.unpack(older[:-1] + b', "ready_by": 5}', "n3", 1, 10**9)
--- a/zincstile/control/handover.py
+++ b/zincstile/control/handover.py
@@ -3,7 +3,11 @@
 
 The file is JSON, written whole under another name and renamed, so that it is read whole or not at all:
 
-    {"form": 1, "gateway": "n3", "version": 7, "written_ns": 1796152608043000000, "banned": ["s-5be2a07c"]}
+    {"form": 1, "gateway": "n3", "version": 7, "written_ns": 1796152608043000000, "banned": ["s-5be2a07c"],
+     "ready_by": "8c1f30d27a5be964"}
+
+`ready_by` names the process that said last that it takes clients (by its seed, new with each start), so
+that an old one on SIGTERM knows whether a new one has taken over the socket they share.
 
 `written_ns` is Unix time; a file that no process has written for `stale_ns` is stale: its writers are gone
 long ago, and the operators' word in it may be forgotten by them as well. Each living process writes it anew
@@ -28,11 +32,12 @@
     version: int
     written_ns: int
     banned: frozenset[str]
+    ready_by: str = ""
 
 
 def pack(h: Handover) -> bytes:
     return json.dumps({"form": FORM, "gateway": h.gateway, "version": h.version, "written_ns": h.written_ns,
-                       "banned": sorted(h.banned)}).encode()
+                       "banned": sorted(h.banned), "ready_by": h.ready_by}).encode()
 
 
 def unpack(data: bytes, gateway: str, now_ns: int, stale_ns: int) -> Handover:
@@ -53,4 +58,7 @@
         raise HandoverError("key banned: not a list of names")
     if now_ns - t["written_ns"] > stale_ns:
         raise HandoverError(f"key written_ns: stale, {(now_ns - t['written_ns']) / 1e9:.0f} s old")
-    return Handover(t["gateway"], t["version"], t["written_ns"], frozenset(t["banned"]))
+    if not isinstance(t.get("ready_by", ""), str):
+        raise HandoverError("key ready_by: not a string")
+    return Handover(t["gateway"], t["version"], t["written_ns"], frozenset(t["banned"]),
+                    t.get("ready_by", ""))
--- a/zincstile/net/control.py
+++ b/zincstile/net/control.py
@@ -126,6 +126,9 @@
                  adopt: Callable[[set[str], set[str]], None]) -> None:
         self.turn, self.operator, self.gateway, self.path, self.host = turn, operator, gateway, path, host
         self.adopt = adopt
+        self.me = ""  # this process, as `ready_by` names it
+        self.ready_by = ""  # the process that said last that it takes clients
+        self.taken_over: Callable[[], None] | None = None  # called once another has said so
         self._seen: tuple[int, int, int] | None = None  # (inode, mtime_ns, size), as last read or written
         self._written_ns = 0
 
@@ -140,6 +143,7 @@
             self.counters_bad()
             return f"ignored: {self.path}: {err}"
         self.operator.adopt(set(h.banned), h.version)
+        self.ready_by = h.ready_by
         self._seen = self.host.stat(self.path)
         return f"{len(h.banned)} under maintenance, version {h.version}"
 
@@ -148,7 +152,8 @@
 
     def write(self) -> None:
         o = self.operator
-        data = ho.pack(ho.Handover(self.gateway, o.version, self.host.unix_ns(), frozenset(o.banned)))
+        data = ho.pack(ho.Handover(self.gateway, o.version, self.host.unix_ns(), frozenset(o.banned),
+                                   self.ready_by))
         try:
             self.host.write_file(self.path, data)
             self._seen = self.host.stat(self.path)
@@ -156,6 +161,14 @@
         except OSError as err:
             self.turn.log.often("handover", f"can't write {self.path}: {err.strerror or err}")
 
+    @property
+    def other_ready(self) -> bool:
+        return self.ready_by not in ("", self.me)
+
+    def say_ready(self) -> None:
+        self.ready_by = self.me
+        self.write()
+
     def watch(self, _: object = None) -> None:
         """Reads the file where it changed, and keeps it fresh."""
         limits, now = self.turn.limits, self.turn.now_ns()
@@ -168,6 +181,9 @@
                 newly, back = self.operator.adopt(set(h.banned), h.version)
                 if newly or back:
                     self.adopt(newly, back)
+                self.ready_by = h.ready_by
+                if self.taken_over is not None and self.other_ready:
+                    self.taken_over()
             except ho.HandoverError as err:
                 self.counters_bad()
                 self.turn.log.often("handover", f"ignored: {self.path}: {err}")
--- a/zincstile/net/frontend.py
+++ b/zincstile/net/frontend.py
@@ -350,7 +350,7 @@
         self.inherited = inherited is not None
         self._socket = self.host.inherit(inherited) if self.inherited else \
             self.host.listen(address, self.turn.limits.backlog)
-        self._resume()
+        self._resume()  # a shared queue is left to the old process until this one is ready: see `take`
         self._tend(None)
 
     def _tend(self, _: object) -> None:
@@ -367,8 +367,13 @@
     def counters(self) -> Counters:
         return self.turn.counters
 
+    def take(self) -> None:
+        """Ready: connections are taken from now on, also from a queue shared with an old process."""
+        self.ready = True
+        self._resume()
+
     def _resume(self, _: object = None) -> None:
-        if self._socket is not None and not self._listening:
+        if self._socket is not None and not self._listening and (self.ready or not self.inherited):
             self._listening = True
             self.turn.loop.add_reader(self._socket.fileno(), self._accept)
 
--- a/zincstile/net/gateway.py
+++ b/zincstile/net/gateway.py
@@ -84,6 +84,7 @@
                                    not self._stopping, self.host)
         path = os.path.join(self.host.tmpdir(), f"zincstile-{self.config.name}.handover")
         self.handover = HandoverFile(self.turn, self.operator, self.config.name, path, self.host, self._adopt)
+        self.handover.me = f"{self.config.seed:x}"
 
     def _apply(self, reply: Any) -> None:
         from ..control.operator import Change
@@ -160,7 +161,9 @@
 
     def _ready(self, _: object = None) -> None:
         if not self.door.ready:
-            self.door.ready = True
+            self.door.take()
+            if self.handover is not None:
+                self.handover.say_ready()
             self.log.line(f"ready with {len(self.backends.servers)} backend servers, "
                           f"{'told' if self.table.told else 'as known before'}")
 
@@ -191,20 +194,32 @@
         self.log.line(f"stop with {len(self.turn.sessions)} sessions")
         now, limits = self.turn.now_ns(), self.config.limits
         self._stop_ns = self.door.heard_ns = now
-        if self.door.inherited:
-            # The listening socket is shared with the new process, which takes what comes from now on; what is
-            # in its queue is left to it. Each connection is closed once nothing is owed on it.
-            self.door.shut(take_queued=False)
-            self._end_if_empty(None)
+        if self.door.inherited and self.handover is not None and self.handover.other_ready:
+            self._taken_over()
         else:
+            if self.door.inherited and self.handover is not None:  # a new one may yet say that it is ready
+                self.handover.taken_over = self._taken_over
             self._shut_if_quiet(None)
         self.turn.deadlines.add(now + limits.drain_most_ns - limits.drain_margin_ns, self._fail_rest)
         self.turn.deadlines.add(now + limits.drain_most_ns, self._end)
         self.turn.wake()
 
+    def _taken_over(self) -> None:
+        """The listening socket is shared with a new process that takes clients: it takes what comes from now
+        on, and what is in the queue is left to it. Each connection is closed once nothing is owed on it.
+        Guards against a gap where SIGTERM comes before the new one is ready."""
+        if self.handover is not None:
+            self.handover.taken_over = None
+        if self.door.closing:
+            return
+        self.door.shut(take_queued=False)
+        self._end_if_empty(None)
+
     def _shut_if_quiet(self, _: object) -> None:
         limits = self.config.limits
         at = min(self._stop_ns + limits.drain_ns, self.door.heard_ns + limits.drain_quiet_ns)
+        if self.door.closing:
+            return  # taken over meanwhile
         if self.turn.now_ns() < at:
             self.turn.deadlines.add(at, self._shut_if_quiet)
         else:
