Control door reads by BufferedProtocol as the house does; hand-over read in one place; tests share setup

The control connection was the one asyncio.Protocol in net/, against the house style; it now reads into one buffer of its door like the other connections. The hand-over file was unpacked in two places (at the start and at each change) with their own counting; one _read now does it. Tests: a context manager starts gateways on one inherited socket and ends them (six tests had the same eight lines), and one for a half-sent value (two tests).

--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -89,6 +89,26 @@
         self.program.wait()
 
 
+@contextlib.contextmanager
+def fleet(tmp_path, backend: Backend | None = None):
+    """A listening socket that the platform holds, a backend server, a silent discovery, and a way to start
+    processes of gateway n0 on them; each is ended at the end."""
+    listening, silent = socket.create_server(("127.0.0.1", 0)), listener()
+    backend = backend or Backend()
+    started: list[Gateway] = []
+
+    def start() -> Gateway:
+        started.append(Gateway(tmp_path, listening, backend, silent))
+        return started[-1]
+
+    try:
+        yield listening, start
+    finally:
+        for g in started:
+            g.end()
+        listening.close()
+
+
 def _free_port() -> int:
     with socket.socket() as s:
         s.bind(("127.0.0.1", 0))
@@ -135,15 +155,13 @@
 
 
 def test_a_new_version_under_load_takes_over_with_no_connection_refused_or_reset(tmp_path):
-    listening, backend, silent = socket.create_server(("127.0.0.1", 0)), Backend(), listener()
-    old = Gateway(tmp_path, listening, backend, silent)
-    new = None
-    try:
+    with fleet(tmp_path) as (listening, start):
+        old = start()
         old.until_ready()
         clients = Clients(listening.getsockname())
         time.sleep(1.0)
         assert http(old.control, "POST", "/maintenance/enter", b"s-a") == 200
-        new = Gateway(tmp_path, listening, backend, silent)
+        new = start()
         ready_s = new.until_ready()
         old.program.send_signal(signal.SIGTERM)
         assert old.program.wait(5) == 0  # it ends by itself, before any SIGKILL
@@ -154,17 +172,11 @@
         print(f"new version ready after {ready_s:.2f} s; served {clients.served}, "
               f"refused or reset or unread {clients.broken}, others {clients.other} ({clients.said!r})")
         assert clients.served > 100 and clients.broken <= 2
-    finally:
-        for g in (old, new):
-            if g is not None:
-                g.end()
-        listening.close()
 
 
 def test_drain_to_standby_leaves_no_idle_connection_and_comes_back(tmp_path):
-    listening, backend, silent = socket.create_server(("127.0.0.1", 0)), Backend(), listener()
-    gw = Gateway(tmp_path, listening, backend, silent)
-    try:
+    with fleet(tmp_path) as (listening, start):
+        gw = start()
         gw.until_ready()
         kept = [socket.create_connection(listening.getsockname(), timeout=3) for _ in range(20)]
         for k, s in enumerate(kept[:10]):  # half of them asked once, half never
@@ -192,15 +204,11 @@
         again = socket.create_connection(listening.getsockname(), timeout=3)
         again.sendall(b"*1\r\n$4\r\nPING\r\n")
         assert again.makefile("rb").readline() == b"+PONG\r\n"
-    finally:
-        gw.end()
-        listening.close()
 
 
 def test_control_callers_that_say_nothing_or_half_do_not_stop_others(tmp_path):
-    listening, backend, silent = socket.create_server(("127.0.0.1", 0)), Backend(), listener()
-    gw = Gateway(tmp_path, listening, backend, silent)
-    try:
+    with fleet(tmp_path) as (listening, start):
+        gw = start()
         gw.until_ready()
         quiet = [socket.create_connection(gw.control, timeout=5) for _ in range(40)]
         for s in quiet[::2]:
@@ -220,21 +228,17 @@
                 statuses.append(int(line.split()[1]) if line else 0)
         assert all(code in (0, 408, 503) for code in statuses) and 408 in statuses
         assert gw.program.poll() is None
-    finally:
-        gw.end()
-        listening.close()
 
 
 def test_standby_active_standby_with_a_value_half_passed_on(tmp_path):
     """A large value that is half passed on when standby comes is finished; then its connection is closed."""
-    listening, silent = socket.create_server(("127.0.0.1", 0)), listener()
     slow = listener()
 
     class Slow:
         sock = slow
 
-    gw = Gateway(tmp_path, listening, Slow, silent)
-    try:
+    with fleet(tmp_path, Slow) as (listening, start):
+        gw = start()
         gw.until_ready()
         client = socket.create_connection(listening.getsockname(), timeout=5)
         client.sendall(request(1))
@@ -253,9 +257,6 @@
         ping = socket.create_connection(listening.getsockname(), timeout=3)
         ping.sendall(b"*1\r\n$4\r\nPING\r\n")
         assert ping.makefile("rb").readline() == b"-ERR standby\r\n"
-    finally:
-        gw.end()
-        listening.close()
 
 
 def start(tmp_path, env_over: dict[str, str], table_over: dict | None = None) -> subprocess.CompletedProcess:
@@ -284,11 +285,10 @@
 
 
 def test_a_spoilt_or_foreign_handover_file_is_told_and_not_trusted(tmp_path):
-    listening, backend, silent = socket.create_server(("127.0.0.1", 0)), Backend(), listener()
     (tmp_path / "zincstile-n0.handover").write_text('{"form": 1, "gateway": "n9", "version": 5, '
                                                    '"written_ns": 0, "banned": ["s-a"]}')
-    gw = Gateway(tmp_path, listening, backend, silent)
-    try:
+    with fleet(tmp_path) as (listening, start):
+        gw = start()
         gw.until_ready()
         with socket.create_connection(gw.control, timeout=2) as s:
             s.sendall(b"GET /status HTTP/1.1\r\n\r\n")
@@ -297,20 +297,15 @@
         client = socket.create_connection(listening.getsockname(), timeout=3)
         client.sendall(request(1))
         assert client.makefile("rb").readline() == b"$2\r\n"  # s-a is used
-    finally:
-        gw.end()
-        listening.close()
 
 
 def test_sigterm_before_the_new_version_says_yes_refuses_no_connection(tmp_path):
-    listening, backend, silent = socket.create_server(("127.0.0.1", 0)), Backend(), listener()
-    old = Gateway(tmp_path, listening, backend, silent)
-    new = None
-    try:
+    with fleet(tmp_path) as (listening, start):
+        old = start()
         old.until_ready()
         clients = Clients(listening.getsockname())
         time.sleep(0.5)
-        new = Gateway(tmp_path, listening, backend, silent)
+        new = start()
         old.program.send_signal(signal.SIGTERM)  # the new one is still starting
         assert old.program.wait(5) == 0
         new.until_ready()
@@ -318,8 +313,3 @@
         clients.stop()
         print(f"served {clients.served}, refused or reset or unread {clients.broken}, others {clients.other}")
         assert clients.served > 50 and clients.broken <= 2
-    finally:
-        for g in (old, new):
-            if g is not None:
-                g.end()
-        listening.close()
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -64,33 +64,33 @@
         world.end()
 
 
-def test_a_value_cut_by_its_backend_server_ends_the_clients_connection(tmp_path):
+@contextlib.contextmanager
+def half_sent(tmp_path):
+    """A world in which a 1 MiB value is begun: its head has reached the client, 100,000 bytes of it sent."""
     world = World(tmp_path)
     try:
         world.play(READY + "send c1 look 1\nexpect a1 look 1")
         world.line("a1").sock.sendall(head(MIB) + b"v" * 100_000)
-        line = world.line("c1")
-        assert line.file.readline() == b"$%d\r\n" % MIB
+        assert world.line("c1").file.readline() == b"$%d\r\n" % MIB
+        yield world
+    finally:
+        world.end()
+
+
+def test_a_value_cut_by_its_backend_server_ends_the_clients_connection(tmp_path):
+    with half_sent(tmp_path) as world:
         world.close("a1")
         data = b""
         with contextlib.suppress(ConnectionError):
-            data = line.file.read()
+            data = world.line("c1").file.read()
         assert len(data) < MIB  # the client can tell that it is not whole
         world.wait("gw", "streams_cut=1")
-    finally:
-        world.end()
 
 
 def test_a_client_that_leaves_in_the_middle_frees_the_backend_connection(tmp_path):
-    world = World(tmp_path)
-    try:
-        world.play(READY + "send c1 look 1\nexpect a1 look 1")
-        world.line("a1").sock.sendall(head(MIB) + b"v" * 100_000)
-        assert world.line("c1").file.readline() == b"$%d\r\n" % MIB
+    with half_sent(tmp_path) as world:
         world.close("c1")
         world.play("expect a1 end")
-    finally:
-        world.end()
 
 
 def test_the_head_of_a_large_value_is_found_in_any_piece():
--- a/zincstile/net/control.py
+++ b/zincstile/net/control.py
@@ -20,7 +20,7 @@
 from .turn import Turn
 
 
-class ControlConnection(asyncio.Protocol):
+class ControlConnection(asyncio.BufferedProtocol):
     __slots__ = ("door", "transport", "parser", "came_ns", "done")
 
     def __init__(self, door: ControlDoor) -> None:
@@ -34,11 +34,14 @@
         self.transport = transport  # type: ignore[assignment]
         self.door.joined(self)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.door.buffer
+
+    def buffer_updated(self, size: int) -> None:
         if self.done:
             return
         try:
-            call = self.parser.feed(data)
+            call = self.parser.feed(bytes(self.door.buffer[:size]))
         except CallError as err:
             self.door.counters.control_bad += 1
             self.finish(err.status, str(err))
@@ -81,6 +84,7 @@
         limits = turn.limits
         self.bounds = Bounds(limits.line_bytes, limits.header_lines, limits.line_bytes)
         self.connections: dict[ControlConnection, None] = {}
+        self.buffer = memoryview(bytearray(limits.line_bytes))  # each read is taken out of it at once
         self.server: asyncio.Server | None = None
 
     async def open(self, where: Address) -> None:
@@ -134,21 +138,25 @@
 
     def first(self) -> str:
         """At the start: takes what an earlier or older process left. The log line says what was found."""
-        data = self.host.read_file(self.path)
-        if data is None:
+        if self.host.read_file(self.path) is None:
             return "none"
+        h, why = self._read()
+        if h is None:
+            return f"ignored: {self.path}: {why}"
+        self.operator.adopt(set(h.banned), h.version)
+        return f"{len(h.banned)} under maintenance, version {h.version}"
+
+    def _read(self) -> tuple[ho.Handover | None, str]:
+        """The file as it is, or None and why it is not trusted (counted)."""
+        self._seen = self.host.stat(self.path)
+        data = self.host.read_file(self.path) or b""
         try:
             h = ho.unpack(data, self.gateway, self.host.unix_ns(), self.turn.limits.handover_stale_ns)
         except ho.HandoverError as err:
-            self.counters_bad()
-            return f"ignored: {self.path}: {err}"
-        self.operator.adopt(set(h.banned), h.version)
+            self.turn.counters.handover_bad += 1
+            return None, str(err)
         self.ready_by = h.ready_by
-        self._seen = self.host.stat(self.path)
-        return f"{len(h.banned)} under maintenance, version {h.version}"
-
-    def counters_bad(self) -> None:
-        self.turn.counters.handover_bad += 1
+        return h, ""
 
     def write(self) -> None:
         o = self.operator
@@ -174,19 +182,15 @@
         limits, now = self.turn.limits, self.turn.now_ns()
         seen = self.host.stat(self.path)
         if seen is not None and seen != self._seen:
-            self._seen = seen
-            data = self.host.read_file(self.path)
-            try:
-                h = ho.unpack(data or b"", self.gateway, self.host.unix_ns(), limits.handover_stale_ns)
+            h, why = self._read()
+            if h is None:
+                self.turn.log.often("handover", f"ignored: {self.path}: {why}")
+            else:
                 newly, back = self.operator.adopt(set(h.banned), h.version)
                 if newly or back:
                     self.adopt(newly, back)
-                self.ready_by = h.ready_by
                 if self.taken_over is not None and self.other_ready:
                     self.taken_over()
-            except ho.HandoverError as err:
-                self.counters_bad()
-                self.turn.log.often("handover", f"ignored: {self.path}: {err}")
         if now - self._written_ns >= limits.handover_keep_ns:
             self.write()
         self.turn.deadlines.add(now + limits.handover_poll_ns, self.watch)
