Control door's queue is as long as the clients': a crowd of callers waits for no second SYN

Checked: 1.005 s is the time after which a caller's machine sends its SYN again; 40 callers came while the process was held up, and the door listened with a queue of 16 (control.py, backlog=control_connections). With the process stopped for a moment and 100 callers at once the last one met it every time. Ruled out: the door's own work (the same crowd is answered in milliseconds where the queue is long), a 503 for the oldest. Change: the door listens with the clients' backlog and accepts at most as many a turn as it may hold, so that a longer queue costs no more descriptors (asyncio's own server takes a whole backlog at once, and rests 1 s when descriptors run out).

--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -230,6 +230,23 @@
         assert gw.program.poll() is None
 
 
+def test_a_crowd_of_control_callers_waits_for_no_second_try_of_its_own_machine(tmp_path):
+    """A gateway that is held up for a moment finds all of them in the queue. Where the queue is short, the
+    callers' machine tries again after 1 s, and the answer is late whatever the gateway does then."""
+    with fleet(tmp_path) as (_, start), contextlib.ExitStack() as stack:
+        gw = start()
+        gw.until_ready()
+        gw.program.send_signal(signal.SIGSTOP)
+        crowd = [stack.enter_context(socket.socket()) for _ in range(100)]
+        for s in crowd:
+            s.setblocking(False)
+            s.connect_ex(gw.control)
+        gw.program.send_signal(signal.SIGCONT)
+        crowd[-1].settimeout(0.9)
+        crowd[-1].sendall(b"GET /status HTTP/1.1\r\n\r\n")
+        assert crowd[-1].makefile("rb").readline().split()[1] == b"200"
+
+
 def test_standby_active_standby_with_a_value_half_passed_on(tmp_path):
     """A large value that is half passed on when standby comes is finished; then its connection is closed."""
     slow = listener()
--- a/zincstile/net/control.py
+++ b/zincstile/net/control.py
@@ -85,18 +85,41 @@
         self.bounds = Bounds(limits.line_bytes, limits.header_lines, limits.line_bytes)
         self.connections: dict[ControlConnection, None] = {}
         self.buffer = memoryview(bytearray(limits.line_bytes))  # each read is taken out of it at once
-        self.server: asyncio.Server | None = None
-
-    async def open(self, where: Address) -> None:
-        family = socket.AF_INET6 if ":" in where[0] else socket.AF_INET
-        self.server = await self.turn.loop.create_server(
-            lambda: ControlConnection(self), *where, family=family, reuse_address=True,
-            backlog=self.turn.limits.control_connections)
+        self._socket: socket.socket | None = None
+        self._tasks: set[asyncio.Task] = set()
+
+    def open(self, where: Address) -> None:
+        """With the clients' backlog: where one is full, the machine drops what comes, and a caller's own
+        machine tries again only after 1 s, which is as long as an answer may take."""
+        self._socket = self.host.listen(where, self.turn.limits.backlog)
+        self.turn.loop.add_reader(self._socket.fileno(), self._accept)
         self._tend(None)
 
+    def _accept(self) -> None:
+        """As many in one turn as the door holds: each that is too many is answered in the turns between, so
+        that a crowd of callers costs no more descriptors than the door may hold and as many again."""
+        for _ in range(self.turn.limits.control_connections):
+            try:
+                connection, _ = self._socket.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as err:
+                self.turn.log.often("control", f"accept failed: {err.strerror}")
+                return
+            connection.setblocking(False)
+            task = self.turn.loop.create_task(self._welcome(connection))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _welcome(self, connection: socket.socket) -> None:
+        try:
+            await self.turn.loop.connect_accepted_socket(lambda: ControlConnection(self), connection)
+        except OSError:
+            connection.close()
+
     @property
     def address(self) -> str:
-        return "{}:{}".format(*self.server.sockets[0].getsockname()[:2]) if self.server else "-"
+        return "{}:{}".format(*self._socket.getsockname()[:2]) if self._socket else "-"
 
     def joined(self, c: ControlConnection) -> None:
         self.connections[c] = None
@@ -117,9 +140,10 @@
         self.turn.wake()
 
     def close(self) -> None:
-        if self.server is not None:
-            self.server.close()
-            self.server = None
+        if self._socket is not None:
+            self.turn.loop.remove_reader(self._socket.fileno())
+            self._socket.close()
+            self._socket = None
 
 
 class HandoverFile:
--- a/zincstile/net/gateway.py
+++ b/zincstile/net/gateway.py
@@ -144,7 +144,7 @@
         self.table.begin(self.config.known)
         self.door.listen(self.config.listen, self.config.socket_fd)
         if self.control is not None:
-            await self.control.open(self.config.control)
+            self.control.open(self.config.control)
             self.handover.watch()
         if self.config.known.get("endpoints"):  # discovery may be down: then the known list must do
             self.turn.deadlines.add(self.turn.now_ns() + self.config.limits.table_first_ns, self._ready)
