Cold backend servers get their full part of what good warm ones were seen to work

Ruled out: quotas (5 to 8 refusals of 70), ceilings (none), the level (rising all the while). Cause: policy.py, _parts: a cold one got two thirds of the work that warm ones were seen to do, and that work was counted over all warm ones, the doubted too, which do little. So it starved where it was needed most. Change: the work is counted over the good ones, and the whole of it is a cold one's due, by its warmth: half of what the rule's multiple of 2 allows. The part by the budget (1 / good) stays beside it.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -268,3 +268,21 @@
     where = only(acts, i.Send)[0].backend
     g.outcome(rid, 0, where, i.Result.OK, after=0, latency=4 * SECOND)
     assert 1.0 < g.policy.servers[where].slowness < 2.0
+
+
+def test_a_cold_backend_gets_its_part_of_a_good_one_where_others_are_left_for_their_doubts():
+    """Two of three warm ones are doubted: the third and one that is about half warm carry all."""
+    g = Gateway({"cold_share": 0.25, "cold_ns": 18 * SECOND, "cold_multiple": 2.0}, backends=0,
+                now=100 * SECOND)
+    g.list([backend(n) for n in (1, 2, 3)] + [backend(4, started=96 * SECOND)])
+    sent = dict.fromkeys((1, 2, 3, 4), 0)
+    for k in range(600):
+        if k % 10 == 0:
+            for s in g.policy.ready[:2]:
+                s.doubt = {0: 1.0}
+            g.tick(0)
+        rid, acts = g.ask(after=10 * MS)
+        for where in [a.backend for a in only(acts, i.Send)]:
+            sent[where] += k >= 200
+            g.outcome(rid, 0, where, i.Result.OK, latency=20 * MS, after=0)
+    assert sent[1] + sent[2] == 0 and 0.4 * sent[3] < sent[4] < 0.8 * sent[3]  # 0.5 to 0.67 as warm
--- a/zincstile/policy.py
+++ b/zincstile/policy.py
@@ -48,7 +48,7 @@
 NEAR, JITTER, DISTRUST = 0.3, 0.1, 1e6  # what another zone, chance, and believed doubt add to a score
 REST_NS, WORSE, PATH_S = SECOND, 0.1, 30.0  # without answer: it rests; so much worse: closed; memory of paths
 CREDIT, CREDIT_MAX = 0.1, 4.0  # further attempts earned by each request sent, and how many can be saved up
-SAFELY, COLD_USE, COLD_LEAST = 0.5, 1 / 3, 4  # of the ceiling's slack and a cold one's multiple; first rate
+SAFELY, COLD_USE, COLD_LEAST = 0.5, 0.5, 4  # of the ceiling's slack and a cold one's multiple; first rate
 GUARD, ASKED, TICK, FLUSH, KINDS = 0, 1, 2, 3, 4  # timer kinds, and their number
 FAULTS, EVERY = (Result.ERROR, Result.RESET), 255  # a doubt of every class
 KEPT, OPENED, BUSY = 0, 1, 2  # the connection of an attempt: rested and kept, new, heard of lately
@@ -229,15 +229,15 @@
         self.good = max(1.0, fit / sum(sent))  # in warm ones
         self.warm = [s for s, w in zip(self.ready, warmth, strict=True) if w >= 1]
         self.cold = [s for s, w in zip(self.ready, warmth, strict=True) if w < 1]
-        self.parts = self._parts([w for w in warmth if w < 1], sum(warmth))
+        self.parts = self._parts([w for w in warmth if w < 1])
 
-    def _parts(self, warmth: list[float], all_warmth: float) -> list[float]:
+    def _parts(self, warmth: list[float]) -> list[float]:
         """Rule 4: the part of all sends that is due to each cold backend, summed up. As much of a warm one's
-        as it is warm, but by all gateways no more than a share of the rule's multiple of what warm ones were
-        seen to work. A draw for each send, and no store: one divided among many gateways is smaller than any
-        request, and stands idle for most of the time that it takes to fill."""
+        as it is warm, but by all gateways no more than a share of the rule's multiple of what good warm ones
+        were seen to work: those left for their doubts work little. A draw for each send, and no store: one
+        divided among many gateways is smaller than any request, and stands idle while it fills."""
         least = self.set.largest_units / COLD_LEAST / self.set.gateways  # where none was seen to work yet
-        self.seen_rate = max(self.seen_rate, self.done_rate / max(1.0, all_warmth), least)
+        self.seen_rate = max(self.seen_rate, self.done_rate / self.good, least)
         sending = max(1e-9, sum(x.arrivals * x.rate for x in self.leaves))
         part = min(1 / self.good, COLD_USE * self.set.cold_multiple * self.seen_rate / sending)
         return list(accumulate(w * part for w in warmth))
