Deliberate fault cold-unlimited follows the new signature of _parts

Cause: mutants.py replaced _parts by a function of two arguments. Measured: the fault is named by the rule on cold servers again.

--- a/zincstile/worlds/mutants.py
+++ b/zincstile/worlds/mutants.py
@@ -154,7 +154,7 @@
 
 def _cold_unlimited() -> Undo:
     """All that is sent goes to the cold boxes, whatever they can do."""
-    def parts(self, warmth, all_warmth):
+    def parts(self, warmth):
         return [(k + 1) / len(warmth) for k in range(len(warmth))]
     return _swap(Policy, "_parts", parts)
 
