A new version takes over the old one's memory: figures, evidence, customers' stores and totals

Besides, both processes had the peers' address, and the new one heard one of three peers while the old one served on. Change: inherit.py writes, checks and takes the memory as a table; net/inherit.py asks for it and brings it by files in TMPDIR, bounded by inherit_bytes (fewer customers, the last used, until it fits); the event Inherited comes before Started. Evidence on a server is taken where it is of the same start. What the old one sent after it left its memory is added once it has ended. The old one closes its peers' socket once it is taken over. Tests: the table to and fro, a peer's count over both, junk in any place (hypothesis).

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -30,10 +30,10 @@
 class Gateway:
     """One policy, fed by hand."""
 
-    def __init__(self, over=None, backends=2, seed=1, now=10 * SECOND):
+    def __init__(self, over=None, backends=2, seed=1, now=10 * SECOND, start=True):
         self.policy = Policy(settings(**(over or {})), seed)
         self.now, self.ids = now, 0
-        self.first = self.feed(i.Started())
+        self.first = self.feed(i.Started()) if start else []
         if backends:
             self.list([backend(n) for n in range(1, backends + 1)])
 
--- /dev/null
+++ b/tests/test_inherit_memory.py
@@ -0,0 +1,140 @@
+"""What a new version takes over of the old one's memory: written, checked, taken, and added to at the end."""
+
+import json
+import math
+
+import pytest
+from conftest import MS, SECOND, Gateway, only
+from hypothesis import given
+from hypothesis import strategies as st
+
+from zincstile import inherit
+from zincstile import interface as i
+from zincstile.policy import TOTALS
+
+PLAN = i.PlanSpec("p", rate=2.0, burst=12.0, ceiling_rate=4.0, ceiling_burst=24.0)
+OVER = {"plans": [PLAN], "gateways": 3, "peers": True}
+
+
+def old_process():
+    """A gateway that has served a while: a customer near its quota, a slow server, a budget, peers' words."""
+    g = Gateway(dict(OVER), backends=4)
+    g.feed(i.PeerMessage(1, 77, [i.Share(9, 0, 3.0, 9.0, 1)]))
+    for _ in range(5):
+        rid, acts = g.ask(units=2.0, spread=3)
+        sent = only(acts, i.Send)
+        if sent:
+            g.outcome(rid, 0, sent[0].backend, i.Result.OK, after=50 * MS, latency=50 * MS)
+    g.policy.level, g.policy.seen_rate = 7.0, 21.0
+    g.policy.ready[0].slowness, g.policy.ready[0].doubt = 2.5, {0: 0.6}
+    return g
+
+
+def left(g, most=100):
+    return json.loads(json.dumps(inherit.leave(g.policy, g.now, most)))
+
+
+def new_process(table, g):
+    heir = Gateway(dict(OVER), backends=0, start=False)
+    inherit.check(table, heir.policy)
+    heir.now = g.now
+    heir.feed(i.Inherited(table))
+    heir.feed(i.Started())
+    heir.feed(i.BackendList(i.ListKind.FULL, 1, [s.info for s in g.policy.servers.values()]))
+    return heir
+
+
+def test_what_was_learnt_goes_along():
+    g = old_process()
+    heir = new_process(left(g), g).policy
+    assert (heir.level, heir.seen_rate, heir.start) == (7.0, 21.0, g.policy.start)
+    assert heir.unit_ns == g.policy.unit_ns and heir.calm_ns == g.policy.calm_ns
+    slow = heir.servers[g.policy.ready[0].info.id]
+    assert (slow.slowness, slow.doubt) == (2.5, {0: 0.6})
+    assert [x.arrivals for x in heir.leaves] == [x.arrivals for x in g.policy.leaves]
+    assert heir.heard == g.policy.heard
+
+
+def test_a_server_that_started_anew_brings_no_evidence():
+    g = old_process()
+    table = left(g)
+    g.policy.ready[0].info.started_ns = g.now
+    heir = new_process(table, g).policy
+    assert heir.servers[g.policy.ready[0].info.id].slowness == 1.0
+
+
+def test_a_quota_is_not_had_twice():
+    g = old_process()
+    heir = new_process(left(g), g)
+    for key, c in g.policy.customers.items():
+        mine = heir.policy.customers[key]
+        assert mine.level == pytest.approx(c.level) and mine.total == c.total
+        assert mine.ceiling == pytest.approx(c.ceiling) and mine.peers.keys() == c.peers.keys()
+
+
+def test_a_peer_counts_across_both_processes_by_one_running_total():
+    g, peer = old_process(), Gateway(dict(OVER) | {"me": 1}, backends=4)
+    key = next(iter(g.policy.customers))
+    c, level = g.policy.customers[key], []
+
+    def told(p):
+        peer.feed(i.PeerMessage(0, p.start, [p._share(p.customers[key])]))
+        level.append(peer.policy.customers[key].level)
+
+    told(g.policy)
+    heir = new_process(left(g), g)
+    heir.policy.customers[key].spend(3.0, TOTALS)
+    told(heir.policy)
+    assert level[0] - level[1] == pytest.approx(3.0)  # its own sends alone, and the old one's not again
+    assert c.total == heir.policy.customers[key].total - 3.0
+
+
+def test_what_the_old_one_sent_meanwhile_is_added_once_it_has_ended():
+    g = old_process()
+    table = left(g)
+    heir = new_process(table, g)
+    key = next(iter(g.policy.customers))
+    g.policy.customers[key].spend(2.0, TOTALS)
+    before = heir.policy.customers[key].level
+    totals = {c["key"]: c["total"] for c in table["customers"]}
+    t = json.loads(json.dumps(inherit.spent(g.policy)))
+    assert inherit.take_spent(heir.policy, t, totals, TOTALS) == 1
+    assert heir.policy.customers[key].level == pytest.approx(before - 2.0)
+    assert heir.policy.customers[key].total == g.policy.customers[key].total
+    with pytest.raises(inherit.TableError):
+        inherit.take_spent(heir.policy, t | {"start": 5}, totals, TOTALS)
+
+
+def test_of_more_customers_than_fit_the_last_used_are_left():
+    g = old_process()
+    for key in range(100, 110):
+        g.ask(customer=key, after=10 * MS)
+    assert [c["key"] for c in left(g, 3)["customers"]] == [107, 108, 109]
+
+
+JUNK = st.recursive(st.none() | st.booleans() | st.integers(-5, 5) | st.floats() | st.text(max_size=3),
+                    lambda x: st.lists(x, max_size=3) | st.dictionaries(st.text(max_size=3), x, max_size=2),
+                    max_leaves=5)
+
+
+@given(st.data())
+def test_a_spoilt_table_is_refused_or_does_no_harm(data):
+    """One place of a good table is replaced by junk: it is refused by its key, or it can be worked with."""
+    g = old_process()
+    table = left(g)
+    at, path = table, []
+    while isinstance(at, dict | list) and at and (not path or data.draw(st.booleans())):
+        key = data.draw(st.sampled_from(sorted(at) if isinstance(at, dict) else range(len(at))))
+        path.append((at, key))
+        at = at[key]
+    holder, key = path[-1]
+    holder[key] = data.draw(JUNK)
+    try:
+        heir = new_process(table, g)
+    except inherit.TableError as err:
+        assert str(err)
+        return
+    for _ in range(3):
+        heir.ask(units=2.0, spread=3, after=SECOND)
+        heir.tick()
+    assert not math.isnan(heir.policy.good)
--- a/zincstile/interface.py
+++ b/zincstile/interface.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Any
 
 
 class Effect(Enum):
@@ -151,6 +152,13 @@
     """The instance starts; first event of all."""
 
 
+@dataclass(slots=True)
+class Inherited:
+    """What an older process of this gateway left (`inherit.leave`), checked; before Started, or never."""
+
+    table: dict[str, Any]
+
+
 @dataclass(slots=True)
 class Backend:
     id: int
@@ -267,8 +275,8 @@
     token: int
 
 
-Event = (Started | BackendList | Request | Outcome | StreamStarted | Probed | PeerMessage | Counted | Gone
-         | Timer)
+Event = (Started | Inherited | BackendList | Request | Outcome | StreamStarted | Probed | PeerMessage
+         | Counted | Gone | Timer)
 
 # ---- actions
 
--- a/zincstile/net/control.py
+++ b/zincstile/net/control.py
@@ -157,6 +157,8 @@
         self.me = ""  # this process, as `ready_by` names it
         self.ready_by = ""  # the process that said last that it takes clients
         self.taken_over: Callable[[], None] | None = None  # called once another has said so
+        self.found = False  # at the start, another process's file that is trusted
+        self.also: Callable[[], None] = lambda: None  # looked at as often
         self._seen: tuple[int, int, int] | None = None  # (inode, mtime_ns, size), as last read or written
         self._written_ns = 0
 
@@ -168,6 +170,7 @@
         if h is None:
             return f"ignored: {self.path}: {why}"
         self.operator.adopt(set(h.banned), h.version)
+        self.found = True
         return f"{len(h.banned)} under maintenance, version {h.version}"
 
     def _read(self) -> tuple[ho.Handover | None, str]:
@@ -217,5 +220,6 @@
                     self.taken_over()
         if now - self._written_ns >= limits.handover_keep_ns:
             self.write()
+        self.also()
         self.turn.deadlines.add(now + limits.handover_poll_ns, self.watch)
         self.turn.wake()
--- a/zincstile/net/gateway.py
+++ b/zincstile/net/gateway.py
@@ -35,7 +35,7 @@
         self.table = ServerTable(self.turn, TableReader(config.zones, config.kinds, host), config.discovery,
                                  self.backends.update, self._ready, random.Random(config.seed))
         self.keeper = self._keep(buffer) if config.keeper else None
-        self.operator, self.control, self.handover = None, None, None
+        self.operator, self.control, self.handover, self.heritage = None, None, None, None
         if config.control:
             self._operate()
         self.ended = loop.create_future()
@@ -78,13 +78,17 @@
         it."""
         from ..control.operator import Operator
         from .control import ControlDoor, HandoverFile
+        from .inherit import Heritage
 
         self.operator = Operator(listed=self.table.reader.names)
         self.control = ControlDoor(self.turn, self.operator, self._apply, lambda: self.door.ready and
                                    not self._stopping, self.host)
-        path = os.path.join(self.host.tmpdir(), f"zincstile-{self.config.name}.handover")
-        self.handover = HandoverFile(self.turn, self.operator, self.config.name, path, self.host, self._adopt)
+        base = os.path.join(self.host.tmpdir(), f"zincstile-{self.config.name}")
+        self.handover = HandoverFile(self.turn, self.operator, self.config.name, f"{base}.handover",
+                                     self.host, self._adopt)
         self.handover.me = f"{self.config.seed:x}"
+        self.heritage = Heritage(self.turn, self.host, base, self.handover.me)
+        self.handover.also = self.heritage.look
 
     def _apply(self, reply: Any) -> None:
         from ..control.operator import Change
@@ -134,13 +138,16 @@
             self.loop.add_signal_handler(number, self.stop)
         self.loop.add_signal_handler(signal.SIGUSR1, self._count)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
-        if self.config.peer_listen:
-            await self.peers.open(self.config.peer_listen)
-        self.turn.post(i.Started())
         if self.handover is not None:
-            self.log.line(f"handover: {self.handover.first()}")
+            found = self.handover.first()
+            self.log.line(f"handover: {found}")
             for name in self.operator.banned:
                 self.table.banned[name_number(name)] = self.turn.now_ns()
+            if self.handover.found:  # peers are heard by the old process until it has left its memory
+                self.log.line(f"memory: {await self.heritage.take()}")
+        if self.config.peer_listen:
+            await self.peers.open(self.config.peer_listen)
+        self.turn.post(i.Started())
         self.table.begin(self.config.known)
         self.door.listen(self.config.listen, self.config.socket_fd)
         if self.control is not None:
@@ -213,6 +220,7 @@
         if self.door.closing:
             return
         self.door.shut(take_queued=False)
+        self.peers.close()  # else what peers send to the address goes to one of both processes, by chance
         self._end_if_empty(None)
 
     def _shut_if_quiet(self, _: object) -> None:
@@ -241,4 +249,6 @@
 
     def _end(self, _: object) -> None:
         if not self.ended.done():
+            if self.heritage is not None:
+                self.heritage.end()
             self.ended.set_result(None)
--- /dev/null
+++ b/zincstile/net/inherit.py
@@ -0,0 +1,125 @@
+"""The files in `$TMPDIR` by which a new process takes over the memory of the one that serves beside it.
+
+The new one names itself in `.asks` and waits a little; the old one looks for that file as often as for the
+hand-over file, and writes its memory to `.memory` for the one that asked. At its end it writes to `.spent`
+how far its customers' totals have come, which the new one adds. Each file is written whole and renamed. Where
+no older process is, nothing is waited for; where it doesn't answer, or what it wrote can't be trusted, the
+new one starts as it always did.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+from .. import inherit
+from .. import interface as i
+from ..policy import TOTALS
+from .host import Host
+from .turn import Turn
+
+
+class Heritage:
+    def __init__(self, turn: Turn, host: Host, base: str, me: str) -> None:
+        """base: the files' path without their endings; me: this process, by its seed."""
+        self.turn, self.host, self.base, self.me = turn, host, base, me
+        self.heir = ""  # the process that asked for the memory last
+        self.left: dict[int, float] = {}  # totals that were taken over, by customer
+        self._seen = {end: host.stat(base + end) for end in (".asks", ".spent")}
+
+    # ---- the new process
+
+    async def take(self) -> str:
+        """Asks the older process and waits for its answer. The log line says what came of it."""
+        limits = self.turn.limits
+        try:
+            self.host.write_file(self.base + ".asks", json.dumps({"me": self.me}).encode())
+        except OSError as err:
+            return f"can't ask for it: {err.strerror or err}"
+        self._seen[".asks"] = self.host.stat(self.base + ".asks")
+        until = self.turn.now_ns() + limits.inherit_wait_ns
+        seen = None
+        while self.turn.now_ns() < until:
+            at = self.host.stat(self.base + ".memory")
+            if at is not None and at != seen:
+                seen = at
+                table = self._read(".memory")
+                if table.get("for") == self.me:
+                    return self._took(table)
+            await asyncio.sleep(limits.inherit_look_ns / 1e9)
+        return "no older process answered"
+
+    def _took(self, table: dict[str, Any]) -> str:
+        memory, since_ns = table.get("memory"), table.get("written_ns")
+        try:
+            inherit.check(memory, self.turn.policy)
+            if not isinstance(since_ns, int) or isinstance(since_ns, bool):
+                raise inherit.TableError("key written_ns: not a whole number")
+        except inherit.TableError as err:
+            self.turn.counters.handover_bad += 1
+            return f"ignored: {self.base}.memory: {err}"
+        self.left = {c["key"]: c["total"] for c in memory["customers"]}
+        self.turn.post(i.Inherited(memory))
+        age_ms = max(0, self.host.unix_ns() - since_ns) / 1e6
+        return f"{len(memory['customers'])} customers, {len(memory['servers'])} servers, {age_ms:.0f} ms old"
+
+    def _read(self, ending: str) -> dict[str, Any]:
+        try:
+            table = json.loads(self.host.read_file(self.base + ending) or b"")
+        except (ValueError, RecursionError):
+            return {}
+        return table if isinstance(table, dict) else {}
+
+    # ---- looked at by both, as often as the hand-over file
+
+    def look(self) -> None:
+        if self._changed(".asks"):
+            heir = self._read(".asks").get("me")
+            if isinstance(heir, str) and heir not in ("", self.me):
+                self._leave(heir)
+        if self.left and self._changed(".spent"):
+            table = self._read(".spent")
+            if table.get("for") == self.me:
+                self._add(table)
+
+    def _changed(self, ending: str) -> bool:
+        seen, self._seen[ending] = self._seen[ending], self.host.stat(self.base + ending)
+        return self._seen[ending] is not None and self._seen[ending] != seen
+
+    def _add(self, table: dict[str, Any]) -> None:
+        try:
+            count = inherit.take_spent(self.turn.policy, table.get("spent"), self.left, TOTALS)
+        except inherit.TableError as err:
+            self.turn.counters.handover_bad += 1
+            self.turn.log.line(f"memory: ignored: {self.base}.spent: {err}")
+            return
+        self.left = {}
+        self.turn.log.line(f"memory: the old process ended; it had sent for {count} customers meanwhile")
+
+    # ---- the old process
+
+    def _leave(self, heir: str) -> None:
+        """Guards the memory that files count as: with fewer customers, the last used, until it fits."""
+        limits, most = self.turn.limits, len(self.turn.policy.customers)
+        while True:
+            data = json.dumps({"for": heir, "written_ns": self.host.unix_ns(), "memory": inherit.leave(
+                self.turn.policy, self.turn.now_ns(), most)}).encode()
+            if len(data) <= limits.inherit_bytes or not most:
+                break
+            most //= 2
+        self._write(".memory", data)
+        self.heir = heir
+        self.turn.log.line(f"memory: {len(data)} bytes left for a new process, {most} customers")
+
+    def end(self) -> None:
+        """What was sent since a new process took the memory."""
+        if self.heir:
+            self._write(".spent", json.dumps(
+                {"for": self.heir, "spent": inherit.spent(self.turn.policy)}).encode())
+
+    def _write(self, ending: str, data: bytes) -> None:
+        try:
+            self.host.write_file(self.base + ending, data)
+        except OSError as err:
+            self.turn.log.often("memory", f"can't write {self.base}{ending}: {err.strerror or err}")
--- a/zincstile/net/limits.py
+++ b/zincstile/net/limits.py
@@ -72,6 +72,9 @@
     handover_poll_ns: int = 50 * MS  # how often the hand-over file is looked at: a ban holds within 250 ms
     handover_keep_ns: int = 10 * SECOND  # how often a living process writes it anew
     handover_stale_ns: int = 60 * SECOND  # a file that nobody wrote for this long is not trusted
+    inherit_wait_ns: int = 250 * MS  # a new process waits so long for the old one's memory: five looks
+    inherit_look_ns: int = 10 * MS  # and looks for it so often
+    inherit_bytes: int = 1 << 20  # of the memory that is left: files count as memory
     standby_rest_ns: int = 500 * MS  # in standby, a connection that rested this long is closed
 
     @classmethod
--- a/zincstile/net/peers.py
+++ b/zincstile/net/peers.py
@@ -26,6 +26,11 @@
         await self.turn.loop.create_datagram_endpoint(lambda: self, local_addr=where, family=family,
                                                    reuse_port=True)
 
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
+            self.transport = None
+
     @property
     def address(self) -> str:
         if self.transport is None:
--- a/zincstile/state.py
+++ b/zincstile/state.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from . import inherit
 from . import interface as i
 from .interface import Backend, ClassSpec, PlanSpec, Request
 
@@ -192,6 +193,7 @@
         self.seen_rate = 0.0  # units a second that a warm one was seen to work for this gateway, at most
         self.named: dict[int, Server] = {}  # by the hash that peers use
         self.handlers: dict[type, Callable[[int, Any], None] | None] = {}  # found once for each kind of event
+        self.evidence: dict[int, tuple[int, float, dict[int, float]]] = {}  # inherited, by server: its start
         self.live: dict[int, Live] = {}
         self.guards: list[tuple[int, int]] = []  # heap of deadlines and requests, the ended ones too
         self.guard_ns = math.inf  # when the next of them is looked at
@@ -244,13 +246,28 @@
         for b in event.entries:
             known = self.servers.get(b.id)
             if known is None or b.started_ns != known.info.started_ns:  # a new process, no evidence yet
-                self.servers[b.id] = Server(b)
+                self.servers[b.id] = self._seen_before(Server(b))
             else:
                 known.info = b
         self.servers = {k: s for k, s in self.servers.items() if s.info.mode is not i.Mode.GONE}
         self.ready = [s for s in self.servers.values() if s.info.mode is i.Mode.READY]
         self.named = {s.name: s for s in self.ready}
 
+    def _seen_before(self, s: Server) -> Server:
+        """With the evidence that an older process of this gateway left, if it is of the same start."""
+        started_ns, slowness, doubt = self.evidence.pop(s.info.id, (-1, 1.0, {}))
+        if started_ns >= 0 and bool(started_ns) == bool(s.info.started_ns) \
+                and abs(started_ns - s.info.started_ns) < inherit.SAME_START_S * 1e9:
+            s.slowness, s.doubt = slowness, doubt
+        return s
+
+    def on_inherited(self, now: int, event: i.Inherited) -> None:
+        inherit.take(self, now, event.table)
+
+    def word(self, c: Customer, peer: int, start: int, total: float, open_: int, told_ns: int) -> Word:
+        c.peers[peer] = word = Word(start, total, open_, told_ns)
+        return word
+
     def launch(self, live: Live, attempt: Attempt) -> None:
         key = (live.ask.id, len(live.tried))
         self.attempts[key] = attempt.server.out[key] = attempt
