Two processes of an upgrade together keep to one gateway's descriptors

Ruled out: to count the old process's in the new one, as a crowd's idle ones would leave none. Change: from the moment the memory is left and taken each keeps to Limits.shared, half of what the reserve of a second process leaves, and closes what rests above that, until the old one ended or may no longer live. The reserve counts the callers of the operators' door (config, limits). The processes of the tests have seeds of their own, as the platform gives them: with one seed the old one took the new one's word that it was ready for its own, and the new one's ask for its memory too.

--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -54,12 +54,14 @@
 class Gateway:
     """One process of the gateway, on the inherited socket, with a control door of its own."""
 
-    def __init__(self, folder, listening: socket.socket, backend: Backend, silent: socket.socket) -> None:
+    def __init__(self, folder, listening: socket.socket, backend: Backend, silent: socket.socket,
+                 sockets: int) -> None:
         self.control = ("127.0.0.1", _free_port())
         endpoint = {"name": "s-a", "address": where(backend.sock), "zone": "z", "type": "k", "group": 1,
                     "status": "Ready", "weight": 1.0, "since_ms": 0}
-        table = {"name": "n0", "listen": where(listening), "discovery": where(silent), "seed": "8c1f",
-                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        table = {"name": "n0", "listen": where(listening), "discovery": where(silent),
+                 "seed": f"8c1f{self.control[1]:x}",  # new with each start
+                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
                  "peer_listen": "127.0.0.1:0", "peers": ["127.0.0.1:1", "127.0.0.1:2"],
                  "settings": settings(), "known": {"index": 1, "snapshot": True, "endpoints": [endpoint]}}
         path = folder / f"config-{self.control[1]}.json"
@@ -90,7 +92,7 @@
 
 
 @contextlib.contextmanager
-def fleet(tmp_path, backend: Backend | None = None):
+def fleet(tmp_path, backend: Backend | None = None, sockets: int = 1024):
     """A listening socket that the platform holds, a backend server, a silent discovery, and a way to start
     processes of gateway n0 on them; each is ended at the end."""
     listening, silent = socket.create_server(("127.0.0.1", 0)), listener()
@@ -98,7 +100,7 @@
     started: list[Gateway] = []
 
     def start() -> Gateway:
-        started.append(Gateway(tmp_path, listening, backend, silent))
+        started.append(Gateway(tmp_path, listening, backend, silent, sockets))
         return started[-1]
 
     try:
@@ -115,8 +117,9 @@
         return s.getsockname()[1]
 
 
-def request(number: int) -> bytes:
-    return encode(["CALL.GET", CUSTOMER, f"{number:016x}", "c=look,t=team,d=2000,units=1,spread=1,first=0"])
+def request(number: int, plan: str = "team") -> bytes:
+    return encode(["CALL.GET", CUSTOMER, f"{number:016x}",
+                   f"c=look,t={plan},d=2000,units=1,spread=1,first=0"])
 
 
 class Clients:
@@ -174,6 +177,54 @@
         assert clients.served > 100 and clients.broken <= 2
 
 
+def test_two_versions_under_a_crowd_hold_no_more_descriptors_than_one_may(tmp_path):
+    def held() -> list[int]:
+        return [len(os.listdir(f"/proc/{g.program.pid}/fd")) for g in (old, new) if g.program.poll() is None]
+
+    with fleet(tmp_path, sockets=128) as (listening, start), contextlib.ExitStack() as stack:
+        def crowd(count: int) -> None:  # they connect and say nothing
+            for _ in range(count):
+                stack.enter_context(socket.create_connection(listening.getsockname(), timeout=3))
+
+        old = start()
+        old.until_ready()
+        crowd(100)
+        new = start()
+        new.until_ready()
+        most = [0, 0]
+        for turn in range(40):
+            crowd(10)
+            now = held()
+            most = max(most, now, key=sum)
+            if turn == 10:
+                old.program.send_signal(signal.SIGTERM)
+            time.sleep(0.01)
+        assert old.program.wait(5) == 0
+        clients = Clients(listening.getsockname())
+        time.sleep(1.0)
+        clients.stop()
+        print(f"{most} descriptors at most at once, served {clients.served}, {clients.broken} broken")
+        assert 64 < sum(most) <= 128 and clients.served > 20
+
+
+def test_the_customers_stores_go_along_with_an_upgrade(tmp_path):
+    """A customer that has used its quota up has none left at the new version."""
+    def ask(number: int) -> bytes:
+        with socket.create_connection(listening.getsockname(), timeout=3) as s:
+            s.sendall(request(number, plan="small"))
+            return s.makefile("rb").readline()
+
+    with fleet(tmp_path) as (listening, start):
+        old = start()
+        old.until_ready()
+        assert ask(1) == b"$2\r\n" and ask(2).startswith(b"-BUSY")
+        new = start()
+        new.until_ready()
+        old.program.send_signal(signal.SIGTERM)
+        assert old.program.wait(5) == 0
+        assert ask(3).startswith(b"-BUSY")
+
+
 def test_drain_to_standby_leaves_no_idle_connection_and_comes_back(tmp_path):
     with fleet(tmp_path) as (listening, start):
         gw = start()
--- a/zincstile/net/config.py
+++ b/zincstile/net/config.py
@@ -93,7 +93,7 @@
             int(limits.get("connect_timeout_ns", 250_000_000)),
             int(limits.get("idle_close_ns", 30_000_000_000)), decoded.longest_ns, given,
             decoded.gateways, int((settings.get("obligations") or {}).get("ask_within_ns", 10_000_000_000))
-            if decoded.ask_for_list else 0),
+            if decoded.ask_for_list else 0, bool(env.get("RELAY_CONTROL") or t.get("control"))),
         known=t.get("known") or {},
         peer_listen=address(t["peer_listen"]) if t.get("peer_listen") else None, peers=peers,
         counter=address(t["counter"]) if _feature(t, "keeper") and t.get("counter") else None,
--- a/zincstile/net/frontend.py
+++ b/zincstile/net/frontend.py
@@ -465,6 +465,11 @@
                 if client.close_if_idle():
                     self.counters.standby_closed += 1
 
+    def fit(self) -> None:
+        """The limits have become narrower: connections that rest are closed as where new ones need room."""
+        while len(self.clients) > self.turn.limits.frontend_connections and self._make_room():
+            pass
+
     def close_idle(self) -> None:
         for client in list(self.clients):
             client.close_if_idle()
--- a/zincstile/net/gateway.py
+++ b/zincstile/net/gateway.py
@@ -87,7 +87,7 @@
         self.handover = HandoverFile(self.turn, self.operator, self.config.name, f"{base}.handover",
                                      self.host, self._adopt)
         self.handover.me = f"{self.config.seed:x}"
-        self.heritage = Heritage(self.turn, self.host, base, self.handover.me)
+        self.heritage = Heritage(self.turn, self.host, base, self.handover.me, self._share)
         self.handover.also = self.heritage.look
 
     def _apply(self, reply: Any) -> None:
@@ -114,6 +114,12 @@
             self.table.maintain(name, False)
         self.log.line(f"handover: maintenance enter {sorted(newly)} exit {sorted(back)} by another process")
 
+    def _share(self, shared: bool) -> None:
+        """Another process of this gateway serves beside this one, or no more: both have one's descriptors."""
+        limits = self.config.limits
+        self.turn.limits = limits.shared() if shared else limits
+        self.door.fit()
+
     def _state_bounds(self) -> None:
         """The error by which quotas are held, stated before anything fails."""
         from ..keeper.bound import Quota, bounds
--- a/zincstile/net/inherit.py
+++ b/zincstile/net/inherit.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from typing import Any
 
 from .. import inherit
@@ -21,9 +22,11 @@
 
 
 class Heritage:
-    def __init__(self, turn: Turn, host: Host, base: str, me: str) -> None:
-        """base: the files' path without their endings; me: this process, by its seed."""
-        self.turn, self.host, self.base, self.me = turn, host, base, me
+    def __init__(self, turn: Turn, host: Host, base: str, me: str, share: Callable[[bool], None]) -> None:
+        """base: the files' path without their endings; me: this process, by its seed; share: told when
+        the limits are shared with another process, and when no more."""
+        self.turn, self.host, self.base, self.me, self.share = turn, host, base, me, share
+        self._until_ns = 0  # the limits are shared
         self.heir = ""  # the process that asked for the memory last
         self.left: dict[int, float] = {}  # totals that were taken over, by customer
         self._seen = {end: host.stat(base + end) for end in (".asks", ".spent")}
@@ -52,6 +55,7 @@
 
     def _took(self, table: dict[str, Any]) -> str:
         memory, since_ns = table.get("memory"), table.get("written_ns")
+        self._share_for(self.turn.limits.drain_most_ns + self.turn.limits.control_call_ns)
         try:
             inherit.check(memory, self.turn.policy)
             if not isinstance(since_ns, int) or isinstance(since_ns, bool):
@@ -82,6 +86,19 @@
             table = self._read(".spent")
             if table.get("for") == self.me:
                 self._add(table)
+                self._until_ns = 0
+                self.share(False)
+
+    def _share_for(self, most_ns: int) -> None:
+        """Until the other has ended, and no longer than it may live."""
+        self._until_ns = self.turn.now_ns() + most_ns
+        self.share(True)
+        self.turn.deadlines.add(self._until_ns, self._alone)
+        self.turn.wake()
+
+    def _alone(self, _: object) -> None:
+        if self.turn.now_ns() >= self._until_ns:  # else another came meanwhile
+            self.share(False)
 
     def _changed(self, ending: str) -> bool:
         seen, self._seen[ending] = self._seen[ending], self.host.stat(self.base + ending)
@@ -110,6 +127,7 @@
             most //= 2
         self._write(".memory", data)
         self.heir = heir
+        self._share_for(limits.handover_stale_ns)
         self.turn.log.line(f"memory: {len(data)} bytes left for a new process, {most} customers")
 
     def end(self) -> None:
