--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -8,6 +8,7 @@
 import itertools
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -23,6 +24,8 @@
 class Backend:
     """Answers every call at once, on as many connections as come."""
 
+    pieces = [VALUE]
+
     def __init__(self) -> None:
         self.sock, self.calls = listener(), 0
         threading.Thread(target=self._accept, daemon=True).start()
@@ -41,7 +44,8 @@
                 if not words:
                     return
                 self.calls += 1
-                conn.sendall(VALUE)
+                for piece in self.pieces:
+                    conn.sendall(piece)
 
 
 def http(address: tuple[str, int], method: str, path: str, body: bytes = b"") -> int:
@@ -55,13 +59,13 @@
     """One process of the gateway, on the inherited socket, with a control door of its own."""
 
     def __init__(self, folder, listening: socket.socket, backend: Backend, silent: socket.socket,
-                 sockets: int) -> None:
+                 limits: dict[str, int]) -> None:
         self.control = ("127.0.0.1", _free_port())
         endpoint = {"name": "s-a", "address": where(backend.sock), "zone": "z", "type": "k", "group": 1,
                     "status": "Ready", "weight": 1.0, "since_ms": 0}
         table = {"name": "n0", "listen": where(listening), "discovery": where(silent),
                  "seed": f"8c1f{self.control[1]:x}",  # new with each start
-                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024} | limits,
                  "peer_listen": "127.0.0.1:0", "peers": ["127.0.0.1:1", "127.0.0.1:2"],
                  "settings": settings(), "known": {"index": 1, "snapshot": True, "endpoints": [endpoint]}}
         path = folder / f"config-{self.control[1]}.json"
@@ -92,7 +96,7 @@
 
 
 @contextlib.contextmanager
-def fleet(tmp_path, backend: Backend | None = None, sockets: int = 1024):
+def fleet(tmp_path, backend: Backend | None = None, **limits: int):
     """A listening socket that the platform holds, a backend server, a silent discovery, and a way to start
     processes of gateway n0 on them; each is ended at the end."""
     listening, silent = socket.create_server(("127.0.0.1", 0)), listener()
@@ -100,7 +104,7 @@
     started: list[Gateway] = []
 
     def start() -> Gateway:
-        started.append(Gateway(tmp_path, listening, backend, silent, sockets))
+        started.append(Gateway(tmp_path, listening, backend, silent, limits))
         return started[-1]
 
     try:
@@ -207,6 +211,43 @@
         assert 64 < sum(most) <= 128 and clients.served > 20
 
 
+def test_a_crowd_beside_large_values_at_half_the_memory(tmp_path):
+    """Callers by the thousand that connect and idle, some with half a call, while values of 4 MiB come in
+    pieces: every value whole, its first bytes in time, the process within half of the usual memory."""
+    size, count, first, whole = 4 << 20, 6, [], []
+    callers = min(2000, resource.getrlimit(resource.RLIMIT_NOFILE)[0] - 124)
+
+    class Large(Backend):
+        pieces = [b"*3\r\n$%d\r\n" % size] + [b"v" * 16384] * (size // 16384) + [b"\r\n$-1\r\n$-1\r\n"]
+
+    def read(number: int) -> None:
+        with socket.create_connection(listening.getsockname(), timeout=20) as s:
+            s.sendall(request(number))
+            began, reader = time.monotonic(), s.makefile("rb")
+            assert reader.readline() == b"$%d\r\n" % size
+            first.append(time.monotonic() - began)
+            whole.append(len(reader.read(size + 2)) == size + 2)
+
+    with fleet(tmp_path, Large(), memory_mb=96, sockets=192) as (listening, start), \
+            contextlib.ExitStack() as stack:
+        gw = start()
+        gw.until_ready()
+        readers = [threading.Thread(target=read, args=(n,)) for n in range(count)]
+        for k in range(callers):
+            s = stack.enter_context(socket.create_connection(listening.getsockname(), timeout=10))
+            if k % 50 == 0:
+                s.sendall(request(1000 + k)[:40])
+            if k % (callers // count) == 100:
+                readers[k // (callers // count)].start()
+        for r in readers:
+            r.join(30)
+        with open(f"/proc/{gw.program.pid}/status") as f:
+            peak_kb = next(int(line.split()[1]) for line in f if line.startswith("VmHWM"))
+        print(f"{sum(whole)} of {count} values whole, first bytes after {max(first):.3f} s at most, "
+              f"{peak_kb} KB at most")
+        assert whole == [True] * count and max(first) < 2.0 and peak_kb < 48 * 1024
+
+
 def test_the_customers_stores_go_along_with_an_upgrade(tmp_path):
     """A customer that has used its quota up has none left at the new version."""
     def ask(number: int) -> bytes:
