A cold server less busy than the warm ones takes what they have no room for

Probe of the module (two gateways, each half second): from 13.5 s one good warm server of ten, five cold at 0.45, two warm left for their errors; the warm one holds 4 to 9 requests of each gateway at 230 to 314 ms a unit, each cold one 0 to 2 at 40 to 150. The strain of that one cuts the level from 4.4 to 0.5 within 3 s, 100 of 110 tries refused by the draw. Cause: policy.py, _choose: all that is not due to a cold server by its part of the budget went to the warm ones, however busy, though the rule's bound on cold ones was far from reached (most 0.55 to 1.8 of all sends, due 0.28). Change: beyond its due, up to that bound, a cold server is drawn to be compared with the best of the warm by what it has out, its slowness and its warmth. Where nobody is busy the warm go first, as before.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -286,3 +286,27 @@
             sent[where] += k >= 200
             g.outcome(rid, 0, where, i.Result.OK, latency=20 * MS, after=0)
     assert sent[1] + sent[2] == 0 and 0.4 * sent[3] < sent[4] < 0.8 * sent[3]  # 0.5 to 0.67 as warm
+
+
+def test_a_cold_backend_that_is_less_busy_relieves_the_only_warm_one_up_to_its_most():
+    """All that goes to the one warm server stays out; a cold one answers at once. It gets more than its due,
+    and no more than the warm one was seen to work, by its warmth."""
+    def shares(seen: float) -> float:
+        g = Gateway({"cold_share": 0.5, "cold_ns": 10**6 * SECOND, "cold_multiple": 2.0}, backends=0,
+                    now=100 * SECOND)
+        g.list([backend(1), backend(2, started=99 * SECOND)])
+        for leaf in g.policy.leaves:
+            leaf.arrivals = 10.0 / len(g.policy.leaves)
+        g.policy.seen_rate = seen
+        g.policy._sort(g.now)
+        cold = 0
+        for _ in range(400):
+            rid, acts = g.ask()
+            if only(acts, i.Send)[0].backend == 2:
+                cold += 1
+                g.outcome(rid, 0, 2, i.Result.OK, after=0, latency=20 * MS)
+        return cold / 400
+
+    # Sent: 10 units a second. Its due: half of 1 / 1.5 of that; its most: half of what a warm one did.
+    assert abs(shares(seen=4.0) - 0.2) < 0.07
+    assert abs(shares(seen=15.0) - 0.75) < 0.07
--- a/zincstile/policy.py
+++ b/zincstile/policy.py
@@ -234,13 +234,13 @@
     def _parts(self, warmth: list[float]) -> list[float]:
         """Rule 4: the part of all sends that is due to each cold backend, summed up. As much of a warm one's
         as it is warm, but by all gateways no more than a share of the rule's multiple of what good warm ones
-        were seen to work: those left for their doubts work little. A draw for each send, and no store: one
-        divided among many gateways is smaller than any request, and stands idle while it fills."""
+        were seen to work. A draw, and no store: divided among many it would stand idle while it fills."""
         least = self.set.largest_units / COLD_LEAST / self.set.gateways  # where none was seen to work yet
         self.seen_rate = max(self.seen_rate, self.done_rate / self.good, least)
         sending = max(1e-9, sum(x.arrivals * x.rate for x in self.leaves))
-        part = min(1 / self.good, COLD_USE * self.set.cold_multiple * self.seen_rate / sending)
-        return list(accumulate(w * part for w in warmth))
+        most = COLD_USE * self.set.cold_multiple * self.seen_rate / sending
+        self.spare = max(1.0, most * self.good)  # so many times its due a cold one may get
+        return list(accumulate(w * min(1 / self.good, most) for w in warmth))
 
     def _split(self, budget: float) -> None:
         if budget >= sum(x.arrivals for x in self.leaves):  # all get what arrives, by any weights
@@ -485,13 +485,16 @@
         return min(1.0, self.set.cold_share + (1 - self.set.cold_share) * max(0.0, age))
 
     def _choose(self, now: int, live: Live) -> Server | None:
-        """A cold backend by a draw, so that all that it may get is used; else the best of the warm."""
+        """One cold by a draw, its due; else the best of the warm, or a cold one less busy, to its most."""
         ask, best, best_score = live.ask, None, math.inf
-        k = bisect(self.parts, self.rng.random())
-        if k < len(self.cold):
-            s = self.cold[k]
-            if self._may(live, s) and self._doubted(s, ask.cls, ask.plan) < FAULTY:
+        draw, due = self.rng.random(), self.parts[-1] if self.parts else 1.0
+        spill = draw >= due and self.spare > 1
+        k = bisect(self.parts, (draw - due) / (self.spare - 1) if spill else draw)
+        if k < len(self.cold) and self._may(live, s := self.cold[k]) \
+                and self._doubted(s, ask.cls, ask.plan) < FAULTY:
+            if not spill:
                 return s
+            best, best_score = s, (len(s.out) + 1) * s.slowness / self._warmth(now, s)
         pair = self.set.pair(ask.cls, ask.plan)
         few, plain = len(self.warm) <= 2 * CANDIDATES, -min(self.usual[ask.cls], self.usual[pair])
         for s in self.warm if few else self.rng.sample(self.warm, CANDIDATES):
--- a/zincstile/state.py
+++ b/zincstile/state.py
@@ -190,6 +190,7 @@
         self.warm: list[Server] = []  # of the ready ones
         self.cold: list[Server] = []
         self.parts: list[float] = []  # of all sends that are due to each of these, summed up
+        self.spare = 1.0  # so many times its part each may get at most
         self.seen_rate = 0.0  # units a second that a warm one was seen to work for this gateway, at most
         self.named: dict[int, Server] = {}  # by the hash that peers use
         self.handlers: dict[type, Callable[[int, Any], None] | None] = {}  # found once for each kind of event
