A server put back from maintenance is cold to a new version too

Change: the hand-over file names those put back and when (back), until discovery tells a later start; a spoilt value has the file refused. Checked besides that a ban holds when discovery moves (new test).

--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -6,7 +6,10 @@
 import random
 from types import SimpleNamespace
 
+import pytest
+
 from zincstile import interface as i
+from zincstile.control import handover
 from zincstile.net import server_table
 from zincstile.net.deadlines import Deadlines
 from zincstile.net.limits import SECOND, Limits
@@ -78,3 +81,28 @@
     assert not made.maintain("s-z", True)  # as another process of this gateway may have said
     made._take({"index": 2, "snapshot": False, "endpoints": [entry("s-z")]}, i.ListKind.DELTA, made.where)
     assert told(posted, "s-z").mode is i.Mode.DRAINING
+
+
+def test_one_put_back_is_cold_to_a_new_version_too():
+    old, clock, posted, _ = world()
+    old.begin({"index": 1, "snapshot": True, "endpoints": [entry("s-a")]})
+    old.maintain("s-a", True)
+    clock[0] += SECOND
+    old.maintain("s-a", False)
+    left = handover.pack(handover.Handover("n0", 1, clock[0], frozenset(), "x", old.back()))
+    new, _, heard, _ = world()
+    new.put_back(handover.unpack(left, "n0", clock[0], SECOND).back)
+    new.begin({"index": 1, "snapshot": True, "endpoints": [entry("s-a")]})
+    assert told(heard, "s-a").started_ns == told(posted, "s-a").started_ns == clock[0]
+    for spoilt in (b'"back": {"s-a": -1}', b'"back": {"s-a": "1"}', b'"back": [1]'):
+        with pytest.raises(handover.HandoverError):
+            handover.unpack(left.split(b'"back"')[0] + spoilt + b"}", "n0", clock[0], SECOND)
+
+
+def test_a_ban_holds_when_discovery_moves():
+    made, _, posted, _ = world()
+    made.begin({"index": 1, "snapshot": True, "endpoints": [entry("s-a")]})
+    made.maintain("s-a", True)
+    made.move(("10.2.0.9", 8500))
+    made._take({"index": 1, "snapshot": True, "endpoints": [entry("s-a")]}, i.ListKind.FULL, made.where)
+    assert told(posted, "s-a").mode is i.Mode.DRAINING
--- a/zincstile/net/control.py
+++ b/zincstile/net/control.py
@@ -157,6 +157,8 @@
         self.me = ""  # this process, as `ready_by` names it
         self.ready_by = ""  # the process that said last that it takes clients
         self.taken_over: Callable[[], None] | None = None  # called once another has said so
+        self.back: Callable[[], dict[str, int]] = dict  # put back from maintenance and cold since, Unix time
+        self.found_back: dict[str, int] = {}
         self.found = False  # at the start, another process's file that is trusted
         self.also: Callable[[], None] = lambda: None  # looked at as often
         self._seen: tuple[int, int, int] | None = None  # (inode, mtime_ns, size), as last read or written
@@ -170,7 +172,7 @@
         if h is None:
             return f"ignored: {self.path}: {why}"
         self.operator.adopt(set(h.banned), h.version)
-        self.found = True
+        self.found, self.found_back = True, h.back
         return f"{len(h.banned)} under maintenance, version {h.version}"
 
     def _read(self) -> tuple[ho.Handover | None, str]:
@@ -188,7 +190,7 @@
     def write(self) -> None:
         o = self.operator
         data = ho.pack(ho.Handover(self.gateway, o.version, self.host.unix_ns(), frozenset(o.banned),
-                                   self.ready_by))
+                                   self.ready_by, self.back()))
         try:
             self.host.write_file(self.path, data)
             self._seen = self.host.stat(self.path)
--- a/zincstile/net/gateway.py
+++ b/zincstile/net/gateway.py
@@ -88,7 +88,7 @@
                                      self.host, self._adopt)
         self.handover.me = f"{self.config.seed:x}"
         self.heritage = Heritage(self.turn, self.host, base, self.handover.me, self._share)
-        self.handover.also = self.heritage.look
+        self.handover.also, self.handover.back = self.heritage.look, self.table.back
 
     def _apply(self, reply: Any) -> None:
         from ..control.operator import Change
@@ -149,6 +149,7 @@
             self.log.line(f"handover: {found}")
             for name in self.operator.banned:
                 self.table.banned[name_number(name)] = self.turn.now_ns()
+            self.table.put_back(self.handover.found_back)
             if self.handover.found:  # peers are heard by the old process until it has left its memory
                 self.log.line(f"memory: {await self.heritage.take()}")
         if self.config.peer_listen:
--- a/zincstile/net/server_table.py
+++ b/zincstile/net/server_table.py
@@ -170,6 +170,17 @@
             del self.reborn[b.id]  # discovery tells a later start: its word holds again
         return entry
 
+    def back(self) -> dict[str, int]:
+        """Those put back from maintenance that count as started then, and when, in Unix time."""
+        return {name: self.reborn[number_] - self.reader.apart_ns
+                for name, number_ in self.reader.names.items() if number_ in self.reborn}
+
+    def put_back(self, back: dict[str, int]) -> None:
+        """What an older process of this gateway says of them. Guards a server that is cold against a new
+        process that has only discovery's word, which may be of before it was taken out."""
+        for name, unix_ns in back.items():
+            self.reborn[number(name)] = unix_ns + self.reader.apart_ns
+
     def maintain(self, name: str, banned: bool) -> bool:
         """An operator's word on a backend server, told as a change of the list where discovery listed it;
         False where the name was never read. Guards the rule on drains: the module and the pools hear it in
