--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -266,6 +266,31 @@
         assert ask(3).startswith(b"-BUSY")
 
 
+def test_during_an_upgrade_a_call_to_either_door_holds_in_both(tmp_path):
+    def status(gw: Gateway) -> bytes:
+        with socket.create_connection(gw.control, timeout=2) as s:
+            s.sendall(b"GET /status HTTP/1.1\r\n\r\n")
+            return s.makefile("rb").read()
+
+    def until(gw: Gateway, banned: bool) -> float:
+        began = time.monotonic()
+        while (b"s-a" in status(gw)) != banned:
+            assert time.monotonic() - began < 5
+        return time.monotonic() - began
+
+    with fleet(tmp_path) as (_, start):
+        old = start()
+        old.until_ready()
+        new = start()
+        new.until_ready()
+        assert http(new.control, "POST", "/maintenance/enter", b"s-a") == 200
+        told_s = until(old, True)
+        assert http(old.control, "POST", "/maintenance/exit", b"s-a") == 200
+        back_s = until(new, False)
+        print(f"held by the other process after {told_s:.3f} s, back after {back_s:.3f} s")
+        assert max(told_s, back_s) < 0.25  # the rule on drains
+
+
 def test_drain_to_standby_leaves_no_idle_connection_and_comes_back(tmp_path):
     with fleet(tmp_path) as (listening, start):
         gw = start()
