Both doors take connections by one Acceptor

Change: net/accept.py takes one connection and brings it to its protocol; each door keeps its own bound. No change in behaviour.

--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -39,6 +39,13 @@
     return made, clock, posted, pools
 
 
+def out_and_back(made, clock):
+    made.begin({"index": 1, "snapshot": True, "endpoints": [entry("s-a")]})
+    made.maintain("s-a", True)
+    clock[0] += SECOND
+    made.maintain("s-a", False)
+
+
 def told(posted, name):
     """What the module heard last of a name."""
     number = server_table.number(name)
@@ -63,10 +70,7 @@
 
 def test_what_discovery_says_of_a_later_start_holds_after_the_call_back():
     made, clock, posted, _ = world()
-    made.begin({"index": 1, "snapshot": True, "endpoints": [entry("s-a")]})
-    made.maintain("s-a", True)
-    clock[0] += SECOND
-    made.maintain("s-a", False)
+    out_and_back(made, clock)
     reborn = told(posted, "s-a").started_ns
     made._take({"index": 2, "snapshot": False, "endpoints": [entry("s-a")]}, i.ListKind.DELTA, made.where)
     assert told(posted, "s-a").started_ns == reborn  # the old start that discovery still lists is not trusted
@@ -85,10 +89,7 @@
 
 def test_one_put_back_is_cold_to_a_new_version_too():
     old, clock, posted, _ = world()
-    old.begin({"index": 1, "snapshot": True, "endpoints": [entry("s-a")]})
-    old.maintain("s-a", True)
-    clock[0] += SECOND
-    old.maintain("s-a", False)
+    out_and_back(old, clock)
     left = handover.pack(handover.Handover("n0", 1, clock[0], frozenset(), "x", old.back()))
     new, _, heard, _ = world()
     new.put_back(handover.unpack(left, "n0", clock[0], SECOND).back)
--- a/zincstile/net/control.py
+++ b/zincstile/net/control.py
@@ -15,6 +15,7 @@
 from ..control import handover as ho
 from ..control.http import Bounds, CallError, CallParser, answer
 from ..control.operator import Operator, Reply
+from .accept import Acceptor
 from .config import Address
 from .host import Host
 from .turn import Turn
@@ -86,7 +87,7 @@
         self.connections: dict[ControlConnection, None] = {}
         self.buffer = memoryview(bytearray(limits.line_bytes))  # each read is taken out of it at once
         self._socket: socket.socket | None = None
-        self._tasks: set[asyncio.Task] = set()
+        self._acceptor = Acceptor(turn, lambda: ControlConnection(self))
 
     def open(self, where: Address) -> None:
         """With the clients' backlog: where one is full, the machine drops what comes, and a caller's own
@@ -99,23 +100,8 @@
         """As many in one turn as the door holds: each that is too many is answered in the turns between, so
         that a crowd of callers costs no more descriptors than the door may hold and as many again."""
         for _ in range(self.turn.limits.control_connections):
-            try:
-                connection, _ = self._socket.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
-            except OSError as err:
-                self.turn.log.often("control", f"accept failed: {err.strerror}")
+            if not self._acceptor.take(self._socket):
                 return
-            connection.setblocking(False)
-            task = self.turn.loop.create_task(self._welcome(connection))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-
-    async def _welcome(self, connection: socket.socket) -> None:
-        try:
-            await self.turn.loop.connect_accepted_socket(lambda: ControlConnection(self), connection)
-        except OSError:
-            connection.close()
 
     @property
     def address(self) -> str:
--- a/zincstile/net/frontend.py
+++ b/zincstile/net/frontend.py
@@ -8,6 +8,7 @@
 
 from .. import interface as i
 from . import resp
+from .accept import Acceptor
 from .counters import Counters
 from .host import Host
 from .session import Answer, Call, Kind, Session, Stream
@@ -340,10 +341,9 @@
         self.standby = False  # by an operator: PING says no, and connections are closed when nothing is owed
         self.clients: dict[ClientConnection, None] = {}
         self._socket: socket.socket | None = None
-        self._coming = 0
         self._listening = False
         self.inherited = False
-        self._tasks: set[asyncio.Task] = set()
+        self._acceptor = Acceptor(turn, lambda: ClientConnection(self))
 
     def listen(self, address: tuple[str, int], inherited: int | None = None) -> None:
         """On the address, or on the socket that the platform hands down, which an old process shares."""
@@ -385,7 +385,8 @@
     def _accept(self) -> None:
         limits = self.turn.limits
         for _ in range(limits.accepts):
-            if len(self.clients) + self._coming >= limits.frontend_connections and not self._make_room():
+            held = len(self.clients) + self._acceptor.coming
+            if held >= limits.frontend_connections and not self._make_room():
                 # Guards against running out of descriptors: the rest waits in the backlog until one is free.
                 self.turn.log.often("full", f"{len(self.clients)} client connections {self._kinds()}: "
                                             "taking no more for now")
@@ -393,26 +394,8 @@
                 self.turn.deadlines.add(self.turn.now_ns() + limits.newcomer_ns, self._resume)
                 self.turn.wake()
                 return
-            try:
-                connection, _ = self._socket.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            if not self._acceptor.take(self._socket):
                 return
-            except OSError as err:
-                self.turn.log.often("accept", f"failed: {err.strerror}")
-                return
-            connection.setblocking(False)
-            self._coming += 1
-            task = self.turn.loop.create_task(self._welcome(connection))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-
-    async def _welcome(self, connection: socket.socket) -> None:
-        try:
-            await self.turn.loop.connect_accepted_socket(lambda: ClientConnection(self), connection)
-        except OSError:
-            connection.close()
-        finally:
-            self._coming -= 1
 
     def _kinds(self) -> str:
         count = dict.fromkeys(("asking", "resting", "silent", "half", "ending"), 0)
@@ -476,4 +459,4 @@
 
     @property
     def empty(self) -> bool:
-        return not self.clients and not self._coming
+        return not self.clients and not self._acceptor.coming
