--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -9,9 +9,10 @@
 import pytest
 
 from zincstile import wire
+from zincstile.bounds import Quota
 from zincstile.keeper import words
 from zincstile.keeper.accounts import Accounts
-from zincstile.keeper.bound import Quota, bounds, carry_most, refused
+from zincstile.keeper.bound import bounds, carry_most, refused
 from zincstile.keeper.settings import FAILURES, MS, SECOND, KeeperSettings
 from zincstile.keeper.view import State, View, Word
 from zincstile.net import config
--- a/tests/test_worlds.py
+++ b/tests/test_worlds.py
@@ -68,7 +68,9 @@
 
 def test_drawn_plans_hold_every_kind_of_fault():
     drawn = [plan.draw(seed) for seed in range(300)]
-    assert {f.kind for p in drawn for f in p.faults} == {k for k in plan.Kind.__args__ if "keeper" not in k}
+    beside = (*plan.LINKS, *plan.REAL_ONLY)
+    assert {f.kind for p in drawn for f in p.faults} == {
+        k for k in plan.Kind.__args__ if "keeper" not in k and k not in beside}
     assert sum(len(p.faults) for p in drawn) / len(drawn) >= 3
 
 
--- /dev/null
+++ b/zincstile/bounds.py
@@ -0,0 +1,61 @@
+"""Quotas, and the most that may go out beyond them: a sum of named terms, so that the one that dominates
+can be told. Pure; `keeper.bound` and `shared.bound` derive the terms.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+MINUTE_S = 60.0
+DIGITS = 1e-9  # what sums of floats are off by
+
+
+@dataclass(frozen=True, slots=True)
+class Quota:
+    """Of one plan, for each customer; units and units a second. `spread`: gateways of the customer's set."""
+
+    name: str
+    rate: float
+    burst: float
+    spread: int
+    largest: float = 1.0  # units of one request
+
+    def __post_init__(self) -> None:
+        if not (self.rate > 0 and self.burst >= 0 and self.spread >= 1 and self.largest > 0):
+            raise ValueError(f"quota {self.name}: rate, spread and largest must be above 0, burst not "
+                             "negative")
+
+    @property
+    def minute(self) -> float:
+        """What it gives in any minute, in units."""
+        return self.burst + MINUTE_S * self.rate
+
+
+@dataclass(frozen=True, slots=True)
+class Bound:
+    """For one failure: what it may add up to, term by term, in units."""
+
+    failure: str
+    terms: dict[str, float]
+    minute: float  # what the quota gives in any minute, in units
+
+    @property
+    def units(self) -> float:
+        return sum(self.terms.values())
+
+    @property
+    def share(self) -> float:
+        """Of what the quota gives in a minute."""
+        return self.units / self.minute
+
+    @property
+    def dominant(self) -> str:
+        return max(self.terms, key=self.terms.__getitem__)
+
+
+def too_much(quota: Quota, bound: Bound, most: float) -> str | None:
+    """Why a bound is over what is allowed, with the term that dominates; None where it is not."""
+    if bound.share <= most + DIGITS:
+        return None
+    return (f"plan {quota.name}: {bound.failure}: up to {bound.units:.2f} units, "
+            f"{100 * bound.share:.1f}% of a minute, over {100 * most:.1f}%; most of it by {bound.dominant}")
--- a/zincstile/keeper/accounts.py
+++ b/zincstile/keeper/accounts.py
@@ -14,7 +14,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from .bound import Quota, carry_most, lease_most
+from ..bounds import Quota
+from .bound import carry_most, lease_most
 from .settings import SECOND, KeeperSettings
 from .view import View
 
--- a/zincstile/keeper/bound.py
+++ b/zincstile/keeper/bound.py
@@ -1,56 +1,14 @@
 """How far all gateways together can pass a quota, whatever one failure does: derived in docs/keeper.md.
 
 A quota is a store that holds `burst` and fills at `rate`. Overshoot is what is sent in a window beyond
-what that store could have given in it. Every bound is a sum of named terms, so that the one that dominates
-can be told.
+what that store could have given in it.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
+from ..bounds import Bound, Quota, too_much
 from .settings import FAILURES, SECOND, KeeperSettings
 
-MINUTE_S = 60.0
-
-
-@dataclass(frozen=True, slots=True)
-class Quota:
-    """Of one plan, for each customer; units and units a second. `spread`: gateways of the customer's set."""
-
-    name: str
-    rate: float
-    burst: float
-    spread: int
-    largest: float = 1.0  # units of one request
-
-    def __post_init__(self) -> None:
-        if not (self.rate > 0 and self.burst >= 0 and self.spread >= 1 and self.largest > 0):
-            raise ValueError(f"quota {self.name}: rate, spread and largest must be above 0, burst not "
-                             "negative")
-
-
-@dataclass(frozen=True, slots=True)
-class Bound:
-    """For one failure: what it may add up to, term by term, in units."""
-
-    failure: str
-    terms: dict[str, float]
-    minute: float  # what the quota gives in any minute, in units
-
-    @property
-    def units(self) -> float:
-        return sum(self.terms.values())
-
-    @property
-    def share(self) -> float:
-        """Of what the quota gives in a minute."""
-        return self.units / self.minute
-
-    @property
-    def dominant(self) -> str:
-        return max(self.terms, key=self.terms.__getitem__)
-
 
 def lease_most(quota: Quota, settings: KeeperSettings) -> float:
     """Units that one gateway may keep in hand. What a single try needs beyond that is leased for it alone,
@@ -59,7 +17,7 @@
 
 
 def _raw(quota: Quota, settings: KeeperSettings, carry: float) -> list[Bound]:
-    rate, minute = quota.rate, quota.burst + MINUTE_S * quota.rate
+    rate, minute = quota.rate, quota.minute
     epoch, hand = rate * settings.epoch_ns / SECOND, quota.spread * lease_most(quota, settings)
     excess = max(0.0, carry + epoch + hand - quota.burst)  # beyond the burst at the end of an idle epoch
     base = {"burst": excess, "skew": 2 * rate * settings.skew_ns / SECOND}
@@ -96,9 +54,6 @@
 
 def refused(quota: Quota, settings: KeeperSettings) -> str | None:
     """Why this quota can't be held as the settings ask; None where it can."""
-    for bound in bounds(quota, settings):
-        if bound.failure in settings.endured and bound.share > settings.most_overshoot:
-            return (f"plan {quota.name}: {bound.failure}: up to {bound.units:.2f} units, "
-                    f"{100 * bound.share:.1f}% of a minute, over {100 * settings.most_overshoot:.1f}%; "
-                    f"most of it by {bound.dominant}")
-    return None
+    found = (too_much(quota, b, settings.most_overshoot) for b in bounds(quota, settings)
+             if b.failure in settings.endured)
+    return next((why for why in found if why), None)
--- a/zincstile/keeper/module.py
+++ b/zincstile/keeper/module.py
@@ -11,10 +11,11 @@
 from dataclasses import dataclass
 
 from .. import interface as i
-from ..policy import KINDS, SECOND, Policy
+from ..bounds import Quota
+from ..held import HeldPolicy, Paid
+from ..policy import SECOND
 from ..state import Customer, Live
 from .accounts import Account, Accounts
-from .bound import Quota
 from .settings import KeeperSettings
 from .view import State, View, Word
 
@@ -55,16 +56,17 @@
     word: Word
 
 
-class KeptPolicy(Policy):
+class KeptPolicy(HeldPolicy):
     """`apart_ns`: what the gateways' common clock is ahead of the module's."""
 
+    held_ns = HELD_NS
+
     def __init__(self, settings: i.Settings, seed: int, keeper: KeeperSettings, apart_ns: int) -> None:
         super().__init__(settings, seed)
         self.keeper, self.apart_ns = keeper, apart_ns
         self.view: View | None = None
         self.accounts: Accounts | None = None
         self.calls: dict[int, object] = {}
-        self.held: dict[int, dict[int, Live]] = {}  # customer: tries that wait for a lease
         self.said: State | None = None
         self._numbers = 0
 
@@ -100,7 +102,7 @@
         self.calls[self._numbers] = answered
         self.acts.append(KeeperCall(self._numbers, name, amount, ttl_ms))
 
-    def _flush_calls(self) -> None:
+    def _carry_on(self, now: int) -> None:
         for call in self.accounts.calls():
             self._call(call.name, call.amount, call.ttl_ms, call.answered)
 
@@ -109,11 +111,8 @@
         if answered is None:
             return
         answered(now + self.apart_ns, event.total)
-        for key in [k for k, held in self.held.items() if held]:
-            for live in list(self.held[key].values()):
-                if live.ask.id in self.live and live.leaf is None:
-                    self._seek(now, live)
-        self._flush_calls()
+        self.try_held(now, list(self.held))
+        self._carry_on(now)
         if self.view.state is not self.said:
             self.said = self.view.state
             self.acts.append(i.Log(self.view.line(now + self.apart_ns)))
@@ -132,50 +131,16 @@
             c.key, Quota(plan.name, plan.rate, plan.burst, c.spread, self.set.largest_units), row,
             now + self.apart_ns)
 
-    def _seek(self, now: int, live: Live) -> None:
-        ask, c, plan = live.ask, live.customer, live.plan
-        if not plan.rate:
-            super()._seek(now, live)
-            return
-        self._refill(now, c)
-        out = c.open + c.open_at_peers(c.filled_ns - self.set.longest_ns) if plan.open_limit else -1
-        account = self._account(now, c, ask)
-        common = now + self.apart_ns
-        if out >= plan.open_limit > 0:
-            self._settle(now, live, False)
-        elif self.accounts.take(common, account, ask.units, again=ask.id in self.held.get(c.key, ())):
-            super()._spend(now, c, ask.units)  # told to the peers, as ceilings and relays need it
-            self._settle(now, live, True)
-        elif self.accounts.waits(common, account) and now - live.came_ns < HELD_NS:
-            held = self.held.setdefault(c.key, {})
-            if ask.id not in held:
-                held[ask.id] = live
-                self.timer(live.came_ns + HELD_NS, ask.id * KINDS + 1)
-        else:
-            self._settle(now, live, False)
-        self._flush_calls()
-
-    def _settle(self, now: int, live: Live, inside: bool) -> None:
-        held = self.held.get(live.customer.key)
-        if held is not None:
-            held.pop(live.ask.id, None)
-            if not held:
-                del self.held[live.customer.key]
-        self._decide(now, live, inside, counted=inside)
-
-    def _spend(self, now: int, c: Customer, units: float) -> None:
-        super()._spend(now, c, units)
+    def _pay(self, now: int, live: Live, again: bool) -> Paid:
+        account, common = self._account(now, live.customer, live.ask), now + self.apart_ns
+        if self.accounts.take(common, account, live.ask.units, again=again):
+            return Paid.YES
+        return Paid.SOON if self.accounts.waits(common, account) else Paid.NO
+
+    def _unpay(self, now: int, c: Customer, units: float) -> None:
         account = self.accounts.accounts.get(c.key)
-        if account is not None and units:  # taken and not sent, or settled afterwards
-            self.accounts.give_back(account, -units)
-
-    def close(self, live: Live, cancel: bool) -> None:
-        held = self.held.get(live.customer.key)
-        if held is not None:
-            held.pop(live.ask.id, None)
-            if not held:
-                del self.held[live.customer.key]
-        super().close(live, cancel)
+        if account is not None:
+            self.accounts.give_back(account, units)
 
     def forget(self, keys: list[int]) -> None:
         super().forget(keys)
--- a/zincstile/net/config.py
+++ b/zincstile/net/config.py
@@ -33,6 +33,7 @@
     peers: list[Address]
     counter: Address | None = None
     keeper: Any = None  # keeper.settings.KeeperSettings, where quotas are held through the count keeper
+    shared: Any = None  # shared.settings.SharedSettings, where state is shared within stated bounds
     socket_fd: int | None = None  # the clients' listening socket, inherited ($RELAY_SOCKET_FD)
     control: Address | None = None  # the operators' door ($RELAY_CONTROL)
 
@@ -97,8 +98,8 @@
         known=t.get("known") or {},
         peer_listen=address(t["peer_listen"]) if t.get("peer_listen") else None, peers=peers,
         counter=address(t["counter"]) if _feature(t, "keeper") and t.get("counter") else None,
-        keeper=_keeper(t, decoded), socket_fd=_descriptor(env.get("RELAY_SOCKET_FD")),
-        control=_control(t, env))
+        keeper=_keeper(t, decoded), shared=_shared(t, decoded),
+        socket_fd=_descriptor(env.get("RELAY_SOCKET_FD")), control=_control(t, env))
 
 
 def _control(t: dict[str, Any], env: dict[str, str] | os._Environ[str]) -> Address | None:
@@ -126,6 +127,33 @@
     return (t.get("features") or {}).get(name)
 
 
+def _quotas(settings: Settings) -> list[Any]:
+    """One for each plan that has a quota, and each number of gateways that a customer may come in by."""
+    from ..bounds import Quota  # here only: the platform's gateway loads no library
+
+    return [Quota(p.name, p.rate, p.burst, spread, settings.largest_units)
+            for p in settings.plans if p.rate for spread in range(1, settings.gateways + 1)]
+
+
+def _shared(t: dict[str, Any], settings: Settings) -> Any:
+    """Off unless `features.shared` names a file. ConfigError where that can't be used, or a plan not held."""
+    path = _feature(t, "shared")
+    if not path:
+        return None
+    if _feature(t, "keeper"):
+        raise ConfigError("features.shared: quotas are held by features.keeper already; name one of both")
+    if not settings.peers:
+        raise ConfigError("features.shared: settings.limits.peers is false: nobody could be lent to")
+    from . import features
+
+    try:
+        found, _ = features.shared(str(path))
+        features.check_shared(str(path), found, _quotas(settings))
+    except features.FileError as err:
+        raise ConfigError(str(err)) from None
+    return found
+
+
 def _keeper(t: dict[str, Any], settings: Settings) -> Any:
     """Off unless `features.keeper` names a file. ConfigError where that can't be used, or a plan not held."""
     path = _feature(t, "keeper")
@@ -133,14 +161,11 @@
         return None
     if not t.get("counter"):
         raise ConfigError("features.keeper: no counter is given")
-    from ..keeper.bound import Quota  # here only: the platform's gateway loads no library
     from . import features
 
     try:
         found, _ = features.keeper(str(path))
-        features.check(str(path), found, [
-            Quota(p.name, p.rate, p.burst, spread, settings.largest_units)
-            for p in settings.plans if p.rate for spread in range(1, settings.gateways + 1)])
+        features.check(str(path), found, _quotas(settings))
     except features.FileError as err:
         raise ConfigError(str(err)) from None
     return found
--- a/zincstile/net/gateway.py
+++ b/zincstile/net/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import random
 import signal
@@ -35,6 +36,8 @@
         self.table = ServerTable(self.turn, TableReader(config.zones, config.kinds, host), config.discovery,
                                  self.backends.update, self._ready, random.Random(config.seed))
         self.keeper = self._keep(buffer) if config.keeper else None
+        if config.shared:
+            self._share_state()
         self.operator, self.control, self.handover, self.heritage = None, None, None, None
         if config.control:
             self._operate()
@@ -43,8 +46,13 @@
         self._stop_ns = 0
 
     def _module(self) -> Policy:
-        """Quotas by gossip, or through a count keeper where a file under deploy/ says so."""
+        """Quotas by gossip; by parts and loans, or through a count keeper, where a file under deploy/ says
+        so."""
         config = self.config
+        if config.shared:
+            from ..shared.module import SharedPolicy
+
+            return SharedPolicy(config.settings, config.seed, config.shared)
         if not config.keeper:
             return Policy(config.settings, config.seed)
         from ..keeper.module import KeptPolicy
@@ -73,6 +81,21 @@
         self.peers.others[words.MAGIC] = heard
         return keeper
 
+    def _share_state(self) -> None:
+        """The words between gateways by which state is shared within stated bounds."""
+        from ..shared import module, words
+
+        def heard(sender: int, data: bytes) -> module.SharedWords | None:
+            found = words.unpack(data)
+            return None if found is None else module.SharedWords(sender, *found)
+
+        def tell(_: int, action: module.SharedTell) -> None:
+            for data in words.pack(action.process, action.words):
+                self.peers.send(action.peer, data)
+
+        self.turn.carry_out[module.SharedTell] = tell
+        self.peers.others[words.MAGIC] = heard
+
     def _operate(self) -> None:
         """The operators' door, what they said, and the file by which another process of this gateway hears
         it."""
@@ -122,15 +145,23 @@
 
     def _state_bounds(self) -> None:
         """The error by which quotas are held, stated before anything fails."""
-        from ..keeper.bound import Quota, bounds
+        from ..bounds import Quota
+        from ..keeper import bound as by_keeper
+        from ..shared import bound as by_loans
 
-        settings = self.config.settings
+        config, settings = self.config, self.config.settings
         for plan in settings.plans:
             if plan.rate:
                 quota = Quota(plan.name, plan.rate, plan.burst, settings.gateways, settings.largest_units)
-                worst = max(bounds(quota, self.config.keeper), key=lambda b: b.units)
+                found = by_loans.bounds(quota, config.shared) if config.shared else by_keeper.bounds(
+                    quota, config.keeper)
+                held_by = config.shared or config.keeper
+                worst = max((b for b in found if b.failure in held_by.endured), key=lambda b: b.units)
                 self.log.line(f"bound plan {plan.name}: {worst.units:.2f} units at most beyond a quota, "
                               f"{100 * worst.share:.1f}% of a minute, by {worst.failure}")
+        if config.shared:
+            self.log.line(f"bound budget: {config.shared.most_out:g} units out for each ready server by all "
+                          "gateways, times 3.4 at most where silent ones' parts are taken over")
 
     def _caught(self, _: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         """What escaped a connection's callback: asyncio closes that connection, the process goes on."""
@@ -163,7 +194,7 @@
         if self.config.known.get("endpoints"):  # discovery may be down: then the known list must do
             self.turn.deadlines.add(self.turn.now_ns() + self.config.limits.table_first_ns, self._ready)
         self.turn.wake()
-        if self.config.keeper:
+        if self.config.keeper or self.config.shared:
             self._state_bounds()
         inherited = " (inherited)" if self.door.inherited else ""
         operators = f", operators on {self.control.address}" if self.control else ""
@@ -183,6 +214,7 @@
 
     def _count(self) -> None:
         self.log.line(self.counters.line(self.host))
+        self.log.line("state " + json.dumps(self.turn.policy.sight()))
 
     def reload(self) -> None:
         """SIGHUP: where discovery is found is read again, all else stays as it is. Sessions, connections and
--- a/zincstile/policy.py
+++ b/zincstile/policy.py
@@ -86,7 +86,7 @@
 
     def __init__(self, settings: i.Settings, seed: int) -> None:
         super().__init__()
-        self.set = settings
+        self.set, self.tier = settings, settings.gateways  # tier: among how many a budget is shared out
         self.rng = random.Random(seed)
         self.start = self.rng.getrandbits(32)
         self.near = dict.fromkeys(range(settings.gateways if settings.gateways <= DIRECT + 1 else 0), True)
@@ -198,7 +198,7 @@
     def _follow(self, now: int, span: float, ticks: float) -> None:
         """The budget follows the back end: a level of units out, and the rate that leads to it."""
         self._sort(now)
-        unit, free, few = self.mean_units / self.set.gateways, self.level == math.inf, ENOUGH / ticks
+        unit, free, few = self.mean_units / self.tier, self.level == math.inf, ENOUGH / ticks
         self.strain += self.samples / (self.samples + few) * (self._shown() - self.strain)
         own = max(len(self.attempts) / (len(self.attempts) + few), min(1.0, span / SPAN_S))
         self.out += own * (sum(a.units for a in self.attempts.values()) - self.out)
--- a/zincstile/rules/cases.py
+++ b/zincstile/rules/cases.py
@@ -68,6 +68,7 @@
     due_ns: int
     state: str = "open"  # then `served`, `denied`, `failed`, `void` or `late`
     arrived: bool = False
+    counted: bool = False  # against its quota
     tries: list[Try] = field(default_factory=list)
     history: list[tuple[int, int, str]] = field(default_factory=list)  # step, nanoseconds, what
 
--- a/zincstile/rules/referee.py
+++ b/zincstile/rules/referee.py
@@ -71,8 +71,11 @@
         case = Case(what.id, what.cls, what.plan, what.customer, what.units, what.key, what.gateway,
         what.line,
                     now, due)
+        if self.quotas is not None and old is None:
+            self.quotas.ask(now, what.plan, what.customer, what.units)
         if old is not None:  # sent once more, as its connection was closed before it was read
-            case.tries, case.history, case.arrived = old.tries, old.history, old.arrived
+            case.tries, case.history = old.tries, old.history
+            case.arrived, case.counted = old.arrived, old.counted
         self.cases[what.id] = case
         self._note(case, f"asked of {what.gateway}: {what.cls} {what.plan} units={what.units:g} "
                          f"d={what.wait_ms}")
@@ -135,6 +138,7 @@
         case = self.cases[request]
         _, one.whole_ns = self._clock()
         self._note(case, f"attempt to {one.box} whole")
+        self._let_out(case, one.whole_ns)
         spec = self.figures.classes.get(case.cls)
         before = [t for t in case.tries if t is not one and t.whole_ns >= 0 and not t.turned_away]
         if spec is None or spec.effect == "safe" or not before:
@@ -148,6 +152,16 @@
             self.breach("repeat", f"its key went out {(one.first_ns - first.first_ns) / 1e6:.0f} ms after "
                                   "the first attempt that may have run", case)
 
+    def _let_out(self, case: Case, now: int) -> None:
+        """A try counts against its quota once, when its first attempt has left."""
+        if self.quotas is None or case.counted:
+            return
+        case.counted = True
+        over = self.quotas.take(now, case.plan, case.customer, case.units)
+        if over > 0:
+            self.breach("quota", f"customer {case.customer.decode()} of {case.plan} is {over:.2f} units "
+                                 "past the stated bound", case)
+
     def _group(self, kind: str, box: str) -> int:
         zone, cell = self.boxes.get(box, (-1, -1))
         return {"all": 0, "zone": zone, "cell": cell}[kind]
@@ -170,11 +184,6 @@
                 self.breach("ceiling",
                 f"customer {case.customer.decode()} of {case.plan} is {over:.2f} units "
                                        "past the slack", case)
-            if self.quotas is not None:
-                over = self.quotas.take(now, case.plan, case.customer, case.units)
-                if over > 0:
-                    self.breach("quota", f"customer {case.customer.decode()} of {case.plan} is {over:.2f} "
-                                         "units past the stated bound", case)
         over_ns = self.cold.take(now, box, gateway, work_ns)
         if over_ns > 0:
             self.breach("cold", f"{box} was sent {over_ns / 1e6:.0f} ms of work more than it bears", case)
--- /dev/null
+++ b/zincstile/shared/__init__.py
@@ -0,0 +1,14 @@
+"""State that gateways share, and that stays within stated bounds while part of them hears nothing.
+
+    settings   times, sizes, and which failures a bound has to cover
+    bound      the most that may go out beyond a quota, for each failure, in units; today's rule beside it
+    loans      counts: each gateway's part of a quota, and units lent between parts
+    slots      the same for the attempts that a plan may have out at once
+    judges     judgements on backend servers: evidence with origin and age, and who may be believed
+    levels     budgets: what all gateways together may have out at the back end
+    words      what gateways tell each other of it, packed
+    module     the decision module with its shared state held so
+
+No I/O, no clock: times are handed in, words come back as values. docs/shared.md derives the bounds and
+says which ways were weighed. Switched on by `features.shared: deploy/shared.yaml`.
+"""
--- /dev/null
+++ b/zincstile/shared/module.py
@@ -0,0 +1,262 @@
+"""The decision module with its shared state held within stated bounds.
+
+Quotas by parts and loans (`loans`), judgements on servers by witnesses (`judges`), and a stated most
+for what all gateways have out (`levels`), in place of the gossip's shares, its sum of words and the
+level's free rise. All else is `policy.Policy`'s: budget, draws, choice of server, attempts. The gossip
+goes on beside it, for ceilings and limits on attempts out.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from dataclasses import dataclass, field
+
+from .. import interface as i
+from ..bounds import Quota
+from ..held import HeldPolicy, Paid
+from ..policy import SECOND
+from ..state import Attempt, Customer, Live, Server
+from .bound import bounds
+from .judges import EVERY, Evidence, Judges
+from .levels import Levels, LevelWord
+from .loans import Ask, Close, Grant, Loans, Purse
+from .settings import MS, SharedSettings
+
+LOOK = 2**62  # a timer's token that no request has
+SPREAD_NS = 500 * MS  # how often evidence and levels are told to some others
+SWEEP_NS, IDLE_NS = SECOND, 15 * SECOND  # how often customers are looked over; unheard for so long: may go
+DEAD = 0.99  # how bad a sample is that found no connection, or no answer
+MARK = 0.011  # a doubt that is just kept: the choice then asks for all that is known of a server
+
+
+@dataclass(slots=True)
+class SharedTell:
+    """An action: words for one peer, from this process."""
+
+    peer: int
+    process: int
+    words: list[Ask | Grant | Close | Evidence | LevelWord]
+
+
+@dataclass(slots=True)
+class SharedWords:
+    """An event: a peer's words."""
+
+    sender: int
+    process: int
+    words: list[Ask | Grant | Close | Evidence | LevelWord] = field(default_factory=list)
+
+
+class SharedPolicy(HeldPolicy):
+    """`shared` has the times and sizes."""
+
+    def __init__(self, settings: i.Settings, seed: int, shared: SharedSettings) -> None:
+        super().__init__(settings, seed)
+        self.shared, self.held_ns = shared, shared.held_ns
+        self.draws = random.Random(f"shared {seed}")
+        self.process = self.draws.getrandbits(32)
+        self.quotas: dict[tuple[int, int], Quota] = {}  # by plan and spread
+        self.covered = [self._covers(p) for p in settings.plans]
+        self.judges = Judges(shared, settings.me, settings.zone)
+        self.levels = Levels(settings.me, settings.gateways, self.process, shared.most_out)
+        self.accused: dict[int, dict[int, float]] = {}  # server: how bad by words alone
+        self.units_out = 0.0
+        self.spread_ns = self.sweep_ns = 0
+        self.paying: Purse | None = None  # of the try that is decided on just now
+        self.loans: Loans | None = None
+        self.said_trouble = False
+        self.strange = 0  # asks that don't fit what is known here
+
+    def on_started(self, now: int, event: i.Started) -> None:
+        self.loans = Loans(self.shared, self.set.me, self.process, now, self.draws)
+        super().on_started(now, event)
+        self._look(now)
+
+    def on_timer(self, now: int, event: i.Timer) -> None:
+        if event.token == LOOK:
+            self._look(now)
+        else:
+            super().on_timer(now, event)
+
+    def _look(self, now: int) -> None:
+        """What goes by time, once a beat."""
+        self.loans.look(now)
+        self.tier = self.set.gateways / self.levels.look(now)
+        names = [s.name for s in self.ready]
+        self.judges.look(now, names)
+        self.accused = self.judges.doubts(now, names, range(EVERY + 1)) if self.judges.told else {}
+        for name in self.accused:
+            self.named[name].doubt.setdefault(0, MARK)
+        if self.judges.trouble is not self.said_trouble:
+            self.said_trouble = self.judges.trouble
+            self.acts.append(i.Log("shared this gateway is cut off from the back end" if self.said_trouble
+                                   else "shared this gateway reaches the back end again"))
+        if now - self.sweep_ns >= SWEEP_NS:
+            self.sweep_ns = now
+            self.loans.sweep(now, IDLE_NS)
+        if now - self.spread_ns >= SPREAD_NS:
+            self.spread_ns = now + self.draws.randrange(self.shared.beat_ns)
+            wants = sum(x.arrivals for x in self.leaves)
+            words = [*self.judges.tell(now), *self.levels.tell(now, self.units_out, wants, self.draws)]
+            for peer in self.levels.partners(self.draws) if self.set.peers else ():
+                self.acts.append(SharedTell(peer, self.process, words))
+        self._carry_on(now)
+        self.timer(now + self.shared.beat_ns, LOOK)
+
+    # ---- words
+
+    def on_shared_words(self, now: int, event: SharedWords) -> None:
+        """Each kind to where it belongs; what doesn't fit is counted and left."""
+        if not 0 <= event.sender < self.set.gateways or event.sender == self.set.me:
+            return
+        again: dict[int, None] = {}
+        for word in event.words:
+            if isinstance(word, Ask):
+                self._asked_for(now, event, word)
+            elif isinstance(word, Grant):
+                purse = self.loans.granted(now, event.sender, event.process, word)
+                if purse is not None:
+                    again[purse.key] = None
+            elif isinstance(word, Close):
+                self.loans.closed(now, event.sender, event.process, word)
+            elif isinstance(word, LevelWord):
+                self.levels.merge(now, word)
+            else:
+                if word.origin == event.sender:
+                    self.judges.hear(now, event.sender, word.zone)
+                self.judges.merge(now, word)
+        self.try_held(now, [k for k in again if k in self.held])
+        self._carry_on(now)
+
+    def _asked_for(self, now: int, event: SharedWords, ask: Ask) -> None:
+        set_ = self.set
+        if ask.plan >= len(set_.plans) or not set_.plans[ask.plan].rate \
+                or not 1 <= ask.spread <= set_.gateways or ask.first >= set_.gateways:
+            self.strange += 1
+            return
+        purse = self._purse(now, ask.customer, ask.plan, ask.spread, ask.first)
+        if purse.plan != ask.plan or len(purse.row) != ask.spread or purse.row[0] != ask.first:
+            self.strange += 1  # one customer with two sets: the first one holds
+            return
+        self.loans.asked_for(now, event.sender, event.process, ask, purse)
+
+    def _carry_on(self, now: int) -> None:
+        by: dict[int, list[Ask | Grant | Close | Evidence | LevelWord]] = {}
+        for word in self.loans.told():
+            by.setdefault(word.to, []).append(word)
+        if self.set.peers:
+            self.acts += [SharedTell(peer, self.process, words) for peer, words in by.items()]
+
+    # ---- quotas
+
+    def _quota(self, plan: int, spread: int) -> Quota:
+        found = self.quotas.get((plan, spread))
+        if found is None:
+            spec = self.set.plans[plan]
+            found = self.quotas[plan, spread] = Quota(spec.name, spec.rate, spec.burst, spread,
+                                                      self.set.largest_units)
+        return found
+
+    def _purse(self, now: int, key: int, plan: int, spread: int, first: int) -> Purse:
+        row = tuple((first + k) % self.set.gateways for k in range(spread))
+        return self.loans.purse(now, key, plan, self._quota(plan, spread), row)
+
+    def _pay(self, now: int, live: Live, again: bool) -> Paid:
+        ask, c = live.ask, live.customer
+        purse = self._purse(now, c.key, c.plan, c.spread, ask.first % self.set.gateways)
+        if self.loans.take(now, purse, ask.units):
+            self.paying = purse
+            self.loans.ahead(now, purse)
+            return Paid.YES
+        refused = live.draw >= self.tree[0][ask.cls][ask.plan].rate  # by the budget: no word could help
+        return Paid.SOON if not refused and self.loans.seek(now, purse, ask.units) else Paid.NO
+
+    def _settle(self, now: int, live: Live, inside: bool) -> None:
+        super()._settle(now, live, inside)
+        self.paying = None
+
+    def _unpay(self, now: int, c: Customer, units: float) -> None:
+        if self.paying is not None:  # decided against in the same turn
+            self.loans.untake(now, self.paying)
+            self.paying = None
+        elif c.key in self.loans.purses:
+            self.loans.charge(now, self.loans.purses[c.key], -units)
+
+    def _share(self, c: Customer, want: float = 0.0, mark: int = -1) -> i.Share:
+        """The level that is told is what this gateway's own part holds: a hint for those that borrow."""
+        found = super()._share(c, want, mark)
+        purse = self.loans.purses.get(c.key)
+        if purse is not None:
+            found.level = purse.own
+        return found
+
+    def on_peer_message(self, now: int, event: i.PeerMessage) -> None:
+        event.doubts = []  # judgements come with their origin, by `Evidence`
+        super().on_peer_message(now, event)
+        for s in event.shares:
+            purse = self.loans.purses.get(s.customer)
+            if purse is not None and event.sender < self.set.gateways:
+                self.loans.hint(now, purse, event.sender, s.level)
+
+    def _covers(self, plan: i.PlanSpec) -> bool:
+        """The quota holds what goes out under the ceiling, whatever fails: it is lower by more than what may
+        go out beyond it."""
+        if not plan.rate or plan.over_worth > plan.over_cost or plan.ceiling_rate < plan.rate:
+            return False
+        most = max(b.units for spread in range(1, self.set.gateways + 1)
+                   for b in bounds(Quota(plan.name, plan.rate, plan.burst, spread, self.set.largest_units),
+                                   self.shared))
+        return plan.ceiling_burst + plan.ceiling_slack - plan.burst >= most
+
+    def _ceiling_part(self, now: int, c: Customer, plan: i.PlanSpec) -> float:
+        """All of it where the quota alone holds it; else an even part, whoever is heard."""
+        return 1.0 if self.covered[c.plan] else 1 / c.spread
+
+    def _meet(self, c: Customer, ask: i.Request) -> None:
+        super()._meet(c, ask)
+        if self.covered[c.plan]:
+            c.ceiling = self.set.plans[c.plan].ceiling_burst
+
+    # ---- judgements
+
+    def _sample(self, now: int, a: Attempt, group: int, bad: float, weight: float) -> None:
+        super()._sample(now, a, group, bad, weight)
+        self.fresh.clear()  # told as evidence with its origin
+        dead = bad >= DEAD and (group == EVERY or group < len(self.set.classes))
+        self.judges.sampled(now, a.server.name, group, bad, weight, dead)
+
+    def _doubted(self, s: Server, cls: int, plan: int) -> float:
+        own, told = super()._doubted(s, cls, plan), self.accused.get(s.name)
+        if told is None:
+            return own
+        return max(own, *(told.get(g, 0.0) for g in (cls, self.set.pair(cls, plan), EVERY)))
+
+    # ---- budgets
+
+    def launch(self, live: Live, attempt: Attempt) -> None:
+        super().launch(live, attempt)
+        self.units_out += attempt.units
+
+    def settle(self, request: int, number: int) -> Attempt | None:
+        attempt = super().settle(request, number)
+        if attempt:
+            self.units_out = max(0.0, self.units_out - attempt.units) if self.attempts else 0.0
+        return attempt
+
+    def _choose(self, now: int, live: Live) -> Server | None:
+        """No attempt beyond this gateway's part of what all may have out."""
+        if self.units_out + live.ask.units > max(self.levels.part(len(self.ready)), self.set.largest_units):
+            return None
+        return super()._choose(now, live)
+
+    def _follow(self, now: int, span: float, ticks: float) -> None:
+        super()._follow(now, span, ticks)
+        if self.level < math.inf:
+            self.level = min(self.level, self.levels.part(1.0))
+
+    def sight(self) -> dict[str, float]:
+        more = self.loans.sight(self.tick_ns) if self.loans else {}
+        return super().sight() | more | {
+            "factor": round(self.levels.factor, 2), "alive": self.levels.alive(self.tick_ns),
+            "accused": len(self.accused), "trouble": int(self.judges.trouble)}
--- /dev/null
+++ b/zincstile/shared/words.py
@@ -0,0 +1,116 @@
+"""How gateways tell each other of what they share: datagrams of 256 bytes at most. A codec, no I/O.
+
+Each begins with a byte that no other message between gateways begins with, names the sender's process,
+and has a check. Units travel in whole parts of `loans.GRAIN`.
+"""
+
+from __future__ import annotations
+
+import struct
+import zlib
+from collections.abc import Callable, Iterable
+
+from .judges import Evidence
+from .levels import LevelWord
+from .loans import GRAIN, Ask, Close, Grant
+
+MAGIC, LARGEST = 0xBB, 256
+HEAD = struct.Struct("<BIHB")  # magic, process, check, number of words
+KIND = struct.Struct("<B")
+ASK = struct.Struct("<QBHHIIII")  # customer, plan, spread, first, mark, units, least, heard
+GRANT = struct.Struct("<QIIIII")  # customer, mark, units, level, number, the borrower's process
+CLOSE = struct.Struct("<QIII")  # customer, mark, left, the lender's process
+JUDGED = struct.Struct("<HBBBHH")  # server, group, how bad, zone, age in 10 ms, origin
+LEVEL = struct.Struct("<HIIIHH")  # origin, process, number, units out in 1/16, age in 10 ms, wants in 1/16
+AGE_NS = 10_000_000
+MOST = 2**32 - 1
+
+Any = Ask | Grant | Close | Evidence | LevelWord
+
+
+def _units(units: float) -> int:
+    return min(MOST, max(0, int(units * GRAIN)))
+
+
+def _aged(age_ns: int) -> int:
+    """Rounded up: an age is never told less than it is."""
+    return min(65535, -(-max(0, age_ns) // AGE_NS))
+
+
+def _ask(w: Ask) -> bytes:
+    return ASK.pack(w.customer, w.plan, w.spread, w.first, w.mark, _units(w.units), _units(w.least),
+                    w.heard % 2**32)
+
+
+def _grant(w: Grant) -> bytes:
+    return GRANT.pack(w.customer, w.mark, _units(w.units), _units(w.level), w.number % 2**32, w.process)
+
+
+def _close(w: Close) -> bytes:
+    return CLOSE.pack(w.customer, w.mark, _units(w.left), w.process)
+
+
+def _evidence(w: Evidence) -> bytes:
+    return JUDGED.pack(w.server, w.group, int(255 * min(1.0, max(0.0, w.bad))), w.zone, _aged(w.age_ns),
+                       w.origin)
+
+
+def _level(w: LevelWord) -> bytes:
+    return LEVEL.pack(w.origin, w.process, w.number, min(MOST, int(16 * w.out)), _aged(w.age_ns),
+                      min(65535, int(16 * w.wants)))
+
+
+def _of(form: struct.Struct, make: Callable[..., Any]) -> tuple[struct.Struct, Callable[..., Any]]:
+    return form, make
+
+
+PACKED: dict[type, tuple[int, Callable[..., bytes]]] = {
+    Ask: (1, _ask), Grant: (2, _grant), Close: (3, _close), Evidence: (4, _evidence), LevelWord: (5, _level)}
+READ: dict[int, tuple[struct.Struct, Callable[..., Any]]] = {
+    1: _of(ASK, lambda customer, plan, spread, first, mark, units, least, heard: Ask(
+        -1, customer, plan, spread, first, mark, units / GRAIN, least / GRAIN, heard)),
+    2: _of(GRANT, lambda customer, mark, units, level, number, process: Grant(
+        -1, customer, mark, units / GRAIN, level / GRAIN, number, process)),
+    3: _of(CLOSE, lambda customer, mark, left, process: Close(-1, customer, mark, left / GRAIN, process)),
+    4: _of(JUDGED, lambda server, group, bad, zone, age, origin: Evidence(
+        server, group, bad / 255, origin, zone, age * AGE_NS)),
+    5: _of(LEVEL, lambda origin, process, number, out, age, wants: LevelWord(
+        origin, process, number, out / 16, wants / 16, age * AGE_NS))}
+
+
+def pack(process: int, words: Iterable[Any]) -> list[bytes]:
+    """Datagrams that hold all of the words, in their order."""
+    made, body, count = [], b"", 0
+    for word in words:
+        kind, form = PACKED[type(word)]
+        data = KIND.pack(kind) + form(word)
+        if HEAD.size + len(body) + len(data) > LARGEST or count == 255:
+            made.append(_datagram(process, body, count))
+            body, count = b"", 0
+        body, count = body + data, count + 1
+    if count:
+        made.append(_datagram(process, body, count))
+    return made
+
+
+def _datagram(process: int, body: bytes, count: int) -> bytes:
+    return HEAD.pack(MAGIC, process, zlib.crc32(body, process) & 0xFFFF, count) + body
+
+
+def unpack(data: bytes) -> tuple[int, list[Any]] | None:
+    """The sender's process and its words; None for what is damaged, or of another layout."""
+    if len(data) < HEAD.size or len(data) > LARGEST:
+        return None
+    magic, process, check, count = HEAD.unpack_from(data)
+    body, at, words = data[HEAD.size:], 0, []
+    if magic != MAGIC or check != zlib.crc32(body, process) & 0xFFFF:
+        return None
+    for _ in range(count):
+        if at >= len(body) or body[at] not in READ:
+            return None
+        form, make = READ[body[at]]
+        if at + 1 + form.size > len(body):
+            return None
+        words.append(make(*form.unpack_from(body, at + 1)))
+        at += 1 + form.size
+    return (process, words) if at == len(body) else None
--- a/zincstile/standin/discovery.py
+++ b/zincstile/standin/discovery.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from typing import Any
 
@@ -61,6 +62,7 @@
                  witness: Witness) -> None:
         self.loop, self.roster, self.gateway, self.witness = loop, roster, gateway, witness
         self.late_s = 0.0
+        self.seen: Callable[[Entry], Entry] = lambda entry: entry  # as this gateway finds it
         self.silent = False
         self.index = roster.index
         self.entries = dict(roster.entries)
@@ -85,7 +87,7 @@
     def whole(self) -> dict[str, Any]:
         """The list as this machine has it, in discovery's form; a gateway's `known` is the same."""
         return {"index": self.index, "snapshot": True,
-                "endpoints": [asdict(e) for e in self.entries.values()]}
+                "endpoints": [asdict(self.seen(e)) for e in self.entries.values()]}
 
     def hear(self, index: int, entry: Entry) -> None:
         """A change comes, as late as things are, and never before an older one."""
@@ -192,7 +194,7 @@
             self.index = agent.index
             latest = {e.name: e for e in news}
             self._chunk(json.dumps({"index": agent.index, "snapshot": False,
-                                    "endpoints": [asdict(e) for e in latest.values()]}).encode())
+                                    "endpoints": [asdict(agent.seen(e)) for e in latest.values()]}).encode())
             for e in latest.values():
                 agent.witness.told(agent.gateway, e.name, e.status, e.since_ms)
         self._again()
--- a/zincstile/state.py
+++ b/zincstile/state.py
@@ -297,6 +297,16 @@
         return [self.late, self.answers, self.silence, self.silences, self.out, self.done_rate,
                 *self.broken[:2], level, *(u / 1e9 for u in self.unit_ns), *arrivals]
 
+    def sight(self) -> dict[str, float]:
+        """What the module believes at present, for the log: units that it aims at for each good server (-1:
+        no bound yet), units out, good servers, servers with a doubt of a half or more, customers."""
+        doubted = sum(any(bad >= 0.5 for bad in s.doubt.values()) for s in self.ready)
+        level = -1.0 if self.level == math.inf else round(self.level, 3)
+        return {"level": level, "out": round(sum(a.units for a in self.attempts.values()), 2),
+                "good": round(self.good, 2), "ready": len(self.ready), "doubted": doubted,
+                "strain": round(self.strain, 3), "customers": len(self.customers),
+                "attempts": len(self.attempts)}
+
     def take_figures(self, figures: list[float]) -> None:
         """In the order of figures(); a level of nought is none."""
         self.late, self.answers, self.silence, self.silences, self.out, self.done_rate = figures[:6]
--- a/zincstile/virtual/network.py
+++ b/zincstile/virtual/network.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from ..links import Links
 from .clock import MICROSECOND, MS, Scheduler
 
 if TYPE_CHECKING:
@@ -51,6 +52,7 @@
         self.mute: dict[str, None] = {}  # machines that nothing reaches or leaves
         self.lag_ns: dict[str, int] = {}  # machines whose ways are longer by so much
         self.cuts: dict[tuple[str, str], None] = {}  # machines between which nothing passes, both ways round
+        self.links: Links | None = None  # what is wrong with datagrams between processes, by their names
         self.on_connected: Callable[[Endpoint, Endpoint], None] | None = None  # who opened it, who took it
         self.trace: list[str] | None = None  # lines of all that happened, where it is kept
         self._digest = hashlib.blake2b(digest_size=8)
--- a/zincstile/virtual/udp.py
+++ b/zincstile/virtual/udp.py
@@ -45,9 +45,18 @@
         for _ in range(2 if ways.udp_twice and rng.random() < ways.udp_twice else 1):
             if ways.udp_loss and rng.random() < ways.udp_loss or network.silent(self.process.host, addr[0]):
                 continue
-            low, high = ways.udp_ns
-            at = network.scheduler.now_ns + low + int((high - low) * rng.random() ** 3)  # most are quick
-            network.scheduler.at(at, _arrive, self, bytes(data), addr)
+            for late_s in self._fates(addr):
+                low, high = ways.udp_ns
+                late_ns = low + int((high - low) * rng.random() ** 3) + int(late_s * SECOND)  # most are quick
+                network.scheduler.at(network.scheduler.now_ns + late_ns, _arrive, self, bytes(data), addr)
+
+    def _fates(self, addr: Address) -> tuple[float, ...] | list[float]:
+        """How late each copy arrives by what a plan laid on the way; none: it is lost."""
+        links, target = self.network.links, self.network.bound.get(addr)
+        if links is None or target is None:
+            return (0.0,)
+        now_s = self.network.scheduler.now_ns / SECOND
+        return links.fates(self.process.name, target.process.name, now_s)
 
     def come(self, data: bytes, sender: Address) -> None:
         """Takes it in, where it has not taken too many lately (a store of a second's worth)."""
--- a/zincstile/worlds/faults.py
+++ b/zincstile/worlds/faults.py
@@ -1,351 +1,380 @@
 """How each kind of fault is carried out: begun at its instant, and ended after its time.
 
-A new kind is a function here that takes the run and the fault, and a row in `KINDS`; `plan.Kind` names it,
-and `plan._fault` says how it is drawn.
+The functions know a `stage.Stage` alone, so that virtual time and real processes play the same plan by
+the same code. A new kind is a function here that takes the run and the fault, and a row in `KINDS`;
+`plan.Kind` names it, and `plan._fault` says how it is drawn.
 """
 
 from __future__ import annotations
 
-import signal
 from collections.abc import Callable
 from dataclasses import replace
-from typing import TYPE_CHECKING
 
+from ..links import Trouble, between
 from ..standin.clients import Rude, rude_pieces
 from ..standin.counter import Counter
-from ..virtual.clock import MS, SECOND
 from .plan import Fault
+from .stage import Place, Seat, Stage
 
-if TYPE_CHECKING:
-    from .world import Place, Run, Seat
-
-KILL_NS = 3700 * MS  # after SIGTERM, SIGKILL: the longest deadline and 0.7 s
+SECOND = 1_000_000_000
+KILL_MS = 3700  # after SIGTERM, SIGKILL: the longest deadline and 0.7 s
 MOVED_S = 1.5  # after a move, discovery's old address closes what is open
 
 
-def begin(run: Run, fault: Fault) -> None:
+def begin(run: Stage, fault: Fault) -> None:
     """At its instant."""
     whom = " ".join(str(n) for n in fault.who)
     run.referee.event(f"fault {fault.kind} {whom} for {fault.for_ms} ms".replace("  ", " "))
-    run.network.note("fault", fault.kind)
+    run.note("fault", fault.kind)
     KINDS[fault.kind](run, fault)
 
 
-def _after(run: Run, ms: float, then: Callable[..., None], *args: object) -> None:
-    run.scheduler.at(run.scheduler.now_ns + int(ms * MS), then, *args)
-
-
-def _seats(run: Run, fault: Fault) -> list[Seat]:
+def _seats(run: Stage, fault: Fault) -> list[Seat]:
     return [run.seats[n % len(run.seats)] for n in fault.who]
 
 
-def _places(run: Run, fault: Fault) -> list[Place]:
+def _places(run: Stage, fault: Fault) -> list[Place]:
     """The boxes that stand in these places now, those that run."""
     names = dict.fromkeys(run.boxes[n % len(run.boxes)] for n in fault.who)
-    return [p for p in (run.places[n] for n in names) if p.process.alive]
+    return [p for p in (run.places[n] for n in names) if run.box_runs(p)]
 
 
 # ---- gateways
 
 
-def _crash(run: Run, fault: Fault) -> None:
+def _crash(run: Stage, fault: Fault) -> None:
     for seat in _seats(run, fault):
         run.kill(seat)
-        _after(run, fault.for_ms, _restart, run, seat)
+        run.after(fault.for_ms, _restart, run, seat)
 
 
-def _restart(run: Run, seat: Seat) -> None:
-    if not seat.process.alive:
+def _restart(run: Stage, seat: Seat) -> None:
+    if not run.running(seat):
         run.start_gateway(seat)
 
 
-def _roll(run: Run, fault: Fault) -> None:
+def _roll(run: Stage, fault: Fault) -> None:
     for seat in _seats(run, fault):
         run.terminate(seat)
-        run.scheduler.at(run.scheduler.now_ns + KILL_NS, _roll_on, run, seat, seat.process, fault.for_ms)
+        run.after(KILL_MS, _roll_on, run, seat, seat.starts, fault.for_ms)
 
 
-def _roll_on(run: Run, seat: Seat, process: object, down_ms: int) -> None:
-    if seat.process is process:
+def _roll_on(run: Stage, seat: Seat, starts: int, down_ms: int) -> None:
+    if seat.starts == starts:
         run.kill(seat)
-        _after(run, down_ms, _restart, run, seat)
+        run.after(down_ms, _restart, run, seat)
 
 
-def _pause(run: Run, fault: Fault) -> None:
+def _pause(run: Stage, fault: Fault) -> None:
     for seat in _seats(run, fault):
-        if seat.process.alive:
-            seat.process.pause(fault.for_ms * MS)
-            run.referee.paused(seat.name, fault.for_ms * MS)
+        if run.running(seat):
+            run.pause(seat, fault.for_ms)
 
 
-def _skew(run: Run, fault: Fault) -> None:
+def _skew(run: Stage, fault: Fault) -> None:
     """From the next start on its Unix clock is wrong; it starts anew at once."""
     for seat in _seats(run, fault):
         seat.skew_ns = int(fault.amount * SECOND)
         run.kill(seat)
-        _after(run, 50, _restart, run, seat)
+        run.after(50, _restart, run, seat)
 
 
 # ---- guide boxes
 
 
-def _deploy(run: Run, fault: Fault) -> None:
+def _deploy(run: Stage, fault: Fault) -> None:
     """They drain, end, and are replaced by new ones, which are cold; `amount`: share of the old addresses
     that serve again."""
     for k, place in enumerate(_places(run, fault)):
         _tell(run, place, "Terminating")
         place.box.draining = True
-        _after(run, fault.for_ms + 7 * k, _replace, run, place, fault)
+        run.after(fault.for_ms + 7 * k, _replace, run, place, fault)
 
 
-def _replace(run: Run, old: Place, fault: Fault) -> None:
-    if not old.process.alive:
+def _replace(run: Stage, old: Place, fault: Fault) -> None:
+    if not run.box_runs(old):
         return
-    old.process.kill()
+    run.kill_box(old)
     _tell(run, old, "Gone")
     same = run.rng.random() < fault.amount
-    host = old.host if same else f"10.1.1.{len(run.places)}"
-    new = run.box(host, old.port, old.zone, cold=True, cell=old.entry.group if same else None)
+    new = run.box(old.zone, cold=True, cell=old.entry.group if same else None, at=old if same else None)
     run.boxes[run.boxes.index(old.entry.name)] = new.entry.name
-    _after(run, run.rng.uniform(0, 800 if len(fault.who) <= 5 else 3000), _announce, run, new)
+    run.after(run.rng.uniform(0, 800 if len(fault.who) <= 5 else 3000), _announce, run, new)
 
 
-def _tell(run: Run, place: Place, status: str) -> None:
+def _tell(run: Stage, place: Place, status: str) -> None:
     place.entry = replace(place.entry, status=status)
     run.roster.put(place.entry)
 
 
-def _announce(run: Run, place: Place) -> None:
-    if place.process.alive and run.places[place.entry.name] is place:
+def _announce(run: Stage, place: Place) -> None:
+    if run.box_runs(place) and run.places[place.entry.name] is place:
         _tell(run, place, "Terminating" if place.box.draining else "Ready")
 
 
-def _box_crash(run: Run, fault: Fault) -> None:
+def _box_crash(run: Stage, fault: Fault) -> None:
     """Dead at once, told late; the same box comes back cold, and that is told late too."""
     for place in _places(run, fault):
-        place.process.kill()
-        _after(run, run.rng.uniform(0, 1500), _gone, run, place)
-        _after(run, fault.for_ms, _again, run, place, fault)
+        run.kill_box(place)
+        run.after(run.rng.uniform(0, 1500), _gone, run, place)
+        run.after(fault.for_ms, _again, run, place, fault)
 
 
-def _gone(run: Run, place: Place) -> None:
+def _gone(run: Stage, place: Place) -> None:
     if run.places[place.entry.name] is place:
         _tell(run, place, "Gone")
 
 
-def _again(run: Run, old: Place, fault: Fault) -> None:
+def _again(run: Stage, old: Place, fault: Fault) -> None:
     name = old.entry.name
     if run.places[name] is not old:
         return
     run.referee.event(f"{name} starts again")
-    model = replace(old.model, hangs=False)
-    zone, cell = run.referee.boxes[name]
-    new = run.place(name, old.host, old.port, zone, cell, model, True)
-    _after(run, 1600 * fault.amount, _announce, run, new)
+    new = run.box_again(old)
+    run.after(1600 * fault.amount, _announce, run, new)
 
 
-def _drain(run: Run, fault: Fault) -> None:
+def _drain(run: Stage, fault: Fault) -> None:
     """They drain, and after a while, or at once, are ready again."""
     for place in _places(run, fault):
         _tell(run, place, "Terminating")
         place.box.draining = True
-        _after(run, fault.for_ms, _undrain, run, place)
+        run.after(fault.for_ms, _undrain, run, place)
 
 
-def _undrain(run: Run, place: Place) -> None:
-    if place.process.alive:
+def _undrain(run: Stage, place: Place) -> None:
+    if run.box_runs(place):
         place.box.draining = False
         _announce(run, place)
 
 
-def _with_models(name: str, calm: float) -> Callable[[Run, Fault], None]:
+def _with_models(name: str, calm: float) -> Callable[[Stage, Fault], None]:
     """Something of the boxes is as `amount` says for a while; nobody named: all boxes."""
-    def begin_it(run: Run, fault: Fault) -> None:
+    def begin_it(run: Stage, fault: Fault) -> None:
         places = _places(run, fault) if fault.who else list(run.places.values())
         for place in places:
             setattr(place.model, name, fault.amount)
-            _after(run, fault.for_ms, setattr, place.model, name, calm)
+            run.after(fault.for_ms, setattr, place.model, name, calm)
     return begin_it
 
 
-def _hang(run: Run, fault: Fault) -> None:
+def _hang(run: Stage, fault: Fault) -> None:
     for place in _places(run, fault):
         place.model.hangs = True
-        _after(run, fault.for_ms, _unhang, place)
+        run.after(fault.for_ms, _unhang, run, place)
 
 
-def _unhang(place: Place) -> None:
+def _unhang(run: Stage, place: Place) -> None:
     place.model.hangs = False
-    if place.process.alive:
+    if run.box_runs(place):
         place.box.loop.call_soon(place.box.resume)
 
 
-def _refuse(run: Run, fault: Fault) -> None:
+def _refuse(run: Stage, fault: Fault) -> None:
     """New connections are refused; those that are open go on."""
     for place in _places(run, fault):
         place.box.refuse()
-        _after(run, fault.for_ms, _accept, run, place)
-
+        run.after(fault.for_ms, run.accept_box, place)
 
-def _accept(run: Run, place: Place) -> None:
-    if place.process.alive and (place.host, place.port) not in run.network.listeners:
-        run.do(place.process, place.box.start(place.host, place.port))
 
-
-def _reset(run: Run, fault: Fault) -> None:
+def _reset(run: Stage, fault: Fault) -> None:
     """All connections of these boxes break at once, whatever is on them."""
     for place in _places(run, fault):
-        for endpoint in list(place.process.endpoints):
-            endpoint.refuse()
+        run.reset_box(place)
 
 
-def _unreachable(run: Run, fault: Fault) -> None:
+def _unreachable(run: Stage, fault: Fault) -> None:
     """Cut off: open connections say nothing, new ones never come up."""
     for place in _places(run, fault):
-        run.network.hush(place.host)
-        _after(run, fault.for_ms, run.network.mend, place.host)
+        run.hush_box(place, True)
+        run.after(fault.for_ms, run.hush_box, place, False)
 
 
-def _lag(run: Run, fault: Fault) -> None:
+def _lag(run: Stage, fault: Fault) -> None:
     """The way to and from them is `amount` milliseconds longer, each way."""
     for place in _places(run, fault):
-        run.network.lag_ns[place.host] = int(fault.amount * MS)
-        _after(run, fault.for_ms, run.network.lag_ns.pop, place.host, None)
+        run.lag_box(place, fault.amount)
+        run.after(fault.for_ms, run.lag_box, place, 0.0)
 
 
-def _full(run: Run, fault: Fault) -> None:
+def _full(run: Stage, fault: Fault) -> None:
     """They turn everything away."""
     for place in _places(run, fault):
         places, place.model.places = place.model.places, 0
-        _after(run, fault.for_ms, setattr, place.model, "places", places)
+        run.after(fault.for_ms, setattr, place.model, "places", places)
 
 
 # ---- what gateways hear
 
 
-def _peers_cut(run: Run, fault: Fault) -> None:
-    for seat in _seats(run, fault):
-        for other in run.seats:
-            if other is not seat:
-                run.network.cut(seat.host, other.host)
-                _after(run, fault.for_ms, run.network.mend, seat.host, other.host)
+def _others(run: Stage, fault: Fault) -> tuple[list[str], list[str]]:
+    """The gateways on both sides of a link: `who`, and `to` or, where that is empty, all others."""
+    ones = list(dict.fromkeys(s.name for s in _seats(run, fault)))
+    named = [run.seats[n % len(run.seats)].name for n in fault.to]
+    return ones, named or [s.name for s in run.seats if s.name not in ones]
+
+
+def _lay(run: Stage, fault: Fault, trouble: Trouble) -> None:
+    """On the datagrams between two groups of gateways; nobody named: between all."""
+    names = [s.name for s in run.seats]
+    ones, others = _others(run, fault) if fault.who else (names, names)
+    run.after(fault.for_ms, run.links.lay(between(ones, others, fault.way), trouble))
+
+
+def _peers_cut(run: Stage, fault: Fault) -> None:
+    _lay(run, fault, Trouble(cut=True))
+
+
+def _peers_loss(run: Stage, fault: Fault) -> None:
+    _lay(run, fault, Trouble(loss=fault.amount))
+
 
+def _peers_late(run: Stage, fault: Fault) -> None:
+    _lay(run, fault, Trouble(delay_s=fault.amount / 1000))
 
-def _peers_loss(run: Run, fault: Fault) -> None:
-    run.network.ways.udp_loss = fault.amount
-    _after(run, fault.for_ms, setattr, run.network.ways, "udp_loss", run.plan.udp_loss)
 
+def _peers_shuffled(run: Stage, fault: Fault) -> None:
+    _lay(run, fault, Trouble(shuffle_s=fault.amount / 1000))
 
-def _discovery_late(run: Run, fault: Fault) -> None:
+
+def _peers_twice(run: Stage, fault: Fault) -> None:
+    _lay(run, fault, Trouble(twice=fault.amount))
+
+
+def _peers_rate(run: Stage, fault: Fault) -> None:
+    _lay(run, fault, Trouble(per_s=fault.amount))
+
+
+def _peers_ring(run: Stage, fault: Fault) -> None:
+    """Each gateway hears its left neighbour alone."""
+    names = [s.name for s in run.seats]
+    heard = {(names[k - 1], name) for k, name in enumerate(names)}
+    run.after(fault.for_ms, run.links.lay([p for p in between(names, names) if p not in heard],
+                                          Trouble(cut=True)))
+
+
+def _away(run: Stage, fault: Fault) -> None:
+    """These gateways and these boxes (none named: all) reach each other no more; connections stay open."""
+    for seat in _seats(run, fault):
+        for name in [run.boxes[n % len(run.boxes)] for n in fault.to] or list(run.boxes):
+            run.part(seat, run.places[name], True)
+            run.after(fault.for_ms, run.part, seat, run.places[name], False)
+
+
+def _discovery_late(run: Stage, fault: Fault) -> None:
     for seat in _seats(run, fault):
         seat.agent.late_s = fault.amount
-        _after(run, fault.for_ms, setattr, seat.agent, "late_s", 0.0)
+        run.after(fault.for_ms, setattr, seat.agent, "late_s", 0.0)
 
 
-def _discovery_silent(run: Run, fault: Fault) -> None:
+def _discovery_silent(run: Stage, fault: Fault) -> None:
     for seat in _seats(run, fault):
         seat.agent.hush(True)
-        _after(run, fault.for_ms, seat.agent.hush, False)
+        run.after(fault.for_ms, seat.agent.hush, False)
 
 
-def _watch_lost(run: Run, fault: Fault) -> None:
+def _watch_lost(run: Stage, fault: Fault) -> None:
     """The watches that are open stay open and say nothing more; new ones are served."""
     for seat in _seats(run, fault):
         seat.agent.forget_watches()
 
 
-def _discovery_moved(run: Run, fault: Fault) -> None:
+def _discovery_moved(run: Stage, fault: Fault) -> None:
     """The file names another address; SIGHUP; the old address closes a little later."""
     for seat in _seats(run, fault):
         seat.moves += 1
-        seat.discovery = seat.host, 8500 + seat.moves
-        agent = seat.agent
-        agent.loop.create_task(agent.start(*seat.discovery))
-        _after(run, 1, _moved, run, seat)
+        run.move_discovery(seat)
+        run.after(1, _moved, run, seat)
 
 
-def _moved(run: Run, seat: Seat) -> None:
+def _moved(run: Stage, seat: Seat) -> None:
     seat.agent.retire(MOVED_S)
-    if seat.process.alive and not seat.stopping:
+    if run.running(seat) and not seat.stopping:
         run.referee.event(f"{seat.name} gets SIGHUP")
-        seat.process.signal(signal.SIGHUP)
+        run.reload(seat)
 
 
 # ---- the count keeper
 
 
-def _keeper_gone(run: Run, fault: Fault) -> None:
+def _keeper_gone(run: Stage, fault: Fault) -> None:
     """It vanishes, and is back with all it knew."""
-    if run.counters:
-        run.network.hush("10.2.0.1")
-        _after(run, fault.for_ms, run.network.mend, "10.2.0.1")
+    if run.plan.keeper:
+        run.hush_counter(True)
+        run.after(fault.for_ms, run.hush_counter, False)
 
 
-def _keeper_swapped(run: Run, fault: Fault) -> None:
+def _keeper_swapped(run: Stage, fault: Fault) -> None:
     """It dies, and one that knows nothing takes its place."""
-    if run.counters:
-        run.counters[0][0].kill()
-        _after(run, fault.for_ms, run.start_counter, 0)
+    if run.plan.keeper:
+        run.kill_counter(0)
+        run.after(fault.for_ms, run.start_counter, 0)
 
 
-def _keeper_slow(run: Run, fault: Fault) -> None:
-    if run.counters:
-        counter = run.counters[0][1]
+def _keeper_slow(run: Stage, fault: Fault) -> None:
+    if run.plan.keeper:
+        counter = run.counter(0)
         counter.call_s, counter.per_s = 0.03, 1 / (0.001 + 0.001 * fault.amount)
-        _after(run, fault.for_ms, _keeper_quick, counter)
+        run.after(fault.for_ms, _keeper_quick, counter)
 
 
 def _keeper_quick(counter: Counter) -> None:
     counter.call_s, counter.per_s = 0.001, 1500.0
 
 
-def _keeper_split(run: Run, fault: Fault) -> None:
+def _keeper_split(run: Stage, fault: Fault) -> None:
     """These gateways find it elsewhere, where another one counts; later they find the first again."""
     for seat in _seats(run, fault):
         _keeper_at(run, seat, 1)
-        _after(run, fault.for_ms, _keeper_at, run, seat, 0)
+        run.after(fault.for_ms, _keeper_at, run, seat, 0)
 
 
-def _keeper_at(run: Run, seat: Seat, number: int) -> None:
+def _keeper_at(run: Stage, seat: Seat, number: int) -> None:
     seat.counter = number
-    if run.counters and seat.process.alive and not seat.stopping:
-        seat.process.signal(signal.SIGHUP)
+    if run.plan.keeper and run.running(seat) and not seat.stopping:
+        run.reload(seat)
 
 
 # ---- clients
 
 
-def _shift(run: Run, fault: Fault) -> None:
+def _shift(run: Stage, fault: Fault) -> None:
     """That share of the customers moves to others of their gateways at one stroke."""
     for key in list(run.shares):
         if run.rng.random() < fault.amount:
             run.shares[key] = run.weights.random() ** 2
 
 
-def _rude(run: Run, fault: Fault) -> None:
+def _rude(run: Stage, fault: Fault) -> None:
     for seat in _seats(run, fault):
         for _ in range(int(fault.amount)):
-            _after(run, run.rng.uniform(0, fault.for_ms), _one_rude, run, seat)
+            run.after(run.rng.uniform(0, fault.for_ms), _one_rude, run, seat)
 
 
-def _one_rude(run: Run, seat: Seat) -> None:
-    loop, rng = run.clients.loop, run.rng
-    rude = Rude(loop, rude_pieces(rng), rng.uniform(0, 0.05), rng.uniform(0.1, 3.5))
-    run.do(run.clients, _connect_rude(run, seat, rude))
+def _one_rude(run: Stage, seat: Seat) -> None:
+    loop, rng = run.front.loop, run.rng
+    run.rude(seat, Rude(loop, rude_pieces(rng), rng.uniform(0, 0.05), rng.uniform(0.1, 3.5)))
 
 
-async def _connect_rude(run: Run, seat: Seat, rude: Rude) -> None:
-    try:
-        await run.clients.loop.create_connection(lambda: rude, seat.host, 6379)
-    except OSError:
-        return  # that gateway is down
+def _move(run: Stage, fault: Fault) -> None:
+    """Customers that have one of these gateways in their set come in by those alone, all at one stroke, and
+    afterwards as before."""
+    names = dict.fromkeys(s.name for s in _seats(run, fault))
+    run.drawn_to.append(names)
+    run.after(fault.for_ms, run.drawn_to.remove, names)
+
+
+def _upgrade(run: Stage, fault: Fault) -> None:
+    """The next version starts beside this one and takes over."""
+    for seat in _seats(run, fault):
+        run.upgrade(seat)
 
 
-def _in_traffic(run: Run, fault: Fault) -> None:
+def _in_traffic(run: Stage, fault: Fault) -> None:
     """`surge` and `leave` are drawn with the requests."""
 
 
-KINDS: dict[str, Callable[[Run, Fault], None]] = {
+KINDS: dict[str, Callable[[Stage, Fault], None]] = {
     "crash": _crash, "roll": _roll, "pause": _pause, "skew": _skew, "deploy": _deploy, "drain": _drain,
     "box_crash": _box_crash, "slow": _with_models("slow", 1.0), "spoil": _with_models("spoils", 0.0),
     "err": _with_models("errs", 0.0), "hang": _hang, "refuse": _refuse, "reset": _reset, "full": _full,
@@ -354,4 +383,6 @@
     "discovery_moved": _discovery_moved, "shift": _shift, "rude": _rude, "surge": _in_traffic,
     "leave": _in_traffic, "lag": _lag, "extra": _with_models("extra", 0.0),
     "watch_lost": _watch_lost, "keeper_gone": _keeper_gone, "keeper_swapped": _keeper_swapped,
-    "keeper_slow": _keeper_slow, "keeper_split": _keeper_split}
+    "keeper_slow": _keeper_slow, "keeper_split": _keeper_split, "peers_late": _peers_late,
+    "peers_shuffled": _peers_shuffled, "peers_twice": _peers_twice, "peers_rate": _peers_rate,
+    "peers_ring": _peers_ring, "away": _away, "move": _move, "upgrade": _upgrade}
--- a/zincstile/worlds/plan.py
+++ b/zincstile/worlds/plan.py
@@ -19,7 +19,9 @@
     "crash", "roll", "deploy", "box_crash", "drain", "slow", "hang", "refuse", "spoil", "err", "reset",
     "peers_cut", "peers_loss", "discovery_late", "discovery_silent", "discovery_moved", "shift", "surge",
     "rude", "pause", "leave", "skew", "unreachable", "full", "lag", "extra", "watch_lost",
+    "peers_late", "peers_shuffled", "peers_twice", "peers_rate", "peers_ring", "away", "move", "upgrade",
     "keeper_gone", "keeper_swapped", "keeper_slow", "keeper_split"]
+REAL_ONLY: tuple[str, ...] = ("upgrade",)  # only real processes play these
 
 At = Annotated[int, msgspec.Meta(ge=-1000, le=60_000)]
 For = Annotated[int, msgspec.Meta(ge=0, le=60_000)]
@@ -27,20 +29,23 @@
 
 
 class Fault(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
-    """One thing that goes wrong. `who` counts gateways or boxes, round; `amount` is as the kind says."""
+    """One thing that goes wrong. `who` counts gateways or boxes, round, and so does `to`, the other end of a
+    way that is cut or slow; `way` tells in which direction; `amount` is as the kind says."""
 
     kind: Kind
     at_ms: At
     for_ms: For = 0
     who: list[int] = []
     amount: float = 0.0
+    to: list[int] = []
+    way: Literal["both", "out", "in"] = "both"
 
 
 class Plan(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
     """All of one world."""
 
     seed: int
-    gateways: Annotated[int, msgspec.Meta(ge=1, le=64)] = 3
+    gateways: Annotated[int, msgspec.Meta(ge=1, le=250)] = 3
     wide: bool = False  # customers come in through half of the gateways or more, those of `plus` excepted
     boxes: Annotated[int, msgspec.Meta(ge=1, le=100)] = 10
     requests: Annotated[int, msgspec.Meta(ge=0, le=100_000)] = 160
@@ -58,11 +63,15 @@
     keeper: bool = False  # quotas through a count keeper, with a stated bound
     plus_beyond: bool = False  # what `plus` asks beyond its quota is worth more than it costs
     sockets: Annotated[int, msgspec.Meta(ge=40, le=4096)] = 256
+    greedy: Share | None = None  # part of the customers that ask for 2.5 to 6 times their quotas; none: drawn
+    share: bool = False  # quotas by parts and loans, with a stated bound
     faults: list[Fault] = []
 
 
 TRIO: tuple[Kind, ...] = ("crash", "deploy", "shift")  # the operators' worst: restart, cold boxes, a move
 COMMON: tuple[Kind, ...] = ("crash", "roll", "deploy", "drain", "box_crash", "shift", "surge")
+LINKS: tuple[Kind, ...] = ("peers_late", "peers_shuffled", "peers_twice", "peers_rate", "peers_ring", "away",
+                           "move")  # drawn by `shared.draw`
 RARE: tuple[Kind, ...] = ("slow", "hang", "refuse", "spoil", "err", "reset", "peers_cut", "peers_loss",
                           "discovery_late", "discovery_silent", "discovery_moved", "rude", "pause", "leave",
                           "skew", "unreachable", "full", "lag", "extra", "watch_lost")
--- a/zincstile/worlds/traffic.py
+++ b/zincstile/worlds/traffic.py
@@ -8,14 +8,17 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import Any
 
-from ..keeper.bound import Quota, bounds
+from ..bounds import Quota
+from ..keeper.bound import bounds
 from ..keeper.settings import KeeperSettings
 from ..rules.cases import ClassRule, Figures, PlanRule
 from ..standin.clients import Want
 from .plan import Plan
+from .stage import Stage
 
 MS = 1_000_000
 ZONES = ["floor-3", "floor-4", "floor-5"]
@@ -92,6 +95,12 @@
         Quota(n, p[1], p[1] * p[2], plan.gateways, MOST_UNITS), keeper))) for n, p in PLANS.items()}
 
 
+def quotas() -> dict[str, tuple[float, float, float]]:
+    """Rate and burst of each plan where no bound is stated: none is ever passed, and what is sent beyond a
+    quota is measured all the same."""
+    return {n: (p[1], p[1] * p[2], math.inf) for n, p in PLANS.items()}
+
+
 class Customers:
     """The customers of a world: plan, set of gateways, and how much of the quota they ask for."""
 
@@ -101,7 +110,9 @@
         self.weights: list[float] = []
         for name, (_, rate, _, _, _, count) in PLANS.items():
             for _ in range(count):
-                heavy = rng.choices((0.4, 0.95, 2.5, 6.0), (0.7, 0.2, 0.06, 0.04))[0]
+                light = (0.7, 0.2, 0.06, 0.04) if plan.greedy is None else (
+                    0.8 * (1 - plan.greedy), 0.2 * (1 - plan.greedy), 0.6 * plan.greedy, 0.4 * plan.greedy)
+                heavy = rng.choices((0.4, 0.95, 2.5, 6.0), light)[0]
                 spread = rng.randint(min(2, plan.gateways), min(4, plan.gateways))
                 if plan.wide and name != "plus":
                     spread = rng.randint(-(-plan.gateways // 2), plan.gateways)
@@ -149,3 +160,11 @@
         key=b"%016x" % rng.getrandbits(64) if effect == "guarded" else b"",
         tries=rng.choice((0, 1, 2)), again_s=rng.choice((0.0, 0.05, 0.2)), leaves_s=leaves,
         behind=rng.random() < 0.1, heeds=rng.random() < 0.5)
+
+
+def weigh(run: Stage, want: Want, names: list[str]) -> list[float]:
+    """How unevenly a customer's requests come in; `shift` draws it anew, `move` draws all to some."""
+    for drawn in run.drawn_to[-1:]:
+        if any(n in drawn for n in names):
+            return [float(n in drawn) for n in names]
+    return [run.shares.setdefault((want.customer, n), run.weights.random() ** 2) for n in names]
--- a/zincstile/worlds/trial.py
+++ b/zincstile/worlds/trial.py
@@ -12,8 +12,9 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+from ..bounds import Quota
 from ..keeper.accounts import Account, Accounts, Call
-from ..keeper.bound import Quota, bounds
+from ..keeper.bound import bounds
 from ..keeper.settings import FAILURES, MS, SECOND, KeeperSettings
 from ..keeper.view import View, Word
 from ..virtual.clock import Scheduler
--- a/zincstile/worlds/world.py
+++ b/zincstile/worlds/world.py
@@ -10,17 +10,19 @@
 import gc
 import random
 import signal
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from ..keeper.settings import KeeperSettings
+from ..links import Links
 from ..net import config
 from ..net.gateway import Gateway
 from ..rules.cases import NAMES, Breach
 from ..rules.quotas import Quotas
 from ..rules.referee import Referee
+from ..shared.settings import SharedSettings
 from ..standin import wire
-from ..standin.clients import Front, Want
+from ..standin.clients import Front, Rude, Want
 from ..standin.counter import Counter
 from ..standin.discovery import Agent, Entry, Roster
 from ..standin.guidebox import GuideBox, Model, Rack
@@ -29,7 +31,7 @@
 from ..virtual.network import Network, Ways
 from ..virtual.process import Process
 from ..virtual.tcp import Endpoint
-from . import faults, traffic
+from . import faults, shared, traffic
 from .plan import Plan
 
 START_NS = 1000 * SECOND  # of virtual time
@@ -108,10 +110,16 @@
                     udp_loss=plan.udp_loss, udp_twice=plan.udp_twice)
         self.network = Network(self.scheduler, random.Random(f"network {plan.seed}"), ways)
         self.network.on_connected = self._connected
+        self.links = Links(random.Random(f"links {plan.seed}"))
+        self.network.links = self.links
         if keep_trace:
             self.network.trace = []
         self.keeper = KeeperSettings(skew_ns=1, most_overshoot=0.08) if plan.keeper else None
+        self.shared = SharedSettings() if plan.share else None
         quotas = Quotas(traffic.stated_bounds(plan, self.keeper), LATE_NS) if self.keeper else None
+        if self.shared:
+            stated, opening = shared.stated(plan, self.shared)
+            quotas = Quotas(stated, 0, opening, START_NS)
         self.referee = Referee(traffic.figures(), lambda: (self.scheduler.steps, self.scheduler.now_ns),
                                rules, quotas)
         self.roster = Roster(self.referee)
@@ -123,6 +131,7 @@
         self.logs: list[str] = []
         self.counters: dict[int, tuple[Process, Counter]] = {}
         self.began_ns = START_NS + LEAD_NS
+        self.drawn_to: list[dict[str, None]] = []
         self._boxes = 0
 
     # ---- building
@@ -130,7 +139,7 @@
     def _build(self) -> None:
         plan = self.plan
         for k in range(plan.boxes):
-            place = self.box(f"10.1.0.{k + 1}", 6379, k % len(traffic.ZONES), cold=False)
+            place = self.box(k % len(traffic.ZONES), cold=False)
             self.boxes.append(place.entry.name)
             self.roster.put(place.entry)
         for k in range(plan.gateways):
@@ -164,10 +173,11 @@
         """Runs a coroutine of a stand-in in its process."""
         process.loop.create_task(coro)
 
-    def box(self, host: str, port: int, zone: int, cold: bool, cell: int | None = None) -> Place:
+    def box(self, zone: int, cold: bool, cell: int | None = None, at: Place | None = None) -> Place:
         """A new guide box, listening at once. Who stands at an address stands in its rack."""
         self._boxes += 1
         number, name = self._boxes, f"s-{self._boxes:02x}"
+        host, port = (at.host, at.port) if at else (f"10.1.{number // 200}.{number % 200 + 1}", 6379)
         rng = random.Random(f"box {self.plan.seed} {number}")
         cell = number % RACKS if cell is None else cell
         model = Model(
@@ -190,8 +200,7 @@
         return self.places[name]
 
     def _weigh(self, want: Want, names: list[str]) -> list[float]:
-        """How unevenly a customer's requests come in; `shift` draws it anew."""
-        return [self.shares.setdefault((want.customer, n), self.weights.random() ** 2) for n in names]
+        return traffic.weigh(self, want, names)
 
     def start_counter(self, number: int) -> None:
         """A count keeper that knows nothing yet."""
@@ -207,6 +216,7 @@
         """What the gateway reads of its file. The keeper's settings are put in, as its own file would be
         read."""
         found = config.read(self.table(seat), {})
+        found.shared = self.shared
         if self.keeper is not None:
             found.keeper, found.counter = self.keeper, (f"10.2.0.{seat.counter + 1}", 6400)
         return found
@@ -245,6 +255,75 @@
             self._check_process(seat)
             process.kill()
 
+    # ---- what faults do (`stage.Stage`)
+
+    def note(self, what: str, where: str) -> None:
+        self.network.note(what, where)
+
+    def after(self, ms: float, then: Any, *args: object) -> None:
+        self.scheduler.at(self.scheduler.now_ns + int(ms * MS), then, *args)
+
+    def running(self, seat: Seat) -> bool:
+        return seat.process.alive
+
+    def pause(self, seat: Seat, ms: float) -> None:
+        seat.process.pause(int(ms * MS))
+        self.referee.paused(seat.name, int(ms * MS))
+
+    def reload(self, seat: Seat) -> None:
+        seat.process.signal(signal.SIGHUP)
+
+    def move_discovery(self, seat: Seat) -> None:
+        seat.discovery = seat.host, 8500 + seat.moves
+        seat.agent.loop.create_task(seat.agent.start(*seat.discovery))
+
+    def rude(self, seat: Seat, client: Rude) -> None:
+        self.do(self.clients, _connect_rude(self.clients.loop, seat.host, client))
+
+    def upgrade(self, seat: Seat) -> None:
+        """Not played here (`plan.REAL_ONLY`)."""
+
+    def box_runs(self, place: Place) -> bool:
+        return place.process.alive
+
+    def kill_box(self, place: Place) -> None:
+        place.process.kill()
+
+    def box_again(self, old: Place) -> Place:
+        zone, cell = self.referee.boxes[old.entry.name]
+        return self.place(old.entry.name, old.host, old.port, zone, cell, replace(old.model, hangs=False),
+                          True)
+
+    def accept_box(self, place: Place) -> None:
+        if place.process.alive and (place.host, place.port) not in self.network.listeners:
+            self.do(place.process, place.box.start(place.host, place.port))
+
+    def reset_box(self, place: Place) -> None:
+        for endpoint in list(place.process.endpoints):
+            endpoint.refuse()
+
+    def hush_box(self, place: Place, silent: bool) -> None:
+        (self.network.hush if silent else self.network.mend)(place.host)
+
+    def lag_box(self, place: Place, ms: float) -> None:
+        self.network.lag_ns.pop(place.host, None)
+        if ms:
+            self.network.lag_ns[place.host] = int(ms * MS)
+
+    def part(self, seat: Seat, place: Place, apart: bool) -> None:
+        (self.network.cut if apart else self.network.mend)(seat.host, place.host)
+
+    def counter(self, number: int) -> Counter:
+        return self.counters[number][1]
+
+    def kill_counter(self, number: int) -> None:
+        self.counters[number][0].kill()
+
+    def hush_counter(self, silent: bool) -> None:
+        (self.network.hush if silent else self.network.mend)("10.2.0.1")
+
+    # ---- gateways' ends
+
     def kill(self, seat: Seat) -> None:
         if seat.process.alive:
             self._check_process(seat)
@@ -335,6 +414,13 @@
                 "deadlines": max(0, len(gateway.turn.deadlines) - 40)})
 
 
+async def _connect_rude(loop: Any, host: str, client: Rude) -> None:
+    try:
+        await loop.create_connection(lambda: client, host, 6379)
+    except OSError:
+        return  # that gateway is down
+
+
 def _other(transport: Any) -> str:
     """Whose connection this is, on the virtual network."""
     return transport.peer.process.name
