Field: real processes on loopback, faults between them, a referee, results and a page

Need: the operators want it proven by several processes of the program with faults between them. field/ starts the unchanged program N times, with this repository's stand-ins, and plays the same plans as virtual time. Each gateway knows every other place by an address of 127.0.0.0/8 of its own, so that one datagram socket and one listener for each stand-in tell who speaks to whom; cut ways are held in lanes, and new connections meet a full queue.

Ruled out while building: an exit by signal 10 of a gateway that had just started was ours, SIGUSR1 sent before the program knew it; signals wait now for its first log line.

--- /dev/null
+++ b/zincstile/cli/field.py
@@ -0,0 +1,135 @@
+"""`field`: several real processes on loopback, with faults between them."""
+
+from __future__ import annotations
+
+import os
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import click
+
+from ..typed_yaml import FileError
+from ..worlds import plan as plans
+from ..worlds.plan import Plan
+from .commands import Told
+
+
+@click.group("field")
+def command() -> None:
+    """Real processes of the program on loopback, with faults between them and the rules checked."""
+
+
+def load(path: str, seed: int | None) -> Plan:
+    """A plan that real processes can play; one line and exit 2 else."""
+    from ..field import places
+
+    try:
+        plan = plans.load(path)
+    except FileError as err:
+        raise Told(str(err)) from None
+    for name in ("gateways", "boxes"):
+        if getattr(plan, name) > places.MOST:
+            raise Told(f"{path}: $.{name}: {places.MOST} at most")
+    if seed is not None:
+        plan.seed = seed
+    return plan
+
+
+@command.command("run")
+@click.argument("plan_file", metavar="PLAN.yaml", type=click.Path())
+@click.option("--seed", type=click.IntRange(min=0), help="In place of the plan's own.")
+@click.option("--feature", "features", multiple=True, metavar="NAME=FILE",
+              help="A file under deploy/ that every gateway is told of.")
+@click.option("--out", type=click.Path(dir_okay=False), help="Write the result as JSON.")
+@click.option("--report", "page", type=click.Path(dir_okay=False), help="Write a page with charts.")
+@click.option("--keep", type=click.Path(file_okay=False), help="Keep configurations and logs in this folder.")
+def run(plan_file: str, seed: int | None, features: tuple[str, ...], out: str | None, page: str | None,
+        keep: str | None) -> int:
+    """Plays one plan; exit 1 where a rule is broken."""
+    from ..field import report as pages
+    from ..field import result as results
+    from ..field import sweep as sweeps
+    from ..field.places import PlaceError
+    from ..field.run import NotReadyError
+
+    plan = load(plan_file, seed)
+    try:
+        with tempfile.TemporaryDirectory(prefix="zincstile-field-") as folder:
+            if keep is not None:
+                Path(keep).mkdir(parents=True, exist_ok=True)
+            found = sweeps.one(plan, Path(keep or folder), Path(plan_file).stem, sweeps.features(features))
+        if out is not None:
+            results.write(found, Path(out))
+        if page is not None:
+            pages.write([(found.plan, found)], Path(page))
+    except (FileError, PlaceError, NotReadyError) as err:
+        raise Told(f"field: {err}") from None
+    for row in found.plans:
+        click.echo(f"plan {row.plan}: {row.worst:.2f} units beyond a quota at most, stated {row.bound:.2f}; "
+                   f"sent {row.sent:.0f}, one all-seeing store {row.best:.0f}")
+    for breach in found.breaches:
+        click.echo(f"broken rule={breach.rule} t={breach.at_s:.3f}: {breach.text}")
+        for line in breach.history:
+            click.echo(f"  {line}")
+    kinds = ", ".join(f"{k} {n}" for k, n in sorted(found.tally.items()))
+    click.echo(f"{found.gateways} processes, {found.seconds:.1f} s, {len(found.faults)} faults: {kinds}")
+    click.echo(found.line())
+    return 0 if found.ok else 1
+
+
+@command.command("sweep")
+@click.option("--seeds", "span", required=True, metavar="A:B", help="Seeds from A on, B not.")
+@click.option("--gateways", type=click.IntRange(2, 64), default=8, show_default=True)
+@click.option("--kind", "kinds", multiple=True, help="Only these failures; all where none is named.")
+@click.option("--jobs", type=click.IntRange(1, 64), default=max(1, (os.cpu_count() or 2) // 4),
+              show_default=True, help="Runs beside each other.")
+@click.option("--feature", "features", multiple=True, metavar="NAME=FILE")
+@click.option("--out", type=click.Path(file_okay=False), help="Write each result into this folder.")
+def sweep(span: str, gateways: int, kinds: tuple[str, ...], jobs: int, features: tuple[str, ...],
+          out: str | None) -> int:
+    """Plays many runs of drawn failures; exit 1 where any breaks a rule."""
+    from ..field import result as results
+    from ..field import sweep as sweeps
+    from ..worlds import shared
+    from .sim import seeds
+
+    for kind in kinds:
+        if kind not in shared.FAILURES:
+            raise Told(f"--kind {kind}: no such failure; there are {', '.join(shared.FAILURES)}")
+    chosen, began, done = seeds(span), time.monotonic(), []
+    try:
+        files = sweeps.features(features)
+        if out is not None:
+            Path(out).mkdir(parents=True, exist_ok=True)
+        for found in sweeps.many(chosen, gateways, kinds or shared.FAILURES, jobs, files):
+            done.append(found)
+            if out is not None:
+                results.write(found, Path(out) / f"{found.plan.replace(' ', '-')}-{found.seed}.json")
+            if not found.ok:
+                click.echo(f"{found.plan}: {found.line()}: {found.breaches[0].text}")
+            print(f"{len(done)} of {len(chosen)}", file=sys.stderr, flush=True)
+    except FileError as err:
+        raise Told(f"field: {err}") from None
+    click.echo(sweeps.table(done))
+    broken = sum(not r.ok for r in done)
+    click.echo(f"field sweep runs={len(done)} ok={len(done) - broken} broken={broken} "
+               f"seconds={time.monotonic() - began:.0f}")
+    return 1 if broken else 0
+
+
+@command.command("report")
+@click.argument("files", metavar="RESULT.json...", nargs=-1, required=True, type=click.Path())
+@click.option("--out", required=True, type=click.Path(dir_okay=False), help="The page.")
+def report(files: tuple[str, ...], out: str) -> int:
+    """Writes a page of one result, or of several side by side."""
+    from ..field import report as pages
+    from ..field import result as results
+
+    try:
+        pages.write([(Path(f).stem, results.read(f)) for f in files], Path(out))
+    except FileError as err:
+        raise Told(str(err)) from None
+    click.echo(f"{len(files)} results in {out}")
+    return 0
--- /dev/null
+++ b/zincstile/field/gate.py
@@ -0,0 +1,215 @@
+"""Connections to the stand-ins, with what a plan laid on the way between a gateway and a place.
+
+A stand-in is handed a `Ground` in place of its loop: what it listens with knows by the address that a
+gateway used which one it is. Between each connection and the stand-in's protocol stands a `Gate` with a
+lane for each direction: what passes keeps its order, waits while the way is cut, and comes later where
+it is slow.
+
+Cut ways: open connections say nothing and keep what was written, as TCP does until it is sent again;
+new ones never come up (`places.Hole`). `reset`: open ones break, and new ones are closed as soon as
+they are up.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from ..links import Links, Pair
+from . import places
+
+QUEUE = 1024  # connections that wait to be taken
+
+
+class Lane:
+    """One direction of one connection. `pair`: the way that it goes."""
+
+    __slots__ = ("loop", "links", "pair", "_waiting", "_alarm", "_due")
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, links: Links, pair: Pair) -> None:
+        self.loop, self.links, self.pair = loop, links, pair
+        self._waiting: deque[tuple[float, Callable[..., None], tuple[Any, ...]]] = deque()
+        self._alarm: asyncio.TimerHandle | None = None
+        self._due = 0.0
+
+    def push(self, then: Callable[..., None], *args: Any) -> None:
+        """then(*args) once what went before has passed."""
+        way = self.links.way(*self.pair)
+        if not self._waiting and not way.cut and not way.delay_s:
+            then(*args)
+            return
+        self._due = max(self._due, self.loop.time() + way.delay_s)
+        self._waiting.append((self._due, then, args))
+        self.poke()
+
+    def poke(self) -> None:
+        """What may pass by now does."""
+        if self._alarm is not None:
+            self._alarm.cancel()
+            self._alarm = None
+        while self._waiting and not self.links.way(*self.pair).cut:
+            at, then, args = self._waiting[0]
+            if at > self.loop.time() + 1e-4:
+                self._alarm = self.loop.call_at(at, self.poke)
+                return
+            self._waiting.popleft()
+            then(*args)
+
+
+class Gate(asyncio.Protocol):
+    """One connection: the system's transport on one side, a stand-in's protocol on the other."""
+
+    def __init__(self, ground: Ground, inner: asyncio.Protocol) -> None:
+        self.ground, self.inner = ground, inner
+        self.transport: asyncio.Transport | None = None
+        self.gateway = "?"
+        self.told = False  # the protocol knows of the connection
+        self.closing = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]
+        self.gateway = self.ground.gateway_at(transport.get_extra_info("sockname")[0])
+        ground, place = self.ground, self.ground.place
+        self.inwards = Lane(ground.loop, ground.links, (self.gateway, place))
+        self.outwards = Lane(ground.loop, ground.links, (place, self.gateway))
+        ground.gates[self] = None
+        if ground.links.way(*self.inwards.pair).reset:
+            self.abort()
+            return
+        self.told = True
+        self.inner.connection_made(self)  # type: ignore[arg-type]
+
+    def data_received(self, data: bytes) -> None:
+        if self.told:
+            self.inwards.push(self._hand, data)
+
+    def _hand(self, data: bytes) -> None:
+        if not self.closing:
+            self.inner.data_received(data)
+
+    def eof_received(self) -> None:
+        return None
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self.told:
+            self.inwards.push(self._lost, exc)
+        else:
+            self.ground.gates.pop(self, None)
+
+    def _lost(self, exc: Exception | None) -> None:
+        self.closing = True
+        self.ground.gates.pop(self, None)
+        self.inner.connection_lost(exc)
+
+    def changed(self) -> None:
+        """Something is else on the ways of this connection."""
+        if self.ground.links.way(*self.inwards.pair).reset:
+            self.abort()
+        self.inwards.poke()
+        self.outwards.poke()
+
+    # ---- the transport, as the stand-in's protocol sees it
+
+    def write(self, data: bytes) -> None:
+        if not self.closing:
+            self.outwards.push(self.transport.write, data)
+
+    def close(self) -> None:
+        self.closing = True
+        self.outwards.push(self.transport.close)
+
+    def abort(self) -> None:
+        """At once, whatever the way: for what breaks."""
+        self.closing = True
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None and sock.fileno() >= 0:  # a reset, no orderly end
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        self.transport.abort()
+
+    def is_closing(self) -> bool:
+        return self.closing or self.transport.is_closing()
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return self.transport.get_extra_info(name, default)
+
+
+class Ground:
+    """A loop as a stand-in sees it, at one place of the field. All else is the loop's own."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, links: Links, place: str, kind: int, number: int,
+                 gateways: list[str]) -> None:
+        self.loop, self.links, self.place, self.kind, self.number = loop, links, place, kind, number
+        self.gateways = gateways
+        self.gates: dict[Gate, None] = {}
+        self.port = 0
+        self.stays = False  # it listens at one port, also after it was closed; else each time at a new one
+        self.gate: Callable[[Ground, asyncio.Protocol], Gate] = Gate
+        self.ears: Any = None  # for gates that tell what they see
+        self._holes: dict[str, places.Hole] = {}
+        self._server: asyncio.AbstractServer | None = None
+        links.changed.append(self._changed)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.loop, name)
+
+    def gateway_at(self, address: str) -> str:
+        """Who knows this place by that address."""
+        kind, seer, number = places.who(address)
+        fits = kind == self.kind and number == self.number and 0 <= seer < len(self.gateways)
+        return self.gateways[seer] if fits else "?"
+
+    def address(self, gateway_number: int) -> str:
+        """Where that gateway finds this place."""
+        return f"{places.seen(self.kind, gateway_number, self.number)}:{self.port}"
+
+    async def create_server(self, factory: Callable[[], asyncio.Protocol], host: str = "",
+                            port: int = 0) -> asyncio.AbstractServer:
+        """As the loop's, on all addresses of this place."""
+        sock = places.on_loopback(socket.SOCK_STREAM, True, self.port if self.stays else 0)
+        self.port = sock.getsockname()[1]
+        self._server = await self.loop.create_server(lambda: self.gate(self, factory()), sock=sock,
+                                                     backlog=QUEUE)
+        return self._server
+
+    @property
+    def listens(self) -> bool:
+        return self._server is not None and self._server.is_serving()
+
+    def _changed(self, pairs: list[Pair]) -> None:
+        hit = {a if b == self.place else b for a, b in pairs if self.place in (a, b)}
+        for name in hit:
+            self._hole(name)
+        if hit:
+            for gate in [g for g in self.gates if g.gateway in hit]:
+                gate.changed()
+
+    def _hole(self, gateway: str) -> None:
+        """New connections of that gateway never come up while the way there or back is cut."""
+        if gateway not in self.gateways or not self.port:
+            return
+        cut = self.links.way(gateway, self.place).cut or self.links.way(self.place, gateway).cut
+        if cut and gateway not in self._holes:
+            host = places.seen(self.kind, self.gateways.index(gateway), self.number)
+            self._holes[gateway] = places.Hole(host, self.port)
+        elif not cut and gateway in self._holes:
+            self._holes.pop(gateway).close()
+
+    def break_all(self) -> None:
+        """All connections here break at once."""
+        for gate in list(self.gates):
+            gate.abort()
+
+    def close(self) -> None:
+        """The place dies: nobody listens, and all breaks."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        self.break_all()
+        for hole in self._holes.values():
+            hole.close()
+        self._holes.clear()
+        if self._changed in self.links.changed:
+            self.links.changed.remove(self._changed)
--- /dev/null
+++ b/zincstile/field/programs.py
@@ -0,0 +1,105 @@
+"""Processes of the program: started as the platform starts them, signalled, ended, and none left behind.
+
+Each is asked of the system to die with this process, however that ends; only processes started here are
+ever signalled, by the handle that started them.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import ctypes
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parents[2]
+PR_SET_PDEATHSIG = 1
+LIBC = ctypes.CDLL(None, use_errno=True)
+TAIL = 1 << 16  # bytes of a log that are read in one go
+
+
+def _die_with(parent: int):
+    """Run in the child before it becomes the program."""
+    def prepare() -> None:
+        LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL, 0, 0, 0)
+        if os.getppid() != parent:  # it died before that was asked
+            os._exit(1)
+    return prepare
+
+
+class Program:
+    """One process. `log` is its standard error, a file."""
+
+    def __init__(self, words: list[str], env: dict[str, str], log: Path, folder: Path,
+                 listening: int | None = None) -> None:
+        self.log, self._read = log, log.stat().st_size if log.exists() else 0
+        self.line = b""
+        self.asked_to_end = False
+        self.up = False  # its log says that it listens: from here on it knows its signals
+        kept = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
+        kept["PYTHONPATH"] = str(ROOT)
+        with open(log, "ab") as out:
+            self.process = subprocess.Popen(
+                [sys.executable, *words], stdout=subprocess.DEVNULL, stderr=out, stdin=subprocess.DEVNULL,
+                cwd=folder, env=kept | env, preexec_fn=_die_with(os.getpid()),
+                pass_fds=() if listening is None else (listening,))
+
+    @property
+    def alive(self) -> bool:
+        return self.process.poll() is None
+
+    def signal(self, number: int) -> None:
+        if self.alive:
+            self.process.send_signal(number)
+
+    def terminate(self) -> None:
+        self.asked_to_end = True
+        self.signal(signal.SIGTERM)
+
+    def kill(self) -> None:
+        """At once, and waited for."""
+        self.asked_to_end = True
+        if self.alive:
+            self.process.kill()
+        self.process.wait()
+
+    def wait(self, seconds: float) -> bool:
+        """False: it runs on."""
+        try:
+            self.process.wait(seconds)
+        except subprocess.TimeoutExpired:
+            return False
+        return True
+
+    def news(self) -> list[str]:
+        """Whole lines of the log since the last time."""
+        with open(self.log, "rb") as f:
+            f.seek(self._read)
+            data = f.read(TAIL)
+        self._read += len(data)
+        *lines, self.line = (self.line + data).split(b"\n")
+        return [x.decode("utf-8", "replace") for x in lines]
+
+    def memory_kb(self) -> int:
+        """Resident, at present; 0 where it has ended."""
+        with contextlib.suppress(OSError, ValueError, IndexError):
+            for text in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
+                if text.startswith("VmRSS:"):
+                    return int(text.split()[1])
+        return 0
+
+
+def told(line: str, word: str) -> dict[str, Any] | None:
+    """What a line `TIME NAME WORD {...}` of the log says; None where it is another."""
+    parts = line.split(" ", 3)
+    if len(parts) < 4 or parts[2] != word:
+        return None
+    try:
+        found = json.loads(parts[3])
+    except ValueError:
+        return None
+    return found if isinstance(found, dict) else None
--- /dev/null
+++ b/zincstile/field/sight.py
@@ -0,0 +1,138 @@
+"""What the referee and the charts hear of a run with real processes.
+
+Attempts are seen when their bytes reach the field's side of a connection, before anything that a plan
+laid on the way: what a gateway let out is counted when it let it out. All clocks are this machine's
+monotonic one.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from ..rules.referee import Referee
+from ..standin import wire
+from ..standin.witness import Witness
+
+KINDS = ("served", "denied", "failed", "unreached")
+FIGURES = ("level", "out", "good", "doubted", "messages_out", "messages_in", "cpu_ms", "memory_kb", "loans",
+           "hand", "attempts", "customers")
+
+
+@dataclass(slots=True)
+class Series:
+    """By second since the first request, and by gateway."""
+
+    answers: dict[tuple[int, str, str], int] = field(default_factory=dict)  # second, gateway, kind
+    units: dict[tuple[int, str], float] = field(default_factory=dict)  # second, gateway: sent on
+    best: dict[int, float] = field(default_factory=dict)  # second: what one all-seeing store would let in
+    figures: dict[tuple[int, str], dict[str, float]] = field(default_factory=dict)  # second, gateway
+    faults: list[tuple[float, str]] = field(default_factory=list)  # second, what
+
+    def answer(self, second: int, gateway: str, kind: str) -> None:
+        key = second, gateway, kind
+        self.answers[key] = self.answers.get(key, 0) + 1
+
+    def rows(self, gateways: list[str]) -> list[dict[str, Any]]:
+        """One row a second and gateway, for files and charts."""
+        seconds = [k[0] for k in (*self.answers, *self.units, *self.figures)]
+        made = []
+        for second in range(min(seconds, default=0), max(seconds, default=-1) + 1):
+            for name in gateways:
+                row: dict[str, Any] = {"second": second, "gateway": name}
+                row |= {kind: self.answers.get((second, name, kind), 0) for kind in KINDS}
+                row["units"] = round(self.units.get((second, name), 0.0), 2)
+                row |= {k: v for k, v in self.figures.get((second, name), {}).items() if k in FIGURES}
+                made.append(row)
+        return made
+
+
+class Ears(Witness):
+    """Hands all on to the referee, and counts by second."""
+
+    def __init__(self, referee: Referee, series: Series, began_s: Callable[[], float]) -> None:
+        self.referee, self.series, self._began_s = referee, series, began_s
+
+    def _second(self) -> int:
+        return int(time.monotonic() - self._began_s())
+
+    def asked(self, what: Any) -> None:
+        quotas = self.referee.quotas
+        before = quotas.best if quotas else 0.0
+        self.referee.asked(what)
+        if quotas:
+            second = self._second()
+            self.series.best[second] = self.series.best.get(second, 0.0) + quotas.best - before
+
+    def answered(self, request: bytes, kind: str, value: bytes) -> None:
+        self.series.answer(self._second(), self.referee.cases[request].gateway, kind)
+        self.referee.answered(request, kind, value)
+
+    def let_out(self, gateway: str, box: str, request: bytes, first_ns: int) -> Any:
+        """The head of an attempt has come."""
+        case = self.referee.cases.get(request)
+        if case is not None and not case.tries:
+            key = self._second(), gateway
+            self.series.units[key] = self.series.units.get(key, 0.0) + case.units
+        return self.referee.sent(gateway, box, request, first_ns)
+
+    # what needs no more than the referee
+
+    def unasked(self, gateway: str, line: int, text: str) -> None:
+        self.referee.unasked(gateway, line, text)
+
+    def dropped(self, request: bytes) -> None:
+        self.referee.dropped(request)
+
+    def void(self, request: bytes) -> None:
+        self.referee.void(request)
+
+    def arrived(self, box: str, request: bytes, key: bytes, gateway: str, work_ns: int) -> None:
+        self.referee.arrived(box, request, key, gateway, work_ns)
+
+    def turned_away(self, box: str, request: bytes) -> None:
+        self.referee.turned_away(box, request)
+
+    def made(self, box: str, request: bytes, value: bytes) -> None:
+        self.referee.made(box, request, value)
+
+    def foreign(self, where: str, gateway: str, why: str) -> None:
+        self.referee.foreign(where, gateway, why)
+
+    def changed(self, box: str, status: str, since_ms: int) -> None:
+        self.referee.changed(box, status, since_ms)
+
+    def told(self, gateway: str, box: str, status: str, since_ms: int) -> None:
+        self.referee.told(gateway, box, status, since_ms)
+
+
+class Tap:
+    """Reads the commands of one connection as they come, before the way holds them back."""
+
+    __slots__ = ("ears", "gateway", "box", "_commands", "_first_ns", "_try", "_foreign")
+
+    def __init__(self, ears: Ears, gateway: str, box: str) -> None:
+        self.ears, self.gateway, self.box = ears, gateway, box
+        self._commands = wire.Commands()
+        self._first_ns = 0
+        self._try: Any = None
+        self._foreign = False  # the box tells of it
+
+    def feed(self, data: bytes) -> None:
+        if self._foreign:
+            return
+        if self._commands.idle:
+            self._first_ns = time.monotonic_ns()
+        try:
+            whole = self._commands.feed(data)
+        except wire.ForeignError:
+            self._foreign = True
+            return
+        for words in whole or [self._commands.words]:
+            if self._try is None and len(words) > 2:
+                self._try = self.ears.let_out(self.gateway, self.box, words[2], self._first_ns)
+            if whole and self._try is not None:
+                self.ears.referee.whole(words[2], self._try)
+                self._try = None
--- /dev/null
+++ b/zincstile/field/sweep.py
@@ -0,0 +1,84 @@
+"""Many runs of drawn failures with real processes, a few beside each other."""
+
+from __future__ import annotations
+
+import multiprocessing
+import tempfile
+from collections.abc import Iterator
+from functools import partial
+from pathlib import Path
+
+from ..net import features as features_files
+from ..typed_yaml import FileError
+from ..worlds import shared, traffic
+from ..worlds.plan import Plan
+from . import run
+from .places import PlaceError
+from .programs import ROOT
+from .result import BreachRow, FieldResult
+
+
+def features(words: tuple[str, ...]) -> dict[str, str]:
+    """`NAME=FILE` words. FileError where one is none, or names no file."""
+    found = {}
+    for word in words:
+        name, equals, path = word.partition("=")
+        if not equals or not name or not Path(path).is_file():
+            raise FileError(f"--feature {word}: not NAME=FILE with a file that is there")
+        found[name] = str(Path(path).resolve())
+    return found
+
+
+def one(plan: Plan, folder: Path, name: str, files: dict[str, str]) -> FieldResult:
+    """Plays a plan, with the bound that its gateways state for themselves. FileError, PlaceError,
+    NotReadyError."""
+    files = dict(files)
+    if plan.share and "shared" not in files:
+        files["shared"] = str(ROOT / "deploy" / "shared.yaml")
+    if plan.keeper and "keeper" not in files:
+        path = folder / "keeper.yaml"
+        path.write_text("keeper: {skew_ms: 0, most_overshoot: 0.08}\n")
+        files["keeper"] = str(path)
+    stated: dict[str, tuple[float, float, float]] = {}
+    opening: dict[str, float] = {}
+    if "shared" in files:
+        stated, opening = shared.stated(plan, features_files.shared(files["shared"])[0])
+    elif "keeper" in files:
+        stated = traffic.stated_bounds(plan, features_files.keeper(files["keeper"])[0])
+    return run.play(plan, folder, name=name, features=files, stated=stated, opening=opening)
+
+
+def _drawn(gateways: int, kinds: tuple[str, ...], files: dict[str, str], seed: int) -> FieldResult:
+    kind = kinds[seed % len(kinds)]
+    plan = shared.draw(seed, gateways, kind)
+    try:
+        with tempfile.TemporaryDirectory(prefix="zincstile-field-") as folder:
+            return one(plan, Path(folder), kind, files)
+    except (PlaceError, run.NotReadyError) as err:  # told as a run that is not all right
+        return FieldResult(kind, seed, gateways, plan.boxes, [], 0.0, False, 0, 0, {}, [], {}, [], [
+            BreachRow("start", 0.0, "-", str(err))], {}, {}, [], [])
+
+
+def many(seeds: range, gateways: int, kinds: tuple[str, ...], jobs: int,
+         files: dict[str, str]) -> Iterator[FieldResult]:
+    """In the order in which they end. Failures go round by the seed."""
+    with multiprocessing.get_context("spawn").Pool(min(jobs, len(seeds)), maxtasksperchild=8) as pool:
+        yield from pool.imap_unordered(partial(_drawn, gateways, kinds, files), seeds)
+
+
+def table(done: list[FieldResult]) -> str:
+    """One line a failure: runs, worst beside stated, goodput, messages."""
+    lines = [f"{'failure':14}{'runs':>5}{'broken':>8}{'worst units':>13}{'of its bound':>14}"
+             f"{'goodput':>9}{'least':>7}{'msg/s':>7}"]
+    for kind in dict.fromkeys(r.plan for r in done):
+        rows = [r for r in done if r.plan == kind]
+        plans = [p for r in rows for p in r.plans]
+        worst = max((p.worst for p in plans), default=0.0)
+        near = max((p.worst / p.bound for p in plans if p.bound), default=0.0)
+        sent, best = sum(p.sent for p in plans), sum(p.best for p in plans)
+        rate = [x.datagrams / max(0.1, r.seconds) for r in rows for x in r.rows]
+        least = min((r.goodput for r in rows), default=0.0)
+        lines.append(f"{kind:14}{len(rows):5}{sum(not r.ok for r in rows):8}{worst:13.2f}{near:14.2f}"
+                     f"{sent / best if best else 1.0:9.3f}{least:7.2f}"
+                     f"{sum(rate) / max(1, len(rate)):7.1f}")
+    return "\n".join(lines)
