--- /dev/null
+++ b/tests/test_field.py
@@ -0,0 +1,176 @@
+"""Real processes with faults between them: the plans that CI plays, and the field's own parts."""
+
+from __future__ import annotations
+
+import asyncio
+import multiprocessing
+import os
+import random
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from zincstile.field import places, report, result, sweep
+from zincstile.links import CLEAR, Links, Trouble, between
+from zincstile.worlds import plan, traffic
+from zincstile.worlds.world import Run
+
+ROOT = Path(__file__).parent.parent
+PLANS = sorted((Path(__file__).parent / "plans" / "field").glob("*.yaml"))
+
+
+def field(*words, **more):
+    return subprocess.run([sys.executable, "-m", "zincstile", "field", *words], cwd=ROOT, text=True,
+                          capture_output=True, timeout=120, **more)
+
+
+def play(job):
+    path, folder = job
+    Path(folder).mkdir()
+    return sweep.one(plan.load(path), Path(folder), Path(path).stem, {})
+
+
+@pytest.fixture(scope="module")
+def results(tmp_path_factory):
+    """All plans, three beside each other: verdicts rest on bounds and counts, so that a busy machine may."""
+    folder = tmp_path_factory.mktemp("field")
+    with multiprocessing.get_context("spawn").Pool(3) as pool:
+        done = pool.map(play, [(p, str(folder / p.stem)) for p in PLANS], chunksize=1)
+    return dict(zip((p.stem for p in PLANS), done, strict=True))
+
+
+@pytest.mark.parametrize("name", [p.stem for p in PLANS])
+def test_real_processes_keep_every_rule_and_bound(name, results, tmp_path):
+    found = results[name]
+    assert found.ok, found.breaches[:1]
+    assert found.tally["served"] > 30 and found.requests > 150
+    assert all(p.worst <= p.bound for p in found.plans if p.bound)
+    assert {r.name for r in found.rows} == set(found.ready_s) and all(r.datagrams for r in found.rows)
+    result.write(found, tmp_path / "r.json")
+    assert result.read(tmp_path / "r.json") == found
+    report.write([("a", found), ("b", found)], tmp_path / "r.html")
+    assert (tmp_path / "r.html").read_text().count("<svg") >= 16
+
+
+@pytest.mark.parametrize("path", [p for p in PLANS if "upgrade" not in p.stem], ids=lambda p: p.stem)
+def test_the_same_plan_plays_on_virtual_time(path):
+    found = Run(plan.load(path)).play()
+    assert found.breach is None, found.breach.text
+
+
+def test_a_rule_that_real_processes_break_is_named(tmp_path, monkeypatch):
+    """The checkers can fail: a bound of next to nothing is passed by the gossip's shares at a cut."""
+    bounds = {n: (p[1], p[1] * p[2], 0.1) for n, p in traffic.PLANS.items()}
+    monkeypatch.setattr(traffic, "quotas", lambda: bounds)
+    bare = plan.load(PLANS[[p.stem for p in PLANS].index("halves")])
+    bare.share = False
+    found = sweep.one(bare, tmp_path, "bare", {})
+    assert not found.ok and found.breaches[0].rule == "quota" and found.breaches[0].history
+    assert "quota" in report.page([("x", found)])
+
+
+def test_nothing_is_left_when_the_field_itself_is_killed(tmp_path):
+    words = [sys.executable, "-m", "zincstile", "field", "run", str(PLANS[0]), "--keep", str(tmp_path)]
+    run = subprocess.Popen(words, cwd=ROOT, stdout=subprocess.DEVNULL)
+    until = time.monotonic() + 30
+    while not (tmp_path / "g0" / "log").exists() and time.monotonic() < until:
+        time.sleep(0.05)
+    time.sleep(0.5)
+    mine = [p for p in _children(run.pid) if p != run.pid]
+    assert mine
+    run.send_signal(signal.SIGKILL)
+    run.wait()
+    until = time.monotonic() + 10
+    while any(_alive(p) for p in mine) and time.monotonic() < until:
+        time.sleep(0.05)
+    assert not any(_alive(p) for p in mine)
+
+
+def _children(pid):
+    found = []
+    for entry in Path("/proc").iterdir():
+        if entry.name.isdigit():
+            try:
+                parent = int((entry / "stat").read_text().rpartition(")")[2].split()[1])
+            except OSError:
+                continue
+            if parent == pid:
+                found.append(int(entry.name))
+    return found
+
+
+def _alive(pid):
+    try:
+        return (Path("/proc") / str(pid) / "stat").read_text().rpartition(")")[2].split()[0] not in ("Z", "X")
+    except OSError:
+        return False
+
+
+@pytest.mark.parametrize(("words", "said"), [
+    (["run", "none.yaml"], "none.yaml: No such file"), (["report", "none.json", "--out", "x"], "none.json"),
+    (["sweep", "--seeds", "3:1"], "not a range"),
+    (["sweep", "--seeds", "1:2", "--kind", "rain"], "no such failure"),
+    (["run", str(PLANS[0]), "--feature", "shared=none.yaml"], "not NAME=FILE")])
+def test_bad_words_are_told_in_one_line(words, said):
+    done = field(*words)
+    assert done.returncode == 2 and said in done.stderr and done.stderr.count("\n") == 1
+
+
+def test_a_bad_plan_and_a_spoilt_result_name_file_and_place(tmp_path):
+    path = tmp_path / "p.yaml"
+    path.write_text("seed: 1\nboxes: 100\ngateways: 251\n")
+    assert "p.yaml:3: $.gateways" in field("run", str(path)).stderr
+    (tmp_path / "r.json").write_text("{}")
+    assert "r.json: not a result" in field("report", str(tmp_path / "r.json"), "--out", "x").stderr
+
+
+def test_ways_add_up_and_are_taken_away_once():
+    links = Links(random.Random(1))
+    changed = []
+    links.changed.append(changed.append)
+    off = links.lay(between(["a"], ["b", "a"], "out"), Trouble(loss=0.5, delay_s=0.1))
+    other = links.lay(between(["a"], ["b"]), Trouble(loss=0.5, delay_s=0.2, per_s=2.0))
+    both = links.way("a", "b")
+    assert both.loss == 0.75 and both.delay_s == pytest.approx(0.3) and links.way("b", "a").loss == 0.5
+    off()
+    off()
+    assert links.way("a", "b").loss == 0.5 and links.way("a", "c") is CLEAR
+    passed = sum(bool(links.fates("a", "b", 1.0)) for _ in range(200))
+    assert passed <= 2  # a rate of two a second
+    other()
+    assert links.fates("a", "b", 1.0) == [0.0] and len(changed) == 4
+    with pytest.raises(ValueError, match="shares"):
+        Trouble(loss=1.5)
+
+
+def test_addresses_tell_who_speaks_to_whom_and_a_hole_takes_no_connection():
+    assert places.who(places.seen(places.BOX, 199, 7)) == (places.BOX, 199, 7)
+    with places.block() as one, places.block() as other:
+        assert one != other
+
+    async def play():
+        sock = places.on_loopback(1, reuse=True)  # SOCK_STREAM
+        server = await asyncio.get_running_loop().create_server(asyncio.Protocol, sock=sock)
+        port = sock.getsockname()[1]
+        hole = places.Hole("127.102.9.1", port)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.3):
+                await asyncio.open_connection("127.102.9.1", port)
+        _, near = await asyncio.open_connection("127.102.9.2", port)
+        hole.close()
+        _, healed = await asyncio.open_connection("127.102.9.1", port)
+        near.close()
+        healed.close()
+        server.close()
+    asyncio.run(play())
+
+
+def test_a_wrong_unix_clock_is_the_only_thing_that_is_other(tmp_path):
+    env = os.environ | {"PYTHONPATH": str(ROOT), "RELAY_CONFIG": str(tmp_path / "none")}
+    words = [sys.executable, "-m", "zincstile.field.skewed", "400"]
+    done = subprocess.run(words, env=env, capture_output=True, text=True)
+    assert done.returncode == 2 and "none" in done.stderr
--- /dev/null
+++ b/tests/test_shared.py
@@ -0,0 +1,215 @@
+"""Parts and loans: nothing has two owners, whatever is lost, late, doubled or out of order."""
+
+from __future__ import annotations
+
+import pickle
+import subprocess
+import sys
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+from hypothesis import settings as pace
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from zincstile import typed_yaml
+from zincstile.bounds import Quota
+from zincstile.net import config, features
+from zincstile.shared import words
+from zincstile.shared.bound import bounds, gossip, holders, opening, refused, turn_most
+from zincstile.shared.judges import EVERY, Evidence, Judges
+from zincstile.shared.levels import Levels, LevelWord
+from zincstile.shared.loans import Ask, Close, Grant, holding
+from zincstile.shared.module import SharedPolicy
+from zincstile.shared.settings import FAILURES, MS, SECOND, SharedSettings
+from zincstile.worlds import mutants_shared, plan, search, shared, traffic
+from zincstile.worlds.plan import Plan
+
+ROOT = Path(__file__).parent.parent
+SET = SharedSettings()
+BRIEF = [Quota("basic", r, r * b, n, 6.0) for r in (1.6, 2.8) for b in (3.3, 5.0) for n in (2, 3, 4)] + [
+    Quota("standard", r, r * b, n, 6.0) for r in (5.3, 9.2) for b in (3.3, 4.9) for n in (2, 3, 4)] + [
+    Quota("plus", r, r * b, n, 6.0) for r in (16.0, 28.0) for b in (1.5, 2.7) for n in (2, 3, 4)] + [
+    Quota("premium", r, r * b, n, 6.0) for r in (41.0, 71.0) for b in (1.3, 2.3) for n in (2, 3, 4)]
+
+
+@pytest.mark.parametrize("name", search.OPENINGS)
+def test_no_order_of_a_small_case_passes_a_quota(name):
+    found = search.search(3, name)
+    assert not found.broken and found.states > 400
+
+
+class AnyOrder(RuleBasedStateMachine):
+    """The same steps, far deeper, by chance."""
+
+    @initialize()
+    def begin(self):
+        self.state = search.start()
+
+    @rule(pick=st.integers(0, 10**6))
+    def step(self, pick):
+        can = search.actions(self.state)
+        search.do(self.state, can[pick % len(can)])
+
+    @rule(pick=st.integers(0, 10**6))
+    def word(self, pick):
+        if self.state.words:
+            search.do(self.state, f"deliver {pick % len(self.state.words)}")
+
+    @precondition(lambda self: len(self.state.words) < 2)
+    @rule(gateway=st.integers(0, 2))
+    def hungry(self, gateway):
+        for _ in range(3):
+            search.do(self.state, f"try {gateway} 0")
+
+    @invariant()
+    def it_survives_a_copy(self):
+        assert search._key(self.state) == search._key(pickle.loads(pickle.dumps(self.state)))
+
+
+TestAnyOrder = AnyOrder.TestCase
+TestAnyOrder.settings = pace(max_examples=60, stateful_step_count=60, deadline=None, derandomize=True)
+
+
+def test_each_deliberate_fault_is_named_and_nothing_where_there_is_none():
+    found = dict(mutants_shared.try_all(tuple(mutants_shared.MUTANTS), 8))
+    assert not [name for name, said in found.items() if not said]
+    assert mutants_shared.by_judging(7) == mutants_shared.by_levels(7) == ""
+
+
+@pytest.mark.parametrize("quota", BRIEF, ids=lambda q: f"{q.name}-{q.rate:g}-{q.burst:g}-{q.spread}")
+def test_every_plan_of_the_brief_is_held_within_five_percent_of_a_minute(quota):
+    found = {b.failure: b for b in bounds(quota, SET)}
+    assert refused(quota, SET) is None and set(found) == set(FAILURES)
+    assert found["cut"].units == found["none"].units == pytest.approx(quota.rate * 0.2)
+    assert all(found[f].share <= 0.05 + 1e-9 for f in SET.endured)
+    assert turn_most(quota, SET) + quota.burst / holders(quota, SET) >= 5.0  # nearly the largest request
+    assert 0.3 < opening(quota, SET) <= 1.0 and gossip(quota, 2, 10.0).share > 0.08
+
+
+def test_a_file_that_asks_for_too_much_is_refused_with_the_term_that_dominates():
+    tight = SharedSettings(flight_ns=5 * SECOND)
+    assert "most of it by flight" in refused(BRIEF[0], tight)
+    for name, value in (("gap_ns", MS), ("life_ns", MS), ("opening", 2.0), ("least_good", 0.0),
+                        ("most_overshoot", 1.0), ("endured", ("rain",)), ("paused", -1), ("most_out", 0)):
+        with pytest.raises(ValueError, match=name):
+            SharedSettings(**{name: value})
+
+
+def test_holders_are_the_same_wherever_they_are_asked_for_and_shared_out_evenly():
+    row, count = tuple(range(24)), [0] * 24
+    for key in range(3000):
+        held_by = holding(key, row, 4)
+        assert held_by == holding(key, row[::-1], 4) and len(set(held_by)) == 4
+        for one in held_by:
+            count[one] += 1
+    assert min(count) > 400 and max(count) < 600
+
+
+WORDS = [Ask(1, 2**33 - 1, 3, 24, 23, 2**32 - 1, 5.5, 1.25, 9), Grant(1, 7, 8, 2.5, 0.125, 3, 2**32 - 1),
+         Close(1, 7, 8, 1.5, 77), Evidence(65535, EVERY, 1.0, 199, 4, 30 * MS),
+         LevelWord(9, 5, 6, 2.5, 8.0, 0)]
+
+
+def test_words_survive_the_way_and_damage_does_not():
+    found = [words.unpack(d) for d in words.pack(5, WORDS * 9)]
+    assert all(len(d) <= words.LARGEST for d in words.pack(5, WORDS * 9)) and len(found) > 3
+    read = [w for process, some in found for w in some]
+    sent = [replace(w, to=-1) if hasattr(w, "to") else w for w in WORDS]
+    assert read == sent * 9 and found[0][0] == 5
+    data = words.pack(5, WORDS)[0]
+    assert all(words.unpack(data[:k]) is None for k in range(len(data)))
+    assert all(words.unpack(data[:k] + bytes([data[k] ^ 1]) + data[k + 1:]) is None for k in range(len(data)))
+
+
+def test_units_never_grow_on_their_way():
+    for units in (0.1, 1 / 3, 2.9999999, 5.0005):
+        (_, (grant,)), = [words.unpack(d) for d in words.pack(1, [Grant(0, 1, 2, units, units, 1, 1)])]
+        assert units - 0.001 < grant.units <= units
+
+
+def test_a_gateway_that_is_cut_off_from_the_back_end_knows_it_and_accuses_nobody():
+    judge, now = Judges(SET, 0, 0), 10 * SECOND
+    for server in range(1, 7):
+        for _ in range(3):
+            judge.sampled(now, server, EVERY, 1.0, 0.8, dead=True)
+    judge.look(now, range(1, 7))
+    assert not judge.trouble and judge.tell(now)  # with nobody else heard, who knows
+    judge.hear(now, 3, 1)
+    judge.look(now, range(1, 7))
+    assert judge.trouble and not judge.tell(now)
+    for peer, zone in ((3, 1), (4, 2)):  # others in two zones see it as well: it is no trouble of its own
+        for server in range(1, 7):
+            judge.merge(now, Evidence(server, EVERY, 1.0, peer, zone, 0))
+            judge.hear(now, peer, zone)
+    judge.look(now, range(1, 7))
+    assert not judge.trouble
+
+
+def test_parts_of_the_silent_are_taken_over_by_steps_and_given_back_at_once():
+    one, now = Levels(0, 10, 1, 40.0), SECOND
+    factors = {}
+    for step in range(120):
+        now += 100 * MS
+        heard = range(1, 10) if step < 30 or step >= 90 else range(1, 3)
+        for k in heard:
+            one.merge(now, LevelWord(k, 5, step, 1.0, 1.0, 0))
+        factors[step] = one.look(now)
+    assert factors[29] == 1.0 and factors[45] == 1.0  # not before its silence is over
+    assert factors[60] == pytest.approx(10 / 3) and factors[90] == 1.0
+    assert one.look(now + 3 * SECOND) == 1.0  # who was asleep begins with its own part
+
+
+def test_the_module_begins_with_its_bound_stated_and_loads_by_a_file(tmp_path):
+    table = traffic.configuration(Plan(seed=1), 0, "127.0.0.1:1", "127.0.0.1:2", ["127.0.0.1:3"] * 3, 1, {})
+    table["features"] = {"shared": str(ROOT / "deploy" / "shared.yaml")}
+    found = config.read(table, {})
+    assert found.shared == features.shared(str(ROOT / "deploy" / "shared.yaml"))[0]
+    plans = [p.name for p in found.settings.plans]
+    covered = dict(zip(plans, SharedPolicy(found.settings, 1, found.shared).covered, strict=True))
+    assert covered == dict.fromkeys(plans, False) | {"plus": True}  # its quota holds under its ceiling
+    for text, said in (("shared: {life_ms: fast}", "x.yaml:1: $.shared.life_ms"),
+                       ("shared: {hold: 1}", "x.yaml:1"), ("shared: {gap_ms: 10}", "gap_ns"),
+                       ("plans: []", "shared"), ("shared: [", "not YAML"),
+                       ("shared: {flight_ms: 4000}", "most of it by flight")):
+        (tmp_path / "x.yaml").write_text(text + "\n")
+        table["features"] = {"shared": str(tmp_path / "x.yaml")}
+        with pytest.raises(config.ConfigError, match="x.yaml") as err:
+            config.read(table, {})
+        assert said in str(err.value) and "\n" not in str(err.value)
+    table |= {"features": {"shared": "a", "keeper": str(ROOT / "deploy" / "keeper.yaml")}, "counter": "h:1"}
+    with pytest.raises(config.ConfigError, match="name one of both"):
+        config.read(table, {})
+
+
+def test_the_command_states_the_bounds_and_refuses(tmp_path):
+    def bound(path):
+        return subprocess.run([sys.executable, "-m", "zincstile", "bound", str(path)], cwd=ROOT, text=True,
+                              capture_output=True)
+    done = bound(ROOT / "deploy" / "shared.yaml")
+    assert done.returncode == 0 and "gossip, 2 parts for 10 s" in done.stdout and "premium" in done.stdout
+    path = tmp_path / "much.yaml"
+    path.write_text("shared: {flight_ms: 4000}\nplans: [{name: a, rate: 1, burst: 2, spread: 3}]\n")
+    done = bound(path)
+    assert done.returncode == 2 and done.stderr.count("\n") == 1 and "flight" in done.stderr
+
+
+def test_worlds_in_which_a_part_hears_nothing_keep_every_bound_and_gossip_would_not():
+    rows = list(shared.play_all(range(13), 4, shared.LAST_MS, False, 4))
+    assert {r.failure for r in rows} == set(shared.FAILURES)
+    assert not [r for r in rows if r.broken] and all(r.of_bound <= 1 for r in rows)
+    worst = max(r.worst for r in shared.play_all(range(1, 6), 4, shared.LAST_MS, True, 4))
+    assert worst > 10 > max(r.worst for r in rows)
+    with pytest.raises(ValueError, match="no such failure"):
+        shared.draw(1, 3, "rain")
+
+
+def test_a_plan_of_a_shared_world_survives_the_way_to_a_file(tmp_path):
+    for kind in shared.FAILURES:
+        drawn = shared.draw(3, 8, kind)
+        (tmp_path / "p.yaml").write_text(plan.dump(drawn))
+        assert plan.load(tmp_path / "p.yaml") == drawn
+    (tmp_path / "p.yaml").write_text("seed: 1\nfaults:\n- {kind: peers_cut, at_ms: 1, way: up}\n")
+    with pytest.raises(typed_yaml.FileError, match=r"p.yaml:3: \$.faults\[0\].way"):
+        plan.load(tmp_path / "p.yaml")
--- a/zincstile/bounds.py
+++ b/zincstile/bounds.py
@@ -4,8 +4,11 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
+from .interface import PlanSpec
+
 MINUTE_S = 60.0
 DIGITS = 1e-9  # what sums of floats are off by
 
@@ -19,6 +22,7 @@
     burst: float
     spread: int
     largest: float = 1.0  # units of one request
+    most: float = math.inf  # units that may go out beyond it, where something else (a ceiling) bounds them
 
     def __post_init__(self) -> None:
         if not (self.rate > 0 and self.burst >= 0 and self.spread >= 1 and self.largest > 0):
@@ -31,6 +35,14 @@
         return self.burst + MINUTE_S * self.rate
 
 
+def of_plan(plan: PlanSpec, spread: int, largest: float) -> Quota:
+    """A plan's quota. Where nothing beyond it is let in and it has a ceiling, what passes it by mistake has
+    to stay under that."""
+    held = plan.over_worth <= plan.over_cost and plan.ceiling_rate >= plan.rate
+    most = max(0.0, plan.ceiling_burst + plan.ceiling_slack - plan.burst) if held else math.inf
+    return Quota(plan.name, plan.rate, plan.burst, spread, largest, most)
+
+
 @dataclass(frozen=True, slots=True)
 class Bound:
     """For one failure: what it may add up to, term by term, in units."""
--- a/zincstile/cli/bound.py
+++ b/zincstile/cli/bound.py
@@ -1,4 +1,4 @@
-"""`bound`: how far quotas held through a count keeper can be passed, before anything fails."""
+"""`bound`: how far quotas can be passed by all gateways together, before anything fails."""
 
 from __future__ import annotations
 
@@ -6,37 +6,61 @@
 from rich.console import Console
 from rich.table import Table
 
-from ..keeper.bound import bounds, carry_most, lease_most
+from ..bounds import Bound, Quota
+from ..keeper import bound as by_keeper
 from ..net import features
+from ..shared import bound as by_loans
 from ..typed_yaml import FileError
 from .commands import Told
 
+WAYS, CUT_S = 2, 10.0  # of the cut that today's gossip is stated for, beside the loans
+
+
+def _shown(console: Console, title: str, bounds: list[Bound]) -> None:
+    table = Table(title=title)
+    for name in ("failure", "units", "of a minute", "terms"):
+        table.add_column(name, justify="left" if name in ("failure", "terms") else "right")
+    for bound in bounds:
+        terms = ", ".join(f"{k} {v:.2f}" for k, v in bound.terms.items() if v)
+        table.add_row(bound.failure, f"{bound.units:.2f}", f"{100 * bound.share:.2f}%", terms or "-")
+    console.print(table)
+
+
+def _title(quota: Quota, more: str) -> str:
+    return (f"plan {quota.name}: {quota.rate:g} units a second, {quota.burst:g} at once, over {quota.spread} "
+            f"gateways; {more}")
+
 
 @click.command("bound")
 @click.argument("file", type=click.Path())
 def command(file: str) -> int:
-    """Prints how far each plan's quota can be passed by all gateways together, for each failure of the
-    keeper.
+    """Prints how far each plan's quota can be passed by all gateways together, for each failure that the
+    file's way of holding quotas has to endure.
 
     Exit 2 where a bound is over what the file allows."""
-    try:
-        settings, quotas = features.keeper(file)
-    except FileError as err:
-        raise Told(str(err)) from None
     console = Console()
-    for quota in quotas:
-        carry, hand = carry_most(quota, settings), lease_most(quota, settings)
-        shown = Table(title=f"plan {quota.name}: {quota.rate:g} units a second, {quota.burst:g} at once, "
-                            f"over {quota.spread} gateways; hands on {carry:.2f}, leases {hand:.2f} at most")
-        for name in ("failure", "units", "of a minute", "terms"):
-            shown.add_column(name, justify="left" if name in ("failure", "terms") else "right")
-        for bound in bounds(quota, settings):
-            terms = ", ".join(f"{k} {v:.2f}" for k, v in bound.terms.items() if v)
-            shown.add_row(bound.failure, f"{bound.units:.2f}", f"{100 * bound.share:.2f}%", terms or "-")
-        console.print(shown)
     try:
-        features.check(file, settings, quotas)
+        if features.kind(file) == "shared":
+            settings, quotas = features.shared(file)
+            for quota in quotas:
+                more = (f"{by_loans.holders(quota, settings)} hold a part, a start opens with "
+                        f"{100 * by_loans.opening(quota, settings):.0f}% of it, "
+                        f"{by_loans.turn_most(quota, settings):.1f} borrowed units a turn")
+                _shown(console, _title(quota, more), [
+                    *by_loans.bounds(quota, settings), by_loans.gossip(quota, WAYS, CUT_S)])
+            console.print(f"budget: {settings.most_out:g} units out for each ready server by all gateways "
+                          f"together, {by_loans.MOST_FACTOR * settings.most_out:g} at most while parts of "
+                          "silent ones are taken over")
+            features.check_shared(file, settings, quotas)
+        else:
+            settings, quotas = features.keeper(file)
+            for quota in quotas:
+                carry, hand = by_keeper.carry_most(quota, settings), by_keeper.lease_most(quota, settings)
+                _shown(console, _title(quota, f"hands on {carry:.2f}, leases {hand:.2f} at most"),
+                       by_keeper.bounds(quota, settings))
+            features.check(file, settings, quotas)
     except FileError as err:
         raise Told(str(err)) from None
-    console.print(f"every bound is under {100 * settings.most_overshoot:g}% of a quota's minute")
+    console.print(f"every bound to be endured is under {100 * settings.most_overshoot:g}% of a quota's "
+                  "minute")
     return 0
--- a/zincstile/cli/sim.py
+++ b/zincstile/cli/sim.py
@@ -155,8 +155,11 @@
               help="Seeds to try for each at most.")
 @click.option("--jobs", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True)
 @click.option("--only", multiple=True, help="Names of those to try.")
-def mutants(most: int, jobs: int, only: tuple[str, ...]) -> int:
+@click.option("--shared", "of_shared", is_flag=True, help="Those of the shared state.")
+def mutants(most: int, jobs: int, only: tuple[str, ...], of_shared: bool) -> int:
     """Breaks the gateway on purpose, one way after another: how many seeds until the right rule names it?"""
+    if of_shared:
+        return _mutants_shared(jobs, only)
     from ..worlds import mutants as them
 
     unknown = set(only) - them.MUTANTS.keys()
@@ -171,6 +174,68 @@
     return 1 if missed else 0
 
 
+def _mutants_shared(jobs: int, only: tuple[str, ...]) -> int:
+    from ..worlds import mutants_shared as them
+
+    unknown = set(only) - them.MUTANTS.keys()
+    if unknown:
+        raise Told(f"--only {sorted(unknown)[0]}: no such mutant; there are {', '.join(them.MUTANTS)}")
+    missed = 0
+    for name, said in them.try_all(only or tuple(them.MUTANTS), jobs):
+        missed += not said
+        click.echo(f"{name:24} {said or 'not named'}")
+    click.echo(f"mutants={len(only or them.MUTANTS)} missed={missed}")
+    return 1 if missed else 0
+
+
+@command.command("search")
+@click.option("--depth", type=click.IntRange(1, 12), default=5, show_default=True)
+@click.option("--jobs", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True)
+def search(depth: int, jobs: int) -> int:
+    """Loans between three gateways in every order: words delivered, lost and doubled, crashes, stops; exit 1
+    where a quota is passed."""
+    from ..worlds import search as them
+
+    rows: dict[str, list[them.Found]] = {}
+    for found in them.search_all(depth, jobs):
+        rows.setdefault(found.opening, []).append(found)
+        if found.broken:
+            click.echo(f"{found.opening}: {found.broken}")
+    for name in them.OPENINGS:
+        mine = rows[name]
+        click.echo(f"{name:36}{sum(f.states for f in mine):10} states"
+                   f"{sum(f.steps for f in mine):11} steps{max(f.worst for f in mine):8.2f} units"
+                   f"{max(f.of_bound for f in mine):6.2f} of the bound")
+    every = [f for mine in rows.values() for f in mine]
+    broken = sum(bool(f.broken) for f in every)
+    click.echo(f"search depth={depth} states={sum(f.states for f in every)} "
+               f"steps={sum(f.steps for f in every)} broken={broken}")
+    return 1 if broken else 0
+
+
+@command.command("shared")
+@click.option("--seeds", "span", required=True, metavar="A:B")
+@click.option("--gateways", type=click.IntRange(2, 64), default=4, show_default=True)
+@click.option("--seconds", type=click.IntRange(4, 60), default=8, show_default=True, help="Of load.")
+@click.option("--gossip", is_flag=True, help="By the gossip's shares, which state no bound, in its place.")
+@click.option("--jobs", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True)
+def shared(span: str, gateways: int, seconds: int, gossip: bool, jobs: int) -> int:
+    """Whole gateways while a part of them hears nothing: what goes out beyond quotas beside the stated bound;
+    exit 1 where a rule is broken."""
+    from ..worlds import shared as them
+
+    chosen, rows = seeds(span), list[them.Row]()
+    for row in them.play_all(chosen, gateways, 1000 * seconds, gossip, jobs):
+        rows.append(row)
+        if row.broken:
+            click.echo(f"{row.failure} seed {row.seed}: {row.broken}")
+        print(f"{len(rows)} of {len(chosen)}", file=sys.stderr, flush=True) if len(rows) % 50 == 0 else None
+    click.echo(them.table(rows))
+    broken = sum(bool(row.broken) for row in rows)
+    click.echo(f"shared worlds={len(rows)} broken={broken}")
+    return 1 if broken else 0
+
+
 @command.command("keeper")
 @click.option("--seeds", "span", required=True, metavar="A:B")
 @click.option("--gateways", type=click.IntRange(2, 20), default=3, show_default=True)
--- a/zincstile/field/run.py
+++ b/zincstile/field/run.py
@@ -147,6 +147,7 @@
     async def play(self) -> FieldResult:
         """NotReadyError where the gateways don't start; OSError where the machine gives no sockets."""
         self.loop = asyncio.get_running_loop()
+        self.loop.set_exception_handler(self._caught)
         with places.block() as self.block:
             try:
                 await self._build()
@@ -157,6 +158,11 @@
                 self._end()
         return self._result()
 
+    def _caught(self, _: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """A fault of the field itself: a run that has one proves nothing."""
+        err = context.get("exception")
+        self.referee.breach("progress", f"the field: {type(err).__name__}: {err} ({context.get('message')})")
+
     async def _build(self) -> None:
         plan = self.plan
         self.datagrams = Datagrams(self.loop, self.links, self.block, self.names)
--- a/zincstile/held.py
+++ b/zincstile/held.py
@@ -61,7 +61,7 @@
         else:
             paid = self._pay(now, live, ask.id in held)
             if paid is Paid.YES:
-                super()._spend(now, c, ask.units)  # told to the peers, as ceilings and relays need it
+                self._note(now, c, ask.units)
                 self._settle(now, live, True)
             elif paid is Paid.SOON and now - live.came_ns < self.held_ns:
                 if ask.id not in held:
@@ -89,8 +89,12 @@
             if not held:
                 del self.held[live.customer.key]
 
-    def _spend(self, now: int, c: Customer, units: float) -> None:
+    def _note(self, now: int, c: Customer, units: float) -> None:
+        """Sent on, or given back: told to the peers, as ceilings and relays need it."""
         super()._spend(now, c, units)
+
+    def _spend(self, now: int, c: Customer, units: float) -> None:
+        self._note(now, c, units)
         if units:
             self._unpay(now, c, -units)
 
--- a/zincstile/net/config.py
+++ b/zincstile/net/config.py
@@ -129,10 +129,10 @@
 
 def _quotas(settings: Settings) -> list[Any]:
     """One for each plan that has a quota, and each number of gateways that a customer may come in by."""
-    from ..bounds import Quota  # here only: the platform's gateway loads no library
+    from ..bounds import of_plan
 
-    return [Quota(p.name, p.rate, p.burst, spread, settings.largest_units)
-            for p in settings.plans if p.rate for spread in range(1, settings.gateways + 1)]
+    return [of_plan(p, spread, settings.largest_units) for p in settings.plans if p.rate
+            for spread in range(1, settings.gateways + 1)]
 
 
 def _shared(t: dict[str, Any], settings: Settings) -> Any:
--- a/zincstile/net/features.py
+++ b/zincstile/net/features.py
@@ -53,6 +53,7 @@
 
     life_ms: int | None = None
     held_ms: int | None = None
+    again_ms: int | None = None
     flight_ms: int | None = None
     gap_ms: int | None = None
     beat_ms: int | None = None
@@ -101,6 +102,12 @@
         raise FileError(f"{path}: {err}") from None
 
 
+def kind(path: str) -> str:
+    """Which feature a file is of: `keeper` or `shared`. FileError where it can't be read."""
+    table = load(path, dict)
+    return "shared" if "shared" in table else "keeper"
+
+
 def keeper(path: str) -> tuple[KeeperSettings, list[Quota]]:
     """FileError where the file can't be used."""
     table = load(path, KeeperFile)
--- a/zincstile/net/gateway.py
+++ b/zincstile/net/gateway.py
@@ -145,14 +145,14 @@
 
     def _state_bounds(self) -> None:
         """The error by which quotas are held, stated before anything fails."""
-        from ..bounds import Quota
+        from ..bounds import of_plan
         from ..keeper import bound as by_keeper
         from ..shared import bound as by_loans
 
         config, settings = self.config, self.config.settings
         for plan in settings.plans:
             if plan.rate:
-                quota = Quota(plan.name, plan.rate, plan.burst, settings.gateways, settings.largest_units)
+                quota = of_plan(plan, settings.gateways, settings.largest_units)
                 found = by_loans.bounds(quota, config.shared) if config.shared else by_keeper.bounds(
                     quota, config.keeper)
                 held_by = config.shared or config.keeper
@@ -161,7 +161,8 @@
                               f"{100 * worst.share:.1f}% of a minute, by {worst.failure}")
         if config.shared:
             self.log.line(f"bound budget: {config.shared.most_out:g} units out for each ready server by all "
-                          "gateways, times 3.4 at most where silent ones' parts are taken over")
+                          f"gateways, times {by_loans.MOST_FACTOR:g} at most where parts of silent ones are "
+                          "taken over")
 
     def _caught(self, _: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         """What escaped a connection's callback: asyncio closes that connection, the process goes on."""
--- a/zincstile/shared/bound.py
+++ b/zincstile/shared/bound.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from ..bounds import Bound, Quota, too_much
+from .levels import MOST_FACTOR as MOST_FACTOR
 from .settings import FAILURES, SECOND, SharedSettings
 
 
@@ -24,8 +25,9 @@
 
 
 def _allowed(quota: Quota, settings: SharedSettings) -> float:
-    """Units beyond the steady terms that most_overshoot leaves."""
-    return max(0.0, settings.most_overshoot * quota.minute - sum(_steady(quota, settings).values()))
+    """Units beyond the steady terms that most_overshoot leaves, and the ceiling where there is one."""
+    most = min(settings.most_overshoot * quota.minute, quota.most)
+    return max(0.0, most - sum(_steady(quota, settings).values()))
 
 
 def opening(quota: Quota, settings: SharedSettings) -> float:
@@ -80,10 +82,11 @@
     part in which one peer is still heard goes on at the whole rate, so that there is no end to it; with
     nobody heard, the even part holds after SILENCE_S."""
     ways = min(ways, quota.spread)
-    sides = min(ways, quota.spread // 2)  # of these each has two gateways that hear each other
+    pairs = min(ways, quota.spread // 2)  # sides with two gateways that hear each other: each the whole rate
+    parts = pairs + (min(ways, quota.spread - pairs) - pairs) / quota.spread  # and an even part each alone
     alone = min(cut_s, SILENCE_S)
     terms = {"lag": quota.rate * (LAG_S + BEAT_S),
              "stores": (ways - 1) * quota.burst,
              "unnoticed": (ways - 1) * quota.rate * alone,
-             "parted": max(0, sides - 1) * quota.rate * max(0.0, cut_s - alone)}
+             "parted": max(0.0, parts - 1) * quota.rate * max(0.0, cut_s - alone)}
     return Bound(f"gossip, {ways} parts for {cut_s:g} s", terms, quota.minute)
--- a/zincstile/shared/levels.py
+++ b/zincstile/shared/levels.py
@@ -34,7 +34,7 @@
     """A word: what a gateway has out and would have, in units, and how old that is."""
 
     origin: int
-    process: int
+    life: int
     number: int
     out: float
     wants: float
@@ -45,12 +45,11 @@
 class Known:
     """Of another gateway."""
 
-    process: int
+    life: int
     number: int
     out: float
     wants: float
     made_ns: int
-    past: list[int] = field(default_factory=list)  # processes that it had before this one
 
 
 @dataclass(slots=True)
@@ -59,7 +58,7 @@
 
     me: int
     gateways: int
-    process: int
+    life: int  # of this process: a number that grows with each start, and past any that is still told of
     most: float
     known: dict[int, Known] = field(default_factory=dict)
     factor: float = 1.0
@@ -73,22 +72,19 @@
         return max(SILENCE_NS, self.gateways * SLOW_NS)
 
     def merge(self, now: int, word: LevelWord) -> bool:
-        """False where it says nothing new. A process that was followed by another never counts again."""
-        if word.origin == self.me or not 0 <= word.origin < self.gateways or word.age_ns > FORGET_NS:
+        """False where it says nothing new. A process that was followed by another never counts again, however
+        late its words come: lives only grow. Who hears of a later life of its own than the one it has (its
+        machine's clock began anew) goes past that."""
+        if not 0 <= word.origin < self.gateways or word.age_ns > FORGET_NS:
+            return False
+        if word.origin == self.me:
+            if (word.life, word.number) > (self.life, self.number):
+                self.life = word.life + 1
             return False
-        made = now - word.age_ns
         known = self.known.get(word.origin)
-        if known is None:
-            self.known[word.origin] = Known(word.process, word.number, word.out, word.wants, made)
-            return True
-        if word.process in known.past or word.process == known.process and word.number <= known.number:
+        if known is not None and (word.life, word.number) <= (known.life, known.number):
             return False
-        if word.process != known.process:
-            if made < known.made_ns:  # the older process's word was made later: this one is the past
-                return False
-            known.past = [*known.past[-7:], known.process]
-        known.process, known.number, known.out = word.process, word.number, word.out
-        known.wants, known.made_ns = word.wants, made
+        self.known[word.origin] = Known(word.life, word.number, word.out, word.wants, now - word.age_ns)
         return True
 
     def alive(self, now: int) -> int:
@@ -119,8 +115,8 @@
     def tell(self, now: int, out: float, wants: float, rng: random.Random) -> list[LevelWord]:
         """Of itself, and of some others, the youngest first."""
         self.number += 1
-        own = LevelWord(self.me, self.process, self.number, out, wants, 0)
-        young = [LevelWord(o, k.process, k.number, k.out, k.wants, now - k.made_ns)
+        own = LevelWord(self.me, self.life, self.number, out, wants, 0)
+        young = [LevelWord(o, k.life, k.number, k.out, k.wants, now - k.made_ns)
                  for o, k in self.known.items() if now - k.made_ns < self.silence_ns]
         rng.shuffle(young)
         young.sort(key=lambda w: w.age_ns // (self.silence_ns // 8))
--- a/zincstile/shared/loans.py
+++ b/zincstile/shared/loans.py
@@ -31,7 +31,10 @@
 GRAIN = 1024  # units travel in whole parts of so many
 KEPT = 1 / GRAIN / 2  # units below which nothing is worth a word
 USE_S = 1.0  # memory of a customer's use
+WORTH_S = 0.05  # less than the quota gives in so long is not worth an ask, where all are near their ends
 RESERVE_S = 0.15  # a lender keeps what its own use needs for so long
+MISSED = 2  # overdue asks in a row from which a peer counts as silent
+TIMES = 2  # an ask is sent so often at most
 FEW = 4  # holders asked at once for one try, at most
 MEMORY = 4  # lives after which a loan's id is forgotten: the doubles of its ask have come by then
 
@@ -119,11 +122,14 @@
 
 @dataclass(slots=True)
 class Asked:
-    """An ask on its way."""
+    """An ask on its way. It is sent again while its try may wait, under the same mark; once that is over it
+    is overdue, and what comes of it until its loan would end serves later tries."""
 
-    to: int
-    units: float
+    ask: Ask
     at_ns: int
+    again_ns: int
+    sent: int = 1
+    overdue: bool = False
 
 
 @dataclass(slots=True)
@@ -142,6 +148,8 @@
     heard: int = 0  # the last answer of it that came
     quiet_until_ns: int = -1  # it left asks unanswered: not asked before
     quiet_ns: int = 0
+    missed: int = 0  # asks in a row that were overdue
+    round_ns: float = 0.0  # from an ask to its answer, lately
     told: int = 0  # answers sent to it so far
     unheard: list[tuple[int, int]] = field(default_factory=list)  # loans among them: number, when
 
@@ -182,10 +190,13 @@
         self.purses: dict[int, Purse] = {}
         self.peers: dict[int, Peer] = {}
         self.words: list[Word] = []
+        self.closes: list[Close] = []  # they go with other words to the same gateway, or at the next beat
         self.busy: dict[int, None] = {}  # customers with something that ends by time
         self.counts = {"asks": 0, "grants": 0, "lent": 0.0, "borrowed": 0.0, "returned": 0.0, "ended": 0.0,
-                       "refused": 0, "unanswered": 0}
+                       "refused": 0, "unanswered": 0, "again": 0}
         self._marks = rng.getrandbits(31)
+        self.slow: dict[int, None] = {}  # customers with an ask that is late, since this was looked at last
+        self.waiting: dict[int, Purse] = {}  # asks that may be sent again, by mark
 
     # ---- customers
 
@@ -232,6 +243,12 @@
             self.counts["ended"] += sum(x.units for x in over)
             purse.loans = [x for x in purse.loans if x.end_ns > now]
 
+    def have(self, now: int, purse: Purse) -> float:
+        """Units that could still be sent here, in the store and in hand."""
+        self._fill(now, purse)
+        self._end(now, purse)
+        return purse.own + sum(x.units for x in purse.loans)
+
     # ---- sending
 
     def take(self, now: int, purse: Purse, units: float) -> bool:
@@ -282,38 +299,49 @@
         lack = units - purse.own - hand
         if hand + lack > purse.turn_most - purse.turn_lent + KEPT:
             return False
-        coming = sum(x.units for x in purse.asked.values())
+        coming = sum(x.ask.units for x in purse.asked.values() if not x.overdue and x.sent == 1)
         if coming + KEPT >= lack:
             return True
-        more = min(purse.use * self.settings.ahead_ns / SECOND, purse.turn_most - hand)
+        more = min(self._ahead(now, purse), purse.turn_most - hand)
         return self._ask(now, purse, max(lack - coming, more), lack - coming)
 
     def ahead(self, now: int, purse: Purse) -> None:
         """Borrows what recent use needs before it lacks."""
-        if purse.asked or len(purse.held_by) < 2 and self.me in purse.held_by:
+        if len(purse.held_by) < 2 and self.me in purse.held_by \
+                or any(not x.overdue for x in purse.asked.values()):
             return
-        wanted = min(purse.use * self.settings.ahead_ns / SECOND, purse.turn_most)
+        wanted = min(self._ahead(now, purse), purse.turn_most)
         have = purse.own + sum(x.units for x in purse.loans)
         if have < wanted / 2:
             self._ask(now, purse, wanted - have, min(wanted - have, purse.quota.largest) / 2)
 
+    def _ahead(self, now: int, purse: Purse) -> float:
+        """Units that recent use will want before more can be had."""
+        round_ns = max((self.peers[h].round_ns for h in purse.held_by if h in self.peers), default=0.0)
+        return self._use(now, purse) * (self.settings.ahead_ns + round_ns) / SECOND
+
     def _ask(self, now: int, purse: Purse, units: float, least: float) -> bool:
-        """Of those who may have it, those that have most; False where they don't have enough together."""
-        able = []
+        """Of those who may have it, those that have most; False where they don't have enough together. Who
+        left the last asks unanswered is asked beside them now and then, and not counted on."""
+        able, doubtful = [], []
         for one in purse.held_by:
             peer = self.peers.get(one)
-            if one == self.me or any(x.to == one for x in purse.asked.values()) \
+            if one == self.me or any(x.ask.to == one and not x.overdue for x in purse.asked.values()) \
                     or peer is not None and now < peer.quiet_until_ns:
                 continue
             level = self._estimate(now, purse, one)
-            if level > KEPT:
-                able.append((level * (0.8 + 0.4 * self.rng.random()), level, one))
+            if level >= min(units, WORTH_S * purse.quota.rate) and level > KEPT:
+                list_ = able if peer is None or peer.missed < MISSED else doubtful
+                list_.append((level * (0.8 + 0.4 * self.rng.random()), level, one))
         chosen, found = [], 0.0
         for _, level, one in sorted(able, reverse=True)[:FEW]:
             chosen.append((one, level))
             found += level
             if found >= units:
                 break
+        if doubtful:
+            _, level, one = max(doubtful)
+            self._ask_one(now, purse, one, min(units, level), 0.0)
         if found + KEPT < least:
             self.counts["refused"] += 1
             return False
@@ -321,16 +349,20 @@
         for one, level in chosen:
             part = min(left, level) if found > level else left
             left -= part
-            self._marks = (self._marks + 1) % 2**32
-            heard = self.peers.setdefault(one, Peer()).heard
-            self.words.append(Ask(one, purse.key, purse.plan, len(purse.row), purse.row[0], self._marks, part,
-                                  min(part, least) if len(chosen) == 1 else min(part, least / len(chosen)),
-                                  heard))
-            purse.asked[self._marks] = Asked(one, part, now)
-            self.counts["asks"] += 1
-        self.busy[purse.key] = None
+            enough = least if len(chosen) == 1 else least / len(chosen)
+            self._ask_one(now, purse, one, part, min(part, enough))
         return True
 
+    def _ask_one(self, now: int, purse: Purse, to: int, units: float, least: float) -> None:
+        self._marks = (self._marks + 1) % 2**32
+        heard = self.peers.setdefault(to, Peer()).heard
+        ask = Ask(to, purse.key, purse.plan, len(purse.row), purse.row[0], self._marks, units, least, heard)
+        self.words.append(ask)
+        purse.asked[self._marks] = Asked(ask, now, now + self.settings.again_ns)
+        self.waiting[self._marks] = purse
+        self.busy[purse.key] = None
+        self.counts["asks"] += 1
+
     def _estimate(self, now: int, purse: Purse, holder: int) -> float:
         """What a holder may have by now. Of one that was never heard: what a part holds."""
         part = 1 / len(purse.held_by)
@@ -349,16 +381,39 @@
         """Asks that nobody answers in time. Their loans, if there are any, are lost; who leaves several
         unanswered is asked the less often."""
         for mark, one in list(purse.asked.items()):
-            if now - one.at_ns < self.settings.held_ns:
+            if now - one.at_ns >= self.settings.life_ns:
+                del purse.asked[mark]
+            if one.overdue or now - one.at_ns < self.settings.held_ns:
                 continue
-            del purse.asked[mark]
+            one.overdue = True
+            self.waiting.pop(mark, None)
             self.counts["unanswered"] += 1
-            peer = self.peers.setdefault(one.to, Peer())
-            if now >= peer.quiet_until_ns:
+            peer = self.peers.setdefault(one.ask.to, Peer())
+            peer.missed += 1
+            if now >= peer.quiet_until_ns and peer.missed >= MISSED:
                 peer.quiet_ns = min(self.settings.quiet_most_ns, max(self.settings.quiet_ns,
                                                                      2 * peer.quiet_ns))
                 peer.quiet_until_ns = now + int(peer.quiet_ns * (0.5 + self.rng.random()))
 
+    def again(self, now: int) -> int | None:
+        """Asks that were not answered yet go out once more; when that is to be asked next, None for never.
+        The lender answers a double as it answered the first: nothing is taken twice. What is late is not
+        waited for alone (`slow`): others are asked beside it."""
+        soonest: int | None = None
+        for mark, purse in list(self.waiting.items()):
+            one = purse.asked.get(mark)
+            if one is None or one.overdue or now - one.at_ns >= self.settings.held_ns:
+                del self.waiting[mark]
+                continue
+            if now >= one.again_ns and one.sent < TIMES:
+                one.sent, one.again_ns = one.sent + 1, now + self.settings.again_ns
+                self.words.append(one.ask)
+                self.counts["again"] += 1
+                self.slow[purse.key] = None
+            if one.sent < TIMES:
+                soonest = one.again_ns if soonest is None else min(soonest, one.again_ns)
+        return soonest
+
     # ---- words
 
     def asked_for(self, now: int, sender: int, process: int, ask: Ask, purse: Purse) -> None:
@@ -367,7 +422,7 @@
         key = sender, process, ask.mark
         told = purse.lent.get(key)
         if told is not None:  # a double: the same answer, and nothing is taken twice
-            if told.open:
+            if told.open or not told.units:
                 self._tell(sender, process, purse, ask, told)
             return
         self._fill(now, purse)
@@ -410,12 +465,16 @@
         peer.heard = max(peer.heard, grant.number)
         peer.quiet_until_ns, peer.quiet_ns = -1, 0
         self.hint(now, purse, sender, grant.level)
-        if asked is None or asked.to != sender:
+        if asked is None or asked.ask.to != sender:
             return None
         del purse.asked[grant.mark]
+        self.waiting.pop(grant.mark, None)
+        peer.missed = 0
+        if asked.sent == 1:  # else nobody knows which of them was answered (Karn and Partridge 1987)
+            peer.round_ns += (now - asked.at_ns - peer.round_ns) / 4
         end = asked.at_ns + self.settings.life_ns
         if grant.units > KEPT and end > now:
-            loan = Loan(sender, process, grant.mark, min(grant.units, asked.units), end)
+            loan = Loan(sender, process, grant.mark, min(grant.units, asked.ask.units), end)
             purse.loans.append(loan)
             self.counts["borrowed"] += loan.units
             self.busy[purse.key] = None
@@ -426,7 +485,7 @@
         if loan in purse.loans:
             purse.loans.remove(loan)
             left = grains(max(0.0, loan.units))
-            self.words.append(Close(loan.lender, purse.key, loan.mark, left, loan.process))
+            self.closes.append(Close(loan.lender, purse.key, loan.mark, left, loan.process))
             self.counts["returned"] += left
 
     def closed(self, now: int, sender: int, process: int, word: Close) -> None:
@@ -451,6 +510,8 @@
     def look(self, now: int) -> None:
         """Once a beat: what ends by time. Loans that nothing here will use in time go back."""
         self.clock.look(now)
+        self.words += self.closes
+        self.closes = []
         for key in list(self.busy):
             purse = self.purses.get(key)
             if purse is None:
@@ -484,6 +545,10 @@
     def told(self) -> list[Word]:
         """The words to send, since the last time this was asked."""
         made, self.words = self.words, []
+        if self.closes and made:
+            to = {w.to for w in made}
+            made += [c for c in self.closes if c.to in to]
+            self.closes = [c for c in self.closes if c.to not in to]
         return made
 
     def sight(self, now: int) -> dict[str, float]:
--- a/zincstile/shared/module.py
+++ b/zincstile/shared/module.py
@@ -13,19 +13,21 @@
 from dataclasses import dataclass, field
 
 from .. import interface as i
-from ..bounds import Quota
+from ..bounds import DIGITS, Quota, of_plan
 from ..held import HeldPolicy, Paid
 from ..policy import SECOND
 from ..state import Attempt, Customer, Live, Server
 from .bound import bounds
-from .judges import EVERY, Evidence, Judges
+from .judges import EVERY, Judges
 from .levels import Levels, LevelWord
 from .loans import Ask, Close, Grant, Loans, Purse
 from .settings import MS, SharedSettings
+from .words import AnyWord
 
-LOOK = 2**62  # a timer's token that no request has
+LOOK, AGAIN = 2**62, 2**62 + 1  # timers' tokens that no request has
 SPREAD_NS = 500 * MS  # how often evidence and levels are told to some others
 SWEEP_NS, IDLE_NS = SECOND, 15 * SECOND  # how often customers are looked over; unheard for so long: may go
+LIFE_NS = 10 * MS  # a process's life is numbered by its start, in parts of this
 DEAD = 0.99  # how bad a sample is that found no connection, or no answer
 MARK = 0.011  # a doubt that is just kept: the choice then asks for all that is known of a server
 
@@ -36,7 +38,7 @@
 
     peer: int
     process: int
-    words: list[Ask | Grant | Close | Evidence | LevelWord]
+    words: list[AnyWord]
 
 
 @dataclass(slots=True)
@@ -45,7 +47,7 @@
 
     sender: int
     process: int
-    words: list[Ask | Grant | Close | Evidence | LevelWord] = field(default_factory=list)
+    words: list[AnyWord] = field(default_factory=list)
 
 
 class SharedPolicy(HeldPolicy):
@@ -59,10 +61,11 @@
         self.quotas: dict[tuple[int, int], Quota] = {}  # by plan and spread
         self.covered = [self._covers(p) for p in settings.plans]
         self.judges = Judges(shared, settings.me, settings.zone)
-        self.levels = Levels(settings.me, settings.gateways, self.process, shared.most_out)
+        self.levels = Levels(settings.me, settings.gateways, 0, shared.most_out)
         self.accused: dict[int, dict[int, float]] = {}  # server: how bad by words alone
         self.units_out = 0.0
         self.spread_ns = self.sweep_ns = 0
+        self.again_ns = -1  # when asks are looked at, whether to send them again
         self.paying: Purse | None = None  # of the try that is decided on just now
         self.loans: Loans | None = None
         self.said_trouble = False
@@ -70,12 +73,18 @@
 
     def on_started(self, now: int, event: i.Started) -> None:
         self.loans = Loans(self.shared, self.set.me, self.process, now, self.draws)
+        self.levels.life = now // LIFE_NS % 2**32  # a machine's clock goes on over its processes' starts
         super().on_started(now, event)
         self._look(now)
 
     def on_timer(self, now: int, event: i.Timer) -> None:
         if event.token == LOOK:
             self._look(now)
+        elif event.token == AGAIN:
+            self.again_ns = -1
+            self._carry_on(now)
+            slow, self.loans.slow = list(self.loans.slow), {}
+            self.try_held(now, slow)
         else:
             super().on_timer(now, event)
 
@@ -142,7 +151,12 @@
         self.loans.asked_for(now, event.sender, event.process, ask, purse)
 
     def _carry_on(self, now: int) -> None:
-        by: dict[int, list[Ask | Grant | Close | Evidence | LevelWord]] = {}
+        if self.loans.waiting:
+            soonest = self.loans.again(now)
+            if soonest is not None and not now < self.again_ns <= soonest:
+                self.again_ns = soonest
+                self.timer(soonest, AGAIN)
+        by: dict[int, list[AnyWord]] = {}
         for word in self.loans.told():
             by.setdefault(word.to, []).append(word)
         if self.set.peers:
@@ -153,9 +167,7 @@
     def _quota(self, plan: int, spread: int) -> Quota:
         found = self.quotas.get((plan, spread))
         if found is None:
-            spec = self.set.plans[plan]
-            found = self.quotas[plan, spread] = Quota(spec.name, spec.rate, spec.burst, spread,
-                                                      self.set.largest_units)
+            found = self.quotas[plan, spread] = of_plan(self.set.plans[plan], spread, self.set.largest_units)
         return found
 
     def _purse(self, now: int, key: int, plan: int, spread: int, first: int) -> Purse:
@@ -176,6 +188,11 @@
         super()._settle(now, live, inside)
         self.paying = None
 
+    def _note(self, now: int, c: Customer, units: float) -> None:
+        """Told to the peers only where a limit on attempts out needs it: quotas and ceilings don't."""
+        if self.set.plans[c.plan].open_limit:
+            super()._note(now, c, units)
+
     def _unpay(self, now: int, c: Customer, units: float) -> None:
         if self.paying is not None:  # decided against in the same turn
             self.loans.untake(now, self.paying)
@@ -204,10 +221,9 @@
         go out beyond it."""
         if not plan.rate or plan.over_worth > plan.over_cost or plan.ceiling_rate < plan.rate:
             return False
-        most = max(b.units for spread in range(1, self.set.gateways + 1)
-                   for b in bounds(Quota(plan.name, plan.rate, plan.burst, spread, self.set.largest_units),
-                                   self.shared))
-        return plan.ceiling_burst + plan.ceiling_slack - plan.burst >= most
+        quotas = [of_plan(plan, n, self.set.largest_units) for n in range(1, self.set.gateways + 1)]
+        return all(b.units <= q.most + DIGITS for q in quotas for b in bounds(q, self.shared)
+                   if b.failure in self.shared.endured)
 
     def _ceiling_part(self, now: int, c: Customer, plan: i.PlanSpec) -> float:
         """All of it where the quota alone holds it; else an even part, whoever is heard."""
--- a/zincstile/shared/settings.py
+++ b/zincstile/shared/settings.py
@@ -13,8 +13,9 @@
 class SharedSettings:
     """ValueError names a field that can't work."""
 
-    life_ns: int = 500 * MS  # a loan ends so long after it was asked for
+    life_ns: int = 1500 * MS  # a loan ends so long after it was asked for
     held_ns: int = 83 * MS  # a try waits so long for an answer
+    again_ns: int = 40 * MS  # an ask that is not answered is sent again after so long
     flight_ns: int = 200 * MS  # from a decision until its attempt has left, at most
     gap_ns: int = 300 * MS  # a process that looks about less often was asleep, and earns nothing for the rest
     beat_ns: int = 100 * MS  # how often it looks about
@@ -32,8 +33,8 @@
     most_overshoot: float = 0.05  # of what a quota gives in any minute
 
     def __post_init__(self) -> None:
-        for name in ("life_ns", "held_ns", "flight_ns", "gap_ns", "beat_ns", "ahead_ns", "quiet_ns",
-                     "quiet_most_ns", "holders", "witnesses", "told_ns"):
+        for name in ("life_ns", "held_ns", "again_ns", "flight_ns", "gap_ns", "beat_ns", "ahead_ns",
+                     "quiet_ns", "quiet_most_ns", "holders", "witnesses", "told_ns"):
             if getattr(self, name) < 1:
                 raise ValueError(f"{name}: must be above 0")
         if self.life_ns < 2 * self.held_ns:
--- a/zincstile/shared/words.py
+++ b/zincstile/shared/words.py
@@ -21,11 +21,11 @@
 GRANT = struct.Struct("<QIIIII")  # customer, mark, units, level, number, the borrower's process
 CLOSE = struct.Struct("<QIII")  # customer, mark, left, the lender's process
 JUDGED = struct.Struct("<HBBBHH")  # server, group, how bad, zone, age in 10 ms, origin
-LEVEL = struct.Struct("<HIIIHH")  # origin, process, number, units out in 1/16, age in 10 ms, wants in 1/16
+LEVEL = struct.Struct("<HIIIHH")  # origin, its life, number, units out in 1/16, age in 10 ms, wants in 1/16
 AGE_NS = 10_000_000
 MOST = 2**32 - 1
 
-Any = Ask | Grant | Close | Evidence | LevelWord
+AnyWord = Ask | Grant | Close | Evidence | LevelWord
 
 
 def _units(units: float) -> int:
@@ -56,17 +56,17 @@
 
 
 def _level(w: LevelWord) -> bytes:
-    return LEVEL.pack(w.origin, w.process, w.number, min(MOST, int(16 * w.out)), _aged(w.age_ns),
+    return LEVEL.pack(w.origin, w.life % 2**32, w.number, min(MOST, int(16 * w.out)), _aged(w.age_ns),
                       min(65535, int(16 * w.wants)))
 
 
-def _of(form: struct.Struct, make: Callable[..., Any]) -> tuple[struct.Struct, Callable[..., Any]]:
+def _of(form: struct.Struct, make: Callable[..., AnyWord]) -> tuple[struct.Struct, Callable[..., AnyWord]]:
     return form, make
 
 
 PACKED: dict[type, tuple[int, Callable[..., bytes]]] = {
     Ask: (1, _ask), Grant: (2, _grant), Close: (3, _close), Evidence: (4, _evidence), LevelWord: (5, _level)}
-READ: dict[int, tuple[struct.Struct, Callable[..., Any]]] = {
+READ: dict[int, tuple[struct.Struct, Callable[..., AnyWord]]] = {
     1: _of(ASK, lambda customer, plan, spread, first, mark, units, least, heard: Ask(
         -1, customer, plan, spread, first, mark, units / GRAIN, least / GRAIN, heard)),
     2: _of(GRANT, lambda customer, mark, units, level, number, process: Grant(
@@ -74,11 +74,11 @@
     3: _of(CLOSE, lambda customer, mark, left, process: Close(-1, customer, mark, left / GRAIN, process)),
     4: _of(JUDGED, lambda server, group, bad, zone, age, origin: Evidence(
         server, group, bad / 255, origin, zone, age * AGE_NS)),
-    5: _of(LEVEL, lambda origin, process, number, out, age, wants: LevelWord(
-        origin, process, number, out / 16, wants / 16, age * AGE_NS))}
+    5: _of(LEVEL, lambda origin, life, number, out, age, wants: LevelWord(
+        origin, life, number, out / 16, wants / 16, age * AGE_NS))}
 
 
-def pack(process: int, words: Iterable[Any]) -> list[bytes]:
+def pack(process: int, words: Iterable[AnyWord]) -> list[bytes]:
     """Datagrams that hold all of the words, in their order."""
     made, body, count = [], b"", 0
     for word in words:
@@ -97,7 +97,7 @@
     return HEAD.pack(MAGIC, process, zlib.crc32(body, process) & 0xFFFF, count) + body
 
 
-def unpack(data: bytes) -> tuple[int, list[Any]] | None:
+def unpack(data: bytes) -> tuple[int, list[AnyWord]] | None:
     """The sender's process and its words; None for what is damaged, or of another layout."""
     if len(data) < HEAD.size or len(data) > LARGEST:
         return None
--- a/zincstile/worlds/__init__.py
+++ b/zincstile/worlds/__init__.py
@@ -8,6 +8,7 @@
     shrink    a failing plan to a smallest one that breaks the same rule
     mutants   deliberate faults of the gateway, to see that the checkers name them
 
-This package stands above `net`, `virtual`, `standin` and `rules` and may import them all; of the system it
-touches files and processes in `plan` and `sweep` only. It needs msgspec and PyYAML (`pip install '.[sim]'`).
+This package stands above `net`, `virtual`, `standin` and `rules` and may import them all; of the system
+it touches files and processes in `plan` and `sweep` only. It needs msgspec and PyYAML (`pip install
+'.[sim]'`).
 """
--- a/zincstile/worlds/fleet.py
+++ b/zincstile/worlds/fleet.py
@@ -1,8 +1,8 @@
 """Worlds of a growing fleet by seed, and counts over all of its gateways.
 
-Half of the boxes are replaced within a moment, then most gateways are killed; customers come in through half
-of the gateways or more. Boxes are one and a half times the gateways, requests 40 for each, so that a gateway
-sees little of any box at every size.
+Half of the boxes are replaced within a moment, then most gateways are killed; customers come in through
+half of the gateways or more. Boxes are one and a half times the gateways, requests 40 for each, so that
+a gateway sees little of any box at every size.
 """
 
 from __future__ import annotations
--- a/zincstile/worlds/mutants.py
+++ b/zincstile/worlds/mutants.py
@@ -1,8 +1,8 @@
 """Deliberate faults of the gateway and its module: each must be named by the right rule, within some seeds.
 
-A mutant that no seed names is a hole in the worlds or the checkers. Each is a function that changes the code
-in this process and gives what puts it back; `try_all` plays seed after seed under it, in a process of its
-own.
+A mutant that no seed names is a hole in the worlds or the checkers. Each is a function that changes the
+code in this process and gives what puts it back; `try_all` plays seed after seed under it, in a process
+of its own.
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/zincstile/worlds/mutants_shared.py
@@ -0,0 +1,329 @@
+"""Deliberate faults of the shared state: each must be named by one of its checkers.
+
+Checkers are the search over small cases, worlds in which a part of the fleet hears nothing, and a trial of
+judgements in which one zone lies. A fault that none of them names is a hole in the checkers.
+"""
+
+from __future__ import annotations
+
+import multiprocessing
+import random
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from ..shared import judges, levels, loans
+from ..shared.judges import Evidence, Judges
+from ..shared.levels import Levels, LevelWord
+from ..shared.settings import MS, SECOND, SharedSettings
+from . import search, shared
+from .mutants import Undo, _swap
+
+DEPTH = 4
+WORLDS, GATEWAYS = 39, 4
+
+
+def _both_hold() -> Undo:
+    """The lender keeps in its store what it lends."""
+    old = loans.Loans.asked_for
+
+    def asked_for(self, now, sender, process, ask, purse):
+        before = purse.own
+        old(self, now, sender, process, ask, purse)
+        purse.own = max(purse.own, min(before, purse.most))
+    return _swap(loans.Loans, "asked_for", asked_for)
+
+
+def _wrong_clock() -> Undo:
+    """The borrower counts a loan's life from the moment it came, and not from its own ask."""
+    old = loans.Loans.granted
+
+    def granted(self, now, sender, process, grant):
+        purse = self.purses.get(grant.customer)
+        asked = purse.asked.get(grant.mark) if purse else None
+        if asked is not None:
+            asked.at_ns = now + self.settings.life_ns
+        return old(self, now, sender, process, grant)
+    return _swap(loans.Loans, "granted", granted)
+
+
+def _speaks_for_its_past() -> Undo:
+    """A process that starts takes the answers to the one before it for its own, and closes its loans."""
+    old = loans.Loans.granted
+
+    def granted(self, now, sender, process, grant):
+        purse = self.purses.get(grant.customer)
+        if purse is not None and grant.mark not in purse.asked and grant.process != self.process:
+            ask = loans.Ask(sender, purse.key, purse.plan, 1, 0, grant.mark, grant.units, 0.0, 0)
+            purse.asked[grant.mark] = loans.Asked(ask, now, now)
+            grant.process = self.process
+        return old(self, now, sender, process, grant)
+    return _swap(loans.Loans, "granted", granted)
+
+
+def _counted_twice() -> Undo:
+    """An answer that comes twice is two loans."""
+    old = loans.Loans.granted
+
+    def granted(self, now, sender, process, grant):
+        purse = self.purses.get(grant.customer)
+        asked = purse.asked.get(grant.mark) if purse else None
+        found = old(self, now, sender, process, grant)
+        if asked is not None:
+            purse.asked[grant.mark] = asked
+        return found
+    return _swap(loans.Loans, "granted", granted)
+
+
+def _closed_twice() -> Undo:
+    """What is given back is taken each time that it comes."""
+    def over(self, purse, lent):
+        purse.out = max(0.0, purse.out - lent.units)
+    return _swap(loans.Loans, "_over", over)
+
+
+def _never_ends() -> Undo:
+    """A borrower goes on using a loan after its end."""
+    return _swap(loans.Loans, "_end", lambda self, now, purse: None)
+
+
+def _no_cap() -> Undo:
+    """A store holds more than its part."""
+    def fill(self, now, purse):
+        awake = self.clock.look(now)
+        purse.own += purse.rate * (awake - purse.filled_ns) / SECOND
+        purse.filled_ns = awake
+    return _swap(loans.Loans, "_fill", fill)
+
+
+def _sleep_earns() -> Undo:
+    """A store fills by the time that passed, also while its process was stopped."""
+    def look(self, now):
+        self.awake_ns += max(0, now - self.last_ns) if self.last_ns >= 0 else 0
+        self.last_ns = max(now, self.last_ns)
+        return self.awake_ns
+    return _swap(loans.Clock, "look", look)
+
+
+def _out_forgotten() -> Undo:
+    """The lender's store fills up again while its loan is out."""
+    def fill(self, now, purse):
+        awake = self.clock.look(now)
+        grown = purse.rate * (awake - purse.filled_ns) / SECOND
+        purse.own, purse.filled_ns = min(purse.most, purse.own + 4 * grown), awake
+    return _swap(loans.Loans, "_fill", fill)
+
+
+def _starts_full() -> Undo:
+    """A start that knows no past opens with a full store, and with all of the quota."""
+    old = loans.Loans.purse
+
+    def purse(self, now, key, plan, quota, row):
+        new = key not in self.purses
+        found = old(self, now, key, plan, quota, row)
+        if new:
+            found.own = found.most = quota.burst
+        return found
+    return _swap(loans.Loans, "purse", purse)
+
+
+def _no_witness() -> Undo:
+    """One zone's word is enough."""
+    return _swap(judges.Judges, "needed", lambda self, now: 1)
+
+
+def _words_first() -> Undo:
+    """What was told goes before what was seen here."""
+    return _swap(judges.Judges, "lately", lambda self, now, server, group: None)
+
+
+def _no_end() -> Undo:
+    """Evidence does not age."""
+    old = judges.Judges.merge
+
+    def merge(self, now, word):
+        word.age_ns = 0
+        return old(self, now, word)
+    return _swap(judges.Judges, "merge", merge)
+
+
+def _all_ruled_out() -> Undo:
+    """Words may rule out every server."""
+    old = judges.Judges.doubts
+
+    def doubts(self, now, servers, groups):
+        found = old(self, now, servers, groups)
+        return {s: {g: max(bad, self.word(now, s, g)) for g, bad in by.items()} for s, by in found.items()}
+    return _swap(judges.Judges, "doubts", doubts)
+
+
+def _old_level_speaks() -> Undo:
+    """A word of a process that was followed by another counts."""
+    def merge(self, now, word):
+        self.known[word.origin] = levels.Known(word.life, word.number, word.out, word.wants,
+                                               now - word.age_ns)
+        return True
+    return _swap(levels.Levels, "merge", merge)
+
+
+def _takes_all() -> Undo:
+    """Who hears nobody takes over the parts of all, at once."""
+    def look(self, now):
+        self.factor = self.gateways / self.alive(now)
+        return self.factor
+    return _swap(levels.Levels, "look", look)
+
+
+# ---- checkers
+
+
+def by_search(_: int) -> str:
+    """Every opening, to the depth."""
+    for name in search.OPENINGS:
+        found = search.search(DEPTH, name)
+        if found.broken:
+            return f"search: {found.broken}"
+    return ""
+
+
+def by_worlds(seed: int) -> str:
+    """Worlds in which a part hears nothing."""
+    for one in range(seed, seed + WORLDS):
+        row = shared.play(one, GATEWAYS, shared.LAST_MS, False)
+        if row.broken:
+            return f"{row.failure} seed {one}: {row.broken}"
+    return ""
+
+
+def by_judging(seed: int) -> str:
+    """A gateway that sees all servers well hears what one zone's gateways, cut off, say of them; then two
+    zones agree on some; then nobody says anything more."""
+    rng, settings = random.Random(f"judging {seed}"), SharedSettings()
+    for _ in range(200):
+        judge, servers, now = Judges(settings, 0, 0), list(range(1, rng.randint(4, 13))), 10 * SECOND
+        for peer in range(1, 7):
+            judge.hear(now, peer, peer % 3)
+        liars = rng.choice((1, 2))
+        words = [Evidence(s, judges.EVERY, 1.0, peer, peer % 3, rng.randrange(500) * MS)
+                 for s in servers for peer in range(1, 7) if peer % 3 == liars]
+        rng.shuffle(words)
+        for word in words:
+            judge.merge(now, word)
+        if judge.doubts(now, servers, range(256)):
+            return "judging: one zone alone ruled servers out"
+        seen = rng.choice(servers)
+        for _ in range(3):
+            judge.sampled(now, seen, judges.EVERY, 0.0, 0.4)
+        told = [Evidence(s, judges.EVERY, 1.0, peer, peer % 3, rng.randrange(900) * MS)
+                for s in servers for peer in range(1, 7)]
+        rng.shuffle(told)
+        for word in told:
+            judge.merge(now, word)
+        found = judge.doubts(now, servers, range(256))
+        out = [s for s, by in found.items() if max(by.values()) >= judges.BAD]
+        if seen in out:
+            return "judging: words went before own samples"
+        if len(out) > (1 - settings.least_good) * len(servers):
+            return f"judging: words ruled out {len(out)} of {len(servers)}"
+        if not out and len(servers) > 3:
+            return "judging: what two zones agree on was not believed"
+        late = Evidence(servers[0], judges.EVERY, 1.0, 3, 0, settings.told_ns)
+        judge.merge(now, late)
+        now += settings.told_ns
+        judge.merge(now, Evidence(servers[0], judges.EVERY, 1.0, 4, 1, settings.told_ns))
+        judge.merge(now, Evidence(servers[0], judges.EVERY, 1.0, 5, 2, settings.told_ns + MS))
+        judge.look(now, servers)
+        if judge.doubts(now, servers, range(256)):
+            return "judging: words did not end"
+    return ""
+
+
+def by_levels(seed: int) -> str:
+    """Gateways in two sides of any sizes, killed, stopped and restarted: the sum of what all may have out."""
+    rng = random.Random(f"levels {seed}")
+    for _ in range(60):
+        count = rng.randint(2, 12)
+        all_ = [Levels(k, count, 1000 + k, 40.0) for k in range(count)]
+        sides, now, ready = [rng.randrange(rng.randint(1, 3)) for _ in range(count)], 0, 10.0
+        doomed, dead, past = rng.sample(range(count), count * 7 // 10), set[int](), list[LevelWord]()
+        newest: dict[tuple[int, int, int], int] = {}  # who knows of whom: the newest process
+        asleep = {k: rng.randint(20, 60) for k in range(count) if rng.random() < 0.3}
+        for step in range(140):
+            now += 100 * MS
+            for k, one in enumerate(all_):
+                if k in dead or 0 < asleep.get(k, 0) - step < 15:
+                    continue
+                one.look(now)
+                words = one.tell(now, 1.0, 1.0, rng)
+                past.append(words[0])
+                for other in one.partners(rng):
+                    if sides[other] == sides[k] and other not in dead:
+                        for word in words:
+                            all_[other].merge(now, LevelWord(word.origin, word.life, word.number, word.out,
+                                                             word.wants, word.age_ns))
+                if rng.random() < 0.05:  # an old word comes late
+                    old = rng.choice(past)
+                    all_[k].merge(now, LevelWord(old.origin, old.life, old.number, 9e3, 9e3, 0))
+            if step == 30:
+                dead.update(doomed)
+            if step == 70:
+                for k in list(dead)[:2]:
+                    dead.discard(k)
+                    all_[k] = Levels(k, count, 2000 + k, 40.0)
+            alive = [x for k, x in enumerate(all_) if k not in dead]
+            total = sum(x.part(ready) for x in alive)
+            if total > alive[0].stated(ready) + 1e-6:
+                return f"levels: {total:.1f} units out, {alive[0].stated(ready):.1f} stated"
+            for one in alive:
+                for origin, known in one.known.items():
+                    if known.life < newest.get((one.me, one.life, origin), 0):
+                        return "levels: an old word spoke for its past"
+                    newest[one.me, one.life, origin] = known.life
+    return ""
+
+
+@dataclass(slots=True)
+class Mutant:
+    """A fault, and the checkers that may name it, in this order."""
+
+    put: Callable[[], Undo]
+    checkers: tuple[Callable[[int], str], ...]
+
+
+MUTANTS: dict[str, Mutant] = {
+    "loan-both-hold": Mutant(_both_hold, (by_search, by_worlds)),
+    "expiry-by-wrong-clock": Mutant(_wrong_clock, (by_search, by_worlds)),
+    "speaks-for-its-past": Mutant(_speaks_for_its_past, (by_search, by_worlds)),
+    "word-counted-twice": Mutant(_counted_twice, (by_search, by_worlds)),
+    "closed-twice": Mutant(_closed_twice, (by_search, by_worlds)),
+    "loan-never-ends": Mutant(_never_ends, (by_search, by_worlds)),
+    "store-without-end": Mutant(_no_cap, (by_search, by_worlds)),
+    "sleep-earns": Mutant(_sleep_earns, (by_search, by_worlds)),
+    "out-forgotten": Mutant(_out_forgotten, (by_search, by_worlds)),
+    "starts-full": Mutant(_starts_full, (by_worlds,)),
+    "no-witness": Mutant(_no_witness, (by_judging,)),
+    "words-before-own": Mutant(_words_first, (by_judging,)),
+    "words-never-end": Mutant(_no_end, (by_judging,)),
+    "all-ruled-out": Mutant(_all_ruled_out, (by_judging,)),
+    "old-level-speaks": Mutant(_old_level_speaks, (by_levels,)),
+    "takes-all-at-once": Mutant(_takes_all, (by_levels,)),
+}
+
+
+def find(name: str) -> tuple[str, str]:
+    """The mutant's name, and what named it; empty: nothing did."""
+    mutant = MUTANTS[name]
+    undo = mutant.put()
+    try:
+        for checker in mutant.checkers:
+            said = checker(1)
+            if said:
+                return name, said
+    finally:
+        undo()
+    return name, ""
+
+
+def try_all(names: tuple[str, ...], jobs: int) -> Iterator[tuple[str, str]]:
+    """In the order of the names."""
+    with multiprocessing.get_context("spawn").Pool(min(jobs, len(names)), maxtasksperchild=1) as pool:
+        yield from pool.imap(find, names, chunksize=1)
--- /dev/null
+++ b/zincstile/worlds/search.py
@@ -0,0 +1,312 @@
+"""Every order of a small case: three gateways that lend each other units of two customers' quotas, with
+words delivered in any order, lost and doubled, processes that crash and processes that are stopped in
+the middle of a turn, up to a depth. No clock, no chance: all that can happen next is tried, and equal
+states once.
+
+After each step every customer's quota is looked at in two ways: what has been sent, against the store
+that the quota is; and what may still be sent, stores and loans together, against what that store still
+holds. The second names a unit that two gateways have before anybody has sent it.
+"""
+
+from __future__ import annotations
+
+import multiprocessing
+import pickle
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from ..bounds import Quota
+from ..shared.bound import bounds, opening
+from ..shared.loans import Ask, Close, Grant, Loans, Word
+from ..shared.settings import MS, SharedSettings
+
+GATEWAYS, CUSTOMERS = 3, 2
+FLIGHT = 3  # words on their way at once at most; what would be more is lost
+DIGITS = 1e-6
+SETTINGS = SharedSettings(life_ns=400 * MS, held_ns=100 * MS, gap_ns=200 * MS, beat_ns=100 * MS,
+                          quiet_ns=100 * MS, opening=1.0)
+STEP_NS = 150 * MS  # a tick: three of them end a loan, two are a sleep
+QUOTAS = (Quota("a", 20.0, 6.0, GATEWAYS, 2.0), Quota("b", 2.0, 3.0, 2, 1.0))  # quick to fill, and slow
+ROWS = ((0, 1, 2), (1, 2))
+
+
+class Even:
+    """In place of chance: the same each time."""
+
+    def __init__(self, number: int) -> None:
+        self.number = number
+
+    def random(self) -> float:
+        return 0.5
+
+    def getrandbits(self, bits: int) -> int:
+        return self.number % 2**bits
+
+
+@dataclass(slots=True)
+class Sent:
+    """A word on its way: from whom, by which process."""
+
+    sender: int
+    process: int
+    word: Word
+
+
+@dataclass(slots=True)
+class State:
+    """One moment."""
+
+    now: int = 0
+    seats: list[Loans] = field(default_factory=list)
+    clocks: list[int] = field(default_factory=list)  # what each takes for now: a stopped one's stands
+    words: list[Sent] = field(default_factory=list)
+    levels: list[float] = field(default_factory=list)  # of the store that each quota is
+    allowed: list[float] = field(default_factory=list)  # below nothing, by crashes and stops
+    crashes: int = 0
+    processes: int = 0
+    path: tuple[str, ...] = ()
+
+
+class Broken(Exception):  # noqa: N818 - it is what was found, and no error of the search
+    """A quota was passed, or could be."""
+
+
+@dataclass(slots=True)
+class Found:
+    """What came of a search."""
+
+    depth: int
+    opening: str = "nothing"
+    states: int = 0
+    steps: int = 0
+    broken: str = ""
+    worst: float = 0.0  # units beyond a quota, at most
+    of_bound: float = 0.0
+
+
+def start() -> State:
+    state = State(levels=[q.burst for q in QUOTAS], allowed=[0.0] * CUSTOMERS)
+    for me in range(GATEWAYS):
+        state.clocks.append(0)
+        state.seats.append(_seat(state, me))
+    return state
+
+
+def _seat(state: State, me: int) -> Loans:
+    state.processes += 1
+    made = Loans(SETTINGS, me, state.processes, state.now, Even(1000 * state.processes))  # type: ignore
+    for c in range(CUSTOMERS):
+        if me in ROWS[c]:
+            _purse(made, state.now, c)
+    return made
+
+
+def _purse(loans: Loans, now: int, c: int):
+    return loans.purse(now, c + 1, c, QUOTAS[c], ROWS[c])
+
+
+def actions(state: State) -> list[str]:
+    """All that can happen next."""
+    found = [f"try {g} {c}" for c in range(CUSTOMERS) for g in ROWS[c]]
+    seen: list[str] = []
+    for k, one in enumerate(state.words):
+        key = repr((one.sender, one.process, one.word))
+        if key in seen:
+            continue
+        seen.append(key)
+        found += [f"deliver {k}", f"lose {k}"]
+        if len(state.words) < FLIGHT:
+            found.append(f"double {k}")
+    found += ["tick", "pass"]
+    found += [f"crash {g}" for g in range(GATEWAYS) if state.crashes < 1]
+    asleep = [g for g in range(GATEWAYS) if state.clocks[g] < state.now]
+    found += [f"sleep {g}" for g in asleep or range(GATEWAYS)]
+    return found
+
+
+def do(state: State, action: str) -> None:
+    """Carries it out. Broken where a quota was passed by it."""
+    what, *args = action.split()
+    numbers = [int(a) for a in args]
+    state.path = (*state.path, action)
+    if what == "try":
+        _try(state, *numbers)
+    elif what == "deliver":
+        _deliver(state, state.words.pop(numbers[0]))
+    elif what == "lose":
+        state.words.pop(numbers[0])
+    elif what == "double":
+        state.words.append(state.words[numbers[0]])
+    elif what == "crash":
+        _crash(state, numbers[0])
+    else:
+        _tick(state, numbers[0] if numbers else -1, look=what != "pass")
+    _check(state)
+
+
+def _flush(state: State, g: int) -> None:
+    for word in state.seats[g].told():
+        if len(state.words) < FLIGHT:
+            state.words.append(Sent(g, state.seats[g].process, word))
+
+
+def _try(state: State, g: int, c: int) -> None:
+    loans, now = state.seats[g], state.clocks[g]
+    units, purse = QUOTAS[c].largest, _purse(loans, now, c)
+    borrowed = sum(x.units for x in purse.loans)
+    if loans.take(now, purse, units):
+        state.levels[c] -= units
+        if now < state.now:  # stopped between decision and sending: what it borrowed may be lent anew by now
+            state.allowed[c] += max(0.0, borrowed - sum(x.units for x in purse.loans))
+    else:
+        loans.seek(now, purse, units)
+    _flush(state, g)
+
+
+def _deliver(state: State, one: Sent) -> None:
+    word = one.word
+    loans, now = state.seats[word.to], state.clocks[word.to]
+    if isinstance(word, Ask):
+        loans.asked_for(now, one.sender, one.process, word, _purse(loans, now, word.customer - 1))
+    elif isinstance(word, Grant):
+        loans.granted(now, one.sender, one.process, word)
+    elif isinstance(word, Close):
+        loans.closed(now, one.sender, one.process, word)
+    _flush(state, word.to)
+
+
+def _tick(state: State, asleep: int, look: bool) -> None:
+    """Time passes; a process that sleeps takes its old time for now until it wakes. Without a look: its
+    timers come after whatever comes next."""
+    state.now += STEP_NS
+    for c, quota in enumerate(QUOTAS):
+        state.levels[c] = min(quota.burst, state.levels[c] + quota.rate * STEP_NS / 1e9)
+    for g, loans in enumerate(state.seats):
+        if g == asleep:
+            if state.clocks[g] == state.now - STEP_NS:  # its sleep begins
+                for c in range(CUSTOMERS):
+                    if g in ROWS[c]:
+                        state.allowed[c] += QUOTAS[c].rate / len(ROWS[c]) * SETTINGS.gap_ns / 1e9
+            continue
+        state.clocks[g] = state.now
+        if look:
+            loans.look(state.now)
+            _flush(state, g)
+
+
+def _crash(state: State, g: int) -> None:
+    state.crashes += 1
+    state.clocks[g] = state.now
+    state.seats[g] = _seat(state, g)
+    for c, quota in enumerate(QUOTAS):
+        if g in ROWS[c]:
+            state.allowed[c] += opening(quota, SETTINGS) * quota.burst / len(ROWS[c])
+
+
+def _check(state: State) -> None:
+    awake = all(c == state.now for c in state.clocks)
+    for c in range(CUSTOMERS):
+        if state.levels[c] < -state.allowed[c] - DIGITS:
+            raise Broken(f"customer {c}: {-state.levels[c]:.3f} units beyond the quota, "
+                         f"{state.allowed[c]:.3f} allowed")
+        held = 0.0
+        for g, loans in enumerate(state.seats):
+            purse = loans.purses.get(c + 1)
+            if purse is not None:
+                held += loans.have(state.clocks[g], purse)
+        if awake and held > state.levels[c] + state.allowed[c] + DIGITS:
+            raise Broken(f"customer {c}: stores and loans hold {held:.3f}, the quota {state.levels[c]:.3f}, "
+                         f"{state.allowed[c]:.3f} allowed")
+
+
+def _key(state: State) -> bytes:
+    """Equal for states from which the same can happen."""
+    now = state.now
+    seats = []
+    for g, loans in enumerate(state.seats):
+        at = state.clocks[g]
+        purses = [(k, round(p.own, 6), round(p.out, 6), [(x.lender, x.process, x.mark, round(x.units, 6),
+                   x.end_ns - now) for x in p.loans],
+                   [(m, a.ask.to, a.ask.units, a.at_ns - now, a.sent, a.overdue) for m, a in p.asked.items()],
+                   [(h, round(x.level, 6), max(-10**9, x.at_ns - now)) for h, x in p.hints.items()],
+                   [(m, round(x.units, 6), x.at_ns - now, x.open) for m, x in p.lent.items()],
+                   round(p.turn_lent, 6) if p.turn_ns == at else 0) for k, p in loans.purses.items()]
+        peers = [(n, p.process, p.heard, max(-1, p.quiet_until_ns - now), p.quiet_ns, p.missed, p.told,
+                  [(a, b - now) for a, b in p.unheard]) for n, p in loans.peers.items()]
+        seats.append((loans.process, at - now, purses, peers, loans._marks,
+                      [(c.to, c.mark, c.left) for c in loans.closes]))
+    words = sorted(repr((w.sender, w.process, w.word)) for w in state.words)
+    return pickle.dumps((seats, words, [round(x, 6) for x in state.levels],
+                         [round(x, 6) for x in state.allowed], state.crashes))
+
+
+ASKED = ("try 0 0", "try 0 0")  # the own part is spent, and a loan asked for
+OPENINGS = {
+    "nothing": (),
+    "an ask on its way": (*ASKED,),
+    "a grant on its way": (*ASKED, "deliver 0"),
+    "a grant that came twice": (*ASKED, "deliver 0", "double 0", "deliver 0"),
+    "a loan in hand": (*ASKED, "deliver 0", "deliver 0"),
+    "a borrower that starts anew": (*ASKED, "deliver 0", "crash 0"),
+    "a loan in hand, its lender stopped": (*ASKED, "deliver 0", "deliver 0", "sleep 1"),
+    "a gateway long stopped": ("sleep 1", "sleep 1", "sleep 1"),
+    "a loan at its end, and no timer yet": (*ASKED, "deliver 0", "deliver 0", "pass", "pass", "pass"),
+    "a loan about to end": (*ASKED, "deliver 0", "deliver 0", "tick", "tick"),
+    "a grant that came late": (*ASKED, "deliver 0", "tick", "tick", "deliver 0"),
+    "a loan given back, on its way": (*ASKED, "deliver 0", "deliver 0", "tick", "tick", "tick"),
+}
+
+
+def search(depth: int, opening: str = "nothing", first: str = "") -> Found:
+    """All paths of so many steps after an opening, beginning with `first` where that is named. It ends at the
+    first that breaks."""
+    found, state = Found(depth, opening), start()
+    try:
+        for action in (*OPENINGS[opening], *([first] if first else [])):
+            do(state, action)
+    except Broken as broken:
+        found.broken = f"{broken}: {'; '.join(state.path)}"
+        return found
+    level, known = [pickle.dumps(state)], {_key(state): None}
+    worst = [max(b.units for b in bounds(q, SETTINGS)) for q in QUOTAS]
+    for _ in range(depth - bool(first)):
+        following = []
+        for packed in level:
+            for action in actions(pickle.loads(packed)):
+                state = pickle.loads(packed)
+                found.steps += 1
+                try:
+                    do(state, action)
+                except Broken as broken:
+                    found.broken = f"{broken}: {'; '.join(state.path)}"
+                    return found
+                for c, lowest in enumerate(state.levels):
+                    found.worst = max(found.worst, -lowest)
+                    found.of_bound = max(found.of_bound, -lowest / worst[c])
+                key = _key(state)
+                if key not in known:
+                    known[key] = None
+                    following.append(pickle.dumps(state))
+        level = following
+    found.states = len(known)
+    return found
+
+
+def _search(job: tuple[int, str, str]) -> Found:
+    return search(*job)
+
+
+def firsts(opening: str) -> list[str]:
+    """What can happen right after an opening."""
+    state = start()
+    for action in OPENINGS[opening]:
+        do(state, action)
+    return actions(state)
+
+
+def search_all(depth: int, jobs: int) -> Iterator[Found]:
+    """Every opening, one search for each first step after it, over many processes. States that are reached by
+    several first steps are counted for each."""
+    chosen = [(depth, name, first) for name in OPENINGS for first in firsts(name)]
+    with multiprocessing.get_context("spawn").Pool(min(jobs, len(chosen))) as pool:
+        yield from pool.imap_unordered(_search, chosen)
--- a/zincstile/worlds/shared.py
+++ b/zincstile/worlds/shared.py
@@ -7,18 +7,25 @@
 
 from __future__ import annotations
 
+import json
+import multiprocessing
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from functools import partial
 
-from ..bounds import Quota
+from .. import wire
+from ..bounds import of_plan
+from ..rules.quotas import Quotas
 from ..shared import bound
 from ..shared.settings import SharedSettings
 from . import traffic
-from .plan import Fault, Kind, Plan
+from .plan import Fault, Plan
 
 FAILURES = ("none", "halves", "one-way", "ring", "thirds", "loss", "late", "moving", "paused", "killed",
             "flapping", "blind", "mixed")
-CALM_MS, LAST_MS, HEALED_MS = 1200, 8000, 1500  # before the failure; the load; after the failure
+CALM_MS, LAST_MS = 1200, 8000  # before the failure; the load, unless told otherwise
+HEALED = 5  # the load goes on after the failure for one part in so many of its length
 
 
 def _groups(rng: random.Random, gateways: int, ways: int) -> list[list[int]]:
@@ -116,22 +123,21 @@
     "killed": _killed, "flapping": _flapping, "blind": _blind, "mixed": _mixed}
 
 
-def draw(seed: int, gateways: int, failure: str) -> Plan:
+def draw(seed: int, gateways: int, failure: str, last_ms: int = LAST_MS) -> Plan:
     """The plan of a seed, a size and a failure. ValueError where there is no such failure."""
     if failure not in MADE:
         raise ValueError(f"no such failure: {failure}")
     rng = random.Random(f"shared {seed} {gateways} {failure}")
-    length = LAST_MS - CALM_MS - HEALED_MS
+    length = last_ms - CALM_MS - last_ms // HEALED
     faults = MADE[failure](rng, gateways, CALM_MS, length)
     return Plan(
         seed=seed, gateways=gateways, wide=rng.random() < 0.5, boxes=max(10, gateways * 3 // 2),
-        requests=max(400, 50 * gateways), last_ms=LAST_MS, udp_loss=rng.choice((0.0, 0.03, 0.073)),
+        requests=max(400, 50 * gateways) * last_ms // LAST_MS, last_ms=last_ms,
+        udp_loss=rng.choice((0.0, 0.03, 0.073)),
         udp_twice=rng.choice((0.0, 0.05)), greedy=0.5, share=True, sockets=256,
         faults=sorted(faults, key=lambda f: (f.at_ms, f.kind)))
 
 
-KINDS_DRAWN: tuple[Kind, ...] = ("peers_cut", "peers_ring", "peers_loss", "peers_late", "peers_shuffled",
-                                 "peers_twice", "move", "pause", "crash", "away", "hang")
 STARTS, STOPS = ("crash", "roll", "skew", "upgrade"), ("pause",)
 
 
@@ -142,11 +148,72 @@
     kinds = {f.kind for f in plan.faults}
     starts, stops = kinds & set(STARTS), kinds & set(STOPS)
     failure = "all" if starts and stops else "restart" if starts else "paused" if stops else "cut"
+    specs = wire.read_settings(json.dumps(traffic.settings(plan, 0)).encode()).plans
     found, opening = {}, {}
     for name, (_, rate, burst, *_) in traffic.PLANS.items():
-        quotas = [Quota(name, rate, rate * burst, spread, traffic.MOST_UNITS)
-                  for spread in range(1, plan.gateways + 1)]
+        spec = next(p for p in specs if p.name == name)
+        quotas = [of_plan(spec, spread, traffic.MOST_UNITS) for spread in range(1, plan.gateways + 1)]
         most = max(b.units for q in quotas for b in bound.bounds(q, settings) if b.failure == failure)
         found[name] = rate, rate * burst, most
         opening[name] = bound.opening(quotas[0], settings)
     return found, opening
+
+
+# ---- many worlds
+
+
+@dataclass(slots=True)
+class Row:
+    """What came of one world."""
+
+    failure: str
+    seed: int
+    broken: str
+    worst: float  # units beyond a quota, at most
+    of_bound: float
+    sent: float
+    best: float  # what one store that sees every try would let in
+    served: int
+    messages: float  # sent by a gateway in a second
+    over_minute: float  # worst, in what its quota gives in a minute
+
+
+def play(seed: int, gateways: int, last_ms: int, gossip: bool) -> Row:
+    """One world; failures go round by the seed."""
+    from .world import Run  # which stands on this module
+
+    failure = FAILURES[seed % len(FAILURES)]
+    plan = draw(seed, gateways, failure, last_ms)
+    plan.share = not gossip
+    run = Run(plan)
+    if gossip:
+        run.referee.quotas = Quotas(traffic.quotas())
+    result = run.play()
+    quotas = run.referee.quotas
+    minute = max((-s.lowest / (quotas.stated[plan][1] + 60 * quotas.stated[plan][0])
+                  for (plan, _), s in quotas.stores.items()), default=0.0)
+    sent = sum(s.gateway.counters.messages_out for s in run.seats) / len(run.seats) / result.seconds
+    return Row(failure, seed, f"{result.breach.rule}: {result.breach.text}" if result.breach else "",
+               quotas.worst, quotas.nearest, quotas.sent, quotas.best, result.tally.get("served", 0), sent,
+               minute)
+
+
+def play_all(seeds: range, gateways: int, last_ms: int, gossip: bool, jobs: int) -> Iterator[Row]:
+    with multiprocessing.get_context("spawn").Pool(min(jobs, len(seeds))) as pool:
+        yield from pool.imap_unordered(
+            partial(play, gateways=gateways, last_ms=last_ms, gossip=gossip), seeds)
+
+
+def table(rows: list[Row]) -> str:
+    """One line a failure."""
+    lines = [f"{'failure':12}{'worlds':>7}{'worst units':>13}{'of a minute':>13}{'of its bound':>14}"
+             f"{'goodput':>9}{'served':>8}{'msg/s':>7}"]
+    for failure in FAILURES:
+        mine = [r for r in rows if r.failure == failure]
+        if mine:
+            lines.append(
+                f"{failure:12}{len(mine):7}{max(r.worst for r in mine):13.2f}"
+                f"{100 * max(r.over_minute for r in mine):12.2f}%{max(r.of_bound for r in mine):14.2f}"
+                f"{sum(r.sent for r in mine) / max(1e-9, sum(r.best for r in mine)):9.3f}"
+                f"{sum(r.served for r in mine):8}{sum(r.messages for r in mine) / len(mine):7.1f}")
+    return "\n".join(lines)
--- a/zincstile/worlds/shrink.py
+++ b/zincstile/worlds/shrink.py
@@ -1,8 +1,9 @@
 """A failing plan made small: fewest faults, then requests, then the plainest network, by delta debugging.
 
-A candidate counts when it breaks the same rule as the plan did, by whatever request. The search is greedy and
-bounded in runs: what it gives fails for sure, and leaving out any one part that was still tried does not.
-Reference: Zeller and Hildebrandt, "Simplifying and Isolating Failure-Inducing Input" (2002), ddmin.
+A candidate counts when it breaks the same rule as the plan did, by whatever request. The search is
+greedy and bounded in runs: what it gives fails for sure, and leaving out any one part that was still
+tried does not. Reference: Zeller and Hildebrandt, "Simplifying and Isolating Failure-Inducing Input"
+(2002), ddmin.
 """
 
 from __future__ import annotations
