--- a/zincstile/cli/field.py
+++ b/zincstile/cli/field.py
@@ -86,9 +86,10 @@
 @click.option("--jobs", type=click.IntRange(1, 64), default=max(1, (os.cpu_count() or 2) // 4),
               show_default=True, help="Runs beside each other.")
 @click.option("--feature", "features", multiple=True, metavar="NAME=FILE")
+@click.option("--gossip", is_flag=True, help="By the gossip's shares, which state no bound.")
 @click.option("--out", type=click.Path(file_okay=False), help="Write each result into this folder.")
 def sweep(span: str, gateways: int, kinds: tuple[str, ...], jobs: int, features: tuple[str, ...],
-          out: str | None) -> int:
+          gossip: bool, out: str | None) -> int:
     """Plays many runs of drawn failures; exit 1 where any breaks a rule."""
     from ..field import result as results
     from ..field import sweep as sweeps
@@ -103,7 +104,7 @@
         files = sweeps.features(features)
         if out is not None:
             Path(out).mkdir(parents=True, exist_ok=True)
-        for found in sweeps.many(chosen, gateways, kinds or shared.FAILURES, jobs, files):
+        for found in sweeps.many(chosen, gateways, kinds or shared.FAILURES, jobs, files, gossip):
             done.append(found)
             if out is not None:
                 results.write(found, Path(out) / f"{found.plan.replace(' ', '-')}-{found.seed}.json")
--- a/zincstile/field/sweep.py
+++ b/zincstile/field/sweep.py
@@ -48,9 +48,11 @@
     return run.play(plan, folder, name=name, features=files, stated=stated, opening=opening)
 
 
-def _drawn(gateways: int, kinds: tuple[str, ...], files: dict[str, str], seed: int) -> FieldResult:
+def _drawn(gateways: int, kinds: tuple[str, ...], files: dict[str, str], gossip: bool,
+           seed: int) -> FieldResult:
     kind = kinds[seed % len(kinds)]
     plan = shared.draw(seed, gateways, kind)
+    plan.share = not gossip
     try:
         with tempfile.TemporaryDirectory(prefix="zincstile-field-") as folder:
             return one(plan, Path(folder), kind, files)
@@ -59,17 +61,24 @@
             BreachRow("start", 0.0, "-", str(err))], {}, {}, [], [])
 
 
-def many(seeds: range, gateways: int, kinds: tuple[str, ...], jobs: int,
-         files: dict[str, str]) -> Iterator[FieldResult]:
+def many(seeds: range, gateways: int, kinds: tuple[str, ...], jobs: int, files: dict[str, str],
+         gossip: bool = False) -> Iterator[FieldResult]:
     """In the order in which they end. Failures go round by the seed."""
     with multiprocessing.get_context("spawn").Pool(min(jobs, len(seeds)), maxtasksperchild=8) as pool:
-        yield from pool.imap_unordered(partial(_drawn, gateways, kinds, files), seeds)
+        yield from pool.imap_unordered(partial(_drawn, gateways, kinds, files, gossip), seeds)
+
+
+def _cpu(rows: list[FieldResult]) -> float:
+    """Milliseconds of a request, the start of the processes among them."""
+    counters = [x.counters for r in rows for x in r.rows]
+    requests = sum(c.get("requests", 0.0) for c in counters)
+    return sum(c.get("cpu_ms", 0.0) for c in counters) / max(1.0, requests)
 
 
 def table(done: list[FieldResult]) -> str:
     """One line a failure: runs, worst beside stated, goodput, messages."""
     lines = [f"{'failure':14}{'runs':>5}{'broken':>8}{'worst units':>13}{'of its bound':>14}"
-             f"{'goodput':>9}{'least':>7}{'msg/s':>7}"]
+             f"{'goodput':>9}{'least':>7}{'msg/s':>7}{'CPU ms':>8}"]
     for kind in dict.fromkeys(r.plan for r in done):
         rows = [r for r in done if r.plan == kind]
         plans = [p for r in rows for p in r.plans]
@@ -80,5 +89,5 @@
         least = min((r.goodput for r in rows), default=0.0)
         lines.append(f"{kind:14}{len(rows):5}{sum(not r.ok for r in rows):8}{worst:13.2f}{near:14.2f}"
                      f"{sent / best if best else 1.0:9.3f}{least:7.2f}"
-                     f"{sum(rate) / max(1, len(rate)):7.1f}")
+                     f"{sum(rate) / max(1, len(rate)):7.1f}{_cpu(rows):8.2f}")
     return "\n".join(lines)
