--- a/zincstile/cli/field.py
+++ b/zincstile/cli/field.py
@@ -120,6 +120,42 @@
     return 1 if broken else 0
 
 
+@command.command("start")
+@click.option("--gateways", type=click.IntRange(1, 250), default=24, show_default=True)
+@click.option("--boxes", type=click.IntRange(1, 250), default=24, show_default=True,
+              help="Lines of the list.")
+@click.option("--lists-per-s", "per_s", type=click.FloatRange(0.1, 1e6), default=20.0, show_default=True)
+@click.option("--wave", "waves", multiple=True, help="Which waves; all that there are where none is named.")
+@click.option("--patience", type=click.FloatRange(1, 600), default=60.0, show_default=True,
+              help="Seconds that a wave is waited for.")
+@click.option("--slower-after", type=click.IntRange(0), default=0, help="Half as fast after so many calls.")
+@click.option("--resets-every", type=click.IntRange(0), default=0, help="Each so-manieth call is reset.")
+@click.option("--halves-every", type=click.IntRange(0), default=0, help="Each so-manieth answer stalls.")
+@click.option("--older-every", type=click.IntRange(0), default=0, help="Each so-manieth list is an older.")
+@click.option("--places", type=click.IntRange(1), default=100_000, help="Callers that wait; more get 503.")
+@click.option("--seed", type=click.IntRange(min=0), default=1, show_default=True)
+def start(gateways: int, boxes: int, per_s: float, waves: tuple[str, ...], patience: float, seed: int,
+          **wrong: int) -> int:
+    """Cold starts of real processes with a list service that has to be asked; exit 1 where one is late."""
+    from ..field import start as starts
+    from ..field.places import PlaceError
+    from ..field.run import NotReadyError
+    from ..standin.listservice import Manners
+
+    for wave in waves:
+        if wave not in starts.WAVES:
+            raise Told(f"--wave {wave}: no such wave; there are {', '.join(starts.WAVES)}")
+    plan = Plan(seed=seed, gateways=gateways, boxes=boxes, requests=0, asked=True, lists_per_s=per_s)
+    try:
+        with tempfile.TemporaryDirectory(prefix="zincstile-start-") as folder:
+            names = list(waves or starts.WAVES)
+            rows = starts.play(plan, Path(folder), Manners(per_s, **wrong), names, patience)
+    except (PlaceError, NotReadyError, OSError) as err:
+        raise Told(f"field: {err}") from None
+    click.echo(starts.table(rows))
+    return 0 if all(r.ready == r.gateways for r in rows) else 1
+
+
 @command.command("report")
 @click.argument("files", metavar="RESULT.json...", nargs=-1, required=True, type=click.Path())
 @click.option("--out", required=True, type=click.Path(dir_okay=False), help="The page.")
--- a/zincstile/field/programs.py
+++ b/zincstile/field/programs.py
@@ -84,6 +84,13 @@
         *lines, self.line = (self.line + data).split(b"\n")
         return [x.decode("utf-8", "replace") for x in lines]
 
+    def cpu_ms(self) -> float:
+        """Processor time so far; 0 where it has ended."""
+        with contextlib.suppress(OSError, ValueError, IndexError):
+            words = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
+            return (int(words[11]) + int(words[12])) * 1000 / os.sysconf("SC_CLK_TCK")
+        return 0.0
+
     def memory_kb(self) -> int:
         """Resident, at present; 0 where it has ended."""
         with contextlib.suppress(OSError, ValueError, IndexError):
--- a/zincstile/field/run.py
+++ b/zincstile/field/run.py
@@ -163,7 +163,7 @@
         err = context.get("exception")
         self.referee.breach("progress", f"the field: {type(err).__name__}: {err} ({context.get('message')})")
 
-    async def _build(self) -> None:
+    async def _build(self, start: bool = True) -> None:
         plan = self.plan
         self.datagrams = Datagrams(self.loop, self.links, self.block, self.names)
         if self.base.loss or self.base.twice:
@@ -194,7 +194,7 @@
         await self._until(lambda: all(c.port for _, c in self.counters.values()), READY_S)
         self._first_s = time.monotonic()
         self.referee.quotas = Quotas(self.stated, 0, self.opening, time.monotonic_ns())
-        for seat in self.seats:
+        for seat in self.seats if start else ():
             self.start_gateway(seat)
 
     def _listening(self, seat: Seat) -> socket.socket:
@@ -423,9 +423,8 @@
         """A gateway's configuration file, as it stands now."""
         plan, number = self.plan, seat.number
         seed = random.Random(f"{seat.name} {plan.seed} {seat.starts}").getrandbits(64)
-        known = {"index": seat.agent.index, "snapshot": True, "endpoints": seat.agent.whole()["endpoints"]}
         table = traffic.configuration(plan, number, seat.listen, seat.discovery, self.datagrams.peers(number),
-                                      seed, known)
+                                      seed, self._known(seat))
         if self.features:
             table["features"] = self.features
         if self.counters:
@@ -436,6 +435,10 @@
         path.write_text(json.dumps(table), encoding="utf-8")
         return path
 
+    def _known(self, seat: Seat) -> dict[str, Any]:
+        """The list that a gateway starts with."""
+        return seat.agent.whole()
+
     def start_gateway(self, seat: Seat) -> None:
         """As the platform does: from nothing but its file and the last list."""
         self._fold(seat)
--- /dev/null
+++ b/zincstile/field/start.py
@@ -0,0 +1,241 @@
+"""Cold starts of many real processes with a list service that has to be asked: when each is ready, and
+what the service has to bear.
+
+Readiness is read from each program's own log, so that the measure costs it nothing. Clocks are this
+machine's.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+
+import msgspec
+
+from ..standin.listservice import ListService, Manners
+from ..worlds.plan import Plan
+from . import places
+from .run import NotReadyError, Run, Seat
+
+WAVES = ("all", "tenths", "seven-in-ten", "outage", "down", "empty")
+TENTH_S, OUTAGE_S, KILLED = 1.0, 20.0, 0.7
+ANY_S = 0.1  # the span in which the most calls are counted
+
+
+class StartRow(msgspec.Struct):
+    """One wave. Seconds from its begin; `least_s`: what nobody can beat, the work of the lists and the start
+    of the processes."""
+
+    wave: str
+    gateways: int
+    lists: int
+    per_s: float
+    up_s: float  # until the last process listened
+    half_s: float
+    most_s: float  # 99 in 100
+    all_s: float  # -1: not all were ready
+    ready: int
+    least_s: float
+    calls_each: float
+    calls_most: int  # of one gateway
+    calls_in_any: int  # in any tenth of a second
+    for_the_left: int
+    megabytes: float
+    memory_mb: float = 0.0
+    cpu_ms: float = 0.0  # of one process until it was ready, median
+
+    @property
+    def times(self) -> float:
+        """All ready, in what nobody can beat."""
+        return self.all_s / self.least_s if self.all_s >= 0 else float("inf")
+
+
+@dataclass(slots=True)
+class Mark:
+    """One process's start."""
+
+    begun_s: float
+    up_s: float = -1.0
+    ready_s: float = -1.0
+    cpu_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class Wave:
+    """Starts that belong together."""
+
+    begun_s: float
+    marks: dict[str, Mark] = field(default_factory=dict)
+
+
+class StartRun(Run):
+    """`patience_s`: how long a wave is waited for."""
+
+    def __init__(self, plan: Plan, folder: Path, manners: Manners, patience_s: float = 60.0) -> None:
+        super().__init__(plan, folder, "start")
+        self.manners, self.patience_s = manners, patience_s
+        self.rows: list[StartRow] = []
+        self.wave: Wave | None = None
+
+    async def waves(self, names: list[str]) -> list[StartRow]:
+        """Plays them one after another, on one fleet. PlaceError, OSError."""
+        self.loop = asyncio.get_running_loop()
+        self.loop.set_exception_handler(self._caught)
+        with places.block() as self.block:
+            try:
+                await self._places()
+                for name in names:
+                    await getattr(self, "_" + name.replace("-", "_"))(name)
+                if self.referee.breaches:
+                    raise NotReadyError(self.referee.breaches[0].text)
+            finally:
+                self._end()
+        return self.rows
+
+    async def _places(self) -> None:
+        self.service = ListService(self.loop, self.manners)
+        await self._build(start=False)
+        for seat in self.seats:
+            seat.agent.asked = self.service.ask
+
+    def _known(self, seat: Seat) -> dict:
+        return {}
+
+    # ---- the waves
+
+    async def _start(self, seats: list[Seat], name: str, at_once: bool = True) -> None:
+        self._begin()
+        for k, seat in enumerate(seats):
+            if not at_once and k and k % max(1, len(seats) // 10) == 0:
+                await asyncio.sleep(TENTH_S)
+            self._one(seat)
+        await self._until_ready(seats)
+        self._row(name, seats)
+
+    def _begin(self) -> None:
+        self.wave = Wave(time.time())
+        service = self.service
+        service.calls_s.clear()
+        service.by.clear()
+        for key in service.counts:
+            service.counts[key] = 0
+
+    def _one(self, seat: Seat) -> None:
+        self.wave.marks[seat.name] = Mark(time.time())
+        self.start_gateway(seat)
+
+    def _kill(self, seats: list[Seat]) -> None:
+        for seat in seats:
+            self.kill(seat)
+
+    async def _all(self, name: str) -> None:
+        self._kill(self.seats)
+        await self._start(self.seats, name)
+
+    async def _tenths(self, name: str) -> None:
+        self._kill(self.seats)
+        await self._start(self.seats, name, at_once=False)
+
+    async def _seven_in_ten(self, name: str) -> None:
+        chosen = self.rng.sample(self.seats, int(len(self.seats) * KILLED))
+        self._kill(chosen)
+        await self._start(chosen, name)
+
+    async def _outage(self, name: str) -> None:
+        """The service falls silent in the middle of the start."""
+        self._kill(self.seats)
+        middle_s = max(1.0, len(self.seats) / self.manners.per_s / 2)
+        self.after(1000 * middle_s, self._silent, True)
+        self.after(1000 * (middle_s + OUTAGE_S), self._silent, False)
+        await self._start(self.seats, name)
+
+    async def _down(self, name: str) -> None:
+        """All killed and back while it is silent; counted from its return."""
+        self._kill(self.seats)
+        self._silent(True)
+        self.after(1000 * OUTAGE_S, self._silent, False)
+        await self._start(self.seats, name)
+
+    async def _empty(self, name: str) -> None:
+        """It comes back with an empty list, and fills."""
+        self._kill(self.seats)
+        entries = list(self.roster.entries.values())
+        for entry in entries:
+            self.roster.put(replace(entry, status="Gone"))
+        for k, entry in enumerate(entries):
+            self.after(2000 + 10 * k, self.roster.put, entry)
+        await self._start(self.seats, name)
+
+    def _silent(self, silent: bool) -> None:
+        self.manners.silent = silent
+        if not silent:
+            self.service.wake()
+
+    # ---- the measure
+
+    async def _until_ready(self, seats: list[Seat]) -> None:
+        until = time.monotonic() + self.patience_s
+        while time.monotonic() < until:
+            await asyncio.sleep(0.1)
+            for seat in seats:
+                self._marks(seat)
+            if all(self.wave.marks[s.name].ready_s >= 0 for s in seats):
+                return
+
+    def _marks(self, seat: Seat) -> None:
+        mark = self.wave.marks[seat.name]
+        if mark.ready_s >= 0:
+            return
+        for line in seat.program.news():
+            at, _, rest = line.partition(" ")
+            if " start listening on " in line:
+                mark.up_s = float(at) - self.wave.begun_s
+                seat.program.up = True
+            elif " ready with " in line:
+                mark.ready_s = float(at) - self.wave.begun_s
+                mark.cpu_ms = seat.program.cpu_ms()
+            elif " fault " in line:
+                self.referee.fault(seat.name, rest)
+
+    def _row(self, name: str, seats: list[Seat]) -> None:
+        marks = [self.wave.marks[s.name] for s in seats]
+        ready = sorted(m.ready_s for m in marks if m.ready_s >= 0)
+        up = max((m.up_s for m in marks), default=0.0)
+        service, count = self.service, len(seats)
+        work = count / self.manners.per_s + (OUTAGE_S if name in ("outage", "down") else 0.0)
+        memory = [s.program.memory_kb() / 1024 for s in seats]
+        self.rows.append(StartRow(
+            name, count, len(self.roster.entries), self.manners.per_s, round(up, 2),
+            round(_at(ready, count, 0.5), 2), round(_at(ready, count, 0.99), 2),
+            round(_at(ready, count, 1.0), 2), len(ready), round(work + up, 2),
+            round(service.counts["calls"] / count, 3), max(service.by.values(), default=0),
+            service.most_in(ANY_S), service.counts["for the left"],
+            round(service.counts["bytes"] / 1e6, 2), round(sorted(memory)[count // 2], 1),
+            round(sorted(m.cpu_ms for m in marks)[count // 2])))
+
+
+def _at(ready: list[float], count: int, part: float) -> float:
+    """When that part of all was ready; -1: never."""
+    need = max(1, -(-int(count * part * 1000) // 1000))
+    return ready[need - 1] if len(ready) >= need else -1.0
+
+
+def play(plan: Plan, folder: Path, manners: Manners, names: list[str], patience_s: float) -> list[StartRow]:
+    """The waves, one after another."""
+    signal.signal(signal.SIGUSR1, signal.SIG_IGN)
+    return asyncio.run(StartRun(plan, folder, manners, patience_s).waves(names))
+
+
+def table(rows: list[StartRow]) -> str:
+    """One line a wave."""
+    lines = [f"{'wave':14}{'n':>5}{'lists/s':>9}{'up':>7}{'half':>7}{'99%':>7}{'all':>7}{'ready':>7}"
+             f"{'least':>7}{'times':>7}{'calls':>7}{'most':>6}{'in 0.1s':>9}"
+             f"{'left':>6}{'MB':>7}{'CPU ms':>8}{'RSS':>6}"]
+    for r in rows:
+        lines.append(f"{r.wave:14}{r.gateways:5}{r.per_s:9.0f}{r.up_s:7.1f}{r.half_s:7.1f}{r.most_s:7.1f}"
+                     f"{r.all_s:7.1f}{r.ready:7}{r.least_s:7.1f}{r.times:7.2f}{r.calls_each:7.2f}"
+                     f"{r.calls_most:6}{r.calls_in_any:9}{r.for_the_left:6}{r.megabytes:7.2f}{r.cpu_ms:8.0f}{r.memory_mb:6.1f}")
+    return "\n".join(lines)
--- a/zincstile/standin/discovery.py
+++ b/zincstile/standin/discovery.py
@@ -62,6 +62,7 @@
                  witness: Witness) -> None:
         self.loop, self.roster, self.gateway, self.witness = loop, roster, gateway, witness
         self.late_s = 0.0
+        self.asked: Callable[[Line], None] = lambda line: line.tell() and None  # a call is whole
         self.seen: Callable[[Entry], Entry] = lambda entry: entry  # as this gateway finds it
         self.silent = False
         self.index = roster.index
@@ -105,13 +106,15 @@
             self.entries[entry.name] = entry
         self.changes.append((index, entry))
         for line in list(self.lines):
-            line.tell()
+            if line.taken:  # else its call still waits for its turn
+                line.tell()
 
     def hush(self, silent: bool) -> None:
         self.silent = silent
         if not silent:
             for line in list(self.lines):
-                line.tell()
+                if not line.queued:
+                    line.tell()
 
     def forget_watches(self) -> None:
         """What is open stays open and is told nothing any more, as by a path that forgot it."""
@@ -138,6 +141,8 @@
         self.watching = False
         self.index = -1  # the last that was told here
         self.forgotten = False
+        self.taken = False  # its call has had its turn
+        self.queued = False  # it waits for it in a service's line
         self._asked: str | None = None
         self._head = b""
         self._beat: asyncio.TimerHandle | None = None
@@ -169,35 +174,70 @@
             self.transport.write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
             self.transport.close()
             return
-        self.tell()
+        self.taken = False
+        self.agent.asked(self)
+
+    def cost(self) -> float:
+        """Of the call that is open, as part of a whole list's: changes cost what they are of it."""
+        agent = self.agent
+        if not self.watching or not self._knows():
+            return 1.0
+        news = sum(index > int(self._asked or 0) for index, _ in agent.changes)
+        return min(1.0, (1 + news) / max(1, len(agent.entries)))
+
+    def _knows(self) -> bool:
+        """What it asked for can be told as changes."""
+        agent, since = self.agent, int(self._asked or 0)
+        return 0 < since <= agent.index and since >= (agent.changes[0][0] - 1 if agent.changes else 0)
+
+    def half(self) -> int:
+        """Half of a list, and then nothing."""
+        body = self._list()
+        self.forgotten = True
+        self.transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b" % (
+            len(body) + 1, body[:len(body) // 2]))
+        return len(body) // 2
+
+    def older(self) -> int:
+        """The list as it was one version before, told late, and the changes only with the next one."""
+        agent = self.agent
+        body = json.dumps(agent.whole() | {"index": max(1, agent.index - 1)}).encode()
+        self.index, self.taken = agent.index, True
+        self.transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self._chunk(body)
+        self._again()
+        return len(body)
 
-    def tell(self) -> None:
-        """All that the agent has and this line has not been told; nothing while it is silent."""
+    def tell(self) -> int:
+        """All that the agent has and this line has not been told; nothing while it is silent. The bytes."""
         agent = self.agent
         if agent.silent or self.forgotten or self._asked is None or self.transport.is_closing():
-            return
+            return 0
+        self.taken = True
         if not self.watching:
             body = self._list()
             self._asked = None
             self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
-            return
+            return len(body)
         if self.index < 0:
             self.transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-            since = int(self._asked)
-            if not 0 < since <= agent.index or since < (agent.changes[0][0] - 1 if agent.changes else 0):
-                self._chunk(self._list())
+            if not self._knows():
+                body = self._list()
+                self._chunk(body)
                 self._again()
-                return
-            self.index = since
+                return len(body)
+            self.index = int(self._asked)
         news = [e for index, e in agent.changes if index > self.index]
         if news:
             self.index = agent.index
             latest = {e.name: e for e in news}
-            self._chunk(json.dumps({"index": agent.index, "snapshot": False,
-                                    "endpoints": [asdict(agent.seen(e)) for e in latest.values()]}).encode())
+            body = json.dumps({"index": agent.index, "snapshot": False,
+                               "endpoints": [asdict(agent.seen(e)) for e in latest.values()]}).encode()
+            self._chunk(body)
             for e in latest.values():
                 agent.witness.told(agent.gateway, e.name, e.status, e.since_ms)
         self._again()
+        return len(body) if news else 0
 
     def _list(self) -> bytes:
         agent = self.agent
--- a/zincstile/worlds/plan.py
+++ b/zincstile/worlds/plan.py
@@ -47,7 +47,7 @@
     seed: int
     gateways: Annotated[int, msgspec.Meta(ge=1, le=250)] = 3
     wide: bool = False  # customers come in through half of the gateways or more, those of `plus` excepted
-    boxes: Annotated[int, msgspec.Meta(ge=1, le=100)] = 10
+    boxes: Annotated[int, msgspec.Meta(ge=1, le=250)] = 10
     requests: Annotated[int, msgspec.Meta(ge=0, le=100_000)] = 160
     only: list[int] | None = None  # numbers of the requests that are asked; none: all
     last_ms: Annotated[int, msgspec.Meta(ge=1, le=60_000)] = 3500  # requests come until then
@@ -64,6 +64,8 @@
     plus_beyond: bool = False  # what `plus` asks beyond its quota is worth more than it costs
     sockets: Annotated[int, msgspec.Meta(ge=40, le=4096)] = 256
     greedy: Share | None = None  # part of the customers that ask for 2.5 to 6 times their quotas; none: drawn
+    asked: bool = False  # discovery is one service for all, which has to be asked
+    lists_per_s: Annotated[float, msgspec.Meta(ge=0, le=1e6)] = 0.0  # whole lists that it tells; 0: at once
     share: bool = False  # quotas by parts and loans, with a stated bound
     faults: list[Fault] = []
 
--- a/zincstile/worlds/traffic.py
+++ b/zincstile/worlds/traffic.py
@@ -24,6 +24,7 @@
 ZONES = ["floor-3", "floor-4", "floor-5"]
 WARM_MS, FALL_MS, LONGEST_MS = 6000, 3000, 3000
 KEYED_MS = 6000
+ASK_WITHIN_MS = 10_000  # discovery has to be asked so often, where it has to be
 WORK_MS = {"guide-read": 80, "settings-save": 50, "ppv-order": 50, "pin-change": 50}  # of a unit
 MOST_UNITS = 6
 
@@ -68,13 +69,14 @@
     return {
         "balancers": plan.gateways, "ordinal": number, "zone": number % len(ZONES), "zones": ZONES,
         "skus": ["std"],
-        "discovery": "pushed", "classes": classes, "plans": plans,
+        "discovery": "on_request" if plan.asked else "pushed", "classes": classes, "plans": plans,
         "domain": {"peer_intake": 60.0, "units_top": MOST_UNITS, "cost_after": False},
         "limits": {"cancel": plan.cancel, "connect_timeout_ns": plan.connect_ms * MS,
                    "idle_close_ns": 30_000 * MS,
                    "max_open": 20000, "max_retry_after_ns": 1000 * MS, "may_duplicate": True, "peers": True,
                    "probes": True, "retry_after": False, "send_cap": 6},
-        "obligations": {"drain_grace_ns": 250 * MS, "fall_ns": FALL_MS * MS, "overload_factor": 2.0,
+        "obligations": {"ask_within_ns": ASK_WITHIN_MS * MS, "drain_grace_ns": 250 * MS,
+                        "fall_ns": FALL_MS * MS, "overload_factor": 2.0,
                         "start_capacity": 0.25, "warm_up_ns": WARM_MS * MS},
         "prices": {"cross_zone": 0.009},
         "telemetry": {"fields": ["rif", "lat_ms", "q"], "via": "piggyback"}}
