Limits on attempts out by whole slots that are lent; loans tell what they will have to lend

A grant tells what its lender could lend besides and what it gains, where it told its level: hungry gateways asked each other for crumbs.

--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pickle
+import random
 import subprocess
 import sys
 from dataclasses import replace
@@ -23,6 +24,7 @@
 from zincstile.shared.loans import Ask, Close, Grant, holding
 from zincstile.shared.module import SharedPolicy
 from zincstile.shared.settings import FAILURES, MS, SECOND, SharedSettings
+from zincstile.shared.slots import SlotAsk, SlotClose, SlotGrant, Slots
 from zincstile.worlds import mutants_shared, plan, search, shared, traffic
 from zincstile.worlds.plan import Plan
 
@@ -108,7 +110,8 @@
 
 
 WORDS = [Ask(1, 2**33 - 1, 3, 24, 23, 2**32 - 1, 5.5, 1.25, 9), Grant(1, 7, 8, 2.5, 0.125, 3, 2**32 - 1),
-         Close(1, 7, 8, 1.5, 77), Evidence(65535, EVERY, 1.0, 199, 4, 30 * MS),
+         Close(1, 7, 8, 1.5, 77), SlotAsk(1, 2**40, 2, 3, 1, 5), SlotGrant(1, 7, 8, True, 9),
+         SlotClose(1, 7, 8, 9), Evidence(65535, EVERY, 1.0, 199, 4, 30 * MS),
          LevelWord(9, 5, 6, 2.5, 8.0, 0)]
 
 
@@ -147,6 +150,59 @@
     assert not judge.trouble
 
 
+@pytest.mark.parametrize("seed", range(12))
+def test_no_more_requests_are_out_than_the_limit_whatever_becomes_of_the_words(seed):
+    """Words lost, doubled, late by up to 5 s; requests that end; a gateway that starts anew."""
+    rng, now, process = random.Random(seed), SECOND, [100]
+    limit, row, longest = rng.randint(1, 7), tuple(range(rng.randint(2, 4))), 3 * SECOND
+
+    def start(me):
+        process[0] += 1
+        return Slots(SET, me, process[0], longest, random.Random(process[0]))
+    seats, words, requests, number = [start(g) for g in row], [], {}, 0
+    spare, until, most = 0, 0, 0
+    for _ in range(4000):
+        now += rng.randint(1, 20) * MS
+        g = rng.choice(row)
+        seat = seats[g]
+        rack = seat.rack(9, 0, limit, row)
+        if seat.may(now, rack, now + longest):
+            number += 1
+            seat.take(now, rack, number, now + longest)
+            requests[number] = g, now + rng.randint(0, longest)
+        else:
+            seat.seek(now, rack)
+        for one, (at, end) in list(requests.items()):
+            if end <= now:
+                seats[at].over(one)
+                del requests[one]
+        if rng.random() < 0.001:  # what it had lent is in use until it ends; its own requests end with it
+            spare, until = spare + rack.out, now + seat.life_ns
+            requests = {k: v for k, v in requests.items() if v[0] != g}
+            seats[g] = start(g)
+        for k, one in enumerate(seats):
+            if rng.random() < 0.3:
+                one.look(now)
+            for word in one.told():
+                words += [(now + rng.choice((1, 5, 30, 80, 900, 5000)) * MS, k, one.process, word)
+                          for _ in range(rng.choice((0, 1, 1, 1, 1, 2)))]
+        due = [w for w in words if w[0] <= now]
+        words = [w for w in words if w[0] > now]
+        rng.shuffle(due)
+        for _, sender, by, word in due:
+            to = seats[word.to]
+            if isinstance(word, SlotAsk):
+                to.asked_for(now, sender, by, word, to.rack(9, 0, limit, row))
+            elif isinstance(word, SlotGrant):
+                to.granted(now, sender, by, word)
+            else:
+                to.closed(sender, by, word)
+        spare = spare if now < until else 0
+        most = max(most, len(requests))
+        assert len(requests) <= limit + spare
+    assert most >= limit and sum(s.counts["lent"] for s in seats) > 0
+
+
 def test_parts_of_the_silent_are_taken_over_by_steps_and_given_back_at_once():
     one, now = Levels(0, 10, 1, 40.0), SECOND
     factors = {}
--- a/zincstile/held.py
+++ b/zincstile/held.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from abc import ABC, abstractmethod
 from enum import Enum
 
 from . import interface as i
@@ -25,7 +26,7 @@
     NO = "beyond the quota, here and now"
 
 
-class HeldPolicy(Policy):
+class HeldPolicy(Policy, ABC):
     """`held_ns`: a try waits so long at most."""
 
     held_ns: int
@@ -34,13 +35,15 @@
         super().__init__(settings, seed)
         self.held: dict[int, dict[int, Live]] = {}  # customer: tries that wait
 
+    @abstractmethod
     def _pay(self, now: int, live: Live, again: bool) -> Paid:
-        raise NotImplementedError
+        """The units of a try, in hand or not; `again`: it has waited for them."""
 
+    @abstractmethod
     def _unpay(self, now: int, c: Customer, units: float) -> None:
         """What was taken is not sent, or turned out to be less: units come back (above 0) or go besides."""
-        raise NotImplementedError
 
+    @abstractmethod
     def _carry_on(self, now: int) -> None:
         """What has to be sent after tries were looked at."""
 
--- a/zincstile/shared/__init__.py
+++ b/zincstile/shared/__init__.py
@@ -3,7 +3,7 @@
     settings   times, sizes, and which failures a bound has to cover
     bound      the most that may go out beyond a quota, for each failure, in units; today's rule beside it
     loans      counts: each gateway's part of a quota, and units lent between parts
-    slots      the same for the attempts that a plan may have out at once
+    slots      the same for the attempts that a plan may have out at once, whole ones
     judges     judgements on backend servers: evidence with origin and age, and who may be believed
     levels     budgets: what all gateways together may have out at the back end
     words      what gateways tell each other of it, packed
--- a/zincstile/shared/loans.py
+++ b/zincstile/shared/loans.py
@@ -32,6 +32,8 @@
 KEPT = 1 / GRAIN / 2  # units below which nothing is worth a word
 USE_S = 1.0  # memory of a customer's use
 WORTH_S = 0.05  # less than the quota gives in so long is not worth an ask, where all are near their ends
+GAIN_S = 2.0  # what a lender gained lately is believed for so long
+LEAST_GAIN = 0.6  # of its part, what a lender says that it gains at least: uses end
 RESERVE_S = 0.15  # a lender keeps what its own use needs for so long
 MISSED = 2  # overdue asks in a row from which a peer counts as silent
 TIMES = 2  # an ask is sent so often at most
@@ -72,8 +74,8 @@
 
 @dataclass(slots=True)
 class Grant:
-    """A word: lent, under the ask's mark; nought is a no. `level`: what the lender has left. `number`: of
-    this answer, to be told in the next ask."""
+    """A word: lent, under the ask's mark; nought is a no. `level`: what the lender could lend besides, and
+    `gain` what it will have to lend in a second. `number`: of this answer, to be told in the next ask."""
 
     to: int
     customer: int
@@ -82,6 +84,7 @@
     level: float
     number: int
     process: int = 0  # of the borrower that asked
+    gain: float = 0.0
 
 
 @dataclass(slots=True)
@@ -115,6 +118,7 @@
 
     units: float
     level: float
+    gain: float
     at_ns: int
     number: int
     open: bool = True
@@ -134,10 +138,11 @@
 
 @dataclass(slots=True)
 class Hint:
-    """What a holder was last heard to have."""
+    """What a holder was last heard to have to lend, and to gain in a second."""
 
     level: float
     at_ns: int
+    gain: float
 
 
 @dataclass(slots=True)
@@ -364,18 +369,21 @@
         self.counts["asks"] += 1
 
     def _estimate(self, now: int, purse: Purse, holder: int) -> float:
-        """What a holder may have by now. Of one that was never heard: what a part holds."""
+        """What a holder may have to lend by now: what it gained lately it may go on to gain for a while, and
+        what a part gives after that. Of one that was never heard: what a part holds."""
         part = 1 / len(purse.held_by)
         hint = purse.hints.get(holder)
         if hint is None:
             return purse.quota.burst * part
-        grown = purse.quota.rate * part * (now - hint.at_ns) / SECOND
+        age = (now - hint.at_ns) / SECOND
+        grown = hint.gain * min(age, GAIN_S) + purse.quota.rate * part * max(0.0, age - GAIN_S)
         return min(purse.quota.burst * part, hint.level + grown)
 
-    def hint(self, now: int, purse: Purse, holder: int, level: float) -> None:
-        """A holder was heard to have so much."""
+    def hint(self, now: int, purse: Purse, holder: int, level: float, gain: float | None = None) -> None:
+        """A holder was heard to have so much. Without a word on what it gains: what a part gives."""
         if holder in purse.held_by:
-            purse.hints[holder] = Hint(max(0.0, level), now)
+            even = purse.quota.rate / len(purse.held_by)
+            purse.hints[holder] = Hint(max(0.0, level), now, even if gain is None else gain)
 
     def _late(self, now: int, purse: Purse) -> None:
         """Asks that nobody answers in time. Their loans, if there are any, are lost; who leaves several
@@ -428,22 +436,25 @@
         self._fill(now, purse)
         peer.unheard = [x for x in peer.unheard if x[0] > ask.heard]
         units = 0.0
+        use = self._use(now, purse)
+        free = max(0.0, purse.own - RESERVE_S * use)
         if not peer.unheard or now - peer.unheard[0][1] < self.settings.held_ns:
-            free = purse.own - RESERVE_S * self._use(now, purse)
-            units = grains(min(ask.units, max(0.0, free)))
+            units = grains(min(ask.units, free))
             units = units if units + KEPT >= min(ask.least, ask.units) and units > KEPT else 0.0
         peer.told += 1
+        gain = max(purse.rate * LEAST_GAIN, purse.rate - use)
         if units:
             purse.own, purse.out = purse.own - units, purse.out + units
             peer.unheard.append((peer.told, now))
             self.counts["grants"] += 1
             self.counts["lent"] += units
         self.busy[purse.key] = None
-        purse.lent[key] = Lent(units, purse.own, now, peer.told, units > 0)
+        purse.lent[key] = Lent(units, free - units, gain, now, peer.told, units > 0)
         self._tell(sender, process, purse, ask, purse.lent[key])
 
     def _tell(self, to: int, process: int, purse: Purse, ask: Ask, lent: Lent) -> None:
-        self.words.append(Grant(to, purse.key, ask.mark, lent.units, lent.level, lent.number, process))
+        self.words.append(Grant(to, purse.key, ask.mark, lent.units, lent.level, lent.number, process,
+                                lent.gain))
 
     def _use(self, now: int, purse: Purse) -> float:
         return purse.use * math.exp(-(now - purse.used_ns) / SECOND / USE_S)
@@ -464,7 +475,7 @@
         peer = self._peer(sender, process)
         peer.heard = max(peer.heard, grant.number)
         peer.quiet_until_ns, peer.quiet_ns = -1, 0
-        self.hint(now, purse, sender, grant.level)
+        self.hint(now, purse, sender, grant.level, grant.gain)
         if asked is None or asked.ask.to != sender:
             return None
         del purse.asked[grant.mark]
--- a/zincstile/shared/module.py
+++ b/zincstile/shared/module.py
@@ -22,6 +22,7 @@
 from .levels import Levels, LevelWord
 from .loans import Ask, Close, Grant, Loans, Purse
 from .settings import MS, SharedSettings
+from .slots import Rack, SlotAsk, SlotClose, SlotGrant, Slots
 from .words import AnyWord
 
 LOOK, AGAIN = 2**62, 2**62 + 1  # timers' tokens that no request has
@@ -68,6 +69,7 @@
         self.again_ns = -1  # when asks are looked at, whether to send them again
         self.paying: Purse | None = None  # of the try that is decided on just now
         self.loans: Loans | None = None
+        self.slots = Slots(shared, settings.me, self.process, settings.longest_ns, self.draws)
         self.said_trouble = False
         self.strange = 0  # asks that don't fit what is known here
 
@@ -91,6 +93,7 @@
     def _look(self, now: int) -> None:
         """What goes by time, once a beat."""
         self.loans.look(now)
+        self.slots.look(now)
         self.tier = self.set.gateways / self.levels.look(now)
         names = [s.name for s in self.ready]
         self.judges.look(now, names)
@@ -121,8 +124,13 @@
             return
         again: dict[int, None] = {}
         for word in event.words:
-            if isinstance(word, Ask):
+            if isinstance(word, Ask | SlotAsk):
                 self._asked_for(now, event, word)
+            elif isinstance(word, SlotGrant):
+                if self.slots.granted(now, event.sender, event.process, word):
+                    again[word.customer] = None
+            elif isinstance(word, SlotClose):
+                self.slots.closed(event.sender, event.process, word)
             elif isinstance(word, Grant):
                 purse = self.loans.granted(now, event.sender, event.process, word)
                 if purse is not None:
@@ -138,12 +146,19 @@
         self.try_held(now, [k for k in again if k in self.held])
         self._carry_on(now)
 
-    def _asked_for(self, now: int, event: SharedWords, ask: Ask) -> None:
+    def _asked_for(self, now: int, event: SharedWords, ask: Ask | SlotAsk) -> None:
         set_ = self.set
         if ask.plan >= len(set_.plans) or not set_.plans[ask.plan].rate \
                 or not 1 <= ask.spread <= set_.gateways or ask.first >= set_.gateways:
             self.strange += 1
             return
+        if isinstance(ask, SlotAsk):
+            rack = self._rack(ask.customer, ask.plan, ask.spread, ask.first)
+            if rack is None or len(rack.row) != ask.spread or rack.row[0] != ask.first:
+                self.strange += 1
+            else:
+                self.slots.asked_for(now, event.sender, event.process, ask, rack)
+            return
         purse = self._purse(now, ask.customer, ask.plan, ask.spread, ask.first)
         if purse.plan != ask.plan or len(purse.row) != ask.spread or purse.row[0] != ask.first:
             self.strange += 1  # one customer with two sets: the first one holds
@@ -157,7 +172,7 @@
                 self.again_ns = soonest
                 self.timer(soonest, AGAIN)
         by: dict[int, list[AnyWord]] = {}
-        for word in self.loans.told():
+        for word in (*self.loans.told(), *self.slots.told()):
             by.setdefault(word.to, []).append(word)
         if self.set.peers:
             self.acts += [SharedTell(peer, self.process, words) for peer, words in by.items()]
@@ -174,11 +189,28 @@
         row = tuple((first + k) % self.set.gateways for k in range(spread))
         return self.loans.purse(now, key, plan, self._quota(plan, spread), row)
 
+    def _rack(self, key: int, plan: int, spread: int, first: int) -> Rack | None:
+        """None where the plan has no limit on attempts out."""
+        limit = self.set.plans[plan].open_limit
+        if not limit:
+            return None
+        row = tuple((first + k) % self.set.gateways for k in range(spread))
+        return self.slots.rack(key, plan, limit, row)
+
+    def _capped(self, c: Customer, live: Live) -> bool:
+        return False  # by slots, in `_pay`
+
     def _pay(self, now: int, live: Live, again: bool) -> Paid:
+        """Units and, where the plan has a limit, a slot; the one is not taken without the other."""
         ask, c = live.ask, live.customer
+        rack = self._rack(c.key, c.plan, c.spread, ask.first % self.set.gateways)
+        if rack is not None and not self.slots.may(now, rack, ask.give_up_ns):
+            return Paid.SOON if self.slots.seek(now, rack) else Paid.NO
         purse = self._purse(now, c.key, c.plan, c.spread, ask.first % self.set.gateways)
         if self.loans.take(now, purse, ask.units):
             self.paying = purse
+            if rack is not None:
+                self.slots.take(now, rack, ask.id, ask.give_up_ns)
             self.loans.ahead(now, purse)
             return Paid.YES
         refused = live.draw >= self.tree[0][ask.cls][ask.plan].rate  # by the budget: no word could help
@@ -189,9 +221,11 @@
         self.paying = None
 
     def _note(self, now: int, c: Customer, units: float) -> None:
-        """Told to the peers only where a limit on attempts out needs it: quotas and ceilings don't."""
-        if self.set.plans[c.plan].open_limit:
-            super()._note(now, c, units)
+        """Nothing here needs to be told to the peers."""
+
+    def close(self, live: Live, cancel: bool) -> None:
+        super().close(live, cancel)
+        self.slots.over(live.ask.id)
 
     def _unpay(self, now: int, c: Customer, units: float) -> None:
         if self.paying is not None:  # decided against in the same turn
--- a/zincstile/shared/words.py
+++ b/zincstile/shared/words.py
@@ -13,19 +13,23 @@
 from .judges import Evidence
 from .levels import LevelWord
 from .loans import GRAIN, Ask, Close, Grant
+from .slots import SlotAsk, SlotClose, SlotGrant
 
 MAGIC, LARGEST = 0xBB, 256
 HEAD = struct.Struct("<BIHB")  # magic, process, check, number of words
 KIND = struct.Struct("<B")
 ASK = struct.Struct("<QBHHIIII")  # customer, plan, spread, first, mark, units, least, heard
-GRANT = struct.Struct("<QIIIII")  # customer, mark, units, level, number, the borrower's process
+GRANT = struct.Struct("<QIIIIII")  # customer, mark, units, level, number, the borrower's process, gain
 CLOSE = struct.Struct("<QIII")  # customer, mark, left, the lender's process
+SLOT_ASK = struct.Struct("<QBHHI")  # customer, plan, spread, first, mark
+SLOT_GRANT = struct.Struct("<QIBI")  # customer, mark, given, the borrower's process
+SLOT_CLOSE = struct.Struct("<QII")  # customer, mark, the lender's process
 JUDGED = struct.Struct("<HBBBHH")  # server, group, how bad, zone, age in 10 ms, origin
 LEVEL = struct.Struct("<HIIIHH")  # origin, its life, number, units out in 1/16, age in 10 ms, wants in 1/16
 AGE_NS = 10_000_000
 MOST = 2**32 - 1
 
-AnyWord = Ask | Grant | Close | Evidence | LevelWord
+AnyWord = Ask | Grant | Close | SlotAsk | SlotGrant | SlotClose | Evidence | LevelWord
 
 
 def _units(units: float) -> int:
@@ -43,13 +47,26 @@
 
 
 def _grant(w: Grant) -> bytes:
-    return GRANT.pack(w.customer, w.mark, _units(w.units), _units(w.level), w.number % 2**32, w.process)
+    return GRANT.pack(w.customer, w.mark, _units(w.units), _units(w.level), w.number % 2**32, w.process,
+                      _units(w.gain))
 
 
 def _close(w: Close) -> bytes:
     return CLOSE.pack(w.customer, w.mark, _units(w.left), w.process)
 
 
+def _slot_ask(w: SlotAsk) -> bytes:
+    return SLOT_ASK.pack(w.customer, w.plan, w.spread, w.first, w.mark)
+
+
+def _slot_grant(w: SlotGrant) -> bytes:
+    return SLOT_GRANT.pack(w.customer, w.mark, w.given, w.process)
+
+
+def _slot_close(w: SlotClose) -> bytes:
+    return SLOT_CLOSE.pack(w.customer, w.mark, w.process)
+
+
 def _evidence(w: Evidence) -> bytes:
     return JUDGED.pack(w.server, w.group, int(255 * min(1.0, max(0.0, w.bad))), w.zone, _aged(w.age_ns),
                        w.origin)
@@ -65,17 +82,23 @@
 
 
 PACKED: dict[type, tuple[int, Callable[..., bytes]]] = {
-    Ask: (1, _ask), Grant: (2, _grant), Close: (3, _close), Evidence: (4, _evidence), LevelWord: (5, _level)}
+    Ask: (1, _ask), Grant: (2, _grant), Close: (3, _close), Evidence: (4, _evidence), LevelWord: (5, _level),
+    SlotAsk: (6, _slot_ask), SlotGrant: (7, _slot_grant), SlotClose: (8, _slot_close)}
 READ: dict[int, tuple[struct.Struct, Callable[..., AnyWord]]] = {
     1: _of(ASK, lambda customer, plan, spread, first, mark, units, least, heard: Ask(
         -1, customer, plan, spread, first, mark, units / GRAIN, least / GRAIN, heard)),
-    2: _of(GRANT, lambda customer, mark, units, level, number, process: Grant(
-        -1, customer, mark, units / GRAIN, level / GRAIN, number, process)),
+    2: _of(GRANT, lambda customer, mark, units, level, number, process, gain: Grant(
+        -1, customer, mark, units / GRAIN, level / GRAIN, number, process, gain / GRAIN)),
     3: _of(CLOSE, lambda customer, mark, left, process: Close(-1, customer, mark, left / GRAIN, process)),
     4: _of(JUDGED, lambda server, group, bad, zone, age, origin: Evidence(
         server, group, bad / 255, origin, zone, age * AGE_NS)),
     5: _of(LEVEL, lambda origin, life, number, out, age, wants: LevelWord(
-        origin, life, number, out / 16, wants / 16, age * AGE_NS))}
+        origin, life, number, out / 16, wants / 16, age * AGE_NS)),
+    6: _of(SLOT_ASK, lambda customer, plan, spread, first, mark: SlotAsk(
+        -1, customer, plan, spread, first, mark)),
+    7: _of(SLOT_GRANT, lambda customer, mark, given, process: SlotGrant(
+        -1, customer, mark, bool(given), process)),
+    8: _of(SLOT_CLOSE, lambda customer, mark, process: SlotClose(-1, customer, mark, process))}
 
 
 def pack(process: int, words: Iterable[AnyWord]) -> list[bytes]:
--- a/zincstile/worlds/search.py
+++ b/zincstile/worlds/search.py
@@ -228,7 +228,8 @@
         purses = [(k, round(p.own, 6), round(p.out, 6), [(x.lender, x.process, x.mark, round(x.units, 6),
                    x.end_ns - now) for x in p.loans],
                    [(m, a.ask.to, a.ask.units, a.at_ns - now, a.sent, a.overdue) for m, a in p.asked.items()],
-                   [(h, round(x.level, 6), max(-10**9, x.at_ns - now)) for h, x in p.hints.items()],
+                   [(h, round(x.level, 6), round(x.gain, 6), max(-10**9, x.at_ns - now))
+                    for h, x in p.hints.items()],
                    [(m, round(x.units, 6), x.at_ns - now, x.open) for m, x in p.lent.items()],
                    round(p.turn_lent, 6) if p.turn_ns == at else 0) for k, p in loans.purses.items()]
         peers = [(n, p.process, p.heard, max(-1, p.quiet_until_ns - now), p.quiet_ns, p.missed, p.told,
--- a/zincstile/worlds/shared.py
+++ b/zincstile/worlds/shared.py
@@ -19,6 +19,7 @@
 
 from .. import wire
 from ..bounds import of_plan
+from ..policy import Policy
 from ..rules.quotas import Quotas
 from ..shared import bound
 from ..shared.settings import SharedSettings
@@ -199,6 +200,7 @@
     over_minute: float  # worst, in what its quota gives in a minute
     out: float  # units out over all gateways, at most, for each ready server
     apart: float  # served by gateways that no fault names, in what they served in the same world without one
+    open: float  # requests out at once of a customer, in its plan's limit on that, at most
     back_s: float  # from the failure's begin until as much is served as before; -1: never
 
 
@@ -208,7 +210,7 @@
     EVERY_NS, SECOND = 20 * traffic.MS, 1_000_000_000
 
     def __init__(self, run: Run) -> None:
-        self.run, self.out = run, 0.0
+        self.run, self.out, self.open = run, 0.0, 0.0
         self.served: list[tuple[float, str]] = []  # seconds since the first request, gateway
         answered = run.referee.answered
 
@@ -224,11 +226,21 @@
         """Attempts of processes that are dead run on at the servers and are not theirs any more."""
         seats = [s for s in self.run.seats if s.process is not None and s.process.alive]
         out = sum(a.units for s in seats for a in s.gateway.turn.policy.attempts.values())
+        self._count_open([s.gateway.turn.policy for s in seats])
         ready = sum(p.process.alive for p in self.run.places.values())
         self.out = max(self.out, out / max(1, ready))
         if self.run.scheduler.now_ns < self.run.began_ns + self.run.plan.last_ms * traffic.MS:
             self.run.scheduler.at(self.run.scheduler.now_ns + self.EVERY_NS, self._look)
 
+    def _count_open(self, modules: list[Policy]) -> None:
+        """Requests out at once for a customer whose plan has a limit, over all gateways, in that limit."""
+        found: dict[int, int] = {}
+        for module in modules:
+            for live in module.live.values():
+                if live.plan.open_limit and live.out and live.inside:
+                    found[live.customer.key] = found.get(live.customer.key, 0) + 1
+                    self.open = max(self.open, found[live.customer.key] / live.plan.open_limit)
+
     def back_s(self, at_s: float) -> float:
         """Seconds from a failure until 0.95 of a second's usual service, by the mean before it."""
         usual = sum(0.2 <= t < at_s for t, _ in self.served) / (at_s - 0.2)
@@ -266,7 +278,7 @@
     sent = sum(s.gateway.counters.messages_out for s in run.seats) / len(run.seats) / result.seconds
     return Row(failure, seed, f"{result.breach.rule}: {result.breach.text}" if result.breach else "",
                quotas.worst, quotas.nearest, quotas.sent, quotas.best, result.tally.get("served", 0), sent,
-               minute, watch.out, apart, watch.back_s(CALM_MS / 1000) if plan.faults else 0.0)
+               minute, watch.out, apart, watch.open, watch.back_s(CALM_MS / 1000) if plan.faults else 0.0)
 
 
 def play_all(seeds: range, gateways: int, last_ms: int, gossip: bool, jobs: int) -> Iterator[Row]:
@@ -278,7 +290,8 @@
 def table(rows: list[Row]) -> str:
     """One line a failure."""
     lines = [f"{'failure':12}{'worlds':>7}{'worst units':>13}{'of a minute':>13}{'of its bound':>14}"
-             f"{'goodput':>9}{'served':>8}{'msg/s':>7}{'out/server':>12}{'spared':>8}{'back, s':>9}"]
+             f"{'goodput':>9}{'served':>8}{'msg/s':>7}{'out/server':>12}{'spared':>8}{'open':>6}"
+             f"{'back, s':>9}"]
     for failure in FAILURES:
         mine = [r for r in rows if r.failure == failure]
         if mine:
@@ -288,5 +301,6 @@
                 f"{sum(r.sent for r in mine) / max(1e-9, sum(r.best for r in mine)):9.3f}"
                 f"{sum(r.served for r in mine):8}{sum(r.messages for r in mine) / len(mine):7.1f}"
                 f"{max(r.out for r in mine):12.1f}{sum(r.apart for r in mine) / len(mine):8.3f}"
+                f"{max(r.open for r in mine):6.2f}"
                 f"{sorted(r.back_s if r.back_s >= 0 else 99.0 for r in mine)[len(mine) // 2]:9.2f}")
     return "\n".join(lines)
