--- /dev/null
+++ b/tests/test_asking.py
@@ -0,0 +1,69 @@
+"""Calls to a list service that can't collapse: no give-up while it works, draws apart, a stated most."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from zincstile.asking import Asking
+from zincstile.field import start
+from zincstile.net import http
+from zincstile.net.limits import MS, SECOND, Limits
+from zincstile.standin.listservice import Manners
+from zincstile.worlds.plan import Plan
+
+
+def asking(number, gateways):
+    limits = Limits.for_gateway(384, 80, 100, 1, 1, 3 * SECOND, {}, gateways, 10 * SECOND)
+    return Asking(random.Random(number), limits.table_again_ns, limits.table_again_most_ns,
+                  limits.table_patience_ns)
+
+
+@pytest.mark.parametrize("gateways", [1, 24, 200, 1000])
+def test_a_fleet_that_fails_makes_no_more_calls_than_are_stated_whatever_its_size(gateways):
+    calls = []
+    for number in range(gateways):
+        one, now = asking(number, gateways), 0
+        while now < 20 * SECOND:
+            now += one.failed()
+            calls.append(now)
+    calls.sort()
+    first = sum(at < SECOND for at in calls)
+    assert first <= 60 + gateways * 50 * MS / SECOND  # 2 / `again` for each, and `again` grows with them
+    assert sum(10 * SECOND <= at < 20 * SECOND for at in calls) / 10 <= max(25, gateways / 4)
+    assert len(set(calls)) > 0.99 * len(calls)
+
+
+def test_patience_follows_what_the_service_needs_and_its_word_is_heard():
+    one = asking(1, 200)
+    assert one.patience() == 50 * SECOND and one.silent(49 * SECOND) and not one.silent(50 * SECOND)
+    assert one.patience() == 100 * SECOND
+    one.answered(20 * SECOND)
+    assert one.patience() == 80 * SECOND and one.tries == one.silences == 0
+    assert all(one.failed(2 * SECOND) >= 2 * SECOND for _ in range(50))
+    lone = asking(1, 1)
+    assert lone.patience() == 2600 * MS and lone.failed() <= 50 * MS
+
+
+def test_retry_after_is_read_where_it_gives_seconds():
+    for text, seconds in ((b"Retry-After: 3\r\n", 3), (b"retry-after: soon\r\n", 0), (b"", 0),
+                          (b"Retry-After: 99999\r\n", 0)):
+        reader = http.LineReader(Limits())
+        reader.feed(b"HTTP/1.1 503 Service Unavailable\r\n" + text + b"Content-Length: 0\r\n\r\n")
+        assert reader.done and reader.status == 503 and reader.retry_after_s == seconds
+
+
+@pytest.mark.parametrize(("wave", "manners"), [
+    ("all", Manners(6.0)), ("seven-in-ten", Manners(12.0, slower_after=10)),
+    ("all", Manners(40.0, resets_every=3, halves_every=7)), ("all", Manners(40.0, places=4))],
+    ids=["slow", "slower", "resets and halves", "turned away"])
+def test_a_fleet_of_real_processes_gets_ready_with_a_slow_service(wave, manners, tmp_path):
+    """24 of them; one whole list each, and calls beyond that only where the service itself breaks them."""
+    waves = ["all", wave] if wave != "all" else [wave]
+    plan = Plan(seed=3, gateways=24, boxes=24, requests=0, asked=True)
+    row = start.play(plan, tmp_path, manners, waves, 40.0)[-1]
+    broken = manners.resets_every or manners.places < 100
+    assert row.ready == row.gateways and row.for_the_left <= (row.gateways if broken else 0)
+    assert row.calls_each <= (8 if broken else 1.2), row
+    assert row.times < (20 if broken else 2.5), row
--- a/zincstile/net/http.py
+++ b/zincstile/net/http.py
@@ -23,13 +23,14 @@
 class LineReader:
     """The body of one answer, line by line, whether it comes in chunks, by length or until the end."""
 
-    __slots__ = ("limits", "status", "done", "_buf", "_state", "_left", "_line", "_headers", "_chunked",
-                 "_length")
+    __slots__ = ("limits", "status", "done", "retry_after_s", "_buf", "_state", "_left", "_line", "_headers",
+                 "_chunked", "_length")
 
     def __init__(self, limits: Limits) -> None:
         self.limits = limits
         self.status = 0
         self.done = False  # the body is over
+        self.retry_after_s = 0  # as the answer's head asks, where it gives seconds
         self._buf = b""
         self._state = self._status_line
         self._left = self._headers = 0
@@ -85,6 +86,8 @@
                 if not value.isdigit():
                     raise HttpError("no length")
                 self._length = int(value)
+            elif name == b"retry-after" and value.isdigit() and len(value) <= 4:
+                self.retry_after_s = int(value)
             return True
         if 100 <= self.status < 200:  # an interim answer has no body: the one asked for comes behind it
             self._headers, self._chunked, self._length = 0, False, -1
--- a/zincstile/net/limits.py
+++ b/zincstile/net/limits.py
@@ -53,6 +53,8 @@
     table_first_ns: int = 300 * MS  # how long the start waits for discovery before the known list must do
     table_silence_ns: int = 2600 * MS  # a watch says something every 2 s; one that does not is opened anew
     table_answer_ns: int = 800 * MS  # the same for one that has said nothing yet
+    table_patience_ns: int = 0  # a call that a list service took is left out for so long; 0: an agent answers
+    table_list_ns: int = 250 * MS  # a whole list may take the service so long, for each gateway of the fleet
     table_first_ask_ns: int = 1  # the first watch is opened within this, where a list is known
     table_again_ns: int = 50 * MS  # a lost watch is opened again within this, then twice, four times it
     table_again_most_ns: int = SECOND  # and within this at most
@@ -94,6 +96,7 @@
         rest = max(2, sockets - reserve)
         again_ns = usual.table_again_ns * (gateways if ask_within_ns else 1)
         asked = {"table_first_ask_ns": again_ns, "table_answer_ns": usual.table_silence_ns,
+                 "table_patience_ns": max(usual.table_silence_ns, gateways * usual.table_list_ns),
                  "table_again_most_ns": max(usual.table_again_most_ns, min(ask_within_ns, again_ns * 16))}
         return cls(**{
             "frontend_connections": rest * 3 // 5, "backend_connections": rest - rest * 3 // 5,
--- a/zincstile/net/server_table.py
+++ b/zincstile/net/server_table.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from .. import interface as i
+from ..asking import Asking
 from . import http
 from .config import Address, ConfigError, address
 from .host import Host
@@ -63,7 +64,10 @@
         self.told = False  # discovery has said something since the start
         self.version = 0  # of the table, as the discovery at `where` counts
         self.closed = False
-        self._tries = 0
+        limits = turn.limits
+        self.asking = Asking(rng, limits.table_again_ns, limits.table_again_most_ns,
+                             limits.table_patience_ns)
+        self._looks: dict[asyncio.Task, None] = {}
         self._watch: Watch | None = None  # the last that was opened; an older one stands until it speaks
         self._old: Watch | None = None
         self._task: asyncio.Task | None = None
@@ -93,7 +97,8 @@
         """Discovery is found elsewhere from now on. The table stands, and the old watch is heard, until the
         new one has spoken."""
         if where != self.where:
-            self.where, self._tries, self.version = where, 0, 0  # another may count in another way
+            self.where, self.version = where, 0  # another may count in another way
+            self.asking.tries = 0
             self.open(None)
 
     async def _connect(self, where: Address) -> None:
@@ -113,7 +118,31 @@
         elif old is not None:  # one that has not spoken yet stands for nothing
             old.transport.abort()
 
-    def lost(self, where: Address, why: str, watch: Watch | None = None) -> None:
+    def waits_on(self, watch: Watch) -> bool:
+        """A call that nobody answered yet. Where discovery is one service for the whole fleet, its turn may
+        still come: given up and made again, it would cost the service twice, and all that wait behind it. So
+        it is looked whether the service is there at all, by a connection that asks for nothing."""
+        if not self.turn.limits.table_patience_ns or watch is not self._watch:
+            return False
+        task = self.turn.loop.create_task(self._look(watch))
+        self._looks[task] = None
+        task.add_done_callback(lambda done: self._looks.pop(done, None))
+        return True
+
+    async def _look(self, watch: Watch) -> None:
+        try:
+            async with asyncio.timeout(self.turn.limits.backoff_most_ns / 1e9):
+                transport, _ = await self.turn.loop.create_connection(asyncio.Protocol, *watch.where)
+            transport.abort()
+        except (OSError, TimeoutError):
+            watch.give_up("silent, and it takes no connection")
+            return
+        if self.asking.silent(self.turn.now_ns() - watch.began_ns):
+            watch.wait_on()
+        else:
+            watch.give_up("silent for all of the patience")
+
+    def lost(self, where: Address, why: str, watch: Watch | None = None, retry_after_ns: int = 0) -> None:
         """Tries again, each time later, at a moment drawn from all of the wait. Guards against gateways that
         lost their watches, or were killed, at one stroke: asked in step, discovery turns all of them away,
         and asked again by each of them once a second, it never comes to answer."""
@@ -121,12 +150,9 @@
             self._old = None
         if self.closed or where != self.where or (watch is not None and watch is not self._watch):
             return  # an old watch: another has been opened, or is being opened
-        limits = self.turn.limits
         self._watch = None
         self.turn.log.often("watch", f"lost: {why}; the last list stands")
-        within = limits.table_again_ns << min(self._tries, 16)
-        wait = self.rng.randint(1, min(limits.table_again_most_ns, within))
-        self._tries += 1
+        wait = self.asking.failed(retry_after_ns)
         self.turn.deadlines.add(self.turn.now_ns() + wait, self.open, where)
         self.turn.wake()
 
@@ -136,7 +162,7 @@
         table = json.loads(text)
         self._take(table, i.ListKind.FULL if table["snapshot"] else i.ListKind.DELTA, watch.where)
         if watch is self._watch:
-            self._tries = 0
+            self.asking.answered(watch.took_ns())
             if self._old is not None:
                 old, self._old = self._old, None
                 old.transport.abort()
@@ -206,8 +232,8 @@
 class Watch(asyncio.BufferedProtocol):
     """One open watch."""
 
-    __slots__ = ("table", "where", "transport", "_buffer", "_lines", "_why", "_deadline", "_heard_ns",
-                 "_spoke")
+    __slots__ = ("table", "where", "transport", "began_ns", "_buffer", "_lines", "_why", "_deadline",
+                 "_heard_ns", "_spoke", "_retry_ns", "_first_ns")
 
     def __init__(self, table: ServerTable, where: Address) -> None:
         self.table, self.where = table, where
@@ -215,9 +241,10 @@
         self._buffer = memoryview(bytearray(table.turn.limits.read_bytes))
         self._lines = http.LineReader(table.turn.limits)
         self._why = "it ended"
-        self._heard_ns = self.table.turn.now_ns()
+        self._heard_ns = self.began_ns = self.table.turn.now_ns()
         self._deadline = None
         self._spoke = False
+        self._first_ns = self._retry_ns = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
@@ -235,19 +262,35 @@
         limits, now = self.table.turn.limits, self.table.turn.now_ns()
         silence = limits.table_silence_ns if self._spoke else limits.table_answer_ns
         if now - self._heard_ns >= silence:
-            self._why = "silent"
-            self.transport.abort()
+            if self._spoke or not self.table.waits_on(self):
+                self.give_up("silent")
             return
         self._deadline = self.table.turn.deadlines.add(self._heard_ns + silence, self._await)
         self.table.turn.wake()
 
+    def wait_on(self) -> None:
+        """The service is there: its answer may still come. It is looked again after as long."""
+        if not self._spoke and not self.transport.is_closing():
+            self._heard_ns = self.table.turn.now_ns()
+            self._await(None)
+
+    def give_up(self, why: str) -> None:
+        """Unless it has spoken meanwhile, and is heard as ever."""
+        if why == "silent" or not self._spoke:
+            self._why = why
+            self.transport.abort()
+
+    def took_ns(self) -> int:
+        """From the call to the first of its answer."""
+        return self._first_ns - self.began_ns
+
     def get_buffer(self, sizehint: int) -> memoryview:
         return self._buffer
 
     def buffer_updated(self, size: int) -> None:
         self._heard_ns = self.table.turn.now_ns()
         if not self._spoke:
-            self._spoke = True
+            self._spoke, self._first_ns = True, self._heard_ns
             self.table.turn.deadlines.drop(self._deadline)
             self._await(None)
         try:
@@ -257,6 +300,9 @@
                 if line.strip():
                     self.table.line(self, line)
             if self._lines.done:
+                if self._lines.status != 200:  # turned away, with or without a word on when to come again
+                    self._why = f"status {self._lines.status}"
+                    self._retry_ns = self._lines.retry_after_s * 1_000_000_000
                 self.transport.close()
         except (ValueError, KeyError, TypeError, AttributeError, ConfigError) as err:
             self._why = f"{type(err).__name__}: {err}"
@@ -267,4 +313,4 @@
 
     def connection_lost(self, err: Exception | None) -> None:
         self.table.turn.deadlines.drop(self._deadline)
-        self.table.lost(self.where, self._why, self)
+        self.table.lost(self.where, self._why, self, self._retry_ns)
