Start beside other gateways: lists from peers, readiness by right, a pace at first (off)

Need: a cold start of hundreds of gateways that spares the list service and the back end. Way taken: a package start/ without I/O or clock (asking, lists, words, ready, opening, policy), net/start for its words, switched on by features.start: deploy/start.yaml. Lists: digests by 32 buckets, then only lines that are missing, within the intake of messages; only what discovery said is told on. Pace: each gateway begins with its part of first_per_s for each ready server, raised by its own answers in time. Not taken: peers' words for the pace (all would take over the quickest one's), chains of lists (a wrong one would travel), probabilities in place of stores (a lone gateway would refuse by chance).

--- a/zincstile/cli/field.py
+++ b/zincstile/cli/field.py
@@ -134,10 +134,12 @@
 @click.option("--older-every", type=click.IntRange(0), default=0, help="Each so-manieth list is an older.")
 @click.option("--places", type=click.IntRange(1), default=100_000, help="Callers that wait; more get 503.")
 @click.option("--seed", type=click.IntRange(min=0), default=1, show_default=True)
+@click.option("--feature", "features", multiple=True, metavar="NAME=FILE")
 def start(gateways: int, boxes: int, per_s: float, waves: tuple[str, ...], patience: float, seed: int,
-          **wrong: int) -> int:
+          features: tuple[str, ...], **wrong: int) -> int:
     """Cold starts of real processes with a list service that has to be asked; exit 1 where one is late."""
     from ..field import start as starts
+    from ..field import sweep as sweeps
     from ..field.places import PlaceError
     from ..field.run import NotReadyError
     from ..standin.listservice import Manners
@@ -145,11 +147,15 @@
     for wave in waves:
         if wave not in starts.WAVES:
             raise Told(f"--wave {wave}: no such wave; there are {', '.join(starts.WAVES)}")
-    plan = Plan(seed=seed, gateways=gateways, boxes=boxes, requests=0, asked=True, lists_per_s=per_s)
+    plan = Plan(seed=seed, gateways=gateways, boxes=boxes, requests=0, asked=True, lists_per_s=per_s,
+                one_address=True)
     try:
         with tempfile.TemporaryDirectory(prefix="zincstile-start-") as folder:
             names = list(waves or starts.WAVES)
-            rows = starts.play(plan, Path(folder), Manners(per_s, **wrong), names, patience)
+            rows = starts.play(plan, Path(folder), Manners(per_s, **wrong), names, patience,
+                               sweeps.features(features))
+    except FileError as err:
+        raise Told(f"field: {err}") from None
     except (PlaceError, NotReadyError, OSError) as err:
         raise Told(f"field: {err}") from None
     click.echo(starts.table(rows))
--- a/zincstile/cli/sim.py
+++ b/zincstile/cli/sim.py
@@ -236,6 +236,29 @@
     return 1 if broken else 0
 
 
+@command.command("starts")
+@click.option("--seeds", "span", required=True, metavar="A:B")
+@click.option("--gateways", type=click.IntRange(2, 64), default=8, show_default=True)
+@click.option("--plain", is_flag=True, help="As without features.start.")
+@click.option("--jobs", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True)
+def starts(span: str, gateways: int, plain: bool, jobs: int) -> int:
+    """Whole fleets killed and started anew with a list service that has to be asked: when all are ready, what
+    the service and the boxes get; exit 1 where a rule is broken or a gateway is never ready."""
+    from ..worlds import starts as them
+
+    chosen, rows = seeds(span), list[them.Row]()
+    for row in them.play_all(chosen, gateways, not plain, jobs):
+        rows.append(row)
+        if row.broken:
+            click.echo(f"{row.wave} seed {row.seed}: {row.broken}")
+        print(f"{len(rows)} of {len(chosen)}", file=sys.stderr, flush=True) if len(rows) % 50 == 0 else None
+    click.echo(them.table(rows))
+    broken = sum(bool(row.broken) for row in rows)
+    late = sum(row.ready_s < 0 for row in rows)
+    click.echo(f"starts worlds={len(rows)} broken={broken} never_ready={late}")
+    return 1 if broken or late else 0
+
+
 @command.command("keeper")
 @click.option("--seeds", "span", required=True, metavar="A:B")
 @click.option("--gateways", type=click.IntRange(2, 20), default=3, show_default=True)
--- a/zincstile/field/places.py
+++ b/zincstile/field/places.py
@@ -13,6 +13,7 @@
 
 GATEWAY, PEER, BOX, DISCOVERY, KEEPER = 100, 101, 102, 103, 104
 MOST = 250  # gateways, boxes: what a byte holds
+ALL = 252  # in a gateway's place: the address of a box that is the same for all
 CLIENTS_PORT, PEERS_PORT, CONTROL_PORT, LOCK_PORT = 6379, 7946, 7070, 40999
 RUNS = 200  # runs beside each other on one machine
 LOOPBACK = b"lo\0"
--- a/zincstile/field/run.py
+++ b/zincstile/field/run.py
@@ -352,7 +352,8 @@
     def _as_seen(self, entry: Entry, gateway: int) -> Entry:
         """With the address by which that gateway finds it, on its clock."""
         place = self.places.get(entry.name)
-        return entry if place is None else replace(entry, address=place.ground.address(gateway))
+        seer = places.ALL if self.plan.one_address else gateway
+        return entry if place is None else replace(entry, address=place.ground.address(seer))
 
     def box(self, zone: int, cold: bool, cell: int | None = None, at: Place | None = None) -> Place:
         self._boxes += 1
@@ -437,7 +438,7 @@
 
     def _known(self, seat: Seat) -> dict[str, Any]:
         """The list that a gateway starts with."""
-        return seat.agent.whole()
+        return seat.agent.whole() if self.plan.known else {}
 
     def start_gateway(self, seat: Seat) -> None:
         """As the platform does: from nothing but its file and the last list."""
--- a/zincstile/field/sight.py
+++ b/zincstile/field/sight.py
@@ -54,6 +54,12 @@
 
     def __init__(self, referee: Referee, series: Series, began_s: Callable[[], float]) -> None:
         self.referee, self.series, self._began_s = referee, series, began_s
+        self.came: list[tuple[float, str, int]] = []  # when, at which box, work in ns
+
+    def _whose(self, gateway: str, request: bytes) -> str:
+        """Where a box has one address for all, a gateway is known by the request that it was asked."""
+        case = self.referee.cases.get(request) if gateway == "?" else None
+        return gateway if case is None else case.gateway
 
     def _second(self) -> int:
         return int(time.monotonic() - self._began_s())
@@ -73,6 +79,7 @@
     def let_out(self, gateway: str, box: str, request: bytes, first_ns: int) -> Any:
         """The head of an attempt has come."""
         case = self.referee.cases.get(request)
+        gateway = self._whose(gateway, request)
         if case is not None and not case.tries:
             key = self._second(), gateway
             self.series.units[key] = self.series.units.get(key, 0.0) + case.units
@@ -90,7 +97,8 @@
         self.referee.void(request)
 
     def arrived(self, box: str, request: bytes, key: bytes, gateway: str, work_ns: int) -> None:
-        self.referee.arrived(box, request, key, gateway, work_ns)
+        self.came.append((time.monotonic(), box, work_ns))
+        self.referee.arrived(box, request, key, self._whose(gateway, request), work_ns)
 
     def turned_away(self, box: str, request: bytes) -> None:
         self.referee.turned_away(box, request)
--- a/zincstile/field/start.py
+++ b/zincstile/field/start.py
@@ -74,8 +74,9 @@
 class StartRun(Run):
     """`patience_s`: how long a wave is waited for."""
 
-    def __init__(self, plan: Plan, folder: Path, manners: Manners, patience_s: float = 60.0) -> None:
-        super().__init__(plan, folder, "start")
+    def __init__(self, plan: Plan, folder: Path, manners: Manners, patience_s: float = 60.0,
+                 features: dict[str, str] | None = None) -> None:
+        super().__init__(plan, folder, "start", features)
         self.manners, self.patience_s = manners, patience_s
         self.rows: list[StartRow] = []
         self.wave: Wave | None = None
@@ -223,10 +224,11 @@
     return ready[need - 1] if len(ready) >= need else -1.0
 
 
-def play(plan: Plan, folder: Path, manners: Manners, names: list[str], patience_s: float) -> list[StartRow]:
+def play(plan: Plan, folder: Path, manners: Manners, names: list[str], patience_s: float,
+         features: dict[str, str] | None = None) -> list[StartRow]:
     """The waves, one after another."""
     signal.signal(signal.SIGUSR1, signal.SIG_IGN)
-    return asyncio.run(StartRun(plan, folder, manners, patience_s).waves(names))
+    return asyncio.run(StartRun(plan, folder, manners, patience_s, features).waves(names))
 
 
 def table(rows: list[StartRow]) -> str:
--- a/zincstile/net/config.py
+++ b/zincstile/net/config.py
@@ -33,6 +33,7 @@
     peers: list[Address]
     counter: Address | None = None
     keeper: Any = None  # keeper.settings.KeeperSettings, where quotas are held through the count keeper
+    start: Any = None  # start.settings.StartSettings, where gateways start beside each other by a file
     shared: Any = None  # shared.settings.SharedSettings, where state is shared within stated bounds
     socket_fd: int | None = None  # the clients' listening socket, inherited ($RELAY_SOCKET_FD)
     control: Address | None = None  # the operators' door ($RELAY_CONTROL)
@@ -98,7 +99,7 @@
         known=t.get("known") or {},
         peer_listen=address(t["peer_listen"]) if t.get("peer_listen") else None, peers=peers,
         counter=address(t["counter"]) if _feature(t, "keeper") and t.get("counter") else None,
-        keeper=_keeper(t, decoded), shared=_shared(t, decoded),
+        keeper=_keeper(t, decoded), shared=_shared(t, decoded), start=_start(t, decoded),
         socket_fd=_descriptor(env.get("RELAY_SOCKET_FD")), control=_control(t, env))
 
 
@@ -154,6 +155,22 @@
     return found
 
 
+def _start(t: dict[str, Any], settings: Settings) -> Any:
+    """Off unless `features.start` names a file. ConfigError where that can't be used."""
+    path = _feature(t, "start")
+    if not path:
+        return None
+    from . import features
+
+    try:
+        found = features.start(str(path))
+    except features.FileError as err:
+        raise ConfigError(str(err)) from None
+    if found.peers and not settings.peers:
+        raise ConfigError(f"{path}: peers: settings.limits.peers is false: nobody could be asked")
+    return found
+
+
 def _keeper(t: dict[str, Any], settings: Settings) -> Any:
     """Off unless `features.keeper` names a file. ConfigError where that can't be used, or a plan not held."""
     path = _feature(t, "keeper")
--- a/zincstile/net/features.py
+++ b/zincstile/net/features.py
@@ -15,6 +15,7 @@
 from ..keeper.settings import KeeperSettings
 from ..shared import bound as shared_bound
 from ..shared.settings import SharedSettings
+from ..start.settings import StartSettings
 from ..typed_yaml import FileError, load
 
 MS = 1_000_000
@@ -71,6 +72,30 @@
     most_overshoot: float | None = None
 
 
+class StartRow(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
+    """`StartSettings` in milliseconds; what is left out has its usual value."""
+
+    peers: bool | None = None
+    wait_ms: int | None = None
+    each_ms: int | None = None
+    again_ms: int | None = None
+    agree: int | None = None
+    lone_ms: int | None = None
+    fan: int | None = None
+    told_per_s: float | None = None
+    oldest_ms: int | None = None
+    known_ms: int | None = None
+    first_per_s: float | None = None
+    double_ms: int | None = None
+    open_ms: int | None = None
+
+
+class StartFile(msgspec.Struct, forbid_unknown_fields=True):
+    """deploy/start.yaml."""
+
+    start: StartRow
+
+
 class KeeperFile(msgspec.Struct, forbid_unknown_fields=True):
     """deploy/keeper.yaml. A gateway takes the quotas of its own settings; `plans` are for `bound`."""
 
@@ -120,6 +145,11 @@
     return _settings(path, table.shared, SharedSettings), _plans(path, table.plans)
 
 
+def start(path: str) -> StartSettings:
+    """FileError where the file can't be used."""
+    return _settings(path, load(path, StartFile).start, StartSettings)
+
+
 def _check(path: str, settings: Any, quotas: list[Quota], refused: Callable[..., str | None]) -> None:
     for quota in quotas:
         why = refused(quota, settings)
--- a/zincstile/net/gateway.py
+++ b/zincstile/net/gateway.py
@@ -38,6 +38,7 @@
         self.keeper = self._keep(buffer) if config.keeper else None
         if config.shared:
             self._share_state()
+        self.starter = self._start_beside() if config.start else None
         self.operator, self.control, self.handover, self.heritage = None, None, None, None
         if config.control:
             self._operate()
@@ -47,18 +48,21 @@
 
     def _module(self) -> Policy:
         """Quotas by gossip; by parts and loans, or through a count keeper, where a file under deploy/ says
-        so."""
-        config = self.config
+        so. Admission opens at a pace where one says so."""
+        config, kind, more = self.config, Policy, ()
         if config.shared:
             from ..shared.module import SharedPolicy
 
-            return SharedPolicy(config.settings, config.seed, config.shared)
-        if not config.keeper:
-            return Policy(config.settings, config.seed)
-        from ..keeper.module import KeptPolicy
+            kind, more = SharedPolicy, (config.shared,)
+        elif config.keeper:
+            from ..keeper.module import KeptPolicy
+
+            kind, more = KeptPolicy, (config.keeper, self.host.unix_ns() - self.host.monotonic_ns())
+        if config.start:
+            from ..start.policy import opening
 
-        apart_ns = self.host.unix_ns() - self.host.monotonic_ns()
-        return KeptPolicy(config.settings, config.seed, config.keeper, apart_ns)
+            kind = opening(kind, config.start)
+        return kind(config.settings, config.seed, *more)
 
     def _keep(self, buffer: memoryview) -> Any:
         """The count keeper's client, and the words between gateways that belong to it."""
@@ -96,6 +100,14 @@
         self.turn.carry_out[module.SharedTell] = tell
         self.peers.others[words.MAGIC] = heard
 
+    def _start_beside(self) -> Any:
+        """The start beside other gateways: a list from those that have one, and when this one is ready."""
+        from .start import Starter
+
+        config = self.config
+        return Starter(self.turn, self.peers, self.table, config.start, config.settings.me,
+                       config.settings.gateways, config.settings.peer_in_per_s, config.seed, self._ready)
+
     def _operate(self) -> None:
         """The operators' door, what they said, and the file by which another process of this gateway hears
         it."""
@@ -187,12 +199,16 @@
         if self.config.peer_listen:
             await self.peers.open(self.config.peer_listen)
         self.turn.post(i.Started())
-        self.table.begin(self.config.known)
+        if self.starter is None:
+            self.table.begin(self.config.known)
+        else:
+            self.starter.begin(self.config.known)
         self.door.listen(self.config.listen, self.config.socket_fd)
         if self.control is not None:
             self.control.open(self.config.control)
             self.handover.watch()
-        if self.config.known.get("endpoints"):  # discovery may be down: then the known list must do
+        if self.starter is None and self.config.known.get("endpoints"):
+            # discovery may be down: then the known list must do
             self.turn.deadlines.add(self.turn.now_ns() + self.config.limits.table_first_ns, self._ready)
         self.turn.wake()
         if self.config.keeper or self.config.shared:
--- a/zincstile/net/peers.py
+++ b/zincstile/net/peers.py
@@ -11,6 +11,8 @@
 from .config import Address
 from .turn import Turn
 
+HEARD = object()  # said by who reads a message of another kind: nothing of it is the module's
+
 
 class Peers(asyncio.DatagramProtocol):
     def __init__(self, turn: Turn, addresses: list[Address]) -> None:
@@ -52,7 +54,8 @@
             self.turn.counters.messages_bad += 1
             return
         self.turn.counters.messages_in += 1
-        self.turn.post(message)
+        if message is not HEARD:
+            self.turn.post(message)
 
     def error_received(self, err: OSError) -> None:
         pass  # a peer that is down: messages may be lost in any case
--- a/zincstile/net/server_table.py
+++ b/zincstile/net/server_table.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from .. import interface as i
-from ..asking import Asking
+from ..start.asking import Asking
 from . import http
 from .config import Address, ConfigError, address
 from .host import Host
@@ -65,6 +65,7 @@
         self.version = 0  # of the table, as the discovery at `where` counts
         self.closed = False
         limits = turn.limits
+        self.listener: Any = None  # hears discovery's own words too (`net/start`)
         self.asking = Asking(rng, limits.table_again_ns, limits.table_again_most_ns,
                              limits.table_patience_ns)
         self._looks: dict[asyncio.Task, None] = {}
@@ -76,17 +77,40 @@
         self.last: dict[int, tuple[i.Backend, Address]] = {}  # discovery's own word, by number
         turn.carry_out[i.Watch] = lambda now, _: None  # the watch is always open, or being opened
 
-    def begin(self, known: dict[str, Any]) -> None:
+    def begin(self, known: dict[str, Any], hold: bool = False) -> None:
+        """`hold`: somebody else opens the watch, when it is time."""
         if known.get("endpoints"):
             try:
                 self._take(known, i.ListKind.CACHED, self.where)
             except (ValueError, KeyError, TypeError, AttributeError) as err:
                 raise ConfigError(f"known: {type(err).__name__} {err}") from None
-            wait = self.rng.randint(1, self.turn.limits.table_first_ask_ns)
-            self.turn.deadlines.add(self.turn.now_ns() + wait, self.open, None)
+            if not hold:
+                self.open_soon()
         else:
             self.turn.post(i.BackendList(i.ListKind.CACHED, 0, []))
-            self.open(None)
+            if not hold:
+                self.open(None)
+
+    def open_soon(self) -> None:
+        """At a drawn moment: a list is there, and a fleet that asks in step is turned away."""
+        wait = self.rng.randint(1, self.turn.limits.table_first_ask_ns)
+        self.turn.deadlines.add(self.turn.now_ns() + wait, self.open, None)
+        self.turn.wake()
+
+    def take_told(self, version: int, entries: list[dict[str, Any]], sure: bool) -> bool:
+        """A list that peers told. False where discovery's own word is there already, or it can't be read. Not
+        sure: discovery is asked for the whole list all the same."""
+        if self.told:
+            return False
+        try:
+            self._take({"index": version, "snapshot": True, "endpoints": entries}, i.ListKind.CACHED,
+                       self.where)
+        except (ValueError, KeyError, TypeError, AttributeError) as err:
+            self.turn.log.often("start", f"a peer's list can't be read: {type(err).__name__} {err}")
+            return False
+        if not sure:
+            self.version = 0
+        return True
 
     def open(self, where: Address | None) -> None:
         """None, or the address that a try again was meant for: discovery may have moved since."""
@@ -161,6 +185,8 @@
             return  # guards against an old watch that goes on after the new one has spoken
         table = json.loads(text)
         self._take(table, i.ListKind.FULL if table["snapshot"] else i.ListKind.DELTA, watch.where)
+        if self.listener is not None:
+            self.listener.told(self.version, table["endpoints"], bool(table["snapshot"]))
         if watch is self._watch:
             self.asking.answered(watch.took_ns())
             if self._old is not None:
@@ -289,6 +315,8 @@
 
     def buffer_updated(self, size: int) -> None:
         self._heard_ns = self.table.turn.now_ns()
+        if self._spoke and self.table.listener is not None:
+            self.table.listener.alive()
         if not self._spoke:
             self._spoke, self._first_ns = True, self._heard_ns
             self.table.turn.deadlines.drop(self._deadline)
--- /dev/null
+++ b/zincstile/net/start.py
@@ -0,0 +1,122 @@
+"""The start beside other gateways: words on the list of backend servers over the peers' datagrams, the moment
+of the first call to discovery, and when this gateway says that it is ready. `start` decides.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from ..start import words
+from ..start.lists import KNOWN, Lists
+from ..start.policy import Running
+from ..start.ready import Readiness, Right
+from ..start.settings import StartSettings
+from .peers import HEARD, Peers
+from .server_table import ServerTable
+from .turn import Turn
+
+LOOK_NS = 30_000_000  # how often it is looked at what is sought
+
+
+class Starter:
+    """Of one process. `ready` is called once, when it may say yes."""
+
+    def __init__(self, turn: Turn, peers: Peers, table: ServerTable, settings: StartSettings, me: int,
+                 gateways: int, intake_per_s: float, seed: int, ready: Callable[[], None]) -> None:
+        self.turn, self.peers, self.table, self.settings, self._ready = turn, peers, table, settings, ready
+        self.rng = random.Random(f"start {seed}")
+        self.lists = Lists(settings, me, gateways, intake_per_s, self.rng)
+        self.apart_ns = gateways * settings.each_ns if turn.limits.table_patience_ns else 0
+        self.readiness: Readiness | None = None
+        self._opened = False
+        self._open_ns = 0
+        table.listener = self
+        peers.others[words.MAGIC] = self._heard
+
+    def begin(self, known: dict[str, Any]) -> None:
+        """With the list of before the start, or none."""
+        now = self.turn.now_ns()
+        self.readiness = Readiness(self.settings, now)
+        self.table.begin(known, hold=True)
+        has = bool(known.get("endpoints"))
+        if has:
+            self.lists.known(now, int(known["index"]), list(known["endpoints"]))
+            self.readiness.has(Right.KNOWN)
+        self.lists.seek(now)
+        if self.lists.seeking:  # a peer's word may save a whole list, or the gateway's waiting in its line
+            self._open_ns = now + self.settings.wait_ns + (self.rng.randrange(self.apart_ns + 1))
+        else:
+            self._open(has)
+        self._look(None)
+
+    def _open(self, soon: bool) -> None:
+        if not self._opened:
+            self._opened = True
+            if soon:
+                self.table.open_soon()
+            else:
+                self.table.open(None)
+
+    def told(self, version: int, entries: list[dict[str, Any]], whole: bool) -> None:
+        """Discovery's own word."""
+        now = self.turn.now_ns()
+        self.lists.told_by_discovery(now, version, entries, whole)
+        self.readiness.has(Right.TOLD)
+        self._say()
+        self._send()
+
+    def alive(self) -> None:
+        self.lists.alive(self.turn.now_ns())
+
+    def _heard(self, sender: int, data: bytes) -> object | None:
+        word = words.unpack(data)
+        if word is None:
+            return None
+        self.lists.open = self.turn.policy.opening is None  # type: ignore[attr-defined]
+        self.lists.hear(self.turn.now_ns(), sender, word)
+        if not self.lists.open and self.lists.running():
+            self.turn.post(Running())
+        self._take()
+        self._send()
+        return HEARD
+
+    def _take(self) -> None:
+        """A list of peers' that is whole. Only where it is younger than the one that is here."""
+        found = self.lists.take_found()
+        if found is None or self.table.told:
+            return
+        if self.lists.book.rank == KNOWN and found.version < self.lists.book.version:
+            return
+        sure = found.right is Right.AGREED
+        if self.table.take_told(found.version, found.entries, sure):
+            self.turn.log.line(f"list of {len(found.entries)} backend servers, version {found.version}, "
+                               f"{found.right.value}, confirmed {found.age_ns // 1_000_000} ms ago")
+            self.readiness.has(found.right)
+            if sure:
+                self._open(soon=True)
+            self._say()
+
+    def _look(self, _: object) -> None:
+        now = self.turn.now_ns()
+        self.lists.look(now)
+        if self.lists.confirmed:
+            self.readiness.has(Right.KNOWN, confirmed=True)
+        self._take()
+        if not self._opened and now >= self._open_ns:
+            self._open(soon=False)
+        self._say()
+        self._send()
+        if self.lists.seeking or self._ready is not None:
+            self.turn.deadlines.add(now + LOOK_NS, self._look)
+            self.turn.wake()
+
+    def _say(self) -> None:
+        if self._ready is not None and self.readiness.ready(self.turn.now_ns()):
+            ready, self._ready = self._ready, None
+            ready()
+
+    def _send(self) -> None:
+        for peer, word in self.lists.told():
+            self.peers.send(peer, words.pack(word))
--- /dev/null
+++ b/zincstile/start/policy.py
@@ -0,0 +1,80 @@
+"""The decision module with an opening: any of the modules, with the pace of a start before its own choice.
+
+All else is the module's. The opening ends when the budget has a bound of its own, or by itself.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from dataclasses import dataclass
+
+from .. import interface as i
+from ..policy import Policy
+from ..state import Attempt, Live, Server
+from .opening import Opening
+from .settings import StartSettings
+
+
+@dataclass(slots=True)
+class Running:
+    """An event: the fleet serves with open admission, this gateway starts into it."""
+
+
+def opening(base: type[Policy], start: StartSettings) -> type[Policy]:
+    """`base` that opens by `start`."""
+
+    class Opened(base):  # type: ignore[misc, valid-type]
+        def __init__(self, settings: i.Settings, seed: int, *more: object) -> None:
+            super().__init__(settings, seed, *more)
+            self.opening: Opening | None = Opening(
+                start, settings.gateways, settings.largest_units, random.Random(f"opening {seed}"))
+
+        def on_started(self, now: int, event: i.Started) -> None:
+            self.opening.begin(now)
+            super().on_started(now, event)
+
+        def on_inherited(self, now: int, event: i.Inherited) -> None:
+            super().on_inherited(now, event)
+            if self.opening is not None:  # the old process of this gateway knew what the back end bears
+                self.opening.known(self.done_rate)
+
+        def _choose(self, now: int, live: Live) -> Server | None:
+            """Further attempts go by the pace too: at a start the credit for them is full everywhere."""
+            paced = self.opening
+            if paced is None:
+                return super()._choose(now, live)
+            if not paced.may(now, self.good):
+                return None
+            server = super()._choose(now, live)
+            if server is not None:
+                paced.took(live.ask.units)
+            return server
+
+        def _learn(self, now: int, e: i.Outcome, attempt: Attempt) -> None:
+            super()._learn(now, e, attempt)
+            if self.opening is not None and e.result is i.Result.OK:
+                # a cold server takes the longer without being pressed
+                took_ns = e.latency_ns * self._warmth(now, attempt.server)
+                self.opening.answered(attempt.units, took_ns <= attempt.bound_ns)
+
+        def _follow(self, now: int, span: float, ticks: float) -> None:
+            super()._follow(now, span, ticks)
+            if self.opening is not None and (self.level < math.inf or self.opening.over(now)):
+                self._open(now, "by what was seen" if self.level == math.inf else "by the budget's own bound")
+
+        def on_running(self, now: int, _: Running) -> None:
+            if self.opening is not None:
+                self._open(now, "as the fleet's is")
+
+        def _open(self, now: int, why: str) -> None:
+            after, refused = (now - self.start_ns) // 1_000_000, self.opening.refused
+            self.acts.append(i.Log(f"start admission is open after {after} ms, {why}; {refused} tries turned "
+                                   "away by the pace"))
+            self.opening = None
+
+        def sight(self) -> dict[str, float]:
+            pace = -1.0 if self.opening is None else round(self.opening.pace(self.good), 2)
+            return super().sight() | {"pace": pace}
+
+    return Opened
--- a/zincstile/worlds/world.py
+++ b/zincstile/worlds/world.py
@@ -26,6 +26,8 @@
 from ..standin.counter import Counter
 from ..standin.discovery import Agent, Entry, Roster
 from ..standin.guidebox import GuideBox, Model, Rack
+from ..standin.listservice import ListService, Manners
+from ..start.settings import StartSettings
 from ..virtual.clock import MS, SECOND, Scheduler, StuckError
 from ..virtual.host import VirtualHost
 from ..virtual.network import Network, Ways
@@ -116,6 +118,8 @@
             self.network.trace = []
         self.keeper = KeeperSettings(skew_ns=1, most_overshoot=0.08) if plan.keeper else None
         self.shared = SharedSettings() if plan.share else None
+        self.start = StartSettings(peers=True) if plan.start else None
+        self.manners = Manners(plan.lists_per_s or 1e6)
         quotas = Quotas(traffic.stated_bounds(plan, self.keeper), LATE_NS) if self.keeper else None
         if self.shared:
             stated, opening = shared.stated(plan, self.shared)
@@ -131,6 +135,7 @@
         self.logs: list[str] = []
         self.counters: dict[int, tuple[Process, Counter]] = {}
         self.began_ns = START_NS + LEAD_NS
+        self.service: ListService | None = None
         self.drawn_to: list[dict[str, None]] = []
         self._boxes = 0
 
@@ -142,10 +147,13 @@
             place = self.box(k % len(traffic.ZONES), cold=False)
             self.boxes.append(place.entry.name)
             self.roster.put(place.entry)
+        self.service = service = ListService(Process(self.network, "lists", "10.3.0.1", 0).loop, self.manners)
         for k in range(plan.gateways):
             host = f"10.0.0.{k + 1}"
             process = Process(self.network, f"agent{k}", host, k % len(traffic.ZONES))
             agent = Agent(process.loop, self.roster, f"g{k}", self.referee)
+            if plan.asked:
+                agent.asked = service.ask
             self.do(process, agent.start(host, 8500))
             self.seats.append(Seat(k, f"g{k}", host, agent, (host, 8500)))
         if plan.keeper:
@@ -216,7 +224,7 @@
         """What the gateway reads of its file. The keeper's settings are put in, as its own file would be
         read."""
         found = config.read(self.table(seat), {})
-        found.shared = self.shared
+        found.shared, found.start = self.shared, self.start
         if self.keeper is not None:
             found.keeper, found.counter = self.keeper, (f"10.2.0.{seat.counter + 1}", 6400)
         return found
@@ -226,7 +234,7 @@
         seed = random.Random(f"{seat.name} {self.plan.seed} {seat.starts}").getrandbits(64)
         return traffic.configuration(
             self.plan, seat.number, f"{seat.host}:6379", "{}:{}".format(*seat.discovery),
-            [f"{s.host}:7946" for s in self.seats], seed, seat.agent.whole())
+            [f"{s.host}:7946" for s in self.seats], seed, seat.agent.whole() if self.plan.known else {})
 
     def start_gateway(self, seat: Seat) -> None:
         """As the platform does: from nothing but its configuration and the last list."""
