Zones chosen in common: table of flows, terms, states with hysteresis, operators' calls (off)

Need: nobody could say where traffic goes when a zone is lost, and each gateway decided by itself. Ways weighed: a quorum of zones (a zone of one gateway decides like one of twenty), a speaker for each zone (zones that hear each other and not their speakers stand still), merging views without a vote (tables differ for as long as words travel). The search found that two callers in step could call for ever: waits are drawn.

--- /dev/null
+++ b/tests/test_place.py
@@ -0,0 +1,171 @@
+"""Zones and regions: the table of flows, agreement in any order, states with hysteresis, whole gateways."""
+
+from __future__ import annotations
+
+import math
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from zincstile.cli import main
+from zincstile.control.http import Call
+from zincstile.control.operator import Change, Operator
+from zincstile.net import features
+from zincstile.place import words
+from zincstile.place.flows import PARTS, ZoneView, flows, shares
+from zincstile.place.settings import PlaceSettings, span
+from zincstile.place.terms import CallWord, Generation, Table, Voice
+from zincstile.place.view import Report, Sight, View
+from zincstile.typed_yaml import FileError
+from zincstile.worlds import mutants_place, place_search
+from zincstile.worlds.plan import Fault, Plan
+from zincstile.worlds.world import Run
+
+NEAR = [[0, 1, 40], [1, 0, 40], [40, 40, 0]]
+
+
+def zone(demand, room, n=3, **more):
+    return ZoneView(demand, room, more.pop("weight", 1.0), reach=more.pop("reach", (True,) * n), **more)
+
+
+def test_near_first_then_the_nearest_with_room_and_the_headroom_stays_free():
+    calm = flows([zone(80, 100), zone(70, 100), zone(60, 100)], NEAR, 0.15)
+    assert calm == [[80, 0, 0], [0, 70, 0], [0, 0, 60]]
+    lost = flows([zone(80, 0, weight=0.0), zone(70, 100), zone(60, 100)], NEAR, 0.15)
+    assert lost[0] == [0, pytest.approx(15), pytest.approx(25)]  # 85 of 100 at most; 40 have no place
+    full = flows([zone(120, 100), zone(100, 100), zone(20, 100)], NEAR, 0.1)
+    assert full[0] == [100, 0, pytest.approx(20)] and full[1] == [0, 100, 0]
+    alone = flows([zone(50, 100, reach=(True, False, False)), zone(10, 100, reach=(False, True, True)),
+                   zone(10, 100, reach=(False, True, True))], NEAR, 0.1)
+    assert alone[0] == [50, 0, 0]  # cut off from the others, and well by itself
+    free = flows([zone(50, 0, weight=0.0), zone(10, math.inf, weight=3.0), zone(10, math.inf, weight=9.0)],
+                 [[0, 1, 1], [1, 0, 1], [1, 1, 0]], 0.1)
+    assert free[0] == [0, pytest.approx(12.5), pytest.approx(37.5)]
+
+
+@given(st.lists(st.tuples(st.floats(0, 500), st.floats(0, 500), st.booleans(), st.booleans()), min_size=1,
+                max_size=6), st.integers(0, 10**6), st.floats(0, 0.9))
+def test_no_view_sends_a_zone_more_than_it_bears_or_others_into_its_headroom(rows, seed, headroom):
+    rng, n = random.Random(seed), len(rows)
+    reach = [tuple(rng.random() < 0.8 for _ in rows) for _ in rows]
+    zones = [ZoneView(d, r, 1.0 if alive else 0.0, takes=takes, cap=float(takes), reach=reach[k])
+             for k, (d, r, alive, takes) in enumerate(rows)]
+    distance = [[0 if a == b else 1 + (a + b) % 3 for b in range(n)] for a in range(n)]
+    made = flows(zones, distance, headroom)
+    assert made == flows(zones, distance, headroom)
+    for b, view in enumerate(zones):
+        bears = view.room * view.cap if view.weight else 0.0
+        assert sum(row[b] for row in made) <= bears + 1e-6
+        others = sum(made[a][b] for a in range(n) if a != b)
+        assert others <= max(0.0, bears * (1 - headroom) - made[b][b]) + 1e-6
+        for a in range(n):
+            assert not made[a][b] or zones[b].reach[a]
+        assert sum(made[b]) <= view.demand + 1e-6
+    parts = shares(made, zones)
+    assert all(sum(row) <= PARTS and min(row) >= 0 for row in parts)
+    before = [[PARTS if a == b else 0 for b in range(n)] for a in range(n)]
+    assert all(sum(row) <= PARTS and min(row) >= 0 for row in shares(made, zones, before, 0.25))
+
+
+def test_what_is_short_moves_in_steps_and_what_is_lost_at_once():
+    well, short = zone(80, 100), zone(80, 20)
+    views = [short, well, well]
+    first = shares(flows(views, NEAR, 0.1), views, [[PARTS, 0, 0], [0, PARTS, 0], [0, 0, PARTS]], 0.25)
+    assert first[0][1] + first[0][2] <= PARTS * 0.25 + 1 and first[0][0] > PARTS / 2
+    gone = [zone(80, 0, weight=0.0), zone(10, 200), zone(10, 200)]
+    moved = shares(flows(gone, NEAR, 0.1), gone, [[PARTS, 0, 0], [0, PARTS, 0], [0, 0, PARTS]], 0.25)
+    assert moved[0] == [0, PARTS, 0]
+
+
+@pytest.mark.parametrize("case", place_search.CASES)
+def test_in_no_order_two_hold_a_term_or_tables_of_one_generation_differ(case):
+    """sim place-search goes deeper."""
+    for opening in place_search.OPENINGS:
+        found = place_search.search(case, 2, opening, settle=20)
+        assert not found.broken and found.states > 10, found
+
+
+def test_each_deliberate_fault_is_named_and_nothing_where_there_is_none():
+    assert not [name for name in mutants_place.MUTANTS if not mutants_place.find(name)]
+    assert not [said for check in mutants_place.CHECKERS[1:] if (said := check())]
+
+
+def test_words_survive_their_codec_and_nothing_else_is_read():
+    rng, sights = random.Random(3), tuple(Sight(k, k / 2, -1.0 if k % 3 else 0.5, math.inf if k % 2 else 7.5)
+                                          for k in range(12))
+    made = [CallWord(7, 9), Voice(7, 9, True), Report(3, 9, 12, 2, 31.5, sights, 5, 2),
+            Table(Generation(4, 2, 1, 99), tuple((20,) * 12 for _ in range(12)), (0, 3) * 6, 120_000_000)]
+    for word in made:
+        data = words.pack(word)
+        assert len(data) <= words.LARGEST and words.unpack(data) == word and words.unpack(data[:-1]) is None
+        for _ in range(50):
+            spoilt = bytearray(data)
+            spoilt[rng.randrange(len(data))] ^= 1 << rng.randrange(8)
+            words.unpack(bytes(spoilt))  # nothing, or a word: no exception
+    assert words.unpack(words.pack(Table(Generation(1, 1, 1, 1), ((200, 200), (0, 250)), (0, 0)))) is None
+
+
+def test_a_process_that_was_followed_by_another_says_nothing_more():
+    view, sight = View(PlaceSettings(), 3, 1), (Sight(1, 1.0, 0.0, math.inf),)
+    assert view.hear(0, Report(1, 5, 9, 0, 1.0, sight)) and not view.hear(0, Report(1, 5, 8, 0, 2.0, sight))
+    assert view.hear(1, Report(1, 6, 1, 0, 3.0, sight)) and not view.hear(2, Report(1, 5, 99, 0, 4.0, sight))
+    assert not view.hear(2, Report(7, 1, 1, 0, 1.0, sight))
+    assert not view.hear(2, Report(2, 1, 1, 4, 1.0, sight))
+    assert view.known[1].report.demand == 3.0
+
+
+def test_operators_drain_a_zone_and_see_the_table():
+    door = Operator(zones=["a", "b"], table=lambda: "table 1")
+    assert door.call(Call("GET", "/place", b""), True).text == "table 1"
+    assert door.call(Call("POST", "/place/drain", b"b"), True).change is Change.ZONE_DRAIN
+    assert door.call(Call("POST", "/place/hold", b"c"), True).status == 404
+    assert Operator().call(Call("GET", "/place", b""), True).status == 404
+
+
+@pytest.mark.parametrize(("text", "said"), [
+    ("place: {regions: {x: [a], y: [a]}}", "zone a is in x and in y"),
+    ("place: {regions: {x: [a], y: [b]}, distances: [{between: [x, y], is: '40'}]}", "with its unit"),
+    ("place: {regions: {x: [a]}, distances: [{between: [x, z], is: 4ms}]}", "no region is called 'z'"),
+    ("place: {headroom: 0.9}", "there is no more room"), ("place: {electors: many}", "electors"),
+    ("place: {regions: {x: [q]}}", "no zone is called q")])
+def test_a_bad_file_is_one_line(text, said, tmp_path, capsys):
+    path = tmp_path / "place.yaml"
+    path.write_text(text + "\nzones: [{name: a, demand: 1, room: 2}, {name: b, demand: 1, room: 2}]\n")
+    with pytest.raises(FileError, match=said):
+        features.check_place(str(path), features.place(str(path)), ["a", "b"])
+    assert main(["place", "plan", str(path)]) == 2
+    assert len(capsys.readouterr().err.strip().splitlines()) == 1
+    assert span("40ms") == 40_000_000 and span("1.5 s") == 1_500_000_000
+
+
+def test_the_dry_run_tells_what_has_no_place(capsys):
+    assert main(["place", "plan", "deploy/place.yaml", "--lose", "floor-3"]) == 0
+    assert main(["place", "plan", "deploy/place.yaml", "--lose", "north"]) == 1
+    assert "82.5 of 210.0 units a second have no place" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(("seed", "share"), [(5, False), (6, True)])
+def test_a_lost_zone_is_left_by_all_in_one_step_and_got_back_slowly(seed, share):
+    lost = [k for k in range(18) if k % 3 == 1]
+    run = Run(Plan(seed=seed, gateways=6, boxes=18, requests=1500, last_ms=14000, place=True, greedy=0.1,
+                   anchored=False, share=share, faults=[Fault("unreachable", 2500, 4000, lost)]))
+    sent = []  # seconds, crossed
+    went = run.referee.sent
+
+    def heard(gateway, box, request, first_ns):
+        at = (run.scheduler.now_ns - run.began_ns) / 1e9
+        sent.append((at, run.referee.boxes[box][0], int(gateway[1:]) % 3))
+        return went(gateway, box, request, first_ns)
+    run.referee.sent = heard
+    result = run.play()
+    assert result.breach is None, result.breach
+    calm = [z != home for at, z, home in sent if at < 2.4]
+    assert sum(calm) <= 0.02 * len(calm) + 1
+    after = [z == 1 for at, z, _ in sent if 3.9 < at < 6.5]
+    assert sum(after) <= 0.08 * len(after)
+    back = [z == 1 for at, z, home in sent if at > 12.5 and home == 1]
+    assert sum(back) >= 0.8 * len(back)
+    tables = {s.gateway.turn.policy.terms.current(run.scheduler.now_ns).shares for s in run.seats}
+    assert len(tables) == 1
--- a/zincstile/__main__.py
+++ b/zincstile/__main__.py
@@ -5,10 +5,16 @@
 
 from __future__ import annotations
 
+import sys
+
+if __name__ == "__main__" and len(sys.argv) == 1:
+    # The gateway speaks no TLS. asyncio does without `ssl` where there is none, which spares each start a
+    # twelfth of its CPU and the process 1.3 MB. Commands keep it: their libraries may want it.
+    sys.modules["ssl"] = None  # type: ignore[assignment]
+
 import asyncio
 import gc
 import os
-import sys
 
 from .net.config import Config, ConfigError, load
 from .net.gateway import Gateway
--- a/zincstile/cli/sim.py
+++ b/zincstile/cli/sim.py
@@ -259,6 +259,27 @@
     return 1 if broken or late else 0
 
 
+@command.command("start-model")
+@click.option("--gateways", "sizes", multiple=True, type=click.IntRange(1, 20_000), default=(100, 1000),
+              show_default=True)
+@click.option("--alive", type=click.FloatRange(0, 0.95), default=0.0, show_default=True,
+              help="Part that runs and has the list.")
+@click.option("--lines", type=click.IntRange(1, 5000), default=200, show_default=True, help="Of the list.")
+@click.option("--lists-per-s", "per_s", type=click.FloatRange(0.1, 1e6), default=20.0, show_default=True)
+@click.option("--seed", type=click.IntRange(min=0), default=1, show_default=True)
+@click.option("--alone", is_flag=True, help="Without lists from peers.")
+def start_model(sizes: tuple[int, ...], alive: float, lines: int, per_s: float, seed: int,
+                alone: bool) -> int:
+    """A cold start of any number of gateways by the pure modules alone; exit 1 where one is never ready."""
+    from ..start.settings import StartSettings
+    from ..worlds import start_model as them
+
+    settings = StartSettings(peers=not alone)
+    rows = [them.Model(n, int(n * alive), lines, per_s, seed, settings=settings).play() for n in sizes]
+    click.echo(them.table(rows))
+    return 0 if all(r.all_s >= 0 for r in rows) else 1
+
+
 @command.command("keeper")
 @click.option("--seeds", "span", required=True, metavar="A:B")
 @click.option("--gateways", type=click.IntRange(2, 20), default=3, show_default=True)
--- a/zincstile/control/operator.py
+++ b/zincstile/control/operator.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -20,6 +20,13 @@
     ACTIVE = 2  # takes clients again
     BAN = 3  # the backend server counts as draining, whatever discovery says
     UNBAN = 4  # discovery's word holds again for it
+    ZONE_DRAIN = 5  # no zone sends there any more, but its own gateways' repeats
+    ZONE_HOLD = 6  # its state stays as it is
+    ZONE_BACK = 7  # neither holds any more
+
+
+ZONE_CALLS = {"/place/drain": Change.ZONE_DRAIN, "/place/hold": Change.ZONE_HOLD,
+              "/place/back": Change.ZONE_BACK}
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +45,8 @@
     standby: bool = False
     banned: set[str] = field(default_factory=set)
     listed: Collection[str] = field(default_factory=set)  # every name that discovery gave since the start
+    zones: Collection[str] = ()  # those that an operator may name; none where zones are not chosen in common
+    table: Callable[[], str] = str  # the table of flows, in words
     version: int = 0  # of `banned`; counts on across processes, so that the newest word wins
 
     def call(self, c: Call, ready: bool) -> Reply:
@@ -46,6 +55,8 @@
         routes = {"/status": "GET", "/standby": "POST", "/active": "POST", "/maintenance/enter": "POST",
                   "/maintenance/exit": "POST"}
         path = c.path.split("?", 1)[0]
+        if self.zones:
+            routes |= {"/place": "GET"} | dict.fromkeys(ZONE_CALLS, "POST")
         if path not in routes:
             return Reply(404, "no such call")
         if c.method != routes[path]:
@@ -54,6 +65,8 @@
             if not ready:
                 return Reply(503, "starting")
             return Reply(503, "standby") if self.standby else Reply(200, self.describe())
+        if path == "/place":
+            return Reply(200, self.table())
         if path == "/standby":
             self.standby = True
             return Reply(200, "standby", Change.STANDBY)
@@ -66,6 +79,10 @@
             return Reply(400, "an id that is not ASCII")
         if not name or any(ch.isspace() for ch in name):
             return Reply(400, "no id, or more than one")
+        if path in ZONE_CALLS:
+            if name not in self.zones:
+                return Reply(404, f"no zone is called {name}")
+            return Reply(200, f"{name} {path.rpartition('/')[2]}", ZONE_CALLS[path], name)
         if name not in self.listed and name not in self.banned:
             return Reply(404, f"{name} was never listed")
         if path == "/maintenance/enter":
--- a/zincstile/net/config.py
+++ b/zincstile/net/config.py
@@ -34,6 +34,7 @@
     counter: Address | None = None
     keeper: Any = None  # keeper.settings.KeeperSettings, where quotas are held through the count keeper
     start: Any = None  # start.settings.StartSettings, where gateways start beside each other by a file
+    place: Any = None  # place.settings.PlaceSettings, where zones are chosen in common
     shared: Any = None  # shared.settings.SharedSettings, where state is shared within stated bounds
     socket_fd: int | None = None  # the clients' listening socket, inherited ($RELAY_SOCKET_FD)
     control: Address | None = None  # the operators' door ($RELAY_CONTROL)
@@ -100,6 +101,7 @@
         peer_listen=address(t["peer_listen"]) if t.get("peer_listen") else None, peers=peers,
         counter=address(t["counter"]) if _feature(t, "keeper") and t.get("counter") else None,
         keeper=_keeper(t, decoded), shared=_shared(t, decoded), start=_start(t, decoded),
+        place=_place(t, decoded),
         socket_fd=_descriptor(env.get("RELAY_SOCKET_FD")), control=_control(t, env))
 
 
@@ -171,6 +173,23 @@
     return found
 
 
+def _place(t: dict[str, Any], settings: Settings) -> Any:
+    """Off unless `features.place` names a file. ConfigError where that can't be used."""
+    path = _feature(t, "place")
+    if not path:
+        return None
+    from . import features
+
+    try:
+        found = features.place(str(path))
+        features.check_place(str(path), found, [str(z) for z in t["settings"].get("zones") or []])
+    except features.FileError as err:
+        raise ConfigError(str(err)) from None
+    if not settings.peers:
+        raise ConfigError(f"{path}: settings.limits.peers is false: nothing could be decided in common")
+    return found
+
+
 def _keeper(t: dict[str, Any], settings: Settings) -> Any:
     """Off unless `features.keeper` names a file. ConfigError where that can't be used, or a plan not held."""
     path = _feature(t, "keeper")
--- a/zincstile/net/features.py
+++ b/zincstile/net/features.py
@@ -13,6 +13,7 @@
 from ..bounds import Quota
 from ..keeper import bound as keeper_bound
 from ..keeper.settings import KeeperSettings
+from ..place.settings import MOST_ZONES, PlaceSettings, span
 from ..shared import bound as shared_bound
 from ..shared.settings import SharedSettings
 from ..start.settings import StartSettings
@@ -90,12 +91,52 @@
     open_ms: int | None = None
 
 
+class ZoneRow(msgspec.Struct, forbid_unknown_fields=True):
+    """What a zone is asked for and what it bears, in units a second."""
+
+    name: str
+    demand: float
+    room: float
+
+
 class StartFile(msgspec.Struct, forbid_unknown_fields=True):
     """deploy/start.yaml."""
 
     start: StartRow
 
 
+class DistanceRow(msgspec.Struct, forbid_unknown_fields=True):
+    """Between two regions, with its unit."""
+
+    between: tuple[str, str]
+    is_: str = msgspec.field(name="is")
+
+
+class PlaceRow(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
+    """`PlaceSettings` in milliseconds; what is left out has its usual value."""
+
+    regions: dict[str, list[str]] = {}
+    distances: list[DistanceRow] = []
+    within: str | None = None
+    headroom: float | None = None
+    spill: float | None = None
+    step: float | None = None
+    lost_ms: int | None = None
+    back_ms: int | None = None
+    ramp_ms: int | None = None
+    beat_ms: int | None = None
+    term_ms: int | None = None
+    hold_ms: int | None = None
+    electors: int | None = None
+
+
+class PlaceFile(msgspec.Struct, forbid_unknown_fields=True):
+    """deploy/place.yaml. `zones` are for `place plan`: a gateway takes its own settings'."""
+
+    place: PlaceRow
+    zones: list[ZoneRow] = []
+
+
 class KeeperFile(msgspec.Struct, forbid_unknown_fields=True):
     """deploy/keeper.yaml. A gateway takes the quotas of its own settings; `plans` are for `bound`."""
 
@@ -150,6 +191,43 @@
     return _settings(path, load(path, StartFile).start, StartSettings)
 
 
+def place(path: str) -> PlaceSettings:
+    """FileError where the file can't be used."""
+    row = load(path, PlaceFile).place
+    try:
+        regions = {name: tuple(zones) for name, zones in row.regions.items()}
+        distances = {d.between: span(d.is_) for d in row.distances}
+        within = span(row.within) if row.within is not None else None
+    except ValueError as err:
+        raise FileError(f"{path}: distances: {err}") from None
+    given = {k: v for k, v in msgspec.structs.asdict(row).items()
+             if v is not None and k not in ("regions", "distances", "within")}
+    times = {k[:-3] + "_ns": v * MS for k, v in given.items() if k.endswith("_ms")}
+    rest = {k: v for k, v in given.items() if not k.endswith("_ms")}
+    if within is not None:
+        rest["within_ns"] = within
+    try:
+        return PlaceSettings(regions, distances, **times, **rest)
+    except ValueError as err:
+        raise FileError(f"{path}: {err}") from None
+
+
+def place_zones(path: str) -> list[ZoneRow]:
+    """The zones that a dry run is made of."""
+    return load(path, PlaceFile).zones
+
+
+def check_place(path: str, settings: PlaceSettings, zones: list[str]) -> None:
+    """FileError where the file doesn't fit the zones that the gateways are told of."""
+    if len(zones) >= MOST_ZONES:
+        raise FileError(f"{path}: {len(zones)} zones: {MOST_ZONES - 1} at most")
+    for region, names in settings.regions.items():
+        for name in names:
+            if zones and name not in zones:
+                raise FileError(f"{path}: regions: {region}: no zone is called {name}; there are "
+                                f"{', '.join(zones)}")
+
+
 def _check(path: str, settings: Any, quotas: list[Quota], refused: Callable[..., str | None]) -> None:
     for quota in quotas:
         why = refused(quota, settings)
--- a/zincstile/net/gateway.py
+++ b/zincstile/net/gateway.py
@@ -39,6 +39,8 @@
         if config.shared:
             self._share_state()
         self.starter = self._start_beside() if config.start else None
+        if config.place:
+            self._choose_zones()
         self.operator, self.control, self.handover, self.heritage = None, None, None, None
         if config.control:
             self._operate()
@@ -58,6 +60,10 @@
             from ..keeper.module import KeptPolicy
 
             kind, more = KeptPolicy, (config.keeper, self.host.unix_ns() - self.host.monotonic_ns())
+        if config.place:
+            from ..place.module import placed
+
+            kind = placed(kind, config.place, config.zones)
         if config.start:
             from ..start.policy import opening
 
@@ -108,6 +114,18 @@
         return Starter(self.turn, self.peers, self.table, config.start, config.settings.me,
                        config.settings.gateways, config.settings.peer_in_per_s, config.seed, self._ready)
 
+    def _choose_zones(self) -> None:
+        """The words between gateways by which zones are chosen in common."""
+        from ..place import module, words
+
+        def heard(sender: int, data: bytes) -> module.PlaceWord | None:
+            found = words.unpack(data)
+            return None if found is None else module.PlaceWord(sender, found)
+
+        self.turn.carry_out[module.PlaceTell] = lambda _, action: self.peers.send(
+            action.peer, words.pack(action.word))
+        self.peers.others[words.MAGIC] = heard
+
     def _operate(self) -> None:
         """The operators' door, what they said, and the file by which another process of this gateway hears
         it."""
@@ -116,6 +134,9 @@
         from .inherit import Heritage
 
         self.operator = Operator(listed=self.table.reader.names)
+        if self.config.place:
+            self.operator.zones = self.config.zones
+            self.operator.table = lambda: self.turn.policy.shown(self.turn.now_ns())
         self.control = ControlDoor(self.turn, self.operator, self._apply, lambda: self.door.ready and
                                    not self._stopping, self.host)
         base = os.path.join(self.host.tmpdir(), f"zincstile-{self.config.name}")
@@ -134,6 +155,12 @@
         elif reply.change is Change.ACTIVE:
             self.log.line("active: taking clients again")
             self.door.set_standby(False)
+        elif reply.change in (Change.ZONE_DRAIN, Change.ZONE_HOLD, Change.ZONE_BACK):
+            from ..place.module import ZoneSaid
+
+            self.turn.post(ZoneSaid(self.config.zones.index(reply.name), reply.change is Change.ZONE_DRAIN,
+                                    reply.change is Change.ZONE_HOLD))
+            self.log.line(f"zone {reply.text}")
         elif reply.change in (Change.BAN, Change.UNBAN):
             banned = reply.change is Change.BAN
             self.table.maintain(reply.name, banned)
--- /dev/null
+++ b/zincstile/place/module.py
@@ -0,0 +1,382 @@
+"""The decision module with zones' weights: any of the modules, with the table of flows before its choice of a
+server.
+
+The table says which part of this gateway's traffic goes to which zone; each first attempt draws its zone by
+that, and the module chooses among that zone's servers as ever. A zone whose connections fail here is left
+at once, whatever the table says. Without a table, and for what a zone here can't take, a gateway sends
+other zones at most its even part of `spill`: the sum over all gateways stays under that whatever each
+believes, so that a part of the fleet that hears nothing can't push a zone over.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from dataclasses import dataclass
+
+from .. import interface as i
+from ..interface import Effect
+from ..policy import FAULTY, Policy
+from ..state import Attempt, Live, Server
+from .flows import PARTS, flows, shares
+from .settings import SECOND, PlaceSettings
+from .states import State, Zone
+from .terms import Table, Terms
+from .view import DEAD, HOLD, Report, Sight, View
+from .words import Word
+
+PLACE = 2**62 + 2  # timer's token that no request has
+TRIED_S = 3.0  # a connection that failed, or came up, counts for so long
+LEAST_TRIES, ANY_TRIES = 2.5, 0.3  # one failure alone says nothing of a zone; a try that came up does
+TRY_PART = 0.5  # of `back`, in which each gateway tries a zone that is left, once
+FAN = 2  # others that hear each report besides the one who proposes
+
+
+@dataclass(slots=True)
+class PlaceTell:
+    """An action: a word for one peer."""
+
+    peer: int
+    word: Word
+
+
+@dataclass(slots=True)
+class PlaceWord:
+    """An event: a peer's word."""
+
+    sender: int
+    word: Word
+
+
+@dataclass(slots=True)
+class ZoneSaid:
+    """An event: an operator's word on a zone: drain it, hold it where it is, or neither."""
+
+    zone: int
+    drained: bool = False
+    held: bool = False
+
+
+@dataclass(slots=True)
+class Tries:
+    """Of one zone: connections that failed, and others, fading."""
+
+    failed: float = 0.0
+    all: float = 0.0
+
+    def add(self, failed: bool) -> None:
+        """A try that came up says more of now than those that failed before it."""
+        self.failed, self.all = self.failed + 1 if failed else self.failed / 2, self.all + 1
+
+    @property
+    def dead(self) -> float:
+        return self.failed / max(LEAST_TRIES, self.all) if self.all >= ANY_TRIES else -1.0
+
+
+@dataclass(slots=True)
+class Spill:
+    """Units that may be sent to another zone without a table, as a store."""
+
+    level: float = 0.0
+    at_ns: int = 0
+
+    def take(self, now: int, rate: float, units: float) -> bool:
+        self.level = min(max(units, rate), self.level + rate * (now - self.at_ns) / SECOND)
+        self.at_ns = now
+        if self.level < units:
+            return False
+        self.level -= units
+        return True
+
+
+@dataclass(slots=True)
+class Counts:
+    near: int = 0
+    far: int = 0
+    spilled: int = 0
+    changes: int = 0
+    nowhere: int = 0
+
+
+def placed(base: type[Policy], place: PlaceSettings, zones: list[str]) -> type[Policy]:
+    """`base` that chooses zones by the fleet's table. `zones`: their names, in the settings' order; a server
+    whose zone is in none of them is of one more."""
+    names = [*zones, "?"]
+    distance = place.matrix(names)
+    count = len(names)
+
+    class Placed(base):  # type: ignore[misc, valid-type]
+        def __init__(self, settings: i.Settings, seed: int, *more: object) -> None:
+            super().__init__(settings, seed, *more)
+            self.place, self.zone_names = place, names
+            self.luck = random.Random(f"place {seed}")
+            self.life = self.luck.getrandbits(32)
+            self.home = min(settings.zone, count - 1)
+            self.sights = View(place, settings.gateways, count)
+            self.states = [Zone(place) for _ in names]
+            self.tries = [Tries() for _ in names]
+            self.spills = [Spill() for _ in names]
+            self.rooms = [0.0] * count  # what each zone was last known to bear, units a second
+            self.good_in = [0.0] * count
+            self.ready_in = [0] * count
+            self.terms: Terms | None = None
+            self.numbers = 0
+            self.told_ns = 0
+            self.done_in = [0.0] * count  # units a second done there for this gateway
+            self.try_ns = [0] * count  # when a zone that is left is tried again
+            self.aim = -1  # zone of the attempt that is chosen just now; -1: any
+            self.counted = Counts()
+
+        # ---- what goes by time
+
+        def on_started(self, now: int, event: i.Started) -> None:
+            self.terms = Terms(place, self.set.me, self.set.gateways, self.life, now, self.luck)
+            super().on_started(now, event)
+            self.timer(now + self.luck.randrange(place.beat_ns), PLACE)
+
+        def on_timer(self, now: int, event: i.Timer) -> None:
+            if event.token != PLACE:
+                super().on_timer(now, event)
+                return
+            self.timer(now + place.beat_ns, PLACE)
+            self._beat(now)
+
+        def _beat(self, now: int) -> None:
+            report = self._report()
+            self.sights.hear(now, report)
+            self.terms.look(now, self.sights.heard(now))
+            if self.terms.holds(now):
+                self._propose(now)
+            table = self.terms.current(now)
+            if now - self.told_ns >= self.sights.every_ns and self.set.peers:
+                self.told_ns = now - self.luck.randrange(place.beat_ns)
+                others = [k for k in range(self.set.gateways) if k != self.set.me]
+                to = set(self.luck.sample(others, min(FAN, len(others))))
+                if table is not None and not self.terms.holds(now):
+                    to.add(table.generation.proposer)
+                elif table is None:
+                    to.update(self.luck.sample(self.terms.electors, min(FAN, len(self.terms.electors))))
+                self.acts += [PlaceTell(peer, report) for peer in to if peer != self.set.me]
+            self._tell_terms()
+
+        def _report(self) -> Report:
+            self.numbers += 1
+            sights = []
+            budget = math.inf
+            if self.level < math.inf:
+                taken_s = max(1e-3, (self.out + 1.0) / (self.done_rate + 1.0))
+                budget = self.level * self.good / taken_s
+            for z in range(count):
+                part = self.good_in[z] / self.good if self.good else 0.0
+                sights.append(Sight(self.ready_in[z], self.good_in[z], self.tries[z].dead,
+                                    budget * part if budget < math.inf else math.inf))
+            demand = sum(x.arrivals for x in self.leaves)
+            return Report(self.set.me, self.life, self.numbers, self.home, demand, tuple(sights),
+                          self.sights.said, self.sights.said_number)
+
+        def _propose(self, now: int) -> None:
+            views = self.sights.look(now, self.states)
+            last = self.terms.table
+            made = shares(flows(views, distance, place.headroom), views,
+                          last.shares if last is not None and len(last.shares) == count else None, place.step)
+            states = tuple(int(z.state) for z in self.states)
+            for z, v in enumerate(views):
+                if v.room < math.inf:
+                    self.rooms[z] = v.room
+            table = self.terms.propose(now, tuple(map(tuple, made)), states)
+            if table is None:
+                return
+            others = [k for k in range(self.set.gateways) if k != self.set.me]
+            if self.set.peers:  # to all in turn: a fleet's datagrams at one stroke would fill the way
+                part = -(-len(others) * place.beat_ns // max(place.beat_ns, len(others) * 5_000_000))
+                fresh = table is not last
+                chosen = others if fresh else self.luck.sample(others, max(1, part))
+                self.acts += [PlaceTell(peer, table) for peer in chosen]
+
+        def _tell_terms(self) -> None:
+            if self.set.peers:
+                self.acts += [PlaceTell(peer, word) for peer, word in self.terms.told()]
+
+        def on_place_word(self, now: int, event: PlaceWord) -> None:
+            word = event.word
+            if not 0 <= event.sender < self.set.gateways or event.sender == self.set.me:
+                return
+            if isinstance(word, Report):
+                if word.origin == event.sender:
+                    self.sights.hear(now, word)
+            elif isinstance(word, Table):
+                last = self.terms.table
+                if len(word.shares) == count and self.terms.hear(now, event.sender, word):
+                    self.counted.changes += last is None or last.shares != word.shares
+                    self._adopt(now, word)
+            else:
+                self.terms.hear(now, event.sender, word)
+            self._tell_terms()
+
+        def _adopt(self, now: int, table: Table) -> None:
+            """Who does not propose keeps the states as they are told, so that the next proposer goes on from
+            them."""
+            for zone, told in zip(self.states, table.states, strict=True):
+                if int(zone.state) != told and told in State._value2member_map_:
+                    zone.state, zone.since_ns, zone.against_ns = State(told), now, -1
+                    if told == State.LOST:
+                        zone.losses, zone.lost_ns = zone.losses + 1, now
+
+        def on_zone_said(self, now: int, event: ZoneSaid) -> None:
+            """It is told with the reports, so that every proposer goes by it."""
+            bits = self.sights.said & ~(1 << event.zone | 1 << event.zone + HOLD)
+            bits |= event.drained << event.zone | event.held << event.zone + HOLD
+            self.sights.said, self.sights.said_number = bits, self.sights.said_number + 1
+            self.told_ns = 0
+
+        # ---- what is learnt
+
+        def _sort(self, now: int) -> None:
+            super()._sort(now)
+            self.good_in, self.ready_in = [0.0] * count, [0] * count
+            for s in self.ready:
+                z = min(s.info.zone, count - 1)
+                self.ready_in[z] += 1
+                doubt = min((s.doubt.get(g, 0.0) - self.usual[g] for g in range(len(self.set.classes))),
+                            default=0.0)
+                self.good_in[z] += self._warmth(now, s) * (doubt < FAULTY)
+            total = sum(self.good_in)
+            mine = self.good_in[self.home] + sum(
+                self.good_in[z] for z in range(count) if z != self.home and self._weights(now)[z] > 0)
+            if self.cold and 0 < mine < total:  # a cold server's due comes from those that send to its zone
+                self.parts = [min(1.0, p * total / mine) for p in self.parts]
+
+        def _fade(self, keep: float) -> None:
+            super()._fade(keep)
+            span = math.log(1 / keep) if 0 < keep < 1 else 0.0
+            for one in self.tries:
+                fade = math.exp(-span * 8.0 / TRIED_S)  # `policy.FADE_S` over our own
+                one.failed, one.all = one.failed * fade, one.all * fade
+
+        def _learn(self, now: int, e: i.Outcome, attempt: Attempt) -> None:
+            super()._learn(now, e, attempt)
+            zone = min(attempt.server.info.zone, count - 1)
+            if e.result is i.Result.CONNECT_FAILED:
+                self.tries[zone].add(True)
+            elif e.result in (i.Result.OK, i.Result.ERROR, i.Result.FULL, i.Result.SPOILT):
+                self.tries[zone].add(False)
+            elif e.result is i.Result.TIMEOUT and attempt.late:  # silent for long
+                self.tries[zone].add(True)
+
+        # ---- the choice
+
+        def _weights(self, now: int) -> list[float]:
+            """Parts of this gateway's traffic by zone. What fails here is left at once."""
+            table = self.terms.current(now) if self.terms else None
+            if table is not None:
+                row = [x / PARTS for x in table.shares[self.home]]
+                return [0.0 if self.tries[z].dead >= DEAD else x for z, x in enumerate(row)]
+            own = float(self.ready_in[self.home] > 0 and self.tries[self.home].dead < DEAD)
+            return [own if z == self.home else 0.0 for z in range(count)]
+
+        def _choose(self, now: int, live: Live) -> Server | None:
+            if live.ran is not None and live.tried:  # a repeat: where it may go says its group
+                self.aim = -1
+                return super()._choose(now, live)
+            if live.spec.effect is Effect.SAFE and not live.tried:
+                server = self._tried(now, live)
+                if server is not None:
+                    return server
+            draw, zone = self.luck.random(), -1
+            for z, weight in enumerate(self._weights(now)):
+                draw -= weight
+                if draw < 0:
+                    zone = z
+                    break
+            server = self._within(now, live, zone) if zone >= 0 else None
+            if server is not None:
+                self._went(zone)
+                return server
+            return self._spilled(now, live, zone)
+
+        def _tried(self, now: int, live: Live) -> Server | None:
+            """A zone that is left gets one request now and then that may be repeated elsewhere: else nobody
+            would ever know that it is back. Drawn, so that a fleet's tries are apart."""
+            table = self.terms.current(now) if self.terms else None
+            for zone in range(count):
+                lost = table is not None and table.states[zone] == State.LOST
+                if now < self.try_ns[zone] or not self.ready_in[zone] or not (
+                        lost or self.tries[zone].dead >= DEAD):
+                    continue
+                self.try_ns[zone] = now + int(place.back_ns * TRY_PART * (0.5 + self.luck.random()))
+                server = self._within(now, live, zone)
+                if server is not None:
+                    self._went(zone)
+                    return server
+            return None
+
+        def _within(self, now: int, live: Live, zone: int) -> Server | None:
+            self.aim = zone
+            try:
+                return super()._choose(now, live)
+            finally:
+                self.aim = -1
+
+        def _spilled(self, now: int, live: Live, tried: int) -> Server | None:
+            """Nothing by the table: the nearest zones, by this gateway's even part of what they may be sent
+            besides. Where the table leaves a part without a place, that part is refused."""
+            table = self.terms.current(now) if self.terms else None
+            dead = [z for z in range(count) if self.tries[z].dead >= DEAD]
+            if table is not None and tried < 0 and not dead:
+                self.counted.nowhere += 1
+                return None
+            states = table.states if table is not None else (0,) * count
+            for zone in sorted(range(count), key=lambda z: (distance[self.home][z], self.luck.random())):
+                if zone == tried or zone in dead or not self.ready_in[zone] \
+                        or states[zone] in (State.LOST, State.DRAINING):
+                    continue
+                rate = place.spill * self._room(zone) / self.set.gateways
+                if zone == self.home or self.spills[zone].take(now, rate, live.ask.units):
+                    server = self._within(now, live, zone)
+                    if server is not None:
+                        self.counted.spilled += zone != self.home
+                        self._went(zone)
+                        return server
+            return None
+
+        def _room(self, zone: int) -> float:
+            """What a zone bears, as far as is known: by its table's proposer, else by what all servers do for
+            this gateway."""
+            if self.rooms[zone]:
+                return self.rooms[zone]
+            per_server = max(self.seen_rate, self.done_rate / self.good) * self.set.gateways
+            return per_server * self.good_in[zone]
+
+        def _went(self, zone: int) -> None:
+            if zone == self.home:
+                self.counted.near += 1
+            else:
+                self.counted.far += 1
+
+        def _may(self, live: Live, s: Server) -> bool:
+            return (self.aim < 0 or min(s.info.zone, count - 1) == self.aim) and super()._may(live, s)
+
+        def sight(self) -> dict[str, float]:
+            c, table = self.counted, self.terms.table if self.terms else None
+            return super().sight() | {
+                "near": c.near, "far": c.far, "spilled": c.spilled, "nowhere": c.nowhere,
+                "tables": c.changes, "term": table.generation.term if table else 0}
+
+        def shown(self, now: int) -> str:
+            """The table with its reasons, for operators."""
+            table = self.terms.current(now)
+            head = "no table: each gateway by its stated part" if table is None else (
+                f"table {table.generation.term}.{table.generation.number} by gateway "
+                f"{table.generation.proposer}, {(now - self.terms.had_ns) // 1_000_000} ms old")
+            lines = [head]
+            for z, name in enumerate(names):
+                if not self.ready_in[z] and z != self.home:
+                    continue
+                state = State(table.states[z]).name.lower() if table else "-"
+                row = "" if table is None else " ".join(
+                    f"{names[b]}:{100 * x / PARTS:.0f}%" for b, x in enumerate(table.shares[z]) if x)
+                lines.append(f"{name} {state} ready={self.ready_in[z]} good={self.good_in[z]:.1f} "
+                             f"dead={self.tries[z].dead:.2f} sends {row or 'nothing'}")
+            return "\n".join(lines)
+
+    return Placed
--- a/zincstile/start/opening.py
+++ b/zincstile/start/opening.py
@@ -15,9 +15,9 @@
     S x first_per_s x double x (2 e^(t / double) - 1)        (units)
 
 as their paces sum up to `S x first_per_s` and what they begin with to that times `double`, and as units
-answered are never more than units sent: A' <= S x first_per_s + A / double. The draws put it apart by half of the
-largest request times the root of the number of gateways (one deviation); at the very most each is one
-request ahead. New connections are no more than what is sent.
+answered are never more than units sent: A' <= S x first_per_s + A / double. The draws put it apart by
+half of the largest request times the root of the number of gateways (one deviation); at the very most
+each is one request ahead. New connections are no more than what is sent.
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/zincstile/worlds/mutants_place.py
@@ -0,0 +1,207 @@
+"""Deliberate faults of the start and of the choice of zones: each must be named by one of its checkers."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from ..place import states, terms
+from ..place.settings import SECOND, PlaceSettings
+from ..place.states import State, Zone
+from ..start import asking, lists, opening
+from ..start.settings import MS, StartSettings
+from . import place_search, start_model
+from .mutants import Undo, _swap
+
+DEPTH = 3
+SETTINGS = PlaceSettings()
+
+
+def _twice() -> Undo:
+    """A voice that comes twice is two."""
+    old = terms.Terms._voice
+
+    def voice(self, now, sender, word):
+        before = [dict(m.voices) if m else None for m in (self.mine, self.renewing)]
+        old(self, now, sender, word)
+        for mine, was in zip((self.mine, self.renewing), before, strict=True):
+            if mine is not None and was is not None and word.given and sender in was:
+                mine.voices[1000 + len(mine.voices)] = None
+        self._settle()
+    return _swap(terms.Terms, "_voice", voice)
+
+
+def _no_end() -> Undo:
+    """A term does not end for who holds it."""
+    return _swap(terms.Terms, "holds", lambda self, now: self.mine is not None
+                 and len(self.mine.voices) >= self.needed)
+
+
+def _speaks_at_once() -> Undo:
+    """An elector that starts gives its voice, though it may have given it."""
+    old = terms.Terms.__init__
+
+    def init(self, *args):
+        old(self, *args)
+        self.mute_ns = 0
+    return _swap(terms.Terms, "__init__", init)
+
+
+def _bound_to_none() -> Undo:
+    """An elector gives its voice to whoever calls a later term."""
+    return _swap(terms.Terms, "_may_promise", lambda self, now, proposer, process, term:
+                 self.promise is None or term > self.promise.term)
+
+
+def _no_hysteresis() -> Undo:
+    """A zone is back as soon as one try says so."""
+    return _swap(Zone, "_lasts", lambda self, now, so, wait: so)
+
+
+def _full_return() -> Undo:
+    """What returns gets its full part at once."""
+    old = Zone.part
+
+    def part(self, now):
+        return 1.0 if self.state is State.RETURNING else old(self, now)
+    return _swap(Zone, "part", part)
+
+
+def _fixed_give_up() -> Undo:
+    """A call is given up after a fixed time, however long the line is."""
+    return _swap(asking.Asking, "patience", lambda self: 2600 * MS)
+
+
+def _in_step() -> Undo:
+    """Failed calls are made again after the whole span, by all."""
+    return _swap(asking.Asking, "failed", lambda self, retry_after_ns=0: self.again_ns)
+
+
+def _all_for_itself() -> Undo:
+    """Each opens as if it were alone."""
+    return _swap(opening.Opening, "pace", lambda self, servers:
+                 self.settings.first_per_s * servers + self.gained)
+
+
+def _peers_outlive() -> Undo:
+    """A list of peers' goes on being sought and taken after discovery has spoken."""
+    old = lists.Lists.told_by_discovery
+
+    def told(self, now, version, entries, whole):
+        seeking, target, have = self.seeking, self._target, dict(self._have)
+        old(self, now, version, entries, whole)
+        self.seeking, self._target, self._have = seeking, target, have
+    return _swap(lists.Lists, "told_by_discovery", told)
+
+
+def _tells_on() -> Undo:
+    """What came from a peer is told on."""
+    old = lists.Lists.take_found
+
+    def take(self):
+        found = old(self)
+        if found is not None:
+            self.book.begin(0, found.version, lists.KNOWN, found.entries)
+        return found
+    return _swap(lists.Lists, "take_found", take)
+
+
+# ---- checkers
+
+
+def by_search() -> str:
+    """Every order, to the depth; the short ways first."""
+    for depth in range(1, DEPTH + 1):
+        for case in place_search.CASES:
+            for name in place_search.OPENINGS:
+                found = place_search.search(case, depth, name, settle=20 * (depth == DEPTH))
+                if found.broken:
+                    return f"search: {found.broken}"
+    return ""
+
+
+def by_flapping() -> str:
+    """A zone whose link fails and heals each 3 s for two minutes goes and comes by hysteresis, and gets a
+    tenth when it returns."""
+    zone, first = Zone(SETTINGS), -1
+    for now in range(0, 120 * SECOND, 100 * MS):
+        before = zone.state
+        zone.look(now, (now // (3 * SECOND)) % 2 == 0, False, True, False)
+        if zone.state is State.RETURNING and before is not State.RETURNING:
+            first = now
+            if zone.part(now) > 2 * states.FIRST:
+                return f"states: a part of {zone.part(now):.2f} at the return"
+    if first < 0 or zone.changes > 12:
+        return f"states: {zone.changes} changes of 40 faults"
+    return ""
+
+
+def by_calls() -> str:
+    """A call that a service works on is left out; a fleet that fails calls apart, at most as stated."""
+    one = asking.Asking(random.Random(1), 200 * 50 * MS, 10 * SECOND, 50 * SECOND)
+    if not one.silent(20 * SECOND):
+        return "asking: a call was given up while the service may work on it"
+    calls = sorted(asking.Asking(random.Random(k), 10 * SECOND, 10 * SECOND, SECOND).failed()
+                   for k in range(200))
+    most = max(sum(at <= c < at + 100 * MS for c in calls) for at in calls)
+    return f"asking: {most} of 200 calls in a tenth of a second" if most > 20 else ""
+
+
+def by_opening() -> str:
+    """A fleet sends no more than is stated."""
+    settings, fleet, sent = StartSettings(), [], 0.0
+    for k in range(200):
+        fleet.append(opening.Opening(settings, 200, 6.0, random.Random(k)))
+        fleet[-1].begin(0)
+    for now in range(0, settings.double_ns, 10 * MS):
+        for one in fleet:
+            if one.may(now, 40.0):
+                one.took(2.0)
+                sent += 2.0
+        if sent > opening.stated(settings, 40.0, now + 10 * MS) + 130:
+            return f"opening: {sent:.0f} units sent, {opening.stated(settings, 40.0, now):.0f} stated"
+    return ""
+
+
+def by_lists() -> str:
+    """Discovery's word ends what peers tell, and only it is told on."""
+    model = start_model.Model(12, 3, 60, 1e-3, loss=0.0)
+    late = model.gateways[-1]
+    late.start()
+    model.scheduler.run(60 * MS)
+    late.lists.told_by_discovery(model.now, 7, [], True)
+    for one in model.gateways[:3]:
+        one.lists.told_by_discovery(0, start_model.VERSION, model.entries, True)
+    model.scheduler.run(3 * SECOND)
+    if late.lists.found is not None:
+        return "lists: a peer's list was taken after discovery's word"
+    for one in model.gateways[3:-1]:
+        one.start()
+    model.scheduler.run(6 * SECOND)
+    for one in model.gateways[3:-1]:
+        if one.lists.found is None:
+            return "lists: no list came"
+        if one.lists.book.digest(model.now) is not None:
+            return "lists: a peer's list is told on"
+    return ""
+
+
+MUTANTS: dict[str, tuple[Callable[[], Undo], Callable[[], str]]] = {
+    "voice-counted-twice": (_twice, by_search), "term-without-end": (_no_end, by_search),
+    "speaks-right-after-a-start": (_speaks_at_once, by_search),
+    "bound-to-nobody": (_bound_to_none, by_search),
+    "no-hysteresis": (_no_hysteresis, by_flapping), "full-part-at-return": (_full_return, by_flapping),
+    "fixed-give-up": (_fixed_give_up, by_calls), "calls-in-step": (_in_step, by_calls),
+    "opens-as-if-alone": (_all_for_itself, by_opening), "peers-list-outlives": (_peers_outlive, by_lists),
+    "peers-list-told-on": (_tells_on, by_lists)}
+CHECKERS = tuple(dict.fromkeys(check for _, check in MUTANTS.values()))
+
+
+def find(name: str) -> str:
+    """What named it; empty: nothing did."""
+    put, check = MUTANTS[name]
+    undo = put()
+    try:
+        return check()
+    finally:
+        undo()
--- a/zincstile/worlds/mutants_shared.py
+++ b/zincstile/worlds/mutants_shared.py
@@ -177,11 +177,12 @@
 
 
 def by_search(_: int) -> str:
-    """Every opening, to the depth."""
-    for name in search.OPENINGS:
-        found = search.search(DEPTH, name)
-        if found.broken:
-            return f"search: {found.broken}"
+    """Every opening, to the depth; the short ways first, the long ones from openings that are far on."""
+    for depth in range(2, DEPTH + 1):
+        for name in search.OPENINGS if depth < DEPTH else reversed(search.OPENINGS):
+            found = search.search(depth, name)
+            if found.broken:
+                return f"search: {found.broken}"
     return ""
 
 
@@ -290,7 +291,7 @@
 
 
 MUTANTS: dict[str, Mutant] = {
-    "loan-both-hold": Mutant(_both_hold, (by_search, by_worlds)),
+    "loan-both-hold": Mutant(_both_hold, (by_worlds, by_search)),
     "expiry-by-wrong-clock": Mutant(_wrong_clock, (by_search, by_worlds)),
     "speaks-for-its-past": Mutant(_speaks_for_its_past, (by_search, by_worlds)),
     "word-counted-twice": Mutant(_counted_twice, (by_search, by_worlds)),
--- a/zincstile/worlds/plan.py
+++ b/zincstile/worlds/plan.py
@@ -68,6 +68,8 @@
     lists_per_s: Annotated[float, msgspec.Meta(ge=0, le=1e6)] = 0.0  # whole lists that it tells; 0: at once
     share: bool = False  # quotas by parts and loans, with a stated bound
     start: bool = False  # gateways start beside each other: lists from peers, a pace at first
+    place: bool = False  # zones are chosen in common
+    anchored: bool = True  # requests and their deadlines gather at the instants of faults
     known: bool = True  # gateways start with the last list that their machines had; else with none
     one_address: bool = False  # boxes have one address for all gateways, which are known by their requests
     faults: list[Fault] = []
--- a/zincstile/worlds/traffic.py
+++ b/zincstile/worlds/traffic.py
@@ -126,7 +126,7 @@
     """All first tries, in order of time. More of them fall on the instants of faults, and more deadlines."""
     customers = Customers(plan)
     instants = {a for f in plan.faults for a in (f.at_ms, f.at_ms + f.for_ms)}
-    anchors = sorted(a for a in instants if 0 <= a <= plan.last_ms)
+    anchors = sorted(a for a in instants if 0 <= a <= plan.last_ms) if plan.anchored else []
     chosen = range(plan.requests) if plan.only is None else plan.only
     made = [_want(plan, number, customers, anchors, start_s) for number in chosen]
     return sorted(made, key=lambda w: (w.at_s, w.customer))
--- a/zincstile/worlds/world.py
+++ b/zincstile/worlds/world.py
@@ -17,6 +17,7 @@
 from ..links import Links
 from ..net import config
 from ..net.gateway import Gateway
+from ..place.settings import PlaceSettings
 from ..rules.cases import NAMES, Breach
 from ..rules.quotas import Quotas
 from ..rules.referee import Referee
@@ -119,6 +120,7 @@
         self.keeper = KeeperSettings(skew_ns=1, most_overshoot=0.08) if plan.keeper else None
         self.shared = SharedSettings() if plan.share else None
         self.start = StartSettings(peers=True) if plan.start else None
+        self.place_settings = PlaceSettings() if plan.place else None
         self.manners = Manners(plan.lists_per_s or 1e6)
         quotas = Quotas(traffic.stated_bounds(plan, self.keeper), LATE_NS) if self.keeper else None
         if self.shared:
@@ -224,7 +226,7 @@
         """What the gateway reads of its file. The keeper's settings are put in, as its own file would be
         read."""
         found = config.read(self.table(seat), {})
-        found.shared, found.start = self.shared, self.start
+        found.shared, found.start, found.place = self.shared, self.start, self.place_settings
         if self.keeper is not None:
             found.keeper, found.counter = self.keeper, (f"10.2.0.{seat.counter + 1}", 6400)
         return found
