--- a/zincstile/cli/sim.py
+++ b/zincstile/cli/sim.py
@@ -55,6 +55,12 @@
     return range(int(first), int(last))
 
 
+def _progress(done: int, of: int) -> None:
+    """Now and then, beside what the command prints."""
+    if done % 50 == 0:
+        print(f"{done} of {of}", file=sys.stderr, flush=True)
+
+
 @command.command("run")
 @click.option("--seed", type=click.IntRange(min=0), help="The world to play.")
 @click.option("--plan", "path", type=click.Path(), help="A plan in YAML in place of the drawn one.")
@@ -229,7 +235,7 @@
         rows.append(row)
         if row.broken:
             click.echo(f"{row.failure} seed {row.seed}: {row.broken}")
-        print(f"{len(rows)} of {len(chosen)}", file=sys.stderr, flush=True) if len(rows) % 50 == 0 else None
+        _progress(len(rows), len(chosen))
     click.echo(them.table(rows))
     broken = sum(bool(row.broken) for row in rows)
     click.echo(f"shared worlds={len(rows)} broken={broken}")
@@ -242,8 +248,8 @@
 @click.option("--plain", is_flag=True, help="As without features.start.")
 @click.option("--jobs", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True)
 def starts(span: str, gateways: int, plain: bool, jobs: int) -> int:
-    """Whole fleets killed and started anew with a list service that has to be asked: when all are ready, what
-    the service and the boxes get; exit 1 where a rule is broken or a gateway is never ready."""
+    """Whole fleets killed and started anew with a list service that has to be asked: when all are ready,
+    what the service and the boxes get; exit 1 where a rule is broken or a gateway is never ready."""
     from ..worlds import starts as them
 
     chosen, rows = seeds(span), list[them.Row]()
@@ -251,7 +257,7 @@
         rows.append(row)
         if row.broken:
             click.echo(f"{row.wave} seed {row.seed}: {row.broken}")
-        print(f"{len(rows)} of {len(chosen)}", file=sys.stderr, flush=True) if len(rows) % 50 == 0 else None
+        _progress(len(rows), len(chosen))
     click.echo(them.table(rows))
     broken = sum(bool(row.broken) for row in rows)
     late = sum(row.ready_s < 0 for row in rows)
@@ -259,6 +265,46 @@
     return 1 if broken or late else 0
 
 
+@command.command("places")
+@click.option("--seeds", "span", required=True, metavar="A:B")
+@click.option("--gateways", type=click.IntRange(3, 64), default=9, show_default=True)
+@click.option("--plain", is_flag=True, help="As without features.place.")
+@click.option("--jobs", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True)
+def places(span: str, gateways: int, plain: bool, jobs: int) -> int:
+    """Whole gateways in three zones, one of which is in trouble: what is served, what crosses zones, how
+    often the table changes; exit 1 where a rule is broken."""
+    from ..worlds import places as them
+
+    chosen, rows = seeds(span), list[them.Row]()
+    for row in them.play_all(chosen, gateways, not plain, jobs):
+        rows.append(row)
+        if row.broken:
+            click.echo(f"{row.kind} seed {row.seed}: {row.broken}")
+        _progress(len(rows), len(chosen))
+    click.echo(them.table(rows))
+    broken = sum(bool(row.broken) for row in rows)
+    click.echo(f"places worlds={len(rows)} broken={broken}")
+    return 1 if broken else 0
+
+
+@command.command("place-search")
+@click.option("--depth", type=click.IntRange(1, 8), default=3, show_default=True)
+@click.option("--jobs", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True)
+def place_search(depth: int, jobs: int) -> int:
+    """Agreement on a table between a few gateways in every order; exit 1 where two hold a term at once, tables
+    of one generation differ, or one is not settled on."""
+    from ..worlds import place_search as them
+
+    found = list(them.search_all(depth, jobs))
+    for one in sorted(found, key=lambda f: f.case):
+        click.echo(f"{one.case:40}{one.states:10} states{one.steps:11} steps{one.tables:5} tables"
+                   + (f"  broken: {one.broken}" if one.broken else ""))
+    broken = sum(bool(one.broken) for one in found)
+    click.echo(f"place-search depth={depth} states={sum(f.states for f in found)} "
+               f"steps={sum(f.steps for f in found)} broken={broken}")
+    return 1 if broken else 0
+
+
 @command.command("start-model")
 @click.option("--gateways", "sizes", multiple=True, type=click.IntRange(1, 20_000), default=(100, 1000),
               show_default=True)
--- a/zincstile/place/view.py
+++ b/zincstile/place/view.py
@@ -132,7 +132,7 @@
             state = states[z].look(now, self.reached(now, z), demand > room, demand * EASED <= room,
                                    bool(self.said >> z & 1), bool(self.said >> z + HOLD & 1))
             if state is State.RETURNING and room == math.inf:
-                room = max(demand, sum(r.demand for r in reports) / self.zones)  # its part of something finite
+                room = max(demand, sum(r.demand for r in reports) / self.zones)  # finite, for a part of it
             found.append(ZoneView(
                 demand, room, max(good, 1e-3) if any(s.ready for s in sights) else 0.0, states[z].part(now),
                 state not in (State.LOST, State.DRAINING),
