--- a/zincstile/cli/sim.py
+++ b/zincstile/cli/sim.py
@@ -291,7 +291,7 @@
 @click.option("--depth", type=click.IntRange(1, 8), default=3, show_default=True)
 @click.option("--jobs", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True)
 def place_search(depth: int, jobs: int) -> int:
-    """Agreement on a table between a few gateways in every order; exit 1 where two hold a term at once, tables
+    """Agreement on a table in every order, a few gateways; exit 1 where two hold a term at once, tables
     of one generation differ, or one is not settled on."""
     from ..worlds import place_search as them
 
