--- a/zincstile/place/module.py
+++ b/zincstile/place/module.py
@@ -29,6 +29,7 @@
 TRIED_S = 3.0  # a connection that failed, or came up, counts for so long
 LEAST_TRIES, ANY_TRIES = 2.5, 0.3  # one failure alone says nothing of a zone; a try that came up does
 TRY_PART = 0.5  # of `back`, in which each gateway tries a zone that is left, once
+SLOW = 1.5  # times the usual time of a server, from which it counts the less the slower it is
 FAN = 2  # others that hear each report besides the one who proposes
 
 
@@ -81,6 +82,8 @@
     at_ns: int = 0
 
     def take(self, now: int, rate: float, units: float) -> bool:
+        if rate == math.inf:
+            return True
         self.level = min(max(units, rate), self.level + rate * (now - self.at_ns) / SECOND)
         self.at_ns = now
         if self.level < units:
@@ -116,8 +119,8 @@
             self.states = [Zone(place) for _ in names]
             self.tries = [Tries() for _ in names]
             self.spills = [Spill() for _ in names]
-            self.rooms = [0.0] * count  # what each zone was last known to bear, units a second
             self.good_in = [0.0] * count
+            self.warm_in = [0.0] * count
             self.ready_in = [0] * count
             self.terms: Terms | None = None
             self.numbers = 0
@@ -180,9 +183,6 @@
             made = shares(flows(views, distance, place.headroom), views,
                           last.shares if last is not None and len(last.shares) == count else None, place.step)
             states = tuple(int(z.state) for z in self.states)
-            for z, v in enumerate(views):
-                if v.room < math.inf:
-                    self.rooms[z] = v.room
             table = self.terms.propose(now, tuple(map(tuple, made)), states)
             if table is None:
                 return
@@ -233,13 +233,15 @@
 
         def _sort(self, now: int) -> None:
             super()._sort(now)
-            self.good_in, self.ready_in = [0.0] * count, [0] * count
+            self.good_in, self.ready_in, self.warm_in = [0.0] * count, [0] * count, [0.0] * count
             for s in self.ready:
                 z = min(s.info.zone, count - 1)
                 self.ready_in[z] += 1
                 doubt = min((s.doubt.get(g, 0.0) - self.usual[g] for g in range(len(self.set.classes))),
                             default=0.0)
-                self.good_in[z] += self._warmth(now, s) * (doubt < FAULTY)
+                warmth = self._warmth(now, s)
+                self.warm_in[z] += warmth
+                self.good_in[z] += warmth * (doubt < FAULTY) * min(1.0, SLOW / max(SLOW, s.slowness))
             total = sum(self.good_in)
             mine = self.good_in[self.home] + sum(
                 self.good_in[z] for z in range(count) if z != self.home and self._weights(now)[z] > 0)
@@ -265,13 +267,17 @@
 
         # ---- the choice
 
+        def _out(self, zone: int) -> bool:
+            """A zone fails here: its connections, or most of its servers by all that is known of them."""
+            return self.tries[zone].dead >= DEAD or self.good_in[zone] < (1 - DEAD) * self.warm_in[zone]
+
         def _weights(self, now: int) -> list[float]:
             """Parts of this gateway's traffic by zone. What fails here is left at once."""
             table = self.terms.current(now) if self.terms else None
             if table is not None:
                 row = [x / PARTS for x in table.shares[self.home]]
-                return [0.0 if self.tries[z].dead >= DEAD else x for z, x in enumerate(row)]
-            own = float(self.ready_in[self.home] > 0 and self.tries[self.home].dead < DEAD)
+                return [0.0 if self._out(z) else x for z, x in enumerate(row)]
+            own = float(self.ready_in[self.home] > 0 and not self._out(self.home))
             return [own if z == self.home else 0.0 for z in range(count)]
 
         def _choose(self, now: int, live: Live) -> Server | None:
@@ -301,7 +307,7 @@
             for zone in range(count):
                 lost = table is not None and table.states[zone] == State.LOST
                 if now < self.try_ns[zone] or not self.ready_in[zone] or not (
-                        lost or self.tries[zone].dead >= DEAD):
+                        lost or self._out(zone)):
                     continue
                 self.try_ns[zone] = now + int(place.back_ns * TRY_PART * (0.5 + self.luck.random()))
                 server = self._within(now, live, zone)
@@ -321,7 +327,7 @@
             """Nothing by the table: the nearest zones, by this gateway's even part of what they may be sent
             besides. Where the table leaves a part without a place, that part is refused."""
             table = self.terms.current(now) if self.terms else None
-            dead = [z for z in range(count) if self.tries[z].dead >= DEAD]
+            dead = [z for z in range(count) if self._out(z)]
             if table is not None and tried < 0 and not dead:
                 self.counted.nowhere += 1
                 return None
@@ -340,12 +346,12 @@
             return None
 
         def _room(self, zone: int) -> float:
-            """What a zone bears, as far as is known: by its table's proposer, else by what all servers do for
-            this gateway."""
-            if self.rooms[zone]:
-                return self.rooms[zone]
-            per_server = max(self.seen_rate, self.done_rate / self.good) * self.set.gateways
-            return per_server * self.good_in[zone]
+            """What a zone bears, by the fleet's budget as this gateway has it; no bound where none was seen
+            yet: the budget's own first bound, in units out, then holds what is sent."""
+            if self.level == math.inf:
+                return math.inf
+            taken_s = max(1e-3, (self.out + 1.0) / (self.done_rate + 1.0))
+            return self.level * self.good_in[zone] / taken_s * self.set.gateways
 
         def _went(self, zone: int) -> None:
             if zone == self.home:
