--- a/tests/test_place.py
+++ b/tests/test_place.py
@@ -88,7 +88,8 @@
 
 
 def test_each_deliberate_fault_is_named_and_nothing_where_there_is_none():
-    assert not [name for name in mutants_place.MUTANTS if not mutants_place.find(name)]
+    found = mutants_place.try_all(tuple(mutants_place.MUTANTS), 8)
+    assert not [name for name, said in found if not said]
     assert not [said for check in mutants_place.CHECKERS[1:] if (said := check())]
 
 
--- a/zincstile/cli/field.py
+++ b/zincstile/cli/field.py
@@ -83,28 +83,30 @@
 @click.option("--seeds", "span", required=True, metavar="A:B", help="Seeds from A on, B not.")
 @click.option("--gateways", type=click.IntRange(2, 64), default=8, show_default=True)
 @click.option("--kind", "kinds", multiple=True, help="Only these failures; all where none is named.")
+@click.option("--zones", is_flag=True, help="Troubles of zones, with features.place unless --gossip.")
 @click.option("--jobs", type=click.IntRange(1, 64), default=max(1, (os.cpu_count() or 2) // 4),
               show_default=True, help="Runs beside each other.")
 @click.option("--feature", "features", multiple=True, metavar="NAME=FILE")
 @click.option("--gossip", is_flag=True, help="By the gossip's shares, which state no bound.")
 @click.option("--out", type=click.Path(file_okay=False), help="Write each result into this folder.")
-def sweep(span: str, gateways: int, kinds: tuple[str, ...], jobs: int, features: tuple[str, ...],
-          gossip: bool, out: str | None) -> int:
+def sweep(span: str, gateways: int, kinds: tuple[str, ...], zones: bool, jobs: int,
+          features: tuple[str, ...], gossip: bool, out: str | None) -> int:
     """Plays many runs of drawn failures; exit 1 where any breaks a rule."""
     from ..field import result as results
     from ..field import sweep as sweeps
-    from ..worlds import shared
+    from ..worlds import places, shared
     from .sim import seeds
 
+    known = places.KINDS if zones else shared.FAILURES
     for kind in kinds:
-        if kind not in shared.FAILURES:
-            raise Told(f"--kind {kind}: no such failure; there are {', '.join(shared.FAILURES)}")
+        if kind not in known:
+            raise Told(f"--kind {kind}: no such failure; there are {', '.join(known)}")
     chosen, began, done = seeds(span), time.monotonic(), []
     try:
         files = sweeps.features(features)
         if out is not None:
             Path(out).mkdir(parents=True, exist_ok=True)
-        for found in sweeps.many(chosen, gateways, kinds or shared.FAILURES, jobs, files, gossip):
+        for found in sweeps.many(chosen, gateways, kinds or known, jobs, files, gossip):
             done.append(found)
             if out is not None:
                 results.write(found, Path(out) / f"{found.plan.replace(' ', '-')}-{found.seed}.json")
--- a/zincstile/cli/sim.py
+++ b/zincstile/cli/sim.py
@@ -6,6 +6,7 @@
 import sys
 import time
 from pathlib import Path
+from typing import Any
 
 import click
 
@@ -162,10 +163,13 @@
 @click.option("--jobs", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True)
 @click.option("--only", multiple=True, help="Names of those to try.")
 @click.option("--shared", "of_shared", is_flag=True, help="Those of the shared state.")
-def mutants(most: int, jobs: int, only: tuple[str, ...], of_shared: bool) -> int:
+@click.option("--place", "of_place", is_flag=True, help="Those of starts and of the choice of zones.")
+def mutants(most: int, jobs: int, only: tuple[str, ...], of_shared: bool, of_place: bool) -> int:
     """Breaks the gateway on purpose, one way after another: how many seeds until the right rule names it?"""
-    if of_shared:
-        return _mutants_shared(jobs, only)
+    if of_shared or of_place:
+        from ..worlds import mutants_place, mutants_shared
+
+        return _mutants_by_checkers(mutants_shared if of_shared else mutants_place, jobs, only)
     from ..worlds import mutants as them
 
     unknown = set(only) - them.MUTANTS.keys()
@@ -180,9 +184,7 @@
     return 1 if missed else 0
 
 
-def _mutants_shared(jobs: int, only: tuple[str, ...]) -> int:
-    from ..worlds import mutants_shared as them
-
+def _mutants_by_checkers(them: Any, jobs: int, only: tuple[str, ...]) -> int:
     unknown = set(only) - them.MUTANTS.keys()
     if unknown:
         raise Told(f"--only {sorted(unknown)[0]}: no such mutant; there are {', '.join(them.MUTANTS)}")
--- a/zincstile/field/programs.py
+++ b/zincstile/field/programs.py
@@ -40,7 +40,9 @@
         self.line = b""
         self.asked_to_end = False
         self.up = False  # its log says that it listens: from here on it knows its signals
-        kept = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
+        # as deployed: `build` leaves bytecode, which an environment for tests may tell Python not to write
+        kept = {k: v for k, v in os.environ.items()
+                if not k.startswith("RELAY_") and k != "PYTHONDONTWRITEBYTECODE"}
         kept["PYTHONPATH"] = str(ROOT)
         with open(log, "ab") as out:
             self.process = subprocess.Popen(
--- a/zincstile/field/sweep.py
+++ b/zincstile/field/sweep.py
@@ -10,7 +10,7 @@
 
 from ..net import features as features_files
 from ..typed_yaml import FileError
-from ..worlds import shared, traffic
+from ..worlds import places, shared, traffic
 from ..worlds.plan import Plan
 from . import run
 from .places import PlaceError
@@ -35,6 +35,9 @@
     files = dict(files)
     if plan.share and "shared" not in files:
         files["shared"] = str(ROOT / "deploy" / "shared.yaml")
+    for name in ("place", "start"):
+        if getattr(plan, name) and name not in files:
+            files[name] = str(ROOT / "deploy" / f"{name}.yaml")
     if plan.keeper and "keeper" not in files:
         path = folder / "keeper.yaml"
         path.write_text("keeper: {skew_ms: 0, most_overshoot: 0.08}\n")
@@ -48,11 +51,19 @@
     return run.play(plan, folder, name=name, features=files, stated=stated, opening=opening)
 
 
+def draw(seed: int, gateways: int, kind: str, gossip: bool) -> Plan:
+    """A failure of the shared state, or a trouble of a zone."""
+    if kind in places.KINDS:
+        return places.draw(seed, gateways, kind, not gossip)[0]
+    plan = shared.draw(seed, gateways, kind)
+    plan.share = not gossip
+    return plan
+
+
 def _drawn(gateways: int, kinds: tuple[str, ...], files: dict[str, str], gossip: bool,
            seed: int) -> FieldResult:
     kind = kinds[seed % len(kinds)]
-    plan = shared.draw(seed, gateways, kind)
-    plan.share = not gossip
+    plan = draw(seed, gateways, kind, gossip)
     try:
         with tempfile.TemporaryDirectory(prefix="zincstile-field-") as folder:
             return one(plan, Path(folder), kind, files)
--- a/zincstile/net/gateway.py
+++ b/zincstile/net/gateway.py
@@ -253,8 +253,10 @@
             self.door.take()
             if self.handover is not None:
                 self.handover.say_ready()
-            self.log.line(f"ready with {len(self.backends.servers)} backend servers, "
-                          f"{'told' if self.table.told else 'as known before'}")
+            by = "told" if self.table.told else "as known before"
+            if self.starter is not None:
+                by = self.starter.readiness.right.value
+            self.log.line(f"ready with {len(self.backends.servers)} backend servers, {by}")
 
     def _count(self) -> None:
         self.log.line(self.counters.line(self.host))
--- a/zincstile/worlds/mutants_place.py
+++ b/zincstile/worlds/mutants_place.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import multiprocessing
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from ..place import states, terms
 from ..place.settings import SECOND, PlaceSettings
@@ -197,11 +198,17 @@
 CHECKERS = tuple(dict.fromkeys(check for _, check in MUTANTS.values()))
 
 
-def find(name: str) -> str:
-    """What named it; empty: nothing did."""
+def find(name: str) -> tuple[str, str]:
+    """The mutant's name, and what named it; empty: nothing did."""
     put, check = MUTANTS[name]
     undo = put()
     try:
-        return check()
+        return name, check()
     finally:
         undo()
+
+
+def try_all(names: tuple[str, ...], jobs: int) -> Iterator[tuple[str, str]]:
+    """In the order of the names."""
+    with multiprocessing.get_context("spawn").Pool(min(jobs, len(names)), maxtasksperchild=1) as pool:
+        yield from pool.imap(find, names, chunksize=1)
