Zones: what a gateway says and hears of them apart from the decision module; model of any number

Need: scale by model (200 gateways, 12 zones, 4 regions), which the beat inside place/module could not give. place/council has reports, terms and tables without I/O or clock; module keeps the choice. sim place-model plays any number on virtual time.

--- a/tests/test_place.py
+++ b/tests/test_place.py
@@ -168,5 +168,5 @@
     assert sum(after) <= 0.08 * len(after)
     back = [z == 1 for at, z, home in sent if at > 12.5 and home == 1]
     assert sum(back) >= 0.8 * len(back)
-    tables = {s.gateway.turn.policy.terms.current(run.scheduler.now_ns).shares for s in run.seats}
+    tables = {s.gateway.turn.policy.council.table(run.scheduler.now_ns).shares for s in run.seats}
     assert len(tables) == 1
--- a/zincstile/cli/sim.py
+++ b/zincstile/cli/sim.py
@@ -289,6 +289,22 @@
     return 1 if broken else 0
 
 
+@command.command("place-model")
+@click.option("--gateways", "sizes", multiple=True, type=click.IntRange(2, 1000), default=(9, 50, 200),
+              show_default=True)
+@click.option("--zones", type=click.IntRange(1, 13), default=12, show_default=True)
+@click.option("--regions", type=click.IntRange(1, 13), default=4, show_default=True)
+@click.option("--seed", type=click.IntRange(min=0), default=1, show_default=True)
+def place_model(sizes: tuple[int, ...], zones: int, regions: int, seed: int) -> int:
+    """A zone is lost and comes back, for any number of gateways, by the pure modules alone; exit 1 where it
+    is never left, never got back, or tables differ."""
+    from ..worlds import place_model as them
+
+    rows = [them.Model(n, zones, min(regions, zones), seed).play() for n in sizes]
+    click.echo(them.table(rows))
+    return 1 if any(r.disagreed or min(r.out_s, r.back_s) < 0 for r in rows) else 0
+
+
 @command.command("place-search")
 @click.option("--depth", type=click.IntRange(1, 8), default=3, show_default=True)
 @click.option("--jobs", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True)
--- a/zincstile/place/module.py
+++ b/zincstile/place/module.py
@@ -18,11 +18,11 @@
 from ..interface import Effect
 from ..policy import FAULTY, Policy
 from ..state import Attempt, Live, Server
-from .flows import PARTS, flows, shares
+from .council import Council
+from .flows import PARTS
 from .settings import SECOND, PlaceSettings
-from .states import State, Zone
-from .terms import Table, Terms
-from .view import DEAD, HOLD, Report, Sight, View
+from .states import State
+from .view import DEAD, Sight
 from .words import Word
 
 PLACE = 2**62 + 2  # timer's token that no request has
@@ -30,7 +30,6 @@
 LEAST_TRIES, ANY_TRIES = 2.5, 0.3  # one failure alone says nothing of a zone; a try that came up does
 TRY_PART = 0.5  # of `back`, in which each gateway tries a zone that is left, once
 SLOW = 1.5  # times the usual time of a server, from which it counts the less the slower it is
-FAN = 2  # others that hear each report besides the one who proposes
 
 
 @dataclass(slots=True)
@@ -97,7 +96,6 @@
     near: int = 0
     far: int = 0
     spilled: int = 0
-    changes: int = 0
     nowhere: int = 0
 
 
@@ -113,19 +111,14 @@
             super().__init__(settings, seed, *more)
             self.place, self.zone_names = place, names
             self.luck = random.Random(f"place {seed}")
-            self.life = self.luck.getrandbits(32)
             self.home = min(settings.zone, count - 1)
-            self.sights = View(place, settings.gateways, count)
-            self.states = [Zone(place) for _ in names]
+            self.council = Council(place, settings.me, settings.gateways, self.home, distance,
+                                   self.luck.getrandbits(32), self.luck)
             self.tries = [Tries() for _ in names]
             self.spills = [Spill() for _ in names]
             self.good_in = [0.0] * count
             self.warm_in = [0.0] * count
             self.ready_in = [0] * count
-            self.terms: Terms | None = None
-            self.numbers = 0
-            self.told_ns = 0
-            self.done_in = [0.0] * count  # units a second done there for this gateway
             self.try_ns = [0] * count  # when a zone that is left is tried again
             self.aim = -1  # zone of the attempt that is chosen just now; -1: any
             self.counted = Counts()
@@ -133,7 +126,7 @@
         # ---- what goes by time
 
         def on_started(self, now: int, event: i.Started) -> None:
-            self.terms = Terms(place, self.set.me, self.set.gateways, self.life, now, self.luck)
+            self.council.start(now)
             super().on_started(now, event)
             self.timer(now + self.luck.randrange(place.beat_ns), PLACE)
 
@@ -145,27 +138,7 @@
             self._beat(now)
 
         def _beat(self, now: int) -> None:
-            report = self._report()
-            self.sights.hear(now, report)
-            self.terms.look(now, self.sights.heard(now))
-            if self.terms.holds(now):
-                self._propose(now)
-            table = self.terms.current(now)
-            if now - self.told_ns >= self.sights.every_ns and self.set.peers:
-                self.told_ns = now - self.luck.randrange(place.beat_ns)
-                others = [k for k in range(self.set.gateways) if k != self.set.me]
-                to = set(self.luck.sample(others, min(FAN, len(others))))
-                if table is not None and not self.terms.holds(now):
-                    to.add(table.generation.proposer)
-                elif table is None:
-                    to.update(self.luck.sample(self.terms.electors, min(FAN, len(self.terms.electors))))
-                self.acts += [PlaceTell(peer, report) for peer in to if peer != self.set.me]
-            self._tell_terms()
-
-        def _report(self) -> Report:
-            self.numbers += 1
-            sights = []
-            budget = math.inf
+            sights, budget = [], math.inf
             if self.level < math.inf:
                 taken_s = max(1e-3, (self.out + 1.0) / (self.done_rate + 1.0))
                 budget = self.level * self.good / taken_s
@@ -173,61 +146,20 @@
                 part = self.good_in[z] / self.good if self.good else 0.0
                 sights.append(Sight(self.ready_in[z], self.good_in[z], self.tries[z].dead,
                                     budget * part if budget < math.inf else math.inf))
-            demand = sum(x.arrivals for x in self.leaves)
-            return Report(self.set.me, self.life, self.numbers, self.home, demand, tuple(sights),
-                          self.sights.said, self.sights.said_number)
-
-        def _propose(self, now: int) -> None:
-            views = self.sights.look(now, self.states)
-            last = self.terms.table
-            made = shares(flows(views, distance, place.headroom), views,
-                          last.shares if last is not None and len(last.shares) == count else None, place.step)
-            states = tuple(int(z.state) for z in self.states)
-            table = self.terms.propose(now, tuple(map(tuple, made)), states)
-            if table is None:
-                return
-            others = [k for k in range(self.set.gateways) if k != self.set.me]
-            if self.set.peers:  # to all in turn: a fleet's datagrams at one stroke would fill the way
-                part = -(-len(others) * place.beat_ns // max(place.beat_ns, len(others) * 5_000_000))
-                fresh = table is not last
-                chosen = others if fresh else self.luck.sample(others, max(1, part))
-                self.acts += [PlaceTell(peer, table) for peer in chosen]
-
-        def _tell_terms(self) -> None:
+            self.council.beat(now, sum(x.arrivals for x in self.leaves), sights)
+            self._tell_council()
+
+        def _tell_council(self) -> None:
+            told = self.council.told()
             if self.set.peers:
-                self.acts += [PlaceTell(peer, word) for peer, word in self.terms.told()]
+                self.acts += [PlaceTell(peer, word) for peer, word in told]
 
         def on_place_word(self, now: int, event: PlaceWord) -> None:
-            word = event.word
-            if not 0 <= event.sender < self.set.gateways or event.sender == self.set.me:
-                return
-            if isinstance(word, Report):
-                if word.origin == event.sender:
-                    self.sights.hear(now, word)
-            elif isinstance(word, Table):
-                last = self.terms.table
-                if len(word.shares) == count and self.terms.hear(now, event.sender, word):
-                    self.counted.changes += last is None or last.shares != word.shares
-                    self._adopt(now, word)
-            else:
-                self.terms.hear(now, event.sender, word)
-            self._tell_terms()
-
-        def _adopt(self, now: int, table: Table) -> None:
-            """Who does not propose keeps the states as they are told, so that the next proposer goes on from
-            them."""
-            for zone, told in zip(self.states, table.states, strict=True):
-                if int(zone.state) != told and told in State._value2member_map_:
-                    zone.state, zone.since_ns, zone.against_ns = State(told), now, -1
-                    if told == State.LOST:
-                        zone.losses, zone.lost_ns = zone.losses + 1, now
+            self.council.hear(now, event.sender, event.word)
+            self._tell_council()
 
         def on_zone_said(self, now: int, event: ZoneSaid) -> None:
-            """It is told with the reports, so that every proposer goes by it."""
-            bits = self.sights.said & ~(1 << event.zone | 1 << event.zone + HOLD)
-            bits |= event.drained << event.zone | event.held << event.zone + HOLD
-            self.sights.said, self.sights.said_number = bits, self.sights.said_number + 1
-            self.told_ns = 0
+            self.council.said(event.zone, event.drained, event.held)
 
         # ---- what is learnt
 
@@ -273,7 +205,7 @@
 
         def _weights(self, now: int) -> list[float]:
             """Parts of this gateway's traffic by zone. What fails here is left at once."""
-            table = self.terms.current(now) if self.terms else None
+            table = self.council.table(now)
             if table is not None:
                 row = [x / PARTS for x in table.shares[self.home]]
                 return [0.0 if self._out(z) else x for z, x in enumerate(row)]
@@ -303,7 +235,7 @@
         def _tried(self, now: int, live: Live) -> Server | None:
             """A zone that is left gets one request now and then that may be repeated elsewhere: else nobody
             would ever know that it is back. Drawn, so that a fleet's tries are apart."""
-            table = self.terms.current(now) if self.terms else None
+            table = self.council.table(now)
             for zone in range(count):
                 lost = table is not None and table.states[zone] == State.LOST
                 if now < self.try_ns[zone] or not self.ready_in[zone] or not (
@@ -326,7 +258,7 @@
         def _spilled(self, now: int, live: Live, tried: int) -> Server | None:
             """Nothing by the table: the nearest zones, by this gateway's even part of what they may be sent
             besides. Where the table leaves a part without a place, that part is refused."""
-            table = self.terms.current(now) if self.terms else None
+            table = self.council.table(now)
             dead = [z for z in range(count) if self._out(z)]
             if table is not None and tried < 0 and not dead:
                 self.counted.nowhere += 1
@@ -363,17 +295,18 @@
             return (self.aim < 0 or min(s.info.zone, count - 1) == self.aim) and super()._may(live, s)
 
         def sight(self) -> dict[str, float]:
-            c, table = self.counted, self.terms.table if self.terms else None
+            c, terms = self.counted, self.council.terms
+            term = terms.table.generation.term if terms is not None and terms.table is not None else 0
             return super().sight() | {
                 "near": c.near, "far": c.far, "spilled": c.spilled, "nowhere": c.nowhere,
-                "tables": c.changes, "term": table.generation.term if table else 0}
+                "tables": self.council.changes, "term": term}
 
         def shown(self, now: int) -> str:
             """The table with its reasons, for operators."""
-            table = self.terms.current(now)
+            table = self.council.table(now)
             head = "no table: each gateway by its stated part" if table is None else (
                 f"table {table.generation.term}.{table.generation.number} by gateway "
-                f"{table.generation.proposer}, {(now - self.terms.had_ns) // 1_000_000} ms old")
+                f"{table.generation.proposer}, {(now - self.council.terms.had_ns) // 1_000_000} ms old")
             lines = [head]
             for z, name in enumerate(names):
                 if not self.ready_in[z] and z != self.home:
--- a/zincstile/worlds/places.py
+++ b/zincstile/worlds/places.py
@@ -134,7 +134,7 @@
     begin, end = AT_MS / 1000, max(f.at_ms + f.for_ms for f in plan.faults) / 1000
     calmly = sum(begin <= t < end for t in beside.served)
     served = sum(begin <= t < end for t in watch.served) / max(1, calmly)
-    changes = sum(s.gateway.turn.policy.counted.changes for s in run.seats) / gateways if place else 0.0
+    changes = sum(s.gateway.turn.policy.council.changes for s in run.seats) / gateways if place else 0.0
     return Row(kind, seed, f"{result.breach.rule}: {result.breach.text}" if result.breach else "", served,
                result.tally.get("failed", 0), watch.crossed(0, begin), watch.crossed(begin, end),
                watch.until(zone, begin, end, True), watch.until(zone, end, LAST_MS / 1000 - SPAN_S, False),
