--- a/zincstile/worlds/place_model.py
+++ b/zincstile/worlds/place_model.py
@@ -135,7 +135,8 @@
         self.dead = False
         back = self._until(END_NS, self._whole)
         seconds = self.now / SECOND
-        return Row(len(self.seats), self.zones, self.regions, first, out, out + one if one >= 0 else -1.0, back,
+        one = out + one if one >= 0 else -1.0
+        return Row(len(self.seats), self.zones, self.regions, first, out, one, back,
                    sum(self.sent.values()) / len(self.seats) / seconds, max(self.sent.values()),
                    max(self.heard.values()), self.bytes / len(self.seats) / seconds,
                    max(s.changes for s in self.seats), 1000 * self.cpu_s / max(1, self.proposed),
