Files of features: a start loads what its own files need, YAML by libyaml

Seen: 200 real processes with features.start took 350 ms of CPU each until they were ready, 200 ms without it; 70 ms of it the import of net/features, which loaded every feature's modules, and PyYAML's parser in Python. The change: modules by function, CSafeLoader where it is there.

--- a/zincstile/net/features.py
+++ b/zincstile/net/features.py
@@ -6,19 +6,19 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
-from ..bounds import Quota
-from ..keeper import bound as keeper_bound
-from ..keeper.settings import KeeperSettings
-from ..place.settings import MOST_ZONES, PlaceSettings, span
-from ..shared import bound as shared_bound
-from ..shared.settings import SharedSettings
-from ..start.settings import StartSettings
 from ..typed_yaml import FileError, load
 
+if TYPE_CHECKING:  # a start loads what its own files need: each feature's modules are some 10 ms of its CPU
+    from ..bounds import Quota
+    from ..keeper.settings import KeeperSettings
+    from ..place.settings import PlaceSettings
+    from ..shared.settings import SharedSettings
+    from ..start.settings import StartSettings
+
 MS = 1_000_000
 
 
@@ -162,6 +162,8 @@
 
 
 def _plans(path: str, rows: list[PlanRow]) -> list[Quota]:
+    from ..bounds import Quota
+
     try:
         return [Quota(p.name, p.rate, p.burst, p.spread, p.largest) for p in rows]
     except ValueError as err:
@@ -176,23 +178,31 @@
 
 def keeper(path: str) -> tuple[KeeperSettings, list[Quota]]:
     """FileError where the file can't be used."""
+    from ..keeper.settings import KeeperSettings
+
     table = load(path, KeeperFile)
     return _settings(path, table.keeper, KeeperSettings), _plans(path, table.plans)
 
 
 def shared(path: str) -> tuple[SharedSettings, list[Quota]]:
     """FileError where the file can't be used."""
+    from ..shared.settings import SharedSettings
+
     table = load(path, SharedFile)
     return _settings(path, table.shared, SharedSettings), _plans(path, table.plans)
 
 
 def start(path: str) -> StartSettings:
     """FileError where the file can't be used."""
+    from ..start.settings import StartSettings
+
     return _settings(path, load(path, StartFile).start, StartSettings)
 
 
 def place(path: str) -> PlaceSettings:
     """FileError where the file can't be used."""
+    from ..place.settings import PlaceSettings, span
+
     row = load(path, PlaceFile).place
     try:
         regions = {name: tuple(zones) for name, zones in row.regions.items()}
@@ -219,6 +229,8 @@
 
 def check_place(path: str, settings: PlaceSettings, zones: list[str]) -> None:
     """FileError where the file doesn't fit the zones that the gateways are told of."""
+    from ..place.settings import MOST_ZONES
+
     if len(zones) >= MOST_ZONES:
         raise FileError(f"{path}: {len(zones)} zones: {MOST_ZONES - 1} at most")
     for region, names in settings.regions.items():
@@ -237,9 +249,13 @@
 
 def check(path: str, settings: KeeperSettings, quotas: list[Quota]) -> None:
     """FileError where a quota can't be held as the settings ask."""
-    _check(path, settings, quotas, keeper_bound.refused)
+    from ..keeper.bound import refused
+
+    _check(path, settings, quotas, refused)
 
 
 def check_shared(path: str, settings: SharedSettings, quotas: list[Quota]) -> None:
     """FileError where a quota can't be held as the settings ask."""
-    _check(path, settings, quotas, shared_bound.refused)
+    from ..shared.bound import refused
+
+    _check(path, settings, quotas, refused)
--- a/zincstile/typed_yaml.py
+++ b/zincstile/typed_yaml.py
@@ -13,6 +13,7 @@
 import yaml
 
 T = TypeVar("T")
+LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)  # by libyaml where it is there: a start waits for it
 
 
 class FileError(ValueError):
@@ -31,8 +32,8 @@
 def parse(text: str, path: str, kind: type[T]) -> T:
     """A text as that type; `path` is for the messages."""
     try:
-        node = yaml.compose(text, Loader=yaml.SafeLoader)
-        table = yaml.safe_load(text)
+        node = yaml.compose(text, Loader=LOADER)
+        table = yaml.load(text, Loader=LOADER)
     except yaml.MarkedYAMLError as err:
         line = err.problem_mark.line + 1 if err.problem_mark else 1
         raise FileError(f"{path}:{line}: not YAML: {err.problem}") from None
