--- a/zincstile/field/sweep.py
+++ b/zincstile/field/sweep.py
@@ -35,9 +35,9 @@
     files = dict(files)
     if plan.share and "shared" not in files:
         files["shared"] = str(ROOT / "deploy" / "shared.yaml")
-    for name in ("place", "start"):
-        if getattr(plan, name) and name not in files:
-            files[name] = str(ROOT / "deploy" / f"{name}.yaml")
+    for feature in ("place", "start"):
+        if getattr(plan, feature) and feature not in files:
+            files[feature] = str(ROOT / "deploy" / f"{feature}.yaml")
     if plan.keeper and "keeper" not in files:
         path = folder / "keeper.yaml"
         path.write_text("keeper: {skew_ms: 0, most_overshoot: 0.08}\n")
