Zones: who does not reach a zone is kept until tries come up; reports apart, news at once

Causes: view.reach took who tried no more for one that reaches; all first reports fell into one beat; reach scanned all reports for each pair; a gateway that finds a zone dead waited for its turn (6.7 s). The change: View._part, a drawn first report, one pass over the reports, news at a drawn moment within a twelfth of the turn.

--- a/zincstile/place/council.py
+++ b/zincstile/place/council.py
@@ -11,7 +11,7 @@
 from .settings import PlaceSettings
 from .states import State, Zone
 from .terms import Table, Terms
-from .view import HOLD, Report, Sight, View
+from .view import DEAD, HOLD, Report, Sight, View
 from .words import Word
 
 FAN = 2  # others that hear each report besides the one who proposes
@@ -32,10 +32,12 @@
         self.changes = 0  # of the table, by its shares
         self._number = 0
         self._told_ns = 0
+        self._dead = [False] * len(distance)  # zones, as they were found last
         self._words: list[tuple[int, Word]] = []
 
     def start(self, now: int) -> None:
         self.terms = Terms(self.settings, self.me, self.gateways, self.process, now, self.rng)
+        self._told_ns = now - self.rng.randrange(self.view.every_ns)  # else all report in step
 
     def table(self, now: int) -> Table | None:
         """The table that holds here."""
@@ -44,6 +46,14 @@
     def beat(self, now: int, demand: float, sights: list[Sight]) -> None:
         """Once in `beat`: what this gateway is asked for and sees."""
         self._number += 1
+        dead = [was if s.dead < 0 else s.dead >= DEAD for s, was in zip(sights, self._dead, strict=True)]
+        table = self.table(now)
+        news = [z for z, is_ in enumerate(dead) if is_ and not self._dead[z]
+                and (table is None or table.states[z] != State.LOST)]
+        if news:  # a zone fails that the fleet does not know of: soon, and apart from those that see the same
+            self._told_ns = now - self.rng.randrange(
+                self.view.every_ns - self.view.every_ns // len(sights), self.view.every_ns + 1)
+        self._dead = dead
         report = Report(self.me, self.process, self._number, self.zone, demand, tuple(sights),
                         self.view.said, self.view.said_number)
         self.view.hear(now, report)
@@ -52,9 +62,8 @@
             self._propose(now)
         if now - self._told_ns < self.view.every_ns:
             return
-        self._told_ns = now - self.rng.randrange(self.settings.beat_ns)
+        self._told_ns = now - self.rng.randrange(self.view.every_ns // 4)
         to = set(self.rng.sample(self.others, min(FAN, len(self.others))))
-        table = self.table(now)
         if table is None:
             to.update(self.rng.sample(self.terms.electors, min(FAN, len(self.terms.electors))))
         elif not self.terms.holds(now):
--- a/zincstile/place/module.py
+++ b/zincstile/place/module.py
@@ -237,7 +237,8 @@
             would ever know that it is back. Drawn, so that a fleet's tries are apart."""
             table = self.council.table(now)
             for zone in range(count):
-                lost = table is not None and table.states[zone] == State.LOST
+                lost = table is not None and (
+                    table.states[zone] == State.LOST or zone == self.home and not table.shares[zone][zone])
                 if now < self.try_ns[zone] or not self.ready_in[zone] or not (
                         lost or self._out(zone)):
                     continue
--- a/zincstile/place/states.py
+++ b/zincstile/place/states.py
@@ -53,9 +53,9 @@
             self._to(now, State.RETURNING)
         elif self.state is State.LOST:
             wait = self.settings.back_ns << min(max(0, self.losses - 1), DOUBLINGS)
-            if self._lasts(now, bool(reached), wait):
+            if self._lasts(now, reached, wait):
                 self._to(now, State.RETURNING)
-        elif self._lasts(now, reached is False, self.settings.lost_ns):
+        elif self._lasts(now, None if reached is None else not reached, self.settings.lost_ns):
             self.losses = self.losses + 1 if self.lost_ns >= 0 and now - self.lost_ns < CALM_NS else 1
             self.lost_ns = now
             self._to(now, State.LOST)
@@ -68,7 +68,9 @@
             self._to(now, State.WELL)
         return self.state
 
-    def _lasts(self, now: int, so: bool, wait: int) -> bool:
+    def _lasts(self, now: int, so: bool | None, wait: int) -> bool:
+        if so is None:  # nobody says anything: neither for nor against
+            return False
         if not so:
             self.against_ns = -1
             return False
--- a/zincstile/place/view.py
+++ b/zincstile/place/view.py
@@ -67,6 +67,8 @@
     members: dict[int, int] = field(default_factory=dict)  # origin: its zone, ever heard
     said: int = 0
     said_number: int = 0
+    apart: dict[tuple[int, int], int] = field(default_factory=dict)  # a zone's gateways and a zone that they
+    # don't reach: since when they do again, -1 while they don't
 
     @property
     def fresh_ns(self) -> int:
@@ -102,39 +104,52 @@
     def _fresh(self, now: int) -> list[Report]:
         return [k.report for k in self.known.values() if now - k.at_ns < self.fresh_ns]
 
-    def reached(self, now: int, zone: int) -> bool | None:
-        """A zone by those that tried it lately; None where nobody did."""
-        tried = [r.sights[zone].dead for r in self._fresh(now) if r.sights[zone].dead >= 0]
-        if not tried:
-            return None
-        return sum(dead >= DEAD for dead in tried) < LOST * len(tried)
-
-    def reach(self, now: int, source: int, zone: int) -> bool:
-        """A zone by the gateways of another; who did not try it finds it as all do."""
-        tried = [r.sights[zone].dead for r in self._fresh(now)
-                 if r.zone == source and r.sights[zone].dead >= 0]
-        if not tried:
-            return self.reached(now, zone) is not False
-        return sum(dead >= DEAD for dead in tried) < SAYS * len(tried)
-
     def look(self, now: int, states: list[Zone]) -> list[ZoneView]:
         """All zones as they stand, with each one's state looked at."""
         reports, found = self._fresh(now), []
-        count = max(1, len(reports))
+        tried = _tried(reports, self.zones)
+        self._part(now, tried)
         for z in range(self.zones):
             mine = [r for r in reports if r.zone == z]
             members = sum(m == z for m in self.members.values())
             demand = sum(r.demand for r in mine) * (members / len(mine) if mine else 0.0)
             sights = [r.sights[z] for r in reports]
             bound = [s.room for s in sights if s.room < math.inf]
-            room = sum(bound) / len(bound) * self.gateways if len(bound) * 2 > count else math.inf
+            room = sum(bound) / len(bound) * self.gateways if len(bound) * 2 > len(reports) else math.inf
             good = sorted(s.good for s in sights)[len(sights) // 2] if sights else 0.0
-            state = states[z].look(now, self.reached(now, z), demand > room, demand * EASED <= room,
+            all_, dead = (sum(tried[a][z][k] for a in range(self.zones)) for k in (0, 1))
+            reached = None if not all_ else dead < LOST * all_
+            state = states[z].look(now, reached, demand > room, demand * EASED <= room,
                                    bool(self.said >> z & 1), bool(self.said >> z + HOLD & 1))
             if state is State.RETURNING and room == math.inf:
                 room = max(demand, sum(r.demand for r in reports) / self.zones)  # finite, for a part of it
             found.append(ZoneView(
                 demand, room, max(good, 1e-3) if any(s.ready for s in sights) else 0.0, states[z].part(now),
                 state not in (State.LOST, State.DRAINING),
-                tuple(self.reach(now, a, z) for a in range(self.zones))))
+                tuple((a, z) not in self.apart for a in range(self.zones))))
         return found
+
+    def _part(self, now: int, tried: list[list[list[int]]]) -> None:
+        """Which zones' gateways reach which zone. Guards against a table that goes to and fro: who is sent
+        elsewhere tries no more and says nothing, which is no word that all is well. Back only by tries that
+        came up for `back`."""
+        for a, row in enumerate(tried):
+            for z, (all_, dead) in enumerate(row):
+                if all_ and dead >= SAYS * all_:
+                    self.apart[a, z] = -1
+                elif all_ and (a, z) in self.apart:
+                    since = self.apart[a, z]
+                    self.apart[a, z] = now if since < 0 else since
+                    if 0 <= since <= now - self.settings.back_ns:
+                        del self.apart[a, z]
+
+
+def _tried(reports: list[Report], zones: int) -> list[list[list[int]]]:
+    """For each zone's gateways and each zone: how many of them tried it lately, how many found it dead."""
+    found = [[[0, 0] for _ in range(zones)] for _ in range(zones)]
+    for r in reports:
+        for z, sight in enumerate(r.sights):
+            if sight.dead >= 0:
+                found[r.zone][z][0] += 1
+                found[r.zone][z][1] += sight.dead >= DEAD
+    return found
--- a/zincstile/worlds/mutants_place.py
+++ b/zincstile/worlds/mutants_place.py
@@ -6,7 +6,7 @@
 import random
 from collections.abc import Callable, Iterator
 
-from ..place import states, terms
+from ..place import states, terms, view
 from ..place.settings import SECOND, PlaceSettings
 from ..place.states import State, Zone
 from ..start import asking, lists, opening
@@ -107,6 +107,16 @@
     return _swap(lists.Lists, "take_found", take)
 
 
+def _reach_forgotten() -> Undo:
+    """Who is sent elsewhere, and tries no more, counts as one that reaches a zone."""
+    old = view.View._part
+
+    def part(self, now, tried):
+        self.apart.clear()
+        old(self, now, tried)
+    return _swap(view.View, "_part", part)
+
+
 # ---- checkers
 
 
@@ -137,6 +147,23 @@
     return ""
 
 
+def by_view() -> str:
+    """A zone's own gateway finds it dead, then is sent elsewhere and says nothing of it: it is sent back only
+    once tries have come up for long enough."""
+    seen = view.View(SETTINGS, 3, 2)
+    zones = [Zone(SETTINGS) for _ in range(2)]
+    for k in range(40):
+        now = k * SETTINGS.beat_ns
+        dead = 1.0 if k < 2 else -1.0 if k < 20 else 0.0
+        well = view.Sight(4, 4.0, 0.0, 1e9)
+        seen.hear(now, view.Report(0, 1, k + 1, 0, 5.0, (view.Sight(4, 4.0, dead, 1e9), well)))
+        seen.hear(now, view.Report(1, 1, k + 1, 1, 5.0, (well, well)))
+        found = seen.look(now, zones)[0].reach[0]
+        if found and 1 < k < 20 + SETTINGS.back_ns // SETTINGS.beat_ns:
+            return f"view: a zone counts as reached after {k} beats, without a try that came up for long"
+    return "" if found else "view: a zone is never reached again"
+
+
 def by_calls() -> str:
     """A call that a service works on is left out; a fleet that fails calls apart, at most as stated."""
     one = asking.Asking(random.Random(1), 200 * 50 * MS, 10 * SECOND, 50 * SECOND)
@@ -192,6 +219,7 @@
     "speaks-right-after-a-start": (_speaks_at_once, by_search),
     "bound-to-nobody": (_bound_to_none, by_search),
     "no-hysteresis": (_no_hysteresis, by_flapping), "full-part-at-return": (_full_return, by_flapping),
+    "reach-forgotten": (_reach_forgotten, by_view),
     "fixed-give-up": (_fixed_give_up, by_calls), "calls-in-step": (_in_step, by_calls),
     "opens-as-if-alone": (_all_for_itself, by_opening), "peers-list-outlives": (_peers_outlive, by_lists),
     "peers-list-told-on": (_tells_on, by_lists)}
