Datagrams' frame, worlds' tables and the searches' breach once each, in place of twice

Need: duplicates found by the review of the change: start/words and place/words wrote the same frame and check, sim starts and sim places the same loop. framing.py has the frame; sim._played the loop.

--- a/tests/test_place.py
+++ b/tests/test_place.py
@@ -100,7 +100,7 @@
             Table(Generation(4, 2, 1, 99), tuple((20,) * 12 for _ in range(12)), (0, 3) * 6, 120_000_000)]
     for word in made:
         data = words.pack(word)
-        assert len(data) <= words.LARGEST and words.unpack(data) == word and words.unpack(data[:-1]) is None
+        assert len(data) <= 256 and words.unpack(data) == word and words.unpack(data[:-1]) is None
         for _ in range(50):
             spoilt = bytearray(data)
             spoilt[rng.randrange(len(data))] ^= 1 << rng.randrange(8)
--- a/zincstile/cli/sim.py
+++ b/zincstile/cli/sim.py
@@ -244,6 +244,18 @@
     return 1 if broken else 0
 
 
+def _played(them: Any, chosen: range, *words: Any) -> tuple[list[Any], int]:
+    """Many worlds of a kind, with their table; the rows, and how many of them broke a rule."""
+    rows = []
+    for row in them.play_all(chosen, *words):
+        rows.append(row)
+        if row.broken:
+            click.echo(f"seed {row.seed}: {row.broken}")
+        _progress(len(rows), len(chosen))
+    click.echo(them.table(rows))
+    return rows, sum(bool(row.broken) for row in rows)
+
+
 @command.command("starts")
 @click.option("--seeds", "span", required=True, metavar="A:B")
 @click.option("--gateways", type=click.IntRange(2, 64), default=8, show_default=True)
@@ -254,14 +266,7 @@
     what the service and the boxes get; exit 1 where a rule is broken or a gateway is never ready."""
     from ..worlds import starts as them
 
-    chosen, rows = seeds(span), list[them.Row]()
-    for row in them.play_all(chosen, gateways, not plain, jobs):
-        rows.append(row)
-        if row.broken:
-            click.echo(f"{row.wave} seed {row.seed}: {row.broken}")
-        _progress(len(rows), len(chosen))
-    click.echo(them.table(rows))
-    broken = sum(bool(row.broken) for row in rows)
+    rows, broken = _played(them, seeds(span), gateways, not plain, jobs)
     late = sum(row.ready_s < 0 for row in rows)
     click.echo(f"starts worlds={len(rows)} broken={broken} never_ready={late}")
     return 1 if broken or late else 0
@@ -277,14 +282,7 @@
     often the table changes; exit 1 where a rule is broken."""
     from ..worlds import places as them
 
-    chosen, rows = seeds(span), list[them.Row]()
-    for row in them.play_all(chosen, gateways, not plain, jobs):
-        rows.append(row)
-        if row.broken:
-            click.echo(f"{row.kind} seed {row.seed}: {row.broken}")
-        _progress(len(rows), len(chosen))
-    click.echo(them.table(rows))
-    broken = sum(bool(row.broken) for row in rows)
+    rows, broken = _played(them, seeds(span), gateways, not plain, jobs)
     click.echo(f"places worlds={len(rows)} broken={broken}")
     return 1 if broken else 0
 
--- a/zincstile/place/words.py
+++ b/zincstile/place/words.py
@@ -5,14 +5,13 @@
 
 import math
 import struct
-import zlib
 
+from .. import framing
 from .settings import MOST_ZONES
 from .terms import CallWord, Generation, Table, Voice
 from .view import Report, Sight
 
-MAGIC, LARGEST = 0xBD, 256
-HEAD = struct.Struct("<BBH")  # magic, kind, check
+MAGIC = 0xBD
 CALL = struct.Struct("<II")  # term, process
 VOICE = struct.Struct("<IIB")  # term, process, given
 TABLE = struct.Struct("<IIHIHB")  # term, number, proposer, process, age in 10 ms, zones
@@ -46,17 +45,15 @@
         for s in word.sights:
             dead = 255 if s.dead < 0 else min(254, int(254 * s.dead))
             body += SIGHT.pack(min(U16, s.ready), _grains(s.good, U16), dead, _grains(s.room, U32))
-    return HEAD.pack(MAGIC, kind, zlib.crc32(body, kind) & 0xFFFF) + body
+    return framing.framed(MAGIC, kind, body)
 
 
 def unpack(data: bytes) -> Word | None:
     """None for what is damaged, or of another layout."""
-    if not HEAD.size <= len(data) <= LARGEST:
-        return None
-    magic, kind, check = HEAD.unpack_from(data)
-    body = data[HEAD.size:]
-    if magic != MAGIC or check != zlib.crc32(body, kind) & 0xFFFF:
+    found = framing.read(MAGIC, data)
+    if found is None:
         return None
+    kind, body = found
     try:
         if kind == 1:
             return CallWord(*CALL.unpack(body))
--- a/zincstile/start/words.py
+++ b/zincstile/start/words.py
@@ -12,8 +12,9 @@
 import zlib
 from dataclasses import dataclass
 
-MAGIC, LARGEST = 0xBC, 256
-HEAD = struct.Struct("<BBH")  # magic, kind, check
+from .. import framing
+
+MAGIC = 0xBC
 BUCKETS = 32
 DIGEST = struct.Struct(f"<QHIB{BUCKETS}I")  # version, lines, age in 10 ms, rank, sums of the buckets
 LINES = struct.Struct("<QBBB")  # version, bucket, part, parts
@@ -22,7 +23,8 @@
 AGE_MOST = 2**32 - 1
 PART = "\x1f"
 FIELDS = ("name", "address", "zone", "type", "group", "status", "weight", "since_ms")
-LINE_MOST = LARGEST - HEAD.size - LINES.size - 1  # bytes of a line, its length besides
+ROOM = framing.LARGEST - framing.HEAD.size - LINES.size  # bytes of a datagram for lines
+LINE_MOST = ROOM - 1  # bytes of a line, its length besides
 OPEN = 128  # the bit beside the rank
 RANKS = 3  # told by discovery, known before the start, told by peers
 
@@ -111,17 +113,15 @@
         kind = 4
         body = LINES.pack(word.version % 2**64, word.bucket, word.part, word.parts) + b"".join(
             bytes([len(x)]) + x for x in word.lines)
-    return HEAD.pack(MAGIC, kind, zlib.crc32(body, kind) & 0xFFFF) + body
+    return framing.framed(MAGIC, kind, body)
 
 
 def unpack(data: bytes) -> Word | None:
     """None for what is damaged, or of another layout."""
-    if not HEAD.size <= len(data) <= LARGEST:
-        return None
-    magic, kind, check = HEAD.unpack_from(data)
-    body = data[HEAD.size:]
-    if magic != MAGIC or check != zlib.crc32(body, kind) & 0xFFFF:
+    found = framing.read(MAGIC, data)
+    if found is None:
         return None
+    kind, body = found
     try:
         if kind == 1:
             return What() if not body else None
@@ -154,9 +154,8 @@
 def parted(version: int, number: int, lines: list[bytes]) -> list[Lines]:
     """A bucket's lines as words that fit into a datagram each; the same parts whoever tells them."""
     parts: list[list[bytes]] = [[]]
-    room = LARGEST - HEAD.size - LINES.size
     for one in sorted(lines):
-        if sum(1 + len(x) for x in parts[-1]) + 1 + len(one) > room:
+        if sum(1 + len(x) for x in parts[-1]) + 1 + len(one) > ROOM:
             parts.append([])
         parts[-1].append(one)
     return [Lines(version, number, k, len(parts), tuple(x)) for k, x in enumerate(parts)]
--- a/zincstile/worlds/place_search.py
+++ b/zincstile/worlds/place_search.py
@@ -17,7 +17,7 @@
 
 from ..place.settings import MS, PlaceSettings
 from ..place.terms import Generation, Terms, Voice
-from .search import Even
+from .search import Broken, Even
 
 SETTINGS = PlaceSettings(term_ns=400 * MS, beat_ns=100 * MS, hold_ns=800 * MS)
 STEP_NS = 200 * MS  # two of them end a term
@@ -46,10 +46,6 @@
     path: tuple[str, ...] = ()
 
 
-class Broken(Exception):  # noqa: N818 - it is what was found, and no error of the search
-    """Two hold one term, or tables of one generation differ."""
-
-
 @dataclass(slots=True)
 class Found:
     case: str
--- a/zincstile/worlds/search.py
+++ b/zincstile/worlds/search.py
@@ -68,7 +68,7 @@
 
 
 class Broken(Exception):  # noqa: N818 - it is what was found, and no error of the search
-    """A quota was passed, or could be."""
+    """What may not be: a quota was passed, or could be; two hold one term, or tables differ."""
 
 
 @dataclass(slots=True)
