Lists from peers: with discovery's changes on it a list is its own word, and is told on

Seen: a gateway that had the list two peers agree on, and changes of discovery's since, told nobody, as its book was empty; the model had counted on it. Cause: lists.told_by_discovery began a book by whole lists alone. Also: a found list is looked after once a second.

--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -80,6 +80,9 @@
     fleet.run(6 * SECOND)
     found = fleet.all[4].take_found()
     assert found.version == 41 and all(e["address"].startswith("10.1.1.") for e in found.entries)
+    # discovery tells it what has changed since: from here on the list is its word, and is told on
+    fleet.all[4].told_by_discovery(fleet.now, 42, entries(61, version=1)[60:], False)
+    assert fleet.all[4].book.digest(fleet.now).version == 42 and fleet.all[4].book.count == 61
     late = fleet.all[5]
     late.seek(fleet.now)
     late.told_by_discovery(fleet.now, 7, entries(3), True)  # whatever its number
--- a/zincstile/net/start.py
+++ b/zincstile/net/start.py
@@ -17,7 +17,7 @@
 from .server_table import ServerTable
 from .turn import Turn
 
-LOOK_NS = 30_000_000  # how often it is looked at what is sought
+LOOK_NS, REST_NS = 30_000_000, 1_000_000_000  # how often it is looked at what is sought; once it is found
 
 
 class Starter:
@@ -109,7 +109,8 @@
         self._say()
         self._send()
         if self.lists.seeking or self._ready is not None:
-            self.turn.deadlines.add(now + LOOK_NS, self._look)
+            found = self._ready is None and self.readiness.right in (Right.AGREED, Right.TOLD)
+            self.turn.deadlines.add(now + (REST_NS if found else LOOK_NS), self._look)
             self.turn.wake()
 
     def _say(self) -> None:
--- a/zincstile/start/lists.py
+++ b/zincstile/start/lists.py
@@ -153,6 +153,9 @@
     def told_by_discovery(self, now: int, version: int, entries: list[dict[str, Any]], whole: bool) -> None:
         """Its word prevails in one step: nothing is sought any more."""
         self.seeking = False
+        if not whole and not self.book.count and self.found is not None and self.found.right is Right.AGREED:
+            # it told what changed since the list that peers agree on: so that is its own word as well
+            self.book.begin(now, self.found.version, TOLD, self.found.entries)
         self._asked, self._partly, self._have, self._target = {}, {}, {}, None
         if whole:
             self.book.begin(now, version, TOLD, entries)
