Lists from peers: lines that come late count, and waits for them follow what they took

Seen: 200 real processes at 20 lists a second, all ready after 26.9 s with peers' lists and 18.7 s without; 82,560 messages, 13 of 200 got a list (100 processes: 82 of 100, 5.0 s). Cause: lists.look gave a bucket up after a fixed 150 ms, lists._lines threw away what came after that, and it was asked for again: with 25 processes to a core every answer came later. Ruled out: damaged words (0 counted), the list's addresses, the field's datagrams (3% lost as drawn). The change: late lines are kept, a wait is three times what the last lines took, doubled where nothing comes.

--- a/zincstile/start/lists.py
+++ b/zincstile/start/lists.py
@@ -28,6 +28,7 @@
 INTAKE = 0.8  # of the intake of messages that lines may fill
 SPAN_S = 0.25  # so much of it may come in one go
 DOUBLINGS = 3  # of the span between two asks
+ROUNDS, WAIT_MOST = 3, 20  # a wait is so many times what the last lines took; and `again`, at most
 MISSES = 3  # asks in a row that a peer leaves unanswered before others go first
 ASKERS = 8  # that are told at once when a list has come, of those that asked for one before
 
@@ -141,6 +142,7 @@
         self._open, self._open_ns = self.intake_per_s * SPAN_S, 0  # and asked for
         self._askers: dict[int, None] = {}
         self._given: Found | None = None
+        self._wait_ns = settings.again_ns  # for lines that were asked for
 
     # ---- what the gateway tells it
 
@@ -286,15 +288,23 @@
         self._done(now)
 
     def _lines(self, now: int, sender: int, word: Lines) -> None:
+        """Late ones too: what a busy fleet's peers told after the wait for it was over is as good."""
         asked, target = self._asked.get(word.bucket), self._target
-        if asked is None or asked.peer != sender or target is None or word.version != target.version:
+        if target is None or word.version != target.version or word.bucket in self._have \
+                or sender not in self._heard:
             return
-        asked.parts[word.part], asked.came = (sender, word), True
-        if len(asked.parts) < word.parts:
+        parts = self._partly.setdefault(word.bucket, {}) if asked is None else asked.parts
+        parts[word.part] = sender, word
+        if asked is not None and asked.peer == sender:
+            asked.came = True
+            took = now - asked.at_ns
+            self._wait_ns = max(self.settings.again_ns, int((self._wait_ns + ROUNDS * took) / 2))
+        if len(parts) < word.parts:
             return
-        del self._asked[word.bucket]
-        lines, good = {}, {p.parts for _, p in asked.parts.values()} == {word.parts}
-        for _, part in asked.parts.values():
+        self._asked.pop(word.bucket, None)
+        self._partly.pop(word.bucket, None)
+        lines, good = {}, {p.parts for _, p in parts.values()} == {word.parts}
+        for _, part in parts.values():
             for data in part.lines:
                 found = entry(data)
                 good = good and found is not None and bucket(found["name"]) == word.bucket
@@ -304,7 +314,7 @@
             self._have[word.bucket] = lines
         else:  # damaged, or of a peer that says one thing and tells another: none of these is asked again
             self.counts["spoilt"] += 1
-            for teller, _ in asked.parts.values():
+            for teller, _ in parts.values():
                 self._heard.pop(teller, None)
         self._want(now)
 
@@ -336,10 +346,12 @@
             return
         late: dict[int, bool] = {}  # peers whose word was due, and whether anything of it came
         for number, asked in list(self._asked.items()):
-            if now - asked.at_ns >= self.settings.again_ns:
+            if now - asked.at_ns >= self._wait_ns:
                 del self._asked[number]
                 self._partly[number] = asked.parts
                 late[asked.peer] = late.get(asked.peer, False) or asked.came
+        if late and not any(late.values()):  # the longer, the busier the fleet is: asked again it is busier
+            self._wait_ns = min(WAIT_MOST * self.settings.again_ns, 2 * self._wait_ns)
         for peer, came in late.items():
             heard = self._heard.get(peer)
             if heard is not None:
