--- a/zincstile/start/lists.py
+++ b/zincstile/start/lists.py
@@ -5,9 +5,10 @@
 Then only buckets whose lines are missing are asked for, each of one peer that told of that list, as many at
 once as the own intake of messages has room for. A bucket counts once its lines give its sum.
 
-Only what discovery said, or what was known before the start, is told on: never a list that came from a peer,
-so that a wrong one can't travel, nor outlive the gateways that had it from discovery. An age travels with it
-and only grows. A list that discovery told this process itself ends the search in one step.
+Only what discovery said (also by changes since a list that peers agreed on), or what was known before the
+start, is told on: never what a peer alone said, so that a wrong one can't travel, nor outlive the
+gateways that had it from discovery. An age travels with it and only grows. A list that discovery told this
+process itself ends the search in one step.
 """
 
 from __future__ import annotations
