What ended is not sent on by a dial that comes up late; a keyed repeat keeps its window

Cause: state.Memory.close asks for a Cancel only where the settings allow it, and Backends.connected wrote whatever was still queued for its connection, also after the client had left or a second copy had answered. Checked: attempts that rest on a kept connection are written in the turn of their Send, after Turn.over is looked at, so the queue of connects is the only place; limits.cancel = true hides it. Two more at the same place, found by reading: the dial's time-out (asyncio.timeout round create_connection) could close a connection that an attempt had been written to, in the step in which both meet, told as a reset; and a keyed repeat counted its window when decided on, not when written (_further), so that a dial could carry it past the end. Also: accepted sockets had no TCP_NODELAY, as the listener was made without a protocol number (Host.listen), by which asyncio decides; a small answer behind an unacknowledged one is held back, and dropped with a reset. Change: what of an ended session is not written whole is taken back at the turn's end, whatever may be cancelled (Turn.withdraw, Backends._take_back), and never begun (connected); Send.by_ns, by which an attempt is written whole or never; the dial's time ends where its connection is handed over; the listener names TCP.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -15,11 +15,16 @@
     send p1 raw hello           a datagram to the gateway
     send gw TERM                a signal; `send gw reload e`: discovery moves to e, `reload TEXT`: that file
     expect c1 ok hello          the next answer; a line may hold * and ?
-    expect c1 end               the connection is closed
+    expect c1 end               the connection is closed; `eof`: by its end, not by a reset
+    expect c1 unbroken          no reset has come on it
     expect a1 look 1            the next command there is that call, its time no longer than the client's
-    expect gw ready*            a log line like it comes; `expect gw exit 0`
+    expect gw ready*            a log line like it comes; `expect gw exit 0`, `stopped` (by SIGSTOP),
+                                `shut` (it takes no more connections)
     expect p1 message           a datagram comes in
     close c1                    `close a` closes the listening socket of a
+    reset c1                    closed by a reset; `half c1` ends the sending side alone
+    open c1                     connects without a word; `open a1`: the next connection there is taken
+    fill a                      connections to a do not come up any more; `free a`: those on their way do
     wait gw left=1              until the counters say so
 """
 
@@ -33,6 +38,7 @@
 import re
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import threading
@@ -119,7 +125,7 @@
 
     def __init__(self, folder, config=None):
         self.listeners = {name: listener() for name in "abcde"}
-        self.lines = {}
+        self.lines, self.fills = {}, {}
         self.peer = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.peer.bind(("127.0.0.1", 0))
         self.peer.settimeout(PATIENCE)
@@ -165,11 +171,35 @@
         return self.lines[name]
 
     def fill(self, name):
-        """Takes a place in the line of a listener that accepts none."""
-        sock = socket.socket()
-        sock.setblocking(False)
-        sock.connect_ex(self.listeners[name].getsockname())
-        return sock
+        """Takes all places in the line of a listener: what else would connect waits for one."""
+        self.listeners[name].listen(0)
+        self.fills[name] = [socket.create_connection(self.listeners[name].getsockname(), PATIENCE)]
+        while True:  # until one is not let in; in a moment, where it is
+            sock = socket.socket()
+            self.fills[name].append(sock)
+            sock.settimeout(0.1)
+            try:
+                sock.connect(self.listeners[name].getsockname())
+            except TimeoutError:
+                return
+
+    def free(self, name):
+        fills = self.fills.pop(name)
+        fills.pop().close()
+        for sock in fills:
+            self.listeners[name].accept()[0].close()
+            sock.close()
+
+    def open(self, who):
+        self.line(who)
+
+    def reset(self, who):
+        line = self.line(who)
+        line.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        line.close()
+
+    def half(self, who):
+        self.line(who).sock.shutdown(socket.SHUT_WR)
 
     def entry(self, text):
         name, _, status = text.partition("=")
@@ -204,6 +234,14 @@
             for part in [data[k:k + 1] for k in range(len(data))] if slowly else [data]:
                 sock.sendall(part)
 
+    def _refused(self):
+        """Until nobody listens there any more; what is taken till then is closed."""
+        end = time.monotonic() + PATIENCE
+        with contextlib.suppress(ConnectionError):
+            while time.monotonic() < end:
+                socket.create_connection(self.address, PATIENCE).close()
+            raise AssertionError("it still takes connections")
+
     def _bytes(self, what, rest):
         if what == "raw":
             return " ".join(rest).encode().decode("unicode_escape").encode("latin-1")
@@ -230,6 +268,10 @@
         if who == "gw":
             if what == "exit":
                 assert self.program.wait(PATIENCE) == int(rest[0])
+            elif what == "shut":
+                self._refused()
+            elif what == "stopped":
+                os.waitpid(self.program.pid, os.WUNTRACED)
             else:
                 self.logged(" ".join([what, *rest]))
         elif who[0] == "p":
@@ -237,6 +279,10 @@
         elif what == "end":
             with contextlib.suppress(ConnectionError):
                 assert self.line(who).file.read() == b""
+        elif what == "eof":
+            assert self.line(who).file.read() == b""
+        elif what == "unbroken":
+            assert self.line(who).sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
         elif what in EFFECTS:
             found = self.line(who).message()
             number = str(int(found[2], 16)) if rest[0] == "*" else rest[0]
@@ -279,5 +325,6 @@
     def end(self):
         self.program.kill()
         self.program.wait()
-        for thing in [*self.lines.values(), *self.listeners.values(), self.peer]:
+        fills = [sock for socks in self.fills.values() for sock in socks]
+        for thing in [*self.lines.values(), *self.listeners.values(), self.peer, *fills]:
             thing.close()
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,179 @@
+"""Attempts and what ends them, in the order that hurts, on real sockets; docs/crossings.md tells the rows."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from types import SimpleNamespace
+
+import pytest
+from conftest import backend
+from conftest import settings as module_settings
+from scenario import PATIENCE, settings
+from test_scenarios import READY, play
+
+from zincstile import interface as i
+from zincstile.net.backend import Backends
+from zincstile.net.counters import Counters
+from zincstile.net.limits import MS, SECOND, Limits
+from zincstile.net.log import Log
+from zincstile.net.session import Call, Kind, Session
+from zincstile.net.turn import Turn
+
+NEVER = 10**12
+LONG_DIAL = {"connect_timeout_ns": NEVER}
+
+
+# ---- what has ended is not sent on
+
+@pytest.mark.parametrize("cancel", [True, False])
+def test_a_client_that_left_while_its_attempt_waited_for_a_connection_is_not_sent_on(tmp_path, cancel):
+    """Also where the settings allow no cancelling: what was never sent is nothing to cancel."""
+    play(tmp_path, READY + """
+        fill a
+        send c1 look 1
+        wait gw connects=1
+        close c1
+        wait gw left=1
+        free a
+        open a1
+        send gw TERM
+        expect gw exit 0
+        expect a1 end""", settings={"limits": LONG_DIAL | {"cancel": cancel}})
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+def test_a_second_copy_that_waits_for_a_connection_is_not_sent_after_the_answer(tmp_path, cancel):
+    play(tmp_path, READY + """
+        fill b
+        send c1 look 1
+        expect a1 look 1
+        send d1 change b=Ready
+        wait gw connects=2
+        send a1 ok hello
+        expect c1 ok hello
+        free b
+        open b1
+        send gw TERM
+        expect gw exit 0
+        expect b1 end""", settings={"limits": LONG_DIAL | {"cancel": cancel}})
+
+
+def test_a_burst_of_clients_that_leave_is_not_sent_on(tmp_path):
+    """Forty requests wait for a connection; all their clients leave, and every dial comes up after that."""
+    numbers = range(1, 41)
+    play(tmp_path, READY + "fill a\n" + "".join(f"send c{k} look {k}\n" for k in numbers)
+         + "wait gw connects=40\n" + "".join(f"reset c{k}\n" for k in numbers) + """
+        wait gw left=40
+        free a
+        open a1
+        wait gw attempts=0
+        send gw TERM
+        expect gw exit 0
+        expect a1 end""", settings={"limits": LONG_DIAL | {"cancel": False}})
+
+
+# ---- a keyed repeat and its window
+
+def test_a_keyed_repeat_whose_connection_comes_up_after_its_window_is_not_sent(tmp_path):
+    """The first may have run; the second waits for its connection until it would not be dropped any more."""
+    classes = [c | {"window_ns": 700 * MS} for c in settings()["classes"]]
+    play(tmp_path, READY + """
+        send c1 put 1 d=90000
+        expect a1 put 1
+        fill b
+        send d1 change b=Ready
+        wait gw tables=2
+        close a1
+        wait gw connects=2
+        expect c1 -ERR failed
+        free b
+        open b1
+        send gw TERM
+        expect gw exit 0
+        expect b1 end""", settings={"limits": LONG_DIAL, "classes": classes})
+
+
+
+
+# ---- a dial that comes up in the moment in which it is given up
+
+class Asked:
+    """A module that sends its one request to its one backend server, and keeps what comes of it."""
+
+    def __init__(self):
+        self.outcomes = []
+
+    def handle(self, now, event):
+        if isinstance(event, i.Request):
+            return [i.Send(event.id, 1, event.give_up_ns)]
+        self.outcomes += [event.result] if isinstance(event, i.Outcome) else []
+        return []
+
+
+class Client:
+    def __init__(self):
+        self.answers = []
+
+    def answer(self, session, answer):
+        self.answers.append(answer.kind)
+
+
+async def dialled(listening, between, connect_ns=100 * MS):
+    """One request to a backend server whose connection comes up; `between` runs once it has, in the step of
+    the loop that makes its transport."""
+    loop, buffer = asyncio.get_running_loop(), memoryview(bytearray(65536))
+    turn = Turn(loop, Asked(), Limits(connect_ns=connect_ns), Counters(), Log("n0"))
+    backends = Backends(turn, module_settings(), buffer)
+    backends.update([(backend(1), listening.getsockname())], True)
+    plain = loop.create_connection
+
+    async def slow(factory, *where):
+        def made():
+            connection = factory()
+            between(connection)
+            return connection
+        return await plain(made, *where)
+
+    loop.create_connection = slow
+    client, now = Client(), turn.now_ns()
+    call = Call(True, b"0" * 16, b"1", [b"c=look", b"d=9000"], 1, None)
+    turn.take(Session(1, call, client, now + 9 * SECOND), i.Request(1, 0, 0, 7, now + 9 * SECOND, 1.0, 1, 0))
+    return turn, backends, client
+
+
+def test_a_dial_that_comes_up_as_its_time_ends_is_kept_by_the_attempt_that_it_carries():
+    """The loop is held up past the end of the dial's time in the very step in which the connection is made:
+    the attempt is sent on it, and nothing of the dial may close it afterwards."""
+    async def play(listening):
+        turn, _, client = await dialled(listening, lambda _: time.sleep(0.2))
+        loop = asyncio.get_running_loop()
+        taken, _ = await loop.sock_accept(listening)
+        with taken:
+            got = await loop.sock_recv(taken, 4096)
+            if not got:
+                return [], turn.policy.outcomes, client.answers
+            await loop.sock_sendall(taken, b"*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n")
+            while not turn.policy.outcomes:
+                await asyncio.sleep(0)
+        return got[:4], turn.policy.outcomes, client.answers
+
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        listening.setblocking(False)
+        got, outcomes, answers = asyncio.run(asyncio.wait_for(play(listening), PATIENCE))
+    assert (got, outcomes, answers) == (b"*4\r\n", [i.Result.OK], [Kind.SERVED])
+
+
+def test_an_attempt_is_not_written_to_a_connection_that_its_dial_is_about_to_close():
+    async def play(listening):
+        def given_up(connection):
+            connection.dial = SimpleNamespace(expired=lambda: True)
+
+        turn, _, _ = await dialled(listening, given_up, connect_ns=9 * SECOND)
+        while not turn.policy.outcomes:
+            await asyncio.sleep(0)
+        return turn.policy.outcomes, turn.counters.attempts
+
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        assert asyncio.run(asyncio.wait_for(play(listening), PATIENCE)) == ([i.Result.CONNECT_FAILED], 0)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -358,15 +358,12 @@
     limits = {"limits": {"connect_timeout_ns": 10**12}}
     world = World(tmp_path, {"settings": limits})
     try:
-        world.listeners["a"].listen(0)
-        fill = [world.fill("a") for _ in range(3)]
-        world.play(READY + """
+        world.play("fill a" + "\n" + READY + """
             send c1 book 1 d=90000
             wait gw connects=1
             send d1 change a=Terminating
             expect c1 -BUSY*
             wait gw attempts=0""")
-        assert fill
     finally:
         world.end()
 
--- a/zincstile/interface.py
+++ b/zincstile/interface.py
@@ -287,6 +287,7 @@
     backend: int
     until_ns: int
     fresh: bool = False  # on a connection that carried nothing before
+    by_ns: int = 0  # above 0: written whole by then, or never; a repeat later would run twice
 
 
 @dataclass(slots=True)
--- a/zincstile/net/backend.py
+++ b/zincstile/net/backend.py
@@ -27,12 +27,14 @@
 class Attempt:
     """One sending of a session's call; without a session, a probe."""
 
-    __slots__ = ("session", "number", "server", "sent_ns", "until_ns", "deadline", "connection", "begun")
+    __slots__ = ("session", "number", "server", "sent_ns", "until_ns", "by_ns", "deadline", "connection",
+                 "begun")
 
     def __init__(self, session: Session | None, number: int, server: BackendServer, now: int,
-                 until_ns: int) -> None:
+                 until_ns: int, by_ns: int) -> None:
         self.session, self.number, self.server = session, number, server
         self.sent_ns, self.until_ns = now, until_ns
+        self.by_ns = by_ns  # its last byte is written by then, or never
         self.deadline: Key | None = None
         self.connection: BackendConnection | None = None
         self.begun = False  # its first byte may be on its way
@@ -53,7 +55,7 @@
 class BackendConnection(asyncio.BufferedProtocol):
     __slots__ = ("pools", "server", "transport", "attempt", "rested_ns", "heard_ns", "_parser", "_unwritten",
                  "_half", "_kept", "_decided", "stream", "left", "last2", "tail", "tail_parts", "held",
-                 "paced")
+                 "paced", "dial")
 
     def __init__(self, pools: Backends, server: BackendServer, attempt: Attempt | None) -> None:
         self.pools, self.server, self.attempt = pools, server, attempt
@@ -72,6 +74,7 @@
         self.tail_parts: list[resp.Reply] = []
         self.held = False  # not read while the client has not taken what came
         self.paced = False  # not read for a while, so that small pieces come together
+        self.dial: asyncio.Timeout | None = None  # how long it may take to come up
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
@@ -100,6 +103,8 @@
 
     def resume_writing(self) -> None:
         self._unwritten = False
+        if self.attempt is not None:
+            self.pools.written(self.attempt)
 
     def get_buffer(self, sizehint: int) -> memoryview:
         return self.pools.buffer
@@ -198,6 +203,7 @@
         turn.carry_out[i.Cancel] = self._cancel
         turn.carry_out[i.Probe] = self._probe
         turn.carry_out[i.Close] = self._close
+        turn.withdraw = self._take_back
         self._tend(None)
 
     # ---- the server table
@@ -246,16 +252,17 @@
             # answered, in the very turn in which a further attempt was decided on.
             self._report(session, number, action.backend, Result.MOOT, 0)
             return
-        self._launch(now, session, number, action.backend, min(action.until_ns, session.give_up_ns),
+        until_ns = min(action.until_ns, session.give_up_ns)
+        self._launch(now, session, number, action.backend, until_ns, min(until_ns, action.by_ns or until_ns),
                      action.fresh)
 
     def _launch(self, now: int, session: Session | None, number: int, backend: int, until_ns: int,
-                fresh: bool = False) -> None:
+                by_ns: int, fresh: bool = False) -> None:
         server = self.servers.get(backend)
-        if server is None or not server.ready or until_ns <= now:
+        if server is None or not server.ready or by_ns <= now:
             self._report(session, number, backend, Result.MOOT, 0)
             return
-        attempt = Attempt(session, number, server, now, until_ns)
+        attempt = Attempt(session, number, server, now, until_ns, by_ns)
         if session is not None:
             self.attempts[session.id, number] = attempt
         if fresh and server.resting:  # in place of the one that rested longest, so that they don't add up
@@ -263,8 +270,7 @@
         while server.resting and not fresh:
             connection = server.resting.pop()
             if connection.quiet:
-                self._limit(attempt, until_ns)
-                connection.carry(attempt, True)
+                self._carry(connection, attempt, True)
                 return
             connection.transport.abort()
         if len(self.connections) >= self.turn.limits.backend_connections and not self._make_room():
@@ -272,13 +278,23 @@
             self.turn.log.often("full", f"{len(self.connections)} backend connections: no more for now")
             self.finish(attempt, Result.MOOT)
             return
-        self._limit(attempt, min(until_ns, now + self.turn.limits.connect_ns))
+        self._limit(attempt, min(by_ns, now + self.turn.limits.connect_ns))
         self._connect(attempt)
 
+    def _carry(self, connection: BackendConnection, attempt: Attempt, kept: bool = False) -> None:
+        connection.carry(attempt, kept)
+        self._limit(attempt, attempt.until_ns if connection.whole else attempt.by_ns)
+
     def _limit(self, attempt: Attempt, at_ns: int) -> None:
         self.turn.deadlines.drop(attempt.deadline)
         attempt.deadline = self.turn.deadlines.add(at_ns, self._late, attempt)
 
+    def written(self, attempt: Attempt) -> None:
+        """Its last byte has left."""
+        if attempt.by_ns < attempt.until_ns:
+            self._limit(attempt, attempt.until_ns)
+            self.turn.wake()
+
     def _late(self, attempt: Attempt) -> None:
         """Not whole by now: it never ran, as the rest is never written."""
         attempt.deadline = None
@@ -290,8 +306,18 @@
         if attempt is not None:
             self.finish(attempt, Result.CANCELLED)
 
+    def _take_back(self, session: Session) -> None:
+        """Guards against sending on what has had its final answer, or whose client has left, where the
+        settings allow no cancelling: what waits for its connection, or is not written whole, is no attempt
+        that could be out, and is never one."""
+        for number in range(session.attempts):
+            attempt = self.attempts.get((session.id, number))
+            if attempt is not None and (attempt.connection is None or not attempt.connection.whole):
+                self.finish(attempt, Result.CANCELLED)
+
     def _probe(self, now: int, action: i.Probe) -> None:
-        self._launch(now, None, 0, action.backend, now + self.turn.limits.connect_ns)
+        until_ns = now + self.turn.limits.connect_ns
+        self._launch(now, None, 0, action.backend, until_ns, until_ns)
 
     def _close(self, _: int, action: i.Close) -> None:
         server = self.servers.get(action.backend)
@@ -312,7 +338,7 @@
     async def _open(self, attempt: Attempt, connection: BackendConnection) -> None:
         """One task a new connection, none a request."""
         try:
-            async with asyncio.timeout(self.turn.limits.connect_ns / 1e9):
+            async with asyncio.timeout(self.turn.limits.connect_ns / 1e9) as connection.dial:
                 await self.turn.loop.create_connection(lambda: connection, *attempt.server.address)
         except (OSError, TimeoutError):
             if connection.transport is None:
@@ -326,9 +352,17 @@
         if attempt not in server.queued:  # given up meanwhile; the connection serves another
             self._rest(connection)
             return
+        if connection.dial.expired():  # just now: the dial's task closes it next, whatever it carries
+            self.finish(attempt, Result.CONNECT_FAILED)
+            return
+        connection.dial.reschedule(None)
+        ended = attempt.session is not None and attempt.session.over  # since the last turn
+        if ended or self.turn.now_ns() >= attempt.by_ns:
+            self.finish(attempt, Result.CANCELLED if ended else Result.CONNECT_FAILED)
+            self._rest(connection)
+            return
         del server.queued[attempt]
-        self._limit(attempt, attempt.until_ns)
-        connection.carry(attempt)
+        self._carry(connection, attempt)
 
     def _rest(self, connection: BackendConnection) -> None:
         server = connection.server
--- a/zincstile/net/host.py
+++ b/zincstile/net/host.py
@@ -30,7 +30,10 @@
     def listen(self, address: Address, backlog: int) -> socket.socket:
         """A listening socket that does not block; OSError where the address can't be had."""
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        sock = socket.socket(family, socket.SOCK_STREAM)
+        # By its protocol's number, which what is accepted inherits: asyncio sets TCP_NODELAY only where it is
+        # told. Without, the system holds back a small answer behind one that is not acknowledged, and a reset
+        # drops it.
+        sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.setblocking(False)
         sock.bind(address)
@@ -64,6 +67,12 @@
         poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
         return bool(poll.poll(0))
 
+    def ended(self, transport: asyncio.Transport) -> bool:
+        """The other side has ended its sending, whatever lies unread before its end."""
+        poll = select.poll()
+        poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def again(self) -> Config:
         """The configuration as its file is by now; ConfigError or OSError where it can't be used."""
         return again(os.environ)
--- a/zincstile/net/turn.py
+++ b/zincstile/net/turn.py
@@ -29,11 +29,13 @@
                  log: Log, host: Host = HOST) -> None:
         self.loop, self.policy, self.limits, self.counters, self.log = loop, policy, limits, counters, log
         self.now_ns, self.readable = host.monotonic_ns, host.readable  # for all that are handed the turn
+        self.ended = host.ended
         self.deadlines = Deadlines()
         self.sessions: dict[int, Session] = {}
         self.carry_out: dict[type, Callable[[int, Any], None]] = {
             i.SetTimer: self._set_timer, i.Refuse: self._deny, i.Fail: self._fail, i.Log: self._note}
         self.over: dict[int, Session] = {}  # ended since the last turn's end: the module may not know it yet
+        self.withdraw: Callable[[Session], None] = lambda session: None  # what of one that ended is not sent
         self._events: list[i.Event] = []
         self._writers: list[Writer] = []
         self._scheduled = False
@@ -107,6 +109,11 @@
             except Exception as err:
                 self._fault(err, action)
         self._scheduled = False
+        for session in self.over.values():
+            try:
+                self.withdraw(session)
+            except Exception as err:
+                self._fault(err, session)
         self.over.clear()
         writers, self._writers = self._writers, []
         for writer in writers:
--- a/zincstile/policy.py
+++ b/zincstile/policy.py
@@ -519,12 +519,12 @@
                                   self._connection(now, server)))
         # Guards what may not run again against kept connections, where those end beneath requests
         fresh = spec.effect is not Effect.SAFE and self.stale > STALE
-        self.acts.append(i.Send(ask.id, server.info.id, live.until_ns, fresh))
+        by_ns = live.ran_ns + spec.window_ns if live.ran and spec.effect is Effect.KEYED else live.until_ns
+        self.acts.append(i.Send(ask.id, server.info.id, live.until_ns, fresh, by_ns))
 
     def _connection(self, now: int, server: Server) -> int:
-        """Guards against paths that forget a resting connection without a word, and what was sent on it with
-        it: rested ones are closed where those kept fail more than new ones do. Also after a changed path. It
-        may harm where only some paths forget, or new connections begin to fail while few are opened."""
+        """Guards against paths that forget a resting connection and what is sent on it: where kept ones fail
+        more than new ones. It may harm where only some forget, or new ones fail while few are opened."""
         if now - server.heard_ns <= REST_NS:
             return BUSY
         if server.heard_ns > 0 and self.broken[KEPT] <= self.broken[OPENED] + WORSE:
--- a/zincstile/virtual/host.py
+++ b/zincstile/virtual/host.py
@@ -30,6 +30,9 @@
     def readable(self, transport: Any) -> bool:
         return transport.waiting
 
+    def ended(self, transport: Any) -> bool:
+        return transport.over
+
     def again(self) -> Config:
         return self._config()
 
--- a/zincstile/virtual/tcp.py
+++ b/zincstile/virtual/tcp.py
@@ -272,6 +272,11 @@
         """Something has come that the process has not read: bytes, or the end."""
         return bool(self.inbox) or self._reset_in or self._fin_in and not self._fin_read
 
+    @property
+    def over(self) -> bool:
+        """The other side's end has come, read or not."""
+        return self._fin_in or self._reset_in
+
     def _wake(self) -> None:
         if not self._waits and self._reading and self.waiting:
             self._waits = True
