Clients' connections end one way: all written, the end sent, what still comes dropped

Seen: by reading, then forced on sockets. ClientConnection.flush closed the transport under closing and standby without a look for what lay unread, and close_if_idle looked once and then closed: bytes that came in between made the close a reset (tests/test_endings.py: ECONNRESET in place of the end). A client taken in the moment in which the door shuts was closed before it could ask. Ruled out: an end without lingering where a descriptor is wanted (_make_room): what closes there has rested for 0.1 s or 2 s, its answers have arrived, and waiting for the client would starve those in the queue. Who came last and has not asked is spared for newcomer_ns. A request that was read before is served, one that comes behind the end is dropped and is its client's to send again.

--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,161 @@
+"""How connections of clients end, against what still comes on them; docs/crossings.md tells the rows."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from types import SimpleNamespace
+
+import pytest
+from scenario import PATIENCE, World, call, encode
+from test_scenarios import PING, READY, play
+
+from zincstile.net.accept import Acceptor
+from zincstile.net.host import HOST
+from zincstile.net.limits import MS, SECOND, Limits
+
+NEVER = 10**12
+SHUT_AT_ONCE = {"drain_quiet_ns": 1}
+
+
+def test_a_client_that_left_while_it_was_not_read_is_noticed(tmp_path):
+    """One request lies unread behind two that wait: its client's end lies behind it."""
+    play(tmp_path, READY + """
+        send c1 look 1
+        send c1 look 2
+        expect a1 look *
+        expect a2 look *
+        send c1 look 3
+        close c1
+        wait gw left=2
+        expect a1 end
+        expect a2 end
+        wait gw requests=2""", limits={"pipelined": 1})
+
+
+# ---- shutdown
+
+def test_an_answer_is_not_overtaken_by_a_reset_where_more_was_asked_behind_it(tmp_path):
+    """The third command lies unread while the gateway, on its way out, writes the answers and ends."""
+    play(tmp_path, READY + """
+        send c1 look 1
+        send c1 look 2
+        expect a1 look *
+        expect a2 look *
+        send gw TERM
+        expect gw shut
+        send c1 look 3
+        send gw STOP
+        expect gw stopped
+        send a1 ok same
+        send a2 ok same
+        send gw CONT
+        expect c1 ok same
+        expect c1 ok same
+        expect c1 eof
+        close c1
+        expect gw counters*"requests": 2*
+        expect gw exit 0""", limits=SHUT_AT_ONCE | {"pipelined": 1})
+
+
+def test_a_request_that_crosses_the_end_of_a_resting_connection_meets_no_reset(tmp_path):
+    """Its client reads the end, and sends it elsewhere; it is not read as a request here."""
+    play(tmp_path, READY + f"""
+        send c1 {PING}
+        expect c1 +PONG
+        expect c1 eof
+        send c1 look 1
+        expect c1 unbroken
+        wait gw requests=0
+        send c1 look 2
+        expect c1 unbroken
+        close c1""", limits={"rest_ns": 10 * MS, "tend_ns": 10 * MS, "drained_ns": NEVER})
+
+
+def test_what_a_stop_finds_half_written_is_read_to_its_end_and_answered(tmp_path):
+    whole = encode(call("look", 1)).decode()
+    world = World(tmp_path, {"limits": SHUT_AT_ONCE})
+    try:
+        world.play(READY)
+        world.asked["1"] = call("look", 1)
+        world.send("c1", "raw", PING[4:] + whole[:30])
+        world.play("expect c1 +PONG\nsend gw TERM\nexpect gw shut")
+        world.send("c1", "raw", whole[30:])
+        world.play("""
+            expect a1 look 1
+            send a1 ok hello
+            expect c1 ok hello
+            expect c1 eof
+            close c1
+            expect gw exit 0""")
+    finally:
+        world.end()
+
+
+def test_who_came_last_before_the_door_shuts_may_still_ask(tmp_path):
+    play(tmp_path, READY + """
+        open c1
+        wait gw clients=1
+        send gw TERM
+        expect gw shut
+        send c1 look 1
+        expect a1 look 1
+        send a1 ok hello
+        expect c1 ok hello
+        expect c1 eof
+        close c1
+        expect gw exit 0""", limits=SHUT_AT_ONCE | {"newcomer_ns": NEVER})
+
+
+def test_a_second_term_and_a_reload_meanwhile_change_nothing(tmp_path):
+    play(tmp_path, READY + """
+        send c1 look 1
+        expect a1 look 1
+        send gw TERM
+        expect gw shut
+        send gw TERM
+        send gw reload e
+        expect gw reload discovery at*
+        send e1 full b=Ready
+        send a1 ok hello
+        expect c1 ok hello
+        expect c1 eof
+        close c1
+        expect gw exit 0""", limits=SHUT_AT_ONCE)
+
+
+@pytest.mark.parametrize("longest_ms", [50, 150, 300, 500, 900, 1500, 3000, 6000, 60000])
+def test_after_a_stop_clients_may_come_for_as_long_as_the_front_sends_them(longest_ms):
+    """Up to 0.4 s, however short the deadlines; and what comes last has its time before the end, or 0.6 s."""
+    limits = Limits.for_gateway(512, 88, 100, 250 * MS, 30 * SECOND, longest_ms * MS, {})
+    longest = min(longest_ms, 3000) * MS
+    assert 400 * MS < limits.drain_ns < limits.drain_most_ns - limits.drain_margin_ns + 1
+    assert limits.drain_most_ns <= longest + 700 * MS - 100 * MS
+    assert limits.drain_most_ns - limits.drain_ns >= min(600 * MS, longest)
+
+
+def test_accepted_connections_hold_no_small_answer_back():
+    """On a socket of our own, and on one that the platform hands down, however that was made."""
+    async def play(listening):
+        made = []
+        turn = SimpleNamespace(loop=asyncio.get_running_loop())
+
+        class Taken(asyncio.Protocol):
+            def connection_made(self, transport):
+                made.append(transport.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP,
+                                                                          socket.TCP_NODELAY))
+
+        acceptor = Acceptor(turn, Taken)
+        with socket.create_connection(listening.getsockname(), PATIENCE):
+            while not acceptor.take(listening):
+                await asyncio.sleep(0)
+            while not made:
+                await asyncio.sleep(0)
+        return made
+
+    own = HOST.listen(("127.0.0.1", 0), 8)
+    platform = socket.create_server(("127.0.0.1", 0))
+    inherited = HOST.inherit(platform.detach())
+    for listening in (own, inherited):
+        assert asyncio.run(asyncio.wait_for(play(listening), PATIENCE)) != [0]
+        listening.close()
--- a/zincstile/net/frontend.py
+++ b/zincstile/net/frontend.py
@@ -284,31 +284,45 @@
             return
         if not waiting:
             self.rested_ns = self.turn.now_ns()
-            if self._closing:
+            if self._closing or self.door.closing or self.door.standby:
                 self._finish()
                 return
-            if self.door.closing or self.door.standby:
-                self.transport.close()
-                return
         if self._paused:
             self._throttle()
 
     def _finish(self) -> None:
-        """All is answered: the client reads the end, and has a while to close in its turn."""
+        """The one way in which a connection is ended from here: no command is read any more, all that is
+        owed is written, the client reads the end, and what still comes is thrown away until it ends in its
+        turn, or has had a while to. Guards what was written last: a close over bytes unread would be a reset,
+        which may overtake it; and a request that came behind the end is nobody's but its client's, which
+        sends it elsewhere."""
         if not self.transport.is_closing():
+            self._closing = True
             self.transport.write_eof()
             if self._paused:
+                self._paused = False
                 self.transport.resume_reading()
-            self.turn.deadlines.add(self.turn.now_ns() + self.turn.limits.drained_ns, self._cut)
+            self._await_end(None)
 
-    def _cut(self, _: object) -> None:
-        if self.transport is not None and not self.transport.is_closing():
+    def _await_end(self, left: int | None) -> None:
+        """Cuts the connection where the client does not end it. left: bytes that it had not taken yet when
+        last looked at; one that goes on taking them is not cut."""
+        if self.transport.is_closing():
+            return
+        limits, size = self.turn.limits, self.transport.get_write_buffer_size()
+        if left is not None and size >= left:
             self.transport.abort()
+            return
+        wait = limits.silent_ns if size else limits.drained_ns
+        self.turn.deadlines.add(self.turn.now_ns() + wait, self._await_end, size)
+        self.turn.wake()
 
     def tend(self, now: int) -> None:
         """Guards the descriptors against clients that say nothing, begin a command and never end it, or ask
-        once and stay."""
+        once and stay; and the backend servers against the requests of one that left while it was not read."""
         limits = self.turn.limits
+        if self._paused and not self.transport.is_closing() and self.turn.ended(self.transport):
+            self.transport.abort()
         if self._closing or self._waiting or self.transport.is_closing():
             return
         if not self._parser.idle:
@@ -323,7 +337,14 @@
     def close_if_idle(self) -> bool:
         if not self.idle or self.transport.is_closing() or self.turn.readable(self.transport):
             return False  # guards against closing beneath a request that has come but is not read yet
-        self._closing = True
+        self._finish()
+        return True
+
+    def give_way(self) -> bool:
+        """Closed at once, as its descriptor is wanted. It has rested for a while: what was written to it has
+        arrived."""
+        if not self.close_if_idle():
+            return False
         self.transport.close()
         return True
 
@@ -411,7 +432,7 @@
         least = (limits.newcomer_ns, limits.newcomer_ns, limits.spare_ns)
         resting = [(min(c.asked, 2), c.rested_ns, k, c) for k, c in enumerate(self.clients)
                    if now - c.rested_ns > least[min(c.asked, 2)] and c.idle]
-        return any(c.close_if_idle() for *_, c in sorted(resting))
+        return any(c.give_way() for *_, c in sorted(resting))
 
     def done(self, session: Session) -> None:
         if self.open.get(session.call.id) is session:
@@ -454,8 +475,12 @@
             pass
 
     def close_idle(self) -> None:
+        """All that rest. Spared for a moment are those that came last and have not asked: what they came for
+        is on its way."""
+        now, least = self.turn.now_ns(), self.turn.limits.newcomer_ns
         for client in list(self.clients):
-            client.close_if_idle()
+            if client.asked or now - client.rested_ns > least:
+                client.close_if_idle()
 
     @property
     def empty(self) -> bool:
--- a/zincstile/net/limits.py
+++ b/zincstile/net/limits.py
@@ -62,6 +62,7 @@
     backoff_most_ns: int = SECOND
     drain_quiet_ns: int = 450 * MS  # after SIGTERM, connections are kept until no call came for this
     drain_ns: int = 2900 * MS  # and for this at most
+    drain_least_ns: int = 500 * MS  # the front sends new clients for up to 0.4 s after SIGTERM
     drain_margin_ns: int = 100 * MS  # before the end, all has its answer
     drain_most_ns: int = 3600 * MS  # after SIGTERM, the end: the longest deadline and more
     # large values
@@ -104,7 +105,8 @@
             "written_bytes": min(usual.written_bytes, memory_mb << 11),
             "sessions": max(1, max_open), "connect_ns": connect_ns, "idle_ns": idle_close_ns * 2 // 3,
             "table_again_ns": again_ns, **(asked if ask_within_ns else {}),
-            "drain_most_ns": stop_ns, "drain_ns": max(1, stop_ns - 700 * MS), **given})
+            "drain_most_ns": stop_ns,
+            "drain_ns": max(stop_ns - 700 * MS, min(usual.drain_least_ns, stop_ns)), **given})
 
     def shared(self) -> Limits:
         """Of two processes of one gateway during an upgrade, whose descriptors count together: half of what
