Lists may come indented: objects are read over lines, and odd ones cost the watch alone

Cause: Watch.buffer_updated read each line as one JSON object, so that an indented list cost the watch, again and again, and the gateway was never told. Deep brackets (RecursionError) and an infinite index (OverflowError) escaped the handler and were counted as faults of the program. Ruled out: half a list counted in part: a list is read whole before anything changes (TableReader.read). Change: net/json_objects: whole objects out of lines, by brackets outside strings, bounded by table_bytes; one object a line, the usual, is tried first, so that it costs no more than before.

--- a/tests/test_server_table.py
+++ b/tests/test_server_table.py
@@ -74,7 +74,7 @@
     watch.connection_made(SimpleNamespace(write=asked.append, abort=lambda: None))
     made._watch = watch
     made.move(("10.2.0.9", 8500))
-    made.line(watch, b'{"index": 44, "snapshot": false, "endpoints": []}')  # it stands until the other speaks
+    made.line(watch, {"index": 44, "snapshot": False, "endpoints": []})  # it stands until the other speaks
     other = Watch(made, made.where)
     other.connection_made(SimpleNamespace(write=asked.append, abort=lambda: None))
     assert b"index=41 " in asked[0] and b"index=0 " in asked[1]
--- a/zincstile/net/server_table.py
+++ b/zincstile/net/server_table.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import hashlib
-import json
 import random
 from collections.abc import Callable
 from dataclasses import replace
@@ -15,6 +14,7 @@
 from . import http
 from .config import Address, ConfigError, address
 from .host import Host
+from .json_objects import JsonObjects
 from .turn import Turn
 
 MODES = {"Ready": i.Mode.READY, "Terminating": i.Mode.DRAINING, "Gone": i.Mode.GONE}
@@ -180,10 +180,9 @@
         self.turn.deadlines.add(self.turn.now_ns() + wait, self.open, where)
         self.turn.wake()
 
-    def line(self, watch: Watch, text: bytes) -> None:
+    def line(self, watch: Watch, table: dict[str, Any]) -> None:
         if watch is not self._watch and watch is not self._old:
             return  # guards against an old watch that goes on after the new one has spoken
-        table = json.loads(text)
         self._take(table, i.ListKind.FULL if table["snapshot"] else i.ListKind.DELTA, watch.where)
         if self.listener is not None:
             self.listener.told(self.version, table["endpoints"], bool(table["snapshot"]))
@@ -258,14 +257,15 @@
 class Watch(asyncio.BufferedProtocol):
     """One open watch."""
 
-    __slots__ = ("table", "where", "transport", "began_ns", "_buffer", "_lines", "_why", "_deadline",
-                 "_heard_ns", "_spoke", "_retry_ns", "_first_ns")
+    __slots__ = ("table", "where", "transport", "began_ns", "_buffer", "_lines", "_objects", "_why",
+                 "_deadline", "_heard_ns", "_spoke", "_retry_ns", "_first_ns")
 
     def __init__(self, table: ServerTable, where: Address) -> None:
         self.table, self.where = table, where
         self.transport: asyncio.Transport | None = None
         self._buffer = memoryview(bytearray(table.turn.limits.read_bytes))
         self._lines = http.LineReader(table.turn.limits)
+        self._objects = JsonObjects(table.turn.limits.table_bytes)
         self._why = "it ended"
         self._heard_ns = self.began_ns = self.table.turn.now_ns()
         self._deadline = None
@@ -325,14 +325,14 @@
             for line in self._lines.feed(bytes(self._buffer[:size])):
                 if self._lines.status != 200:
                     raise http.HttpError(f"status {self._lines.status}")
-                if line.strip():
-                    self.table.line(self, line)
+                for table in self._objects.feed(line):
+                    self.table.line(self, table)
             if self._lines.done:
                 if self._lines.status != 200:  # turned away, with or without a word on when to come again
                     self._why = f"status {self._lines.status}"
                     self._retry_ns = self._lines.retry_after_s * 1_000_000_000
                 self.transport.close()
-        except (ValueError, KeyError, TypeError, AttributeError, ConfigError) as err:
+        except (ValueError, KeyError, TypeError, AttributeError, ArithmeticError, RecursionError) as err:
             self._why = f"{type(err).__name__}: {err}"
             self.transport.abort()
 
