A client's end that lies unread behind its request counts: it is looked for before each send

Seen: forced on sockets (SIGSTOP, request, close, SIGCONT): asyncio reads a connection once in an iteration, so that a request and the end behind it are read one iteration apart, and the turn between sends the request on. Ruled out: looking when the command is read: what is refused would pay for it too, and a request that waits in the module (a relay is asked) or for its connection would still be sent. Change: Backends._send and connected ask the session's frontend whether its client has gone (Host.ended: one poll, 0.3 us); the connection is then closed and its sessions left, whatever is unread. Result: test_a_request_whose_client_ended_before_it_was_read_is_not_sent_on fails on the code before (3 sent on), passes now.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -60,6 +60,28 @@
         expect b1 end""", settings={"limits": LONG_DIAL | {"cancel": cancel}})
 
 
+def test_a_request_whose_client_ended_before_it_was_read_is_not_sent_on(tmp_path):
+    """Both come while the program is stopped: the end lies behind the request, and is not read in its turn."""
+    play(tmp_path, READY + """
+        open c1
+        open c2
+        wait gw clients=2
+        send gw STOP
+        expect gw stopped
+        send c1 look 1
+        send c2 look 2
+        send c2 look 3
+        close c1
+        close c2
+        send gw CONT
+        wait gw left=3
+        send c9 look 99
+        expect a1 look 99
+        send a1 ok still
+        expect c9 ok still
+        wait gw attempts=1""")
+
+
 def test_a_burst_of_clients_that_leave_is_not_sent_on(tmp_path):
     """Forty requests wait for a connection; all their clients leave, and every dial comes up after that."""
     numbers = range(1, 41)
@@ -119,6 +141,9 @@
     def answer(self, session, answer):
         self.answers.append(answer.kind)
 
+    def gone(self):
+        return False
+
 
 async def dialled(listening, between, connect_ns=100 * MS):
     """One request to a backend server whose connection comes up; `between` runs once it has, in the step of
--- a/tests/test_turn.py
+++ b/tests/test_turn.py
@@ -30,6 +30,9 @@
     def answer(self, session, answer):
         self.answers.append((session.id, answer.kind))
 
+    def gone(self):
+        return False
+
 
 def test_a_fault_in_one_session_fails_that_session_alone(capsys):
     async def play():
--- a/zincstile/net/backend.py
+++ b/zincstile/net/backend.py
@@ -247,7 +247,7 @@
         if session is None:
             return
         number, session.attempts = session.attempts, session.attempts + 1
-        if session.over:
+        if session.over or session.frontend.gone():
             # Guards against an attempt that the module takes for out for good: the client left, or was
             # answered, in the very turn in which a further attempt was decided on.
             self._report(session, number, action.backend, Result.MOOT, 0)
@@ -356,7 +356,8 @@
             self.finish(attempt, Result.CONNECT_FAILED)
             return
         connection.dial.reschedule(None)
-        ended = attempt.session is not None and attempt.session.over  # since the last turn
+        session = attempt.session
+        ended = session is not None and (session.over or session.frontend.gone())  # since the last turn
         if ended or self.turn.now_ns() >= attempt.by_ns:
             self.finish(attempt, Result.CANCELLED if ended else Result.CONNECT_FAILED)
             self._rest(connection)
--- a/zincstile/net/frontend.py
+++ b/zincstile/net/frontend.py
@@ -247,6 +247,13 @@
             session.reply = resp.error("failed")
         self._mark()
 
+    def gone(self) -> bool:
+        """Guards against sending on what a client left behind: its end may have come with the request, or lie
+        behind what is not read yet."""
+        if not self.transport.is_closing() and self.turn.ended(self.transport):
+            self.transport.abort()
+        return self.transport.is_closing()
+
     def poke(self) -> None:
         """A value that is passed on has more, or its end."""
         self._mark()
@@ -321,8 +328,8 @@
         """Guards the descriptors against clients that say nothing, begin a command and never end it, or ask
         once and stay; and the backend servers against the requests of one that left while it was not read."""
         limits = self.turn.limits
-        if self._paused and not self.transport.is_closing() and self.turn.ended(self.transport):
-            self.transport.abort()
+        if self._paused and self.gone():
+            return
         if self._closing or self._waiting or self.transport.is_closing():
             return
         if not self._parser.idle:
--- a/zincstile/net/session.py
+++ b/zincstile/net/session.py
@@ -84,6 +84,10 @@
 
     def answer(self, session: Session, answer: Answer) -> None: ...
 
+    def gone(self) -> bool:
+        """The client has left, though its end may lie unread; then its sessions are left too."""
+        ...
+
 
 class Session:
     """A request that was taken: it gets exactly one final answer, or its client has left."""
