Lists are heard without a gap; late answers, late dials, crowds and signals at the wrong moment

Lists (net/server_table, net/http): - Seen: a silent watch was aborted, and the next opened up to 1 s later: a drain told as discovery returned counts at once and was not heard. Now the next is opened beside it, and the old one stands until that has spoken (fell_silent). A list service that each call costs work is asked as before. - Seen: a move to an address where nobody listens yet dropped the old watch's words (lost() cleared _watch for a dial that failed). Now it is heard until the new one has spoken. - Seen: pools heard a list before the module, so that what waited for a connection was sent to the next server that the same list takes out (5 of 30 moot). Now the module is told first (_hand). - A list without a length and last line feed is whole with its connection's end; a reset is no end. - test_a_watch_that_says_nothing asserted that the old watch ends before the new one speaks, which is the gap: replaced by the other order, asserted as strictly.

A connection is taken again 10 ms after an answer, or another is used; one that has carried nothing at once. A dial whose time ends as it comes up after its attempt was given up no longer closes the connection beneath the next (connected).

Shutdown: the whole accept queue is taken before the door shuts (one turn's 64, then resets, before); what becomes whole after the last answers is refused, not sent on and lost; SIGHUP and SIGUSR1 before the program listens ended it (exit by signal: a crash), now kept and heard (__main__, run line); standby spares newcomers as a stop does; connections whose end was sent make room first. Ruled out: a wait for unread bytes before each reuse (a late second answer is not there yet).

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -20,10 +20,12 @@
     expect a1 look 1            the next command there is that call, its time no longer than the client's
     expect gw ready*            a log line like it comes; `expect gw exit 0`, `stopped` (by SIGSTOP),
                                 `shut` (it takes no more connections)
+    expect d2 asked             a watch asks for its list, and nothing is told yet
     expect p1 message           a datagram comes in
     close c1                    `close a` closes the listening socket of a
     reset c1                    closed by a reset; `half c1` ends the sending side alone
     open c1                     connects without a word; `open a1`: the next connection there is taken
+    refuse a                    connections to a are refused
     fill a                      connections to a do not come up any more; `free a`: those on their way do
     wait gw left=1              until the counters say so
 """
@@ -132,7 +134,8 @@
         self.asked, self.index, self.said, self.log = {}, 0, [], queue.Queue()
         table = {"name": "n0", "listen": "127.0.0.1:0", "discovery": where(self.listeners["d"]),
                  "seed": "8c1f",
-                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "answer_ns": 2 * SECOND},
+                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "answer_ns": 2 * SECOND,
+                            "settled_ns": 1},  # taken again at once, where a test says no more
                  "peer_listen": "127.0.0.1:0", "peers": ["127.0.0.1:1", where(self.peer)],
                  "settings": settings(), "known": {"index": 0, "snapshot": True, "endpoints": []}}
         for name in (config or {}).pop("known_servers", ""):
@@ -146,7 +149,7 @@
         threading.Thread(target=self._read_log, daemon=True).start()
         self.address, self.peer_address = (
             (host, int(port)) for host, port in
-            re.findall(r"(127\S+):(\d+)", self.logged("start listening on *")))
+            re.findall(r"(127\S+):(\d+)", self.logged("start listening on *"))[:2])
 
     def _read_log(self):
         for line in self.program.stderr:
@@ -183,6 +186,13 @@
             except TimeoutError:
                 return
 
+    def refuse(self, name):
+        """Nobody listens at its address any more, which is still its own."""
+        where_it_was = self.listeners[name].getsockname()
+        self.listeners[name].close()
+        self.listeners[name] = sock = socket.socket()
+        sock.bind(where_it_was)
+
     def free(self, name):
         fills = self.fills.pop(name)
         fills.pop().close()
@@ -253,10 +263,15 @@
         self.asked[rest[0]] = call(what, *rest)
         return encode(self.asked[rest[0]])
 
-    def _tell(self, line, what, rest):
+    def _asked(self, line):
         if not hasattr(line, "head"):
             line.head = [line.file.readline() for _ in range(3)]
             assert line.head[0].startswith(b"GET /v1/endpoints?stream=1&index=")
+
+    def _tell(self, line, what, rest):
+        self._asked(line)
+        if not hasattr(line, "begun"):
+            line.begun = True
             line.sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         self.index += 1
         body = " ".join(rest) if what == "say" else json.dumps(
@@ -276,6 +291,8 @@
                 self.logged(" ".join([what, *rest]))
         elif who[0] == "p":
             assert len(self.peer.recv(4096)) <= 256
+        elif what == "asked":
+            self._asked(self.line(who))
         elif what == "end":
             with contextlib.suppress(ConnectionError):
                 assert self.line(who).file.read() == b""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -61,7 +61,7 @@
 
 
 def test_a_request_whose_client_ended_before_it_was_read_is_not_sent_on(tmp_path):
-    """Both come while the program is stopped: the end lies behind the request, and is not read in its turn."""
+    """Both come while the program is stopped: the end lies behind the request, and is read after its turn."""
     play(tmp_path, READY + """
         open c1
         open c2
@@ -117,6 +117,63 @@
         expect b1 end""", settings={"limits": LONG_DIAL, "classes": classes})
 
 
+# ---- answers that nobody asked for
+
+SECOND_ANSWER = r"*3\r\n$5\r\nwrong\r\n$-1\r\n$-1\r\n"
+
+
+def test_a_second_answer_that_comes_late_is_not_taken_for_the_next_requests(tmp_path):
+    """What comes behind an answer some milliseconds late tells on the connection only then: until that is
+    over, no other request is written to it."""
+    play(tmp_path, READY + f"""
+        send c1 look 1
+        expect a1 look 1
+        send a1 ok first
+        expect c1 ok first
+        send c1 look 2
+        expect a2 look 2
+        send a1 raw {SECOND_ANSWER}
+        expect a1 end
+        send a2 ok second
+        expect c1 ok second
+        wait gw connects=2""", limits={"settled_ns": NEVER})
+
+
+def test_a_connection_that_came_up_for_another_is_taken_at_once(tmp_path):
+    """It has carried nothing: nothing can come behind that."""
+    play(tmp_path, READY + """
+        fill a
+        send c1 look 1
+        wait gw connects=1
+        close c1
+        wait gw left=1
+        free a
+        open a1
+        send c2 look 2
+        expect a1 look 2
+        send a1 ok hello
+        expect c2 ok hello
+        wait gw connects=1""", limits={"settled_ns": NEVER}, settings={"limits": LONG_DIAL})
+
+
+@pytest.mark.parametrize("what", [r"half", SECOND_ANSWER, r"-ERR failed\r\n", r"\r\n"])
+def test_what_comes_on_a_resting_connection_costs_that_connection_alone(tmp_path, what):
+    """It lies unread when the next request is decided on: both come while the program is stopped."""
+    play(tmp_path, READY + f"""
+        send c1 look 1
+        expect a1 look 1
+        send a1 ok first
+        expect c1 ok first
+        send gw STOP
+        expect gw stopped
+        send a1 raw {what}
+        send c1 book 2
+        send gw CONT
+        expect a2 book 2
+        send a2 ok second
+        expect c1 ok second
+        wait gw reset=0
+        wait gw stale=0""")
 
 
 # ---- a dial that comes up in the moment in which it is given up
@@ -190,6 +247,38 @@
     assert (got, outcomes, answers) == (b"*4\r\n", [i.Result.OK], [Kind.SERVED])
 
 
+def test_a_connection_that_came_up_too_late_is_not_closed_beneath_the_next_attempt():
+    """Its own attempt is given up by then, and it serves another, unless its dial is about to close it. Both
+    in the step of the loop in which the dial's time ends."""
+    async def play(listening):
+        turn, backends, _ = await dialled(listening, lambda _: time.sleep(0.2))
+        loop, plain = asyncio.get_running_loop(), backends.connected
+
+        def connected(connection):  # given up in the moment before
+            backends.finish(connection.attempt, i.Result.CANCELLED)
+            plain(connection)
+            if backends.servers[1].resting:  # taken again in the same step
+                now = turn.now_ns()
+                session = Session(2, Call(True, b"0" * 16, b"2", [b"c=look", b"d=9000"], 1, None), Client(),
+                                  now + 9 * SECOND)
+                turn.take(session, i.Request(2, 0, 0, 7, now + 9 * SECOND, 1.0, 1, 0))
+
+        backends.connected = connected
+        taken, _ = await loop.sock_accept(listening)
+        with taken:
+            got = await loop.sock_recv(taken, 4096)
+            if got:
+                await loop.sock_sendall(taken, b"*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n")
+                while len(turn.policy.outcomes) < 2:
+                    await asyncio.sleep(0)
+        return turn.policy.outcomes
+
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        listening.setblocking(False)
+        outcomes = asyncio.run(asyncio.wait_for(play(listening), PATIENCE))
+    assert outcomes in ([i.Result.CANCELLED], [i.Result.CANCELLED, i.Result.OK])
+
+
 def test_an_attempt_is_not_written_to_a_connection_that_its_dial_is_about_to_close():
     async def play(listening):
         def given_up(connection):
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -3,11 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import os
+import signal
 import socket
+import subprocess
+import sys
+import threading
+import tomllib
 from types import SimpleNamespace
 
 import pytest
-from scenario import PATIENCE, World, call, encode
+from scenario import PATIENCE, ROOT, World, call, encode, where
 from test_scenarios import PING, READY, play
 
 from zincstile.net.accept import Acceptor
@@ -124,6 +131,122 @@
         expect gw exit 0""", limits=SHUT_AT_ONCE)
 
 
+def test_a_crowd_in_the_queue_is_taken_before_the_door_shuts(tmp_path):
+    """More than one turn takes: all of them connected, and asked, before the stop was heard of."""
+    numbers = range(1, 401)
+    play(tmp_path, READY + "send gw STOP\nexpect gw stopped\n"
+         + "".join(f"send c{k} look {k} c=none\n" for k in numbers) + "send gw TERM\nsend gw CONT\n"
+         + "".join(f"expect c{k} -ERR*\nexpect c{k} eof\nclose c{k}\n" for k in numbers)
+         + "expect gw exit 0", limits=SHUT_AT_ONCE)
+
+
+def test_a_request_that_is_whole_only_after_the_last_answers_is_refused_at_once(tmp_path):
+    """Between the answers that a stop owes and the end there is time for no other: it is not sent on."""
+    whole = encode(call("look", 1)).decode()
+    world = World(tmp_path, {"limits": SHUT_AT_ONCE | {"drain_most_ns": NEVER, "drain_margin_ns": NEVER - 1}})
+    try:
+        world.play(READY)
+        world.send("c1", "raw", PING[4:] + whole[:30])
+        world.play("""
+            expect c1 +PONG
+            send c2 look 2
+            expect a1 look 2
+            send gw TERM
+            expect c2 -ERR failed""")
+        world.send("c1", "raw", whole[30:])
+        world.play("""
+            expect c1 -BUSY*
+            expect c1 eof
+            close c1
+            close c2
+            expect gw counters*"attempts": 1*
+            expect gw exit 0""")
+    finally:
+        world.end()
+
+
+@pytest.mark.parametrize("number", ["HUP", "USR1"])
+def test_a_signal_that_comes_before_the_program_listens_does_not_end_it(tmp_path, number):
+    """The configuration is a pipe that nobody has written yet: the start waits there, as in its imports."""
+    path, later = tmp_path / "pipe", tmp_path / "later"
+    os.mkfifo(path)
+    world = World(tmp_path)
+    later.write_text(json.dumps(world.table))
+    env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
+    program = subprocess.Popen([sys.executable, "-m", "zincstile"], cwd=ROOT, stderr=subprocess.PIPE,
+                               text=True, env=env | {"RELAY_CONFIG": str(path)})
+    guard = threading.Timer(PATIENCE, program.kill)
+    guard.start()
+    try:
+        with open(path, "w") as pipe:  # comes back once the program has opened it
+            program.send_signal(getattr(signal, f"SIG{number}"))
+            os.replace(later, path)  # what a reload finds is newer than what the start reads
+            pipe.write(json.dumps(world.table | {"discovery": where(world.listeners["e"])}))
+        said = []
+        while not any("start listening" in line for line in said):
+            said.append(program.stderr.readline())
+            assert said[-1], said
+        where_to = world.table["discovery"]
+        assert any(f"reload discovery at {where_to}" in line for line in said) == (number == "HUP"), said
+        program.terminate()
+        assert program.wait(PATIENCE) == 0
+    finally:
+        guard.cancel()
+        program.kill()
+        program.wait()
+        program.stderr.close()
+        world.end()
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGUSR1])
+def test_no_signal_ends_the_program_before_its_first_line(number):
+    """The line `run` itself has the two passed over until the program hears them."""
+    with open(os.path.join(ROOT, "deploy", "balancer.toml"), "rb") as text:
+        run = tomllib.load(text)["run"]
+    program = f"{sys.executable} -c 'import signal; print(signal.getsignal({int(number)}) is signal.SIG_IGN)'"
+    assert run.endswith("exec .venv/bin/python -m zincstile")
+    line = run.replace(".venv/bin/python -m zincstile", program)
+    assert subprocess.run(["/bin/sh", "-c", line], capture_output=True, text=True).stdout == "True\n"
+
+
+def test_standby_spares_who_has_just_come(tmp_path):
+    """As a stop does: what it came for is on its way. It is answered, and then its connection is ended."""
+    port = socket.create_server(("127.0.0.1", 0))
+    door = "{}:{}".format(*port.getsockname())
+    port.close()
+    world = World(tmp_path, {"control": door, "limits": {"newcomer_ns": NEVER, "standby_rest_ns": NEVER}})
+    try:
+        world.play(READY + "open c1\nwait gw clients=1")
+        host, _, number = door.rpartition(":")
+        with socket.create_connection((host, int(number)), PATIENCE) as operator:
+            operator.sendall(b"POST /standby HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
+            assert operator.recv(4096).startswith(b"HTTP/1.1 200")
+        world.play("""
+            send c1 look 1
+            expect a1 look 1
+            send a1 ok hello
+            expect c1 ok hello
+            expect c1 eof""")
+    finally:
+        world.end()
+
+
+def test_connections_that_were_ended_make_room_before_others(tmp_path):
+    """Their clients don't end them: what is left of their time is nobody's loss, where a client waits."""
+    play(tmp_path, READY + f"""
+        send c1 {PING}
+        expect c1 +PONG
+        expect c1 eof
+        send c2 look 2
+        expect a1 look 2
+        send c3 look 3
+        expect a2 look 3
+        send a1 ok two
+        expect c2 ok two
+        wait gw failed=0""", limits={"frontend_connections": 2, "rest_ns": 10 * MS, "tend_ns": 10 * MS,
+                                     "drained_ns": NEVER, "newcomer_ns": MS, "spare_ns": NEVER})
+
+
 @pytest.mark.parametrize("longest_ms", [50, 150, 300, 500, 900, 1500, 3000, 6000, 60000])
 def test_after_a_stop_clients_may_come_for_as_long_as_the_front_sends_them(longest_ms):
     """Up to 0.4 s, however short the deadlines; and what comes last has its time before the end, or 0.6 s."""
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -2,12 +2,25 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
+import random
+import socket
+from types import SimpleNamespace
 
 import pytest
-from scenario import World
+from scenario import PATIENCE, World
 from test_scenarios import READY, play
 
+from zincstile.net.counters import Counters
+from zincstile.net.host import HOST
+from zincstile.net.limits import MS, Limits
+from zincstile.net.log import Log
+from zincstile.net.server_table import ServerTable, TableReader
+from zincstile.net.turn import Turn
+
+NEVER = 10**12
+
 
 def chunk(text):
     data = text.encode()
@@ -18,7 +31,7 @@
     world = World(tmp_path)
     try:
         line = world.line("d1")
-        line.head = [line.file.readline() for _ in range(3)]
+        world.play("expect d1 asked")
         first = json.dumps({"index": 1, "snapshot": True, "endpoints": [world.entry("a=Ready")]}, indent=2)
         second = json.dumps({"index": 2, "snapshot": False, "endpoints": [world.entry("b=Ready")]}, indent=4)
         third = json.dumps({"index": 3, "snapshot": False, "endpoints": [world.entry("a=Terminating")]})
@@ -61,3 +74,210 @@
         expect b1 look 1
         send b1 ok hello
         expect c1 ok hello""")
+
+
+# ---- silence
+
+SILENT = {"table_silence_ns": 200 * MS, "table_answer_ns": 200 * MS}
+
+
+class Clock:
+    """A machine whose clock goes on when told, so that no silence has to be sat through."""
+
+    def __init__(self):
+        self.at = HOST.monotonic_ns()
+        self.unix_ns, self.readable, self.ended = HOST.unix_ns, HOST.readable, HOST.ended
+
+    def monotonic_ns(self):
+        return self.at
+
+
+async def told(sock, entries, index, first=True):
+    loop = asyncio.get_running_loop()
+    body = json.dumps({"index": index, "snapshot": first, "endpoints": entries}) + "\n"
+    head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" if first else ""
+    await loop.sock_sendall(sock, (head + chunk(body)).encode())
+
+
+def test_there_is_always_a_watch_open_while_the_list_is_silent():
+    """What discovery tells the moment it returns counts at once: the call that is out is not given up before
+    the next has come up. Here that never does, and the one that is out is answered."""
+    async def play(listening):
+        loop, clock, limits = asyncio.get_running_loop(), Clock(), Limits()
+        turn = Turn(loop, SimpleNamespace(handle=lambda now, event: []), limits, Counters(), Log("n0"), clock)
+        table = ServerTable(turn, TableReader(["z"], ["k"], clock), listening.getsockname(),
+                            lambda entries, whole: None, lambda: None, random.Random(1))
+        table.open(None)
+        first, _ = await loop.sock_accept(listening)
+        ready = {"name": "s-a", "address": "127.0.0.1:1", "status": "Ready"}
+        await told(first, [ready], 1)
+        while not table.told:
+            await asyncio.sleep(0)
+        clock.at += limits.table_silence_ns
+        turn.wake()
+        second, _ = await loop.sock_accept(listening)
+        await loop.sock_recv(second, 4096)
+        dialled = []
+
+        async def hangs(*_):
+            dialled.append(1)
+            await asyncio.Event().wait()
+
+        loop.create_connection = hangs
+        clock.at += limits.table_answer_ns
+        turn.wake()
+        while not dialled:
+            await asyncio.sleep(0)
+        await told(second, [ready | {"status": "Terminating"}], 2)
+        while table.version < 2:
+            await asyncio.sleep(0)
+        first.close()
+        second.close()
+        return turn.counters.tables
+
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        listening.setblocking(False)
+        assert asyncio.run(asyncio.wait_for(play(listening), PATIENCE)) == 2
+
+
+def test_the_old_address_is_heard_while_the_new_one_is_down(tmp_path):
+    """Discovery is moved to where nobody listens yet: the old watch stands until the new one has spoken."""
+    play(tmp_path, READY + """
+        refuse e
+        send gw reload e
+        expect gw watch lost*
+        send d1 change a=Terminating b=Ready
+        wait gw tables=2
+        send c1 look 1
+        expect b1 look 1""")
+
+
+def test_an_older_watch_that_speaks_after_it_was_silent_is_heard_until_the_new_one_has(tmp_path):
+    play(tmp_path, """
+        send d1 full a=Ready b=Ready
+        expect gw ready*told
+        expect d2 asked
+        send d1 change a=Terminating
+        wait gw tables=2
+        send d2 change b=Terminating a=Ready
+        wait gw tables=3
+        expect d1 end
+        send c1 look 1
+        expect a1 look 1""", limits=SILENT | {"table_answer_ns": NEVER})
+
+
+def test_a_silent_watch_is_followed_by_one_that_is_told_what_was_missed(tmp_path):
+    """Silence right after the head, before any list: the next call gets it. Never two that both count."""
+    play(tmp_path, """
+        expect d1 asked
+        expect d2 asked
+        send d2 full a=Ready
+        expect gw ready*told
+        expect d1 end
+        send c1 look 1
+        expect a1 look 1
+        send a1 ok hello
+        expect c1 ok hello""", limits=SILENT | {"table_silence_ns": NEVER})
+
+
+def test_a_reload_while_the_old_list_is_silent_moves_on_and_the_old_one_is_not_heard_after(tmp_path):
+    play(tmp_path, """
+        send d1 full a=Ready
+        expect gw ready*told
+        expect d2 asked
+        send gw reload e
+        expect gw reload discovery at*
+        send e1 full b=Ready
+        wait gw tables=2
+        expect d1 end
+        expect d2 end
+        send c1 look 1
+        expect b1 look 1""", limits=SILENT | {"table_answer_ns": NEVER})
+
+
+def test_a_list_without_a_length_ends_with_its_connection(tmp_path):
+    """Indented and without a last line feed: whole once the service has ended it."""
+    world = World(tmp_path)
+    try:
+        world.play("expect d1 asked")
+        body = json.dumps({"index": 1, "snapshot": True, "endpoints": [world.entry("a=Ready")]}, indent=2)
+        world.line("d1").sock.sendall(b"HTTP/1.1 200 OK\r\n\r\n" + body.encode())
+        world.play("""
+            half d1
+            expect gw ready*told
+            wait gw tables=1
+            send c1 look 1
+            expect a1 look 1""")
+    finally:
+        world.end()
+
+
+def test_a_list_without_a_length_that_is_reset_is_no_list(tmp_path):
+    """A reset is no end: what was cut counts for nothing, though its brackets may be closed so far."""
+    world = World(tmp_path)
+    try:
+        world.play("expect d1 asked")
+        body = json.dumps({"index": 1, "snapshot": True, "endpoints": [world.entry("a=Ready")]})
+        world.line("d1").sock.sendall(b"HTTP/1.1 200 OK\r\n\r\n" + body[:-2].encode())
+        world.play("""
+            reset d1
+            send d2 full b=Ready
+            expect gw ready*told
+            send c1 look 1
+            expect b1 look 1
+            wait gw tables=1""")
+    finally:
+        world.end()
+
+
+@pytest.mark.parametrize("later", ["start", "end"])
+def test_a_start_and_an_end_of_one_name_in_one_list(tmp_path, later):
+    """The later entry is the later word, for the module and for the connections alike."""
+    world = World(tmp_path)
+    try:
+        world.play("""
+            send d1 full a=Ready b=Terminating
+            expect gw ready*told
+            send c1 look 1
+            expect a1 look 1
+            send a1 ok hello
+            expect c1 ok hello""")
+        end, start = {"name": "s-a", "status": "Gone"}, world.entry("a=Ready@1000")
+        entries = [end, start] if later == "start" else [start, end, world.entry("b=Ready")]
+        world.send("d1", "say", json.dumps({"index": 9, "snapshot": False, "endpoints": entries}))
+        world.play("wait gw tables=2\nexpect a1 end\nsend c1 look 2\n"
+                   + ("expect a2 look 2" if later == "start" else "expect b1 look 2"))
+    finally:
+        world.end()
+
+
+def test_an_index_that_goes_back_is_followed(tmp_path):
+    """A service that began anew counts from the start: its word holds, and the next call names its index."""
+    play(tmp_path, READY + """
+        send d1 say {"index": 900, "snapshot": false, "endpoints": []}
+        send d1 say {"index": 3, "snapshot": true, "endpoints": []}
+        wait gw tables=3
+        close d1
+        expect d2 asked
+        send d2 full b=Ready
+        wait gw tables=4
+        send c1 look 1
+        expect b1 look 1""")
+
+
+def test_what_waits_at_servers_that_drain_together_goes_straight_to_one_that_is_ready(tmp_path):
+    """Told in the first line after a reset of the watch, while thirty attempts wait for connections: what
+    comes next is decided on by the new list, not on the old one and refused at the next that drains."""
+    world = World(tmp_path, {"settings": {"limits": {"connect_timeout_ns": NEVER}}})
+    try:
+        world.play("send d1 full a=Ready b=Ready c=Ready\nexpect gw ready*told\nfill a\nfill b\nfill c\n"
+                   + "".join(f"send c{k} look {k}\n" for k in range(1, 31)) + """
+                   wait gw connects=30
+                   reset d1
+                   send d2 change a=Terminating b=Terminating
+                   wait gw tables=2""")
+        counters = world.counters()
+        assert counters["connect_failed"] > 0
+        assert (counters["moot"], counters["connects"]) == (0, 30 + counters["connect_failed"])
+    finally:
+        world.end()
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -341,11 +341,11 @@
 
 
 def test_a_watch_that_says_nothing_is_opened_anew(tmp_path):
-    """At first it is owed the list at once, later a line now and then."""
-    asked = "expect d1 GET*\nexpect d1 Host*\nexpect d1 *\n"
-    play(tmp_path, asked + "expect d1 end\nsend d2 full a=Ready\nexpect gw ready*told\n" + SERVES,
+    """At first it is owed the list at once, later a line now and then. It ends when the new one has spoken,
+    and no sooner: else there would be a while in which nothing could be heard."""
+    play(tmp_path, "expect d1 asked\nsend d2 full a=Ready\nexpect gw ready*told\nexpect d1 end\n" + SERVES,
          limits={"table_answer_ns": 2 * 10**8, "table_silence_ns": 10**12})
-    play(tmp_path / "b", READY + "expect d1 end\nsend d2 full b=Ready\nsend c1 look 1\nexpect b1 look 1",
+    play(tmp_path / "b", READY + "send d2 full b=Ready\nexpect d1 end\nsend c1 look 1\nexpect b1 look 1",
          limits={"table_answer_ns": 10**12, "table_silence_ns": 2 * 10**8})
 
 
--- a/zincstile/__main__.py
+++ b/zincstile/__main__.py
@@ -5,34 +5,35 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
-if __name__ == "__main__" and len(sys.argv) == 1:
+
+def serve() -> int:
+    """The gateway, to its end; the exit code."""
+    # Before anything that takes time: guards a start against a reload, whose signal would end it. What comes
+    # before the loop hears signals is kept, as the file may be older than what it tells.
+    early: list[int] = []
+    for number in (signal.SIGHUP, signal.SIGUSR1):
+        signal.signal(number, lambda number, _: early.append(number))
     # The gateway speaks no TLS. asyncio does without `ssl` where there is none, which spares each start a
     # twelfth of its CPU and the process 1.3 MB. Commands keep it: their libraries may want it.
     sys.modules["ssl"] = None  # type: ignore[assignment]
 
-import asyncio
-import gc
-import os
-
-from .net.config import Config, ConfigError, load
-from .net.gateway import Gateway
-
-
-async def _run(config: Config) -> None:
-    gateway = Gateway(config, asyncio.get_running_loop())
-    gc.freeze()  # what stands by now stays
-    await gateway.run()
+    import asyncio
+    import gc
+    import os
 
+    from .net.config import Config, ConfigError, load
+    from .net.gateway import Gateway
 
-def main(words: list[str]) -> int:
-    if words:
-        from .cli import main as command
+    async def run(config: Config) -> None:
+        gateway = Gateway(config, asyncio.get_running_loop())
+        gc.freeze()  # what stands by now stays
+        await gateway.run(early)
 
-        return command(words)
     try:
-        asyncio.run(_run(load(os.environ)))
+        asyncio.run(run(load(os.environ)))
     except ConfigError as err:
         print(f"zincstile: {' '.join(str(err).split())}", file=sys.stderr)
         return 2
@@ -42,5 +43,13 @@
     return 0
 
 
+def main(words: list[str]) -> int:
+    if words:
+        from .cli import main as command
+
+        return command(words)
+    return serve()
+
+
 if __name__ == "__main__":
     sys.exit(main(sys.argv[1:]))
--- a/zincstile/net/backend.py
+++ b/zincstile/net/backend.py
@@ -101,8 +101,7 @@
             self.attempts[session.id, number] = attempt
         if fresh and server.resting:  # in place of the one that rested longest, so that they don't add up
             server.resting.pop(0).transport.close()
-        while server.resting and not fresh:
-            connection = server.resting.pop()
+        while not fresh and (connection := server.settled(now)) is not None:
             if connection.quiet:
                 self._carry(connection, attempt, True)
                 return
@@ -183,28 +182,31 @@
     def connected(self, connection: BackendConnection) -> None:
         attempt, server = connection.attempt, connection.server
         connection.attempt = None
-        if attempt not in server.queued:  # given up meanwhile; the connection serves another
-            self._rest(connection)
-            return
         if connection.dial.expired():  # just now: the dial's task closes it next, whatever it carries
-            self.finish(attempt, Result.CONNECT_FAILED)
+            if attempt in server.queued:
+                self.finish(attempt, Result.CONNECT_FAILED)
+            return
+        connection.dial.reschedule(None)  # guards against a close beneath whatever is written to it
+        if attempt not in server.queued:  # given up meanwhile; the connection serves another
+            self._rest(connection, settled=True)
             return
-        connection.dial.reschedule(None)
         session = attempt.session
         ended = session is not None and (session.over or session.frontend.gone())  # since the last turn
         if ended or self.turn.now_ns() >= attempt.by_ns:
             self.finish(attempt, Result.CANCELLED if ended else Result.CONNECT_FAILED)
-            self._rest(connection)
+            self._rest(connection, settled=True)
             return
         del server.queued[attempt]
         self._carry(connection, attempt)
 
-    def _rest(self, connection: BackendConnection) -> None:
+    def _rest(self, connection: BackendConnection, settled: bool = False) -> None:
+        """settled: it has carried nothing, so that nothing can come behind an answer."""
         server = connection.server
         if self.closing or self.servers.get(server.id) is not server or not server.ready:
             connection.transport.close()
             return
-        connection.rested_ns = self.turn.now_ns()
+        connection.rested_ns = now = self.turn.now_ns()
+        connection.settled_ns = now if settled else now + self.turn.limits.settled_ns
         server.resting.append(connection)
 
     def lost(self, connection: BackendConnection) -> None:
--- a/zincstile/net/backend_connection.py
+++ b/zincstile/net/backend_connection.py
@@ -31,7 +31,8 @@
     def answered(self, connection: BackendConnection, attempt: Attempt, reply: resp.Reply,
                  alone: bool) -> None: ...
     def spoilt(self, attempt: Attempt, why: str) -> None: ...
-    def stream_begin(self, connection: BackendConnection, attempt: Attempt, size: int, data: bytes) -> None: ...
+    def stream_begin(self, connection: BackendConnection, attempt: Attempt, size: int,
+                     data: bytes) -> None: ...
     def streaming(self, connection: BackendConnection, data: bytes) -> None: ...
     def stream_lost(self, connection: BackendConnection) -> None: ...
     def lost(self, connection: BackendConnection) -> None: ...
@@ -65,16 +66,25 @@
     resting: list[BackendConnection] = field(default_factory=list)  # the last used comes last
     queued: dict[Attempt, None] = field(default_factory=dict)  # wait for a connection of their own
 
+    def settled(self, now: int) -> BackendConnection | None:
+        """Takes the one used last of those on which nothing more can come behind their last answer. Guards
+        against taking a second answer, which may come some milliseconds late, for the next request's."""
+        for k in range(len(self.resting) - 1, -1, -1):
+            if self.resting[k].settled_ns <= now:
+                return self.resting.pop(k)
+        return None
+
 
 class BackendConnection(asyncio.BufferedProtocol):
-    __slots__ = ("pools", "server", "transport", "attempt", "rested_ns", "heard_ns", "_parser", "_unwritten",
-                 "_half", "_kept", "_decided", "stream", "left", "last2", "tail", "tail_parts", "held",
-                 "paced", "dial")
+    __slots__ = ("pools", "server", "transport", "attempt", "rested_ns", "settled_ns", "heard_ns", "_parser",
+                 "_unwritten", "_half", "_kept", "_decided", "stream", "left", "last2", "tail", "tail_parts",
+                 "held", "paced", "dial")
 
     def __init__(self, pools: Owner, server: BackendServer, attempt: Attempt | None) -> None:
         self.pools, self.server, self.attempt = pools, server, attempt
         self.transport: asyncio.Transport | None = None
         self.rested_ns = 0
+        self.settled_ns = 0  # from when it may carry another attempt
         self.heard_ns = 0  # when the answer that is not whole yet last went on
         self._parser = resp.ReplyParser(pools.turn.limits)
         self._unwritten = False  # part of a command has not left this process
--- a/zincstile/net/frontend.py
+++ b/zincstile/net/frontend.py
@@ -84,7 +84,7 @@
     """One client. Its commands are answered in order; it is read no further while too much is unanswered."""
 
     __slots__ = ("door", "turn", "counters", "transport", "_parser", "_waiting", "_out", "_dirty", "_closing",
-                 "_full", "_paused", "_drained", "rested_ns", "begun_ns", "asked")
+                 "_full", "_paused", "_drained", "rested_ns", "begun_ns", "ended_ns", "asked")
 
     def __init__(self, door: FrontDoor) -> None:
         self.door, self.turn, self.counters = door, door.turn, door.turn.counters
@@ -95,6 +95,7 @@
         self._dirty = self._closing = self._full = self._paused = False
         self.rested_ns = 0
         self.begun_ns = 0  # when the command that is not whole yet began
+        self.ended_ns = 0  # when its end was sent
         self.asked = 0  # whole commands that were none to turn away
         self._drained = 0  # bytes thrown away since the last answer was written
 
@@ -185,8 +186,8 @@
             self.counters.pings += 1
             self.asked += 1
             door = self.door
-            self._reply(resp.error("standby") if door.standby else resp.PONG if door.ready else
-                        resp.error("not ready"))
+            self._reply(resp.error("standby") if door.standby else
+                        resp.PONG if door.ready and not door.over else resp.error("not ready"))
             return
         number, now = turn.next_id(), self.turn.now_ns()
         try:
@@ -198,7 +199,7 @@
             self._reply(resp.error(str(err)))
             return
         self.asked += 1
-        if len(turn.sessions) >= turn.limits.sessions or not self.door.ready:
+        if len(turn.sessions) >= turn.limits.sessions or not self.door.ready or self.door.over:
             self.counters.denied += 1
             self._reply(resp.busy(0))
             return
@@ -305,6 +306,7 @@
         sends it elsewhere."""
         if not self.transport.is_closing():
             self._closing = True
+            self.ended_ns = self.turn.now_ns()
             self.transport.write_eof()
             if self._paused:
                 self._paused = False
@@ -347,10 +349,15 @@
         self._finish()
         return True
 
+    @property
+    def lingers(self) -> bool:
+        """All is written, its end too; it is open for its client alone."""
+        return bool(self.ended_ns) and not self.transport.get_write_buffer_size()
+
     def give_way(self) -> bool:
-        """Closed at once, as its descriptor is wanted. It has rested for a while: what was written to it has
-        arrived."""
-        if not self.close_if_idle():
+        """Closed at once, as its descriptor is wanted. It has rested for a while, or its end was sent a while
+        ago: what was written to it has arrived."""
+        if not self.lingers and not self.close_if_idle():
             return False
         self.transport.close()
         return True
@@ -366,6 +373,7 @@
         self.ready = False
         self.heard_ns = 0  # the last call
         self.closing = False  # every connection is closed as soon as nothing is owed on it
+        self.over = False  # too late for any request to be sent on: what still comes is refused
         self.standby = False  # by an operator: PING says no, and connections are closed when nothing is owed
         self.clients: dict[ClientConnection, None] = {}
         self._socket: socket.socket | None = None
@@ -410,7 +418,8 @@
             self._listening = False
             self.turn.loop.remove_reader(self._socket.fileno())
 
-    def _accept(self) -> None:
+    def _accept(self) -> bool:
+        """True: there may be more in the queue."""
         limits = self.turn.limits
         for _ in range(limits.accepts):
             held = len(self.clients) + self._acceptor.coming
@@ -421,9 +430,10 @@
                 self._pause()
                 self.turn.deadlines.add(self.turn.now_ns() + limits.newcomer_ns, self._resume)
                 self.turn.wake()
-                return
+                return False
             if not self._acceptor.take(self._socket):
-                return
+                return False
+        return True
 
     def _kinds(self) -> str:
         count = dict.fromkeys(("asking", "resting", "silent", "half", "ending"), 0)
@@ -432,10 +442,14 @@
         return "({})".format(", ".join(f"{n} {kind}" for kind, n in count.items()))
 
     def _make_room(self) -> bool:
-        """Closes the client connection that has rested longest: first of those that never asked, then of
-        those that asked once, which crowds of clients leave behind, and at last, after a longer rest, of
-        those used again and again. Each is spared for a while: its next request may be on its way."""
+        """Closes the client connection that has rested longest: first of those whose end was sent, then of
+        those that never asked, then of those that asked once, which crowds of clients leave behind, and at
+        last, after a longer rest, of those used again and again. Each is spared for a while: its next request
+        may be on its way, or its last answer."""
         now, limits = self.turn.now_ns(), self.turn.limits
+        for c in self.clients:
+            if c.lingers and now - c.ended_ns > limits.newcomer_ns and not c.transport.is_closing():
+                return c.give_way()
         least = (limits.newcomer_ns, limits.newcomer_ns, limits.spare_ns)
         resting = [(min(c.asked, 2), c.rested_ns, k, c) for k, c in enumerate(self.clients)
                    if now - c.rested_ns > least[min(c.asked, 2)] and c.idle]
@@ -457,8 +471,8 @@
         """Takes no more connections, and closes each one when nothing is owed on it. take_queued: what the
         machine has accepted is taken first; not where another process shares the socket and takes it."""
         if self._socket is not None:
-            if take_queued:
-                self._accept()
+            while take_queued and self._accept():
+                pass  # else a crowd behind those of one turn would be reset with the socket
             self._pause()
             self._socket.close()
             self._socket = None
@@ -472,22 +486,19 @@
         are served."""
         self.standby = standby
         if standby:
-            for client in list(self.clients):
-                if client.close_if_idle():
-                    self.counters.standby_closed += 1
+            self.counters.standby_closed += self.close_idle()
 
     def fit(self) -> None:
         """The limits have become narrower: connections that rest are closed as where new ones need room."""
         while len(self.clients) > self.turn.limits.frontend_connections and self._make_room():
             pass
 
-    def close_idle(self) -> None:
-        """All that rest. Spared for a moment are those that came last and have not asked: what they came for
-        is on its way."""
+    def close_idle(self) -> int:
+        """All that rest; how many. Spared for a moment are those that came last and have not asked: what they
+        came for is on its way."""
         now, least = self.turn.now_ns(), self.turn.limits.newcomer_ns
-        for client in list(self.clients):
-            if client.asked or now - client.rested_ns > least:
-                client.close_if_idle()
+        return sum([client.close_if_idle() for client in list(self.clients)
+                    if client.asked or now - client.rested_ns > least])
 
     @property
     def empty(self) -> bool:
--- a/zincstile/net/gateway.py
+++ b/zincstile/net/gateway.py
@@ -209,12 +209,15 @@
         err = context.get("exception")
         self.log.often("fault", f"{type(err).__name__}: {err} in {context.get('message')}")
 
-    async def run(self) -> None:
+    async def run(self, early: list[int] | None = None) -> None:
+        """early: where signals are kept that came before they are heard here."""
         self.loop.set_exception_handler(self._caught)
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.stop)
         self.loop.add_signal_handler(signal.SIGUSR1, self._count)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        if signal.SIGHUP in (early or ()):
+            self.loop.call_soon(self.reload)
         if self.handover is not None:
             found = self.handover.first()
             self.log.line(f"handover: {found}")
@@ -320,7 +323,9 @@
             self._end_if_empty(None)
 
     def _fail_rest(self, _: object) -> None:
-        """Guards against ending with a request unanswered, however long its client would wait."""
+        """Guards against ending with a request unanswered, however long its client would wait; and against
+        taking one that could not be answered before the end."""
+        self.door.over = True
         for session in list(self.turn.sessions.values()):
             if self.turn.end(session, FAILED):
                 self.turn.post(i.Gone(session.id))
--- a/zincstile/net/http.py
+++ b/zincstile/net/http.py
@@ -45,6 +45,13 @@
             pass
         return lines
 
+    def end(self) -> list[bytes]:
+        """The other side has ended its sending: the last line, where only that tells the body's end."""
+        lines: list[bytes] = []
+        if not self.done and self._state == self._plain and self._left < 0:
+            self._end(lines)
+        return lines
+
     @property
     def rest(self) -> bytes:
         """What came behind the answer, once that is done."""
--- a/zincstile/net/limits.py
+++ b/zincstile/net/limits.py
@@ -47,6 +47,7 @@
     drained_ns: int = 500 * MS  # after the last answer, how long the client's close is waited for
     answer_ns: int = 250 * MS  # an answer that is begun has to go on within this
     idle_ns: int = 20 * SECOND  # a resting backend connection is closed after this
+    settled_ns: int = 10 * MS  # behind an answer, how long a second one may come that nobody asked for
     spare_ns: int = 2 * SECOND  # a client's connection that rested this long may be closed to make room
     newcomer_ns: int = 100 * MS  # the same for one that never asked, or only once
     margin_ns: int = 2 * MS  # a request's way here, taken off the time that its client waits
--- a/zincstile/net/server_table.py
+++ b/zincstile/net/server_table.py
@@ -142,6 +142,16 @@
         elif old is not None:  # one that has not spoken yet stands for nothing
             old.transport.abort()
 
+    def fell_silent(self, watch: Watch) -> None:
+        """Another is opened beside it, and it stands until that has come up, as what discovery tells the
+        moment it returns counts at once: a call has to be out then. Where discovery is one service that each
+        call costs work, it is given up first."""
+        if self.turn.limits.table_patience_ns or watch is not self._watch or watch.where != self.where:
+            watch.give_up("silent")
+            return
+        self.turn.log.often("watch", "silent: another is opened beside it; the last list stands")
+        self.open(None)
+
     def waits_on(self, watch: Watch) -> bool:
         """A call that nobody answered yet. Where discovery is one service for the whole fleet, its turn may
         still come: given up and made again, it would cost the service twice, and all that wait behind it. So
@@ -174,7 +184,8 @@
             self._old = None
         if self.closed or where != self.where or (watch is not None and watch is not self._watch):
             return  # an old watch: another has been opened, or is being opened
-        self._watch = None
+        if watch is not None:  # else the one that stands is heard on, though the next did not come up
+            self._watch = None
         self.turn.log.often("watch", f"lost: {why}; the last list stands")
         wait = self.asking.failed(retry_after_ns)
         self.turn.deadlines.add(self.turn.now_ns() + wait, self.open, where)
@@ -206,8 +217,13 @@
             self.last[entry[0].id] = entry
         if self.banned or self.reborn:
             entries = [self._masked(e) for e in entries]
-        self.update(entries, kind is not i.ListKind.DELTA)
+        self._hand(kind, version, entries)
+
+    def _hand(self, kind: i.ListKind, version: int, entries: Entries) -> None:
+        """To the module first: what the pools withdraw by the same change is then decided on by the new list,
+        and not sent to the next server that it takes out."""
         self.turn.post(i.BackendList(kind, version, [b for b, _ in entries]))
+        self.update(entries, kind is not i.ListKind.DELTA)
 
     def _masked(self, entry: tuple[i.Backend, Address]) -> tuple[i.Backend, Address]:
         """Discovery's word as operators have changed it."""
@@ -248,9 +264,7 @@
             # discovery told it, and is cold. Started at the call back as the module counts, it is ramped up.
             self.reborn[number_] = self.turn.now_ns()
         if entry is not None:
-            entry = self._masked(entry)
-            self.update([entry], False)
-            self.turn.post(i.BackendList(i.ListKind.DELTA, self.version, [entry[0]]))
+            self._hand(i.ListKind.DELTA, self.version, [self._masked(entry)])
         return name in self.reader.names
 
 
@@ -289,7 +303,7 @@
         silence = limits.table_silence_ns if self._spoke else limits.table_answer_ns
         if now - self._heard_ns >= silence:
             if self._spoke or not self.table.waits_on(self):
-                self.give_up("silent")
+                self.table.fell_silent(self)
             return
         self._deadline = self.table.turn.deadlines.add(self._heard_ns + silence, self._await)
         self.table.turn.wake()
@@ -321,8 +335,11 @@
             self._spoke, self._first_ns = True, self._heard_ns
             self.table.turn.deadlines.drop(self._deadline)
             self._await(None)
+        self._read(self._lines.feed, bytes(self._buffer[:size]))
+
+    def _read(self, lines: Callable[..., list[bytes]], *data: bytes) -> None:
         try:
-            for line in self._lines.feed(bytes(self._buffer[:size])):
+            for line in lines(*data):
                 if self._lines.status != 200:
                     raise http.HttpError(f"status {self._lines.status}")
                 for table in self._objects.feed(line):
@@ -337,7 +354,7 @@
             self.transport.abort()
 
     def eof_received(self) -> None:
-        return None
+        self._read(self._lines.end)  # an answer without a length ends so; a reset is no end
 
     def connection_lost(self, err: Exception | None) -> None:
         self.table.turn.deadlines.drop(self._deadline)
