Datagrams of settings with many classes and plans fit, in place of faults that tell nobody

Cause: wire.pack_tell took the room for shares as (256 - head - figures and doubts) // 18, which is below 0 from about 6 classes and 8 plans on (2 figures of each group, 96 + 15, with 8 doubts): the first message is too long (399 bytes with nine shares; net/peers refuses it, as a fault of the turn, and tells nothing of that call), and the place in the shares goes back; from 12 by 20 on struct.error. The figures of the last groups are left out now, as the reader takes what comes in order; doubts of a group past 255 are not told. Known and left: a level told to peers is clipped at 2,047 units; a larger store fills up from there.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -125,7 +125,8 @@
 class World:
     """The program and all that it speaks with, each on a port of its own that the system chose."""
 
-    def __init__(self, folder, config=None):
+    def __init__(self, folder, config=None, whole=None):
+        """config: what is other than usual; whole: settings in place of the usual ones."""
         self.listeners = {name: listener() for name in "abcde"}
         self.lines, self.fills = {}, {}
         self.peer = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -137,7 +138,7 @@
                  "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "answer_ns": 2 * SECOND,
                             "settled_ns": 1},  # taken again at once, where a test says no more
                  "peer_listen": "127.0.0.1:0", "peers": ["127.0.0.1:1", where(self.peer)],
-                 "settings": settings(), "known": {"index": 0, "snapshot": True, "endpoints": []}}
+                 "settings": whole or settings(), "known": {"index": 0, "snapshot": True, "endpoints": []}}
         for name in (config or {}).pop("known_servers", ""):
             table["known"]["endpoints"].append(self.entry(f"{name}=Ready"))
         self.path, self.table = folder / "config.json", merge(table, config or {})
@@ -149,7 +150,7 @@
         threading.Thread(target=self._read_log, daemon=True).start()
         self.address, self.peer_address = (
             (host, int(port)) for host, port in
-            re.findall(r"(127\S+):(\d+)", self.logged("start listening on *"))[:2])
+            [*re.findall(r"(127\S+):(\d+)", self.logged("start listening on *")), ("", 0)][:2])
 
     def _read_log(self):
         for line in self.program.stderr:
--- a/zincstile/wire.py
+++ b/zincstile/wire.py
@@ -181,10 +181,16 @@
 
 
 def pack_tell(tell: i.Tell) -> list[bytes]:
-    """Messages between gateways, 256 bytes at most each; units travel in sixteenths, totals modulo 2^32."""
-    extra = b"".join(FIGURE.pack(min(MOST, max(0.0, x))) for x in tell.figures)
-    extra += b"".join(DOUBT.pack(d.backend, d.group, int(d.value * 255)) for d in tell.doubts)
-    counts, messages, at = (len(tell.figures), len(tell.doubts)), [], 0
+    """Messages between gateways, 256 bytes at most each; units travel in sixteenths, totals modulo 2^32.
+    Where the settings have many classes and plans, the figures of the last groups are left out, and doubts of
+    groups past a byte: guards against a message that has no room for any share, and so against none or one
+    too long."""
+    doubts = [d for d in tell.doubts if d.group <= 255]
+    room = LARGEST - HEAD.size - SHARE.size * bool(tell.shares) - DOUBT.size * len(doubts)
+    figures = tell.figures[:max(0, room // FIGURE.size)]
+    extra = b"".join(FIGURE.pack(min(MOST, max(0.0, x))) for x in figures)
+    extra += b"".join(DOUBT.pack(d.backend, d.group, int(d.value * 255)) for d in doubts)
+    counts, messages, at = (len(figures), len(doubts)), [], 0
     while not messages or at < len(tell.shares):
         end = at + (LARGEST - HEAD.size - len(extra)) // SHARE.size
         body = extra + b"".join(
