--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -48,6 +48,9 @@
 
 from test_wire import SETTINGS
 
+# An address of its own for each process that plays tests: what a gateway of one still dials after a listener
+# has gone may be another's by then.
+HOME = f"127.0.0.{1 + int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0')[2:])}"
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 PATIENCE = 20  # seconds until something expected counts as missing; nothing waits for it when all is well
 PACE = 0.01  # seconds between two looks at the counters
@@ -73,7 +76,7 @@
 
 
 def listener():
-    sock = socket.create_server(("127.0.0.1", 0))
+    sock = socket.create_server((HOME, 0))
     sock.settimeout(PATIENCE)
     return sock
 
@@ -130,14 +133,14 @@
         self.listeners = {name: listener() for name in "abcde"}
         self.lines, self.fills = {}, {}
         self.peer = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.peer.bind(("127.0.0.1", 0))
+        self.peer.bind((HOME, 0))
         self.peer.settimeout(PATIENCE)
         self.asked, self.index, self.said, self.log = {}, 0, [], queue.Queue()
-        table = {"name": "n0", "listen": "127.0.0.1:0", "discovery": where(self.listeners["d"]),
+        table = {"name": "n0", "listen": f"{HOME}:0", "discovery": where(self.listeners["d"]),
                  "seed": "8c1f",
                  "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "answer_ns": 2 * SECOND,
                             "settled_ns": 1},  # taken again at once, where a test says no more
-                 "peer_listen": "127.0.0.1:0", "peers": ["127.0.0.1:1", where(self.peer)],
+                 "peer_listen": f"{HOME}:0", "peers": [f"{HOME}:1", where(self.peer)],
                  "settings": whole or settings(), "known": {"index": 0, "snapshot": True, "endpoints": []}}
         for name in (config or {}).pop("known_servers", ""):
             table["known"]["endpoints"].append(self.entry(f"{name}=Ready"))
