Repeats: a table of each effect and outcome, whole, in the module and on sockets

Need: what may go out again stood in the code and in single cases; no test held the whole table. Change: tests/test_repeats.py: three effects by eight outcomes in the module, with windows, groups and second copies; the same by eight ways of an answer on sockets; what has run by what was written.

--- /dev/null
+++ b/tests/test_repeats.py
@@ -0,0 +1,185 @@
+"""What may go out again, by the effect of its class and the outcome before: as a table, and on sockets."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+from conftest import MS, SECOND, backend, only
+from scenario import World, settings
+from test_scenarios import READY
+
+from zincstile import interface as i
+from zincstile.net.backend_connection import Attempt, BackendConnection, BackendServer
+from zincstile.net.limits import Limits
+
+LOOK, BOOK, PUT = 0, 1, 2  # safe, unsafe to repeat, keyed: conftest's settings
+NEVER_RAN = {i.Result.FULL, i.Result.CONNECT_FAILED, i.Result.MOOT}
+OTHERS = [r for r in i.Result if r not in (i.Result.OK, i.Result.CANCELLED)]
+
+
+@pytest.mark.parametrize("result", OTHERS, ids=lambda r: r.name)
+@pytest.mark.parametrize("cls", [LOOK, BOOK, PUT])
+def test_the_table_of_repeats(gateway, cls, result):
+    """Safe: always. Keyed: inside its window. Unsafe: only what surely never ran. What goes out no more is
+    refused where nothing has run, or nothing that matters, and fails else."""
+    g = gateway()
+    number, actions = g.ask(cls)
+    first = only(actions, i.Send)[0].backend
+    actions = g.outcome(number, 0, first, result)
+    sent, failed = only(actions, i.Send), only(actions, i.Fail)
+    assert len(sent) == (cls in (LOOK, PUT) or result in NEVER_RAN)
+    assert [s.backend for s in sent if s.backend == first] == []
+    assert len(failed) == (not sent) and not only(actions, i.Refuse)
+    if sent and cls == PUT and result not in NEVER_RAN:
+        assert sent[0].by_ns == g.now - 10 * MS + 500 * MS  # its window, from when the first was sent
+
+
+@pytest.mark.parametrize("result", OTHERS, ids=lambda r: r.name)
+@pytest.mark.parametrize(("cls", "age"), [(PUT, 499 * MS), (PUT, 500 * MS), (LOOK, 500 * MS)])
+def test_a_keyed_repeat_is_decided_on_inside_its_window_only(gateway, cls, age, result):
+    g = gateway({"plans": [i.PlanSpec("only", rate=1000.0, burst=2000.0)]})
+    number, actions = g.ask(cls, life=3 * SECOND)
+    actions = g.outcome(number, 0, only(actions, i.Send)[0].backend, result, after=age)
+    again = cls == LOOK or result in NEVER_RAN or age < 500 * MS
+    assert (len(only(actions, i.Send)), len(only(actions, i.Fail))) == (again, not again)
+
+
+@pytest.mark.parametrize("result", OTHERS, ids=lambda r: r.name)
+def test_a_keyed_repeat_stays_where_repeats_are_dropped(gateway, result):
+    """Its group is its zone; where none of that is left, it goes nowhere once it may have run."""
+    g = gateway(backends=0)
+    g.list([backend(1, zone=0), backend(2, zone=1)])
+    number, actions = g.ask(PUT)
+    actions = g.outcome(number, 0, only(actions, i.Send)[0].backend, result)
+    assert bool(only(actions, i.Send)) == (result in NEVER_RAN)
+
+
+@pytest.mark.parametrize(("cls", "copies"), [(LOOK, 1), (BOOK, 0), (PUT, 1)])
+def test_two_attempts_are_out_only_where_the_class_allows_a_repeat(gateway, cls, copies):
+    """The first stays silent: a second copy goes beside it, never of what is unsafe to repeat."""
+    g = gateway({"classes": [i.ClassSpec(c.name, SECOND, 4 * SECOND, c.effect, 1.0, group=i.Group.ALL,
+                                         window_ns=4 * SECOND) for c in gateway().policy.set.classes]})
+    number, _ = g.ask(cls)
+    sent = [s for _ in range(30) for s in only(g.tick(), i.Send)]
+    assert len(sent) == copies and all(s.request == number for s in sent)
+
+
+# ---- on sockets
+
+NEVER, MAYBE = True, False  # whether it surely never ran
+WAYS = {
+    "busy": ("send a1 -BUSY", NEVER),
+    "error": ("send a1 -ERR failed", MAYBE),
+    "ended": ("close a1", MAYBE),
+    "reset": ("reset a1", MAYBE),
+    "half an answer, then ended": (r"send a1 raw *3\r\n$5\r\nhe" + "\nclose a1", MAYBE),
+    "half an answer, then reset": (r"send a1 raw *3\r\n$5\r\nhe" + "\nreset a1", MAYBE),
+    "half an answer and no more": (r"send a1 raw *3\r\n$5\r\nhe", MAYBE),
+    "spoilt": (r"send a1 raw !what\r\n", MAYBE),
+}
+
+
+@pytest.mark.parametrize("way", WAYS)
+@pytest.mark.parametrize("effect", ["look", "put", "book"])
+def test_what_goes_out_again_on_sockets(tmp_path, effect, way):
+    how, never_ran = WAYS[way]
+    world = World(tmp_path, {"limits": {"answer_ns": 100 * MS}})
+    try:
+        world.play(READY + f"""
+            send c1 {effect} 1
+            expect a1 {effect} 1
+            send d1 change b=Ready
+            wait gw tables=2
+            {how}""")
+        if effect != "book" or never_ran:
+            world.play(f"expect b1 {effect} 1\nsend b1 ok second\nexpect c1 ok second\nwait gw attempts=2")
+        else:
+            world.play("expect c1 -ERR failed\nwait gw attempts=1\nwait gw connects=1")
+    finally:
+        world.end()
+
+
+@pytest.mark.parametrize("effect", ["look", "put", "book"])
+def test_what_met_nobody_goes_elsewhere(tmp_path, effect):
+    """Refused, then a server that is there: whatever the class, it never ran."""
+    world = World(tmp_path)
+    try:
+        world.play(f"""
+            refuse a
+            send d1 full a=Ready
+            expect gw ready*told
+            send c1 {effect} 1
+            expect c1 -BUSY*
+            send d1 change b=Ready
+            wait gw tables=2
+            send c1 {effect} 2
+            expect b1 {effect} 2
+            send b1 ok hello
+            expect c1 ok hello""")
+    finally:
+        world.end()
+
+
+def test_a_short_window_ends_before_a_silent_attempt_is_given_up(tmp_path):
+    """The first may have run, and is noticed to have ended only after its window: it is not sent again."""
+    classes = [c | {"window_ns": 1} for c in settings()["classes"]]
+    world = World(tmp_path, {"settings": {"classes": classes}})
+    try:
+        world.play(READY + """
+            send c1 put 1
+            expect a1 put 1
+            send d1 change b=Ready
+            wait gw tables=2
+            reset a1
+            expect c1 -ERR failed
+            wait gw attempts=1""")
+    finally:
+        world.end()
+
+
+# ---- what has run, by what was written
+
+class Owner:
+    def __init__(self):
+        self.turn, self.buffer = SimpleNamespace(limits=Limits(), now_ns=lambda: 0), memoryview(bytearray(64))
+        self.results = []
+
+    def encode(self, attempt):
+        return b"*1\r\n$4\r\nPING\r\n"
+
+    def finish(self, attempt, result):
+        self.results.append(result)
+
+    def lost(self, connection):
+        pass
+
+    def connected(self, connection):
+        pass
+
+    written = begun = lambda self, attempt: None
+
+
+@pytest.mark.parametrize(("events", "kept", "result"), [
+    (["pause_writing"], False, i.Result.CONNECT_FAILED),
+    (["pause_writing"], True, i.Result.CONNECT_FAILED),
+    ([], False, i.Result.RESET), ([], True, i.Result.STALE),
+    (["pause_writing", "resume_writing"], False, i.Result.RESET),
+    (["pause_writing", "resume_writing"], True, i.Result.STALE),
+    (["half"], True, i.Result.RESET),
+])
+def test_what_breaks_before_its_last_byte_is_written_never_ran(events, kept, result):
+    """And a kept connection that breaks before a byte of its answer was closed beneath it."""
+    owner = Owner()
+    connection = BackendConnection(owner, BackendServer(1, ("", 0), 0, True), None)
+    connection.connection_made(SimpleNamespace(set_write_buffer_limits=lambda high: None,
+                                               write=lambda data: None))
+    connection.carry(Attempt(None, 0, connection.server, 0, SECOND, SECOND), kept)
+    for event in events:
+        if event == "half":
+            owner.buffer[:3] = b"*3\r"
+            connection.buffer_updated(3)
+        else:
+            getattr(connection, event)()
+    connection.connection_lost(None)
+    assert owner.results == [result]
