Crossings at a stop, in one turn and in floods, forced on sockets

Need: rows of the list of crossings that had no test: a value half passed on, a dial and a repeat at a stop; a request and a drain, an answer and the end of its client, an answer and the deadline, a reset and the next request in one turn (both made readable while the program is stopped by SIGSTOP); floods of calls whose client is gone, and of odd commands. Result: all pass on the code as it is; nothing new was found wrong.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -10,7 +10,7 @@
 import pytest
 from conftest import backend
 from conftest import settings as module_settings
-from scenario import PATIENCE, settings
+from scenario import PATIENCE, World, settings
 from test_scenarios import READY, play
 
 from zincstile import interface as i
@@ -96,6 +96,94 @@
         expect a1 end""", settings={"limits": LONG_DIAL | {"cancel": False}})
 
 
+@pytest.mark.parametrize("how", ["close", "reset"])
+def test_a_flood_whose_client_is_gone_by_then_is_not_sent_on(tmp_path, how):
+    """Three hundred commands at once, on a connection that is taken only after its end."""
+    play(tmp_path, READY + "send gw STOP\nexpect gw stopped\n"
+         + "".join(f"send c1 look {k}\n" for k in range(1, 301)) + f"{how} c1\nsend gw CONT\n" + """
+        send c9 look 999
+        expect a1 look 999
+        send a1 ok still
+        expect c9 ok still
+        wait gw attempts=1""")
+
+
+def test_a_flood_of_odd_commands_is_answered_and_disturbs_nobody(tmp_path):
+    play(tmp_path, READY + r"send c1 raw " + r"*1\r\n$3\r\nGET\r\n" * 500 + "\n" + """
+        send c9 look 999
+        expect a1 look 999
+        send a1 ok still
+        expect c9 ok still
+        wait gw malformed=500
+        """ + "expect c1 -ERR*\n" * 500 + "wait gw requests=1")
+
+
+# ---- both in one turn
+
+def in_one_turn(first, second):
+    return f"send gw STOP\nexpect gw stopped\n{first}\n{second}\nsend gw CONT\n"
+
+
+@pytest.mark.parametrize("order", [0, 1])
+def test_a_request_and_the_drain_of_its_server_in_one_turn(tmp_path, order):
+    """Decided on by the old list or the new one, it is not sent to the one that drains, where a connection
+    rests."""
+    both = ["send c1 look 2", "send d1 change a=Terminating b=Ready"]
+    play(tmp_path, READY + """
+        send c1 look 1
+        expect a1 look 1
+        send a1 ok hello
+        expect c1 ok hello
+        """ + in_one_turn(both[order], both[1 - order]) + """
+        expect b1 look 2
+        send b1 ok hello
+        expect c1 ok hello
+        expect a1 end
+        wait gw attempts=2""")
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+@pytest.mark.parametrize("order", [0, 1])
+def test_an_answer_and_the_end_of_its_client_in_one_turn(tmp_path, order, cancel):
+    both = ["send a1 ok late", "close c1"]
+    asked = "send c1 look 1\nexpect a1 look 1\n"
+    play(tmp_path, READY + asked + in_one_turn(both[order], both[1 - order]) + """
+        send c9 look 9
+        open a1
+        wait gw requests=2
+        send d1 change b=Ready
+        wait gw tables=2
+        wait gw failed=0""", settings={"limits": {"cancel": cancel}})
+
+
+def test_an_answer_and_the_deadline_in_one_turn_make_one_answer(tmp_path):
+    """The program is held up past the request's time with the answer unread: one final answer, whichever."""
+    world = World(tmp_path)
+    try:
+        world.play(READY + "send c1 look 1 d=300\nexpect a1 look 1\nsend gw STOP\nexpect gw stopped")
+        world.play("send a1 ok late")
+        time.sleep(0.31)  # past it for certain: both are due when it goes on
+        world.play("send gw CONT")
+        assert world.line("c1").message() in (b"late", "-ERR failed", "-BUSY", "-BUSY 700")
+        world.play("send c1 raw *1\\r\\n$4\\r\\nPING\\r\\n\nexpect c1 +PONG\nwait gw faults=0")
+    finally:
+        world.end()
+
+
+def test_a_reset_and_the_next_request_in_one_turn_on_a_connection_that_rests(tmp_path):
+    play(tmp_path, READY + """
+        send c1 look 1
+        expect a1 look 1
+        send a1 ok hello
+        expect c1 ok hello
+        """ + in_one_turn("reset a1", "send c1 book 2") + """
+        expect a2 book 2
+        send a2 ok hello
+        expect c1 ok hello
+        wait gw stale=0
+        wait gw reset=0""")
+
+
 # ---- a keyed repeat and its window
 
 def test_a_keyed_repeat_whose_connection_comes_up_after_its_window_is_not_sent(tmp_path):
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -165,6 +165,62 @@
         world.end()
 
 
+@pytest.mark.parametrize("taken", ["while it comes", "after it has come"])
+def test_a_value_half_passed_on_at_a_stop_comes_whole(tmp_path, taken):
+    """400 KB, of which the client reads nothing before the door is shut, or reads as it comes."""
+    size = 400_000
+    world = World(tmp_path, {"limits": SHUT_AT_ONCE | {"drain_most_ns": NEVER}})
+    try:
+        world.play(READY + "send c1 look 1\nexpect a1 look 1")
+        data = world._bytes("ok", [str(size)])
+        world.line("a1").sock.sendall(data[:200_000])
+        world.play("wait gw streamed=1\nsend gw TERM\nexpect gw shut")
+        if taken == "while it comes":
+            assert len(world.line("c1").file.read(100_000)) == 100_000
+        world.line("a1").sock.sendall(data[200_000:])
+        left = len(b"$%d\r\n" % size) + size + 2 - 100_000 * (taken == "while it comes")
+        assert len(world.line("c1").file.read(left)) == left
+        world.play("expect c1 eof\nclose c1\nexpect gw exit 0")
+    finally:
+        world.end()
+
+
+def test_an_attempt_that_waits_for_its_connection_at_a_stop_is_still_made(tmp_path):
+    play(tmp_path, READY + """
+        fill a
+        send c1 look 1
+        wait gw connects=1
+        send gw TERM
+        expect gw shut
+        free a
+        expect a1 look 1
+        send a1 ok hello
+        expect c1 ok hello
+        expect c1 eof
+        close c1
+        expect gw exit 0""", limits=SHUT_AT_ONCE, settings={"limits": {"connect_timeout_ns": NEVER}})
+
+
+def test_a_repeat_that_becomes_due_at_a_stop_is_still_made(tmp_path):
+    """The first attempt breaks in the turn in which the stop is heard."""
+    play(tmp_path, READY + """
+        send c1 look 1
+        expect a1 look 1
+        send d1 change b=Ready
+        wait gw tables=2
+        send gw STOP
+        expect gw stopped
+        reset a1
+        send gw TERM
+        send gw CONT
+        expect b1 look 1
+        send b1 ok hello
+        expect c1 ok hello
+        expect c1 eof
+        close c1
+        expect gw exit 0""", limits=SHUT_AT_ONCE)
+
+
 @pytest.mark.parametrize("number", ["HUP", "USR1"])
 def test_a_signal_that_comes_before_the_program_listens_does_not_end_it(tmp_path, number):
     """The configuration is a pipe that nobody has written yet: the start waits there, as in its imports."""
