--- a/tests/test_place.py
+++ b/tests/test_place.py
@@ -143,7 +143,7 @@
 
 
 def test_the_dry_run_tells_what_has_no_place(capsys):
-    assert main(["place", "plan", "deploy/place.yaml", "--lose", "floor-3"]) == 0
+    assert main(["place", "plan", "deploy/place.yaml", "--lose", "zone-03"]) == 0
     assert main(["place", "plan", "deploy/place.yaml", "--lose", "north"]) == 1
     assert "82.5 of 210.0 units a second have no place" in capsys.readouterr().out
 
--- a/zincstile/standin/clients.py
+++ b/zincstile/standin/clients.py
@@ -328,14 +328,14 @@
 
 def rude_pieces(rng: random.Random) -> list[bytes]:
     """One of the things that such clients send."""
-    call = wire.command(b"CALL.GET", b"00000000b4d65521", b"rude", b"c=guide-read,t=plus,d=-5,units=nan")
+    call = wire.command(b"CALL.GET", b"00000000b4d65521", b"rude", b"c=sheet-read,t=plus,d=-5,units=nan")
     kinds = [
         [b"\x16\x03\x01\x02\x00\x01\x00"], [b"GET / HTTP/1.1\r\n\r\n"],
         [b"*4\r\n$8\r\nCALL", b".GET\r\n$99999"], [b"x" * 900, b"x" * 900], [b"*-1\r\n"],
         [b"*3\r\n$-5\r\n"], [b"*99999999999\r\n"], [call] * 6,
         [b"*4\r\n$8\r\nCALL.GET\r\n$70000000\r\n", b"v" * 4096], [b""], [b"*0\r\n*0\r\n"],
         [wire.command(b"CALL.GET", b"zz", b"i", b"c=none")], [wire.command(b"FLUSHALL")] * 40,
-        [wire.command(b"CALL.POST", b"00000000b4d65521", b"r2", b"c=ppv-order,t=plus,d=900,units=1e9,"
+        [wire.command(b"CALL.POST", b"00000000b4d65521", b"r2", b"c=new-order,t=plus,d=900,units=1e9,"
                       b"spread=1,first=0,k=1")],
     ]
     return rng.choice(kinds)
--- a/zincstile/worlds/traffic.py
+++ b/zincstile/worlds/traffic.py
@@ -2,7 +2,7 @@
 
 The figures have the shape of the brief: classes, plans, quotas, customers that stay within theirs, that
 use nearly all, and that ask for far more. They are scaled to a world of a few seconds, with boxes of a
-core or two. One more class, `pin-change`, may never be repeated. Each request is drawn by itself from the
+core or two. One more class, `key-change`, may never be repeated. Each request is drawn by itself from the
 seed and its number, so that leaving one out changes no other.
 """
 
@@ -21,19 +21,19 @@
 from .stage import Stage
 
 MS = 1_000_000
-ZONES = ["floor-3", "floor-4", "floor-5"]
+ZONES = ["zone-03", "zone-04", "zone-05"]
 WARM_MS, FALL_MS, LONGEST_MS = 6000, 3000, 3000
 KEYED_MS = 6000
 ASK_WITHIN_MS = 10_000  # discovery has to be asked so often, where it has to be
-WORK_MS = {"guide-read": 80, "settings-save": 50, "ppv-order": 50, "pin-change": 50}  # of a unit
+WORK_MS = {"sheet-read": 80, "profiles-save": 50, "new-order": 50, "key-change": 50}  # of a unit
 MOST_UNITS = 6
 
 # name: aim, deadline, effect in the settings' words, gain, worth when late, share of the requests
 CLASSES = {
-    "guide-read": (1000, 3000, "free", 2.0, 0.2, 0.45),
-    "settings-save": (600, 1500, "free", 1.0, 0.2, 0.30),
-    "ppv-order": (750, 3000, "guarded", 2.0, 0.0, 0.15),
-    "pin-change": (750, 2000, "single_shot", 1.5, 0.0, 0.10),
+    "sheet-read": (1000, 3000, "free", 2.0, 0.2, 0.45),
+    "profiles-save": (600, 1500, "free", 1.0, 0.2, 0.30),
+    "new-order": (750, 3000, "guarded", 2.0, 0.0, 0.15),
+    "key-change": (750, 2000, "single_shot", 1.5, 0.0, 0.10),
 }
 # name: price, rate, burst in seconds, attempts out, ceiling over the rate, customers
 PLANS = {
