--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,6 +22,16 @@
 from zincstile.net.turn import Turn
 
 NEVER = 10**12
+# A dial that comes up after the client of its attempt has left
+LATE = """
+        fill a
+        send c1 look 1
+        wait gw connects=1
+        close c1
+        wait gw left=1
+        free a
+        open a1
+        """
 LONG_DIAL = {"connect_timeout_ns": NEVER}
 
 
@@ -30,14 +40,7 @@
 @pytest.mark.parametrize("cancel", [True, False])
 def test_a_client_that_left_while_its_attempt_waited_for_a_connection_is_not_sent_on(tmp_path, cancel):
     """Also where the settings allow no cancelling: what was never sent is nothing to cancel."""
-    play(tmp_path, READY + """
-        fill a
-        send c1 look 1
-        wait gw connects=1
-        close c1
-        wait gw left=1
-        free a
-        open a1
+    play(tmp_path, READY + LATE + """
         send gw TERM
         expect gw exit 0
         expect a1 end""", settings={"limits": LONG_DIAL | {"cancel": cancel}})
@@ -241,14 +244,7 @@
 
 def test_a_connection_that_came_up_for_another_is_taken_at_once(tmp_path):
     """It has carried nothing: nothing can come behind that."""
-    play(tmp_path, READY + """
-        fill a
-        send c1 look 1
-        wait gw connects=1
-        close c1
-        wait gw left=1
-        free a
-        open a1
+    play(tmp_path, READY + LATE + """
         send c2 look 2
         expect a1 look 2
         send a1 ok hello
