--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,14 +12,25 @@
 def settings(**over):
     """A small service: one safe, one unsafe and one keyed class, one plan."""
     base = {
-        "me": 0, "gateways": 1, "peers": True, "cancel": True, "second_copies": True, "retry_after": True,
-        "max_attempts": 3, "max_retry_after_ns": 400 * MS, "peer_in_per_s": 50.0, "largest_units": 4.0,
+        "me": 0,
+        "gateways": 1,
+        "peers": True,
+        "cancel": True,
+        "second_copies": True,
+        "retry_after": True,
+        "max_attempts": 3,
+        "max_retry_after_ns": 400 * MS,
+        "peer_in_per_s": 50.0,
+        "largest_units": 4.0,
         "classes": [
             i.ClassSpec("look", SECOND, 4 * SECOND, i.Effect.SAFE, 1.0),
             i.ClassSpec("book", SECOND, 4 * SECOND, i.Effect.UNSAFE, 3.0),
-            i.ClassSpec("put", SECOND, 4 * SECOND, i.Effect.KEYED, 2.0, group=i.Group.ZONE,
-                        window_ns=500 * MS)],
-        "plans": [i.PlanSpec("only", rate=1000.0, burst=2000.0)]}
+            i.ClassSpec(
+                "put", SECOND, 4 * SECOND, i.Effect.KEYED, 2.0, group=i.Group.ZONE, window_ns=500 * MS
+            ),
+        ],
+        "plans": [i.PlanSpec("only", rate=1000.0, burst=2000.0)],
+    }
     return i.Settings(**(base | over))
 
 
@@ -52,8 +63,9 @@
 
     def outcome(self, rid, attempt, where, result, after=10 * MS, finished=None, latency=None, units=0.0):
         done = result is i.Result.OK if finished is None else finished
-        event = i.Outcome(rid, attempt, where, result, after if latency is None else latency, done,
-                          true_units=units)
+        event = i.Outcome(
+            rid, attempt, where, result, after if latency is None else latency, done, true_units=units
+        )
         return self.feed(event, after)
 
     def tick(self, after=100 * MS):
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -60,19 +60,37 @@
 
 
 def settings():
-    classes = [{"name": name, "aim_ns": 4 * SECOND, "deadline_ns": 30 * SECOND, "effect": effect, "gain": 1.0,
-                "late_worth": 0.2, "group": "all", "window_ns": 6 * SECOND}
-               for name, effect in EFFECTS.items()]
+    classes = [
+        {
+            "name": name,
+            "aim_ns": 4 * SECOND,
+            "deadline_ns": 30 * SECOND,
+            "effect": effect,
+            "gain": 1.0,
+            "late_worth": 0.2,
+            "group": "all",
+            "window_ns": 6 * SECOND,
+        }
+        for name, effect in EFFECTS.items()
+    ]
     plan = SETTINGS["plans"][0] | {"name": "team", "refill": 1000.0, "burst": 2000.0}
     small = plan | {"name": "small", "refill": 0.001, "burst": 1.0}
-    return SETTINGS | {"balancers": 2, "ordinal": 0, "classes": classes, "plans": [plan, small],
-                       "zones": ["z"], "skus": ["k"],
-                       "limits": SETTINGS["limits"] | {"max_retry_after_ns": 7 * 10**8}}
+    return SETTINGS | {
+        "balancers": 2,
+        "ordinal": 0,
+        "classes": classes,
+        "plans": [plan, small],
+        "zones": ["z"],
+        "skus": ["k"],
+        "limits": SETTINGS["limits"] | {"max_retry_after_ns": 7 * 10**8},
+    }
 
 
 def merge(table, over):
-    return {k: merge(table[k], v) if isinstance(v, dict) and isinstance(table.get(k), dict) else v
-            for k, v in (table | over).items()}
+    return {
+        k: merge(table[k], v) if isinstance(v, dict) and isinstance(table.get(k), dict) else v
+        for k, v in (table | over).items()
+    }
 
 
 def listener():
@@ -136,24 +154,43 @@
         self.peer.bind((HOME, 0))
         self.peer.settimeout(PATIENCE)
         self.asked, self.index, self.said, self.log = {}, 0, [], queue.Queue()
-        table = {"name": "n0", "listen": f"{HOME}:0", "discovery": where(self.listeners["d"]),
-                 "seed": "8c1f",
-                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "answer_ns": 2 * SECOND,
-                            "settled_ns": 1},  # taken again at once, where a test says no more
-                 "peer_listen": f"{HOME}:0", "peers": [f"{HOME}:1", where(self.peer)],
-                 "settings": whole or settings(), "known": {"index": 0, "snapshot": True, "endpoints": []}}
+        table = {
+            "name": "n0",
+            "listen": f"{HOME}:0",
+            "discovery": where(self.listeners["d"]),
+            "seed": "8c1f",
+            "limits": {
+                "cores": 1.0,
+                "memory_mb": 192,
+                "sockets": 1024,
+                "answer_ns": 2 * SECOND,
+                "settled_ns": 1,
+            },  # taken again at once, where a test says no more
+            "peer_listen": f"{HOME}:0",
+            "peers": [f"{HOME}:1", where(self.peer)],
+            "settings": whole or settings(),
+            "known": {"index": 0, "snapshot": True, "endpoints": []},
+        }
         for name in (config or {}).pop("known_servers", ""):
             table["known"]["endpoints"].append(self.entry(f"{name}=Ready"))
         self.path, self.table = folder / "config.json", merge(table, config or {})
         path = self.path
         path.write_text(json.dumps(self.table))
         env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
-        self.program = subprocess.Popen([sys.executable, "-m", "zincstile"], cwd=ROOT, stderr=subprocess.PIPE,
-                                        env=env | {"RELAY_CONFIG": str(path)}, text=True)
+        self.program = subprocess.Popen(
+            [sys.executable, "-m", "zincstile"],
+            cwd=ROOT,
+            stderr=subprocess.PIPE,
+            env=env | {"RELAY_CONFIG": str(path)},
+            text=True,
+        )
         threading.Thread(target=self._read_log, daemon=True).start()
         self.address, self.peer_address = (
-            (host, int(port)) for host, port in
-            [*re.findall(r"(127\S+):(\d+)", self.logged("start listening on *")), ("", 0)][:2])
+            (host, int(port))
+            for host, port in [*re.findall(r"(127\S+):(\d+)", self.logged("start listening on *")), ("", 0)][
+                :2
+            ]
+        )
 
     def _read_log(self):
         for line in self.program.stderr:
@@ -218,8 +255,16 @@
     def entry(self, text):
         name, _, status = text.partition("=")
         status, _, since = status.partition("@")
-        return {"name": f"s-{name}", "address": where(self.listeners[name]), "zone": "z", "type": "k",
-                "group": 1, "status": status, "weight": 1.0, "since_ms": int(since or 0)}
+        return {
+            "name": f"s-{name}",
+            "address": where(self.listeners[name]),
+            "zone": "z",
+            "type": "k",
+            "group": 1,
+            "status": status,
+            "weight": 1.0,
+            "since_ms": int(since or 0),
+        }
 
     def play(self, text):
         rows = [row for row in text.splitlines() if row.strip()]
@@ -233,8 +278,9 @@
     def send(self, who, what, *rest):
         if who == "gw" and what == "reload":
             moved = rest[0] in self.listeners
-            self.path.write_text(json.dumps(self.table | {"discovery": where(self.listeners[rest[0]])})
-                                 if moved else rest[0])
+            self.path.write_text(
+                json.dumps(self.table | {"discovery": where(self.listeners[rest[0]])}) if moved else rest[0]
+            )
             self.program.send_signal(signal.SIGHUP)
         elif who == "gw":
             self.program.send_signal(getattr(signal, f"SIG{what}"))
@@ -245,7 +291,7 @@
         else:
             sock, slowly = self.line(who).sock, what == "slowly"
             data = self._bytes(what, rest) if not slowly else self._bytes(rest[0], rest[1:])
-            for part in [data[k:k + 1] for k in range(len(data))] if slowly else [data]:
+            for part in [data[k : k + 1] for k in range(len(data))] if slowly else [data]:
                 sock.sendall(part)
 
     def _refused(self):
@@ -278,8 +324,13 @@
             line.begun = True
             line.sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         self.index += 1
-        body = " ".join(rest) if what == "say" else json.dumps(
-            {"index": self.index, "snapshot": what == "full", "endpoints": [self.entry(e) for e in rest]})
+        body = (
+            " ".join(rest)
+            if what == "say"
+            else json.dumps(
+                {"index": self.index, "snapshot": what == "full", "endpoints": [self.entry(e) for e in rest]}
+            )
+        )
         data = body.encode() + b"\n"
         line.sock.sendall(b"%x\r\n%b\r\n" % (len(data), data))
 
@@ -321,6 +372,7 @@
     def _expect_call(found, asked):
         def wait(words):
             return int(re.search(r"(?:^|,)d=(\d+)", words[3]).group(1))
+
         found, asked = [[w if isinstance(w, str) else w.decode() for w in words] for words in (found, asked)]
         assert 0 < wait(found) <= wait(asked)
         assert re.sub(r"d=\d+", "d=", found[3]) == re.sub(r"d=\d+", "d=", asked[3])
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -16,8 +16,9 @@
 
 def asking(number, gateways):
     limits = Limits.for_gateway(384, 80, 100, 1, 1, 3 * SECOND, {}, gateways, 10 * SECOND)
-    return Asking(random.Random(number), limits.table_again_ns, limits.table_again_most_ns,
-                  limits.table_patience_ns)
+    return Asking(
+        random.Random(number), limits.table_again_ns, limits.table_again_most_ns, limits.table_patience_ns
+    )
 
 
 @pytest.mark.parametrize("gateways", [1, 24, 200, 1000])
@@ -47,17 +48,27 @@
 
 
 def test_retry_after_is_read_where_it_gives_seconds():
-    for text, seconds in ((b"Retry-After: 3\r\n", 3), (b"retry-after: soon\r\n", 0), (b"", 0),
-                          (b"Retry-After: 99999\r\n", 0)):
+    for text, seconds in (
+        (b"Retry-After: 3\r\n", 3),
+        (b"retry-after: soon\r\n", 0),
+        (b"", 0),
+        (b"Retry-After: 99999\r\n", 0),
+    ):
         reader = http.LineReader(Limits())
         reader.feed(b"HTTP/1.1 503 Service Unavailable\r\n" + text + b"Content-Length: 0\r\n\r\n")
         assert reader.done and reader.status == 503 and reader.retry_after_s == seconds
 
 
-@pytest.mark.parametrize(("wave", "manners"), [
-    ("all", Manners(6.0)), ("seven-in-ten", Manners(12.0, slower_after=10)),
-    ("all", Manners(40.0, resets_every=3, halves_every=7)), ("all", Manners(40.0, places=4))],
-    ids=["slow", "slower", "resets and halves", "turned away"])
+@pytest.mark.parametrize(
+    ("wave", "manners"),
+    [
+        ("all", Manners(6.0)),
+        ("seven-in-ten", Manners(12.0, slower_after=10)),
+        ("all", Manners(40.0, resets_every=3, halves_every=7)),
+        ("all", Manners(40.0, places=4)),
+    ],
+    ids=["slow", "slower", "resets and halves", "turned away"],
+)
 def test_a_fleet_of_real_processes_gets_ready_with_a_slow_service(wave, manners, tmp_path):
     """24 of them; one whole list each, and calls beyond that only where the service itself breaks them."""
     waves = ["all", wave] if wave != "all" else [wave]
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -14,8 +14,12 @@
 from zincstile.control.operator import Change, Operator
 
 ENTER = b"POST /maintenance/enter HTTP/1.1\r\nHost: g\r\nContent-Length: 10\r\n\r\ns-5be2a07c"
-CALLS = [b"GET /status HTTP/1.1\r\nHost: g\r\n\r\n", ENTER, b"POST /standby HTTP/1.1\r\n\r\n",
-         b"POST /active HTTP/1.0\r\nContent-Length: 0\r\n\r\n"]
+CALLS = [
+    b"GET /status HTTP/1.1\r\nHost: g\r\n\r\n",
+    ENTER,
+    b"POST /standby HTTP/1.1\r\n\r\n",
+    b"POST /active HTTP/1.0\r\nContent-Length: 0\r\n\r\n",
+]
 
 
 def whole(data: bytes, cuts: list[int]) -> Call | None:
@@ -34,7 +38,7 @@
 
 def test_a_call_byte_by_byte():
     parser = CallParser()
-    got = [parser.feed(ENTER[k:k + 1]) for k in range(len(ENTER))]
+    got = [parser.feed(ENTER[k : k + 1]) for k in range(len(ENTER))]
     assert got[:-1] == [None] * (len(ENTER) - 1)
     assert got[-1] == Call("POST", "/maintenance/enter", b"s-5be2a07c")
 
@@ -51,17 +55,20 @@
     assert call is None or call.path.startswith("/")
 
 
-@pytest.mark.parametrize("data, status", [
-    (b"GET /status\r\n\r\n", 400),
-    (b"GET /status HTTP/2.0\r\n\r\n", 505),
-    (b"GET " + b"/a" * 600 + b" HTTP/1.1\r\n", 400),
-    (b"GET /status HTTP/1.1\r\nX-" + b"a" * 2000, 431),
-    (b"POST /standby HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 411),
-    (b"POST /standby HTTP/1.1\r\nContent-Length: 99999\r\n\r\n", 413),
-    (b"POST /standby HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
-    (b"POST /standby HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
-    (b"GET /status HTTP/1.1\r\nno colon\r\n\r\n", 400),
-])
+@pytest.mark.parametrize(
+    "data, status",
+    [
+        (b"GET /status\r\n\r\n", 400),
+        (b"GET /status HTTP/2.0\r\n\r\n", 505),
+        (b"GET " + b"/a" * 600 + b" HTTP/1.1\r\n", 400),
+        (b"GET /status HTTP/1.1\r\nX-" + b"a" * 2000, 431),
+        (b"POST /standby HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 411),
+        (b"POST /standby HTTP/1.1\r\nContent-Length: 99999\r\n\r\n", 413),
+        (b"POST /standby HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
+        (b"POST /standby HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+        (b"GET /status HTTP/1.1\r\nno colon\r\n\r\n", 400),
+    ],
+)
 def test_what_breaks_the_syntax_or_a_bound_gets_its_status(data, status):
     with pytest.raises(CallError) as err:
         CallParser().feed(data)
@@ -112,8 +119,15 @@
     assert reply.status == status and reply.change is Change.NONE and not o.banned
 
 
-@pytest.mark.parametrize("method, path, status", [("GET", "/standby", 405), ("POST", "/status", 405),
-                                                  ("GET", "/nothing", 404), ("DELETE", "/active", 405)])
+@pytest.mark.parametrize(
+    "method, path, status",
+    [
+        ("GET", "/standby", 405),
+        ("POST", "/status", 405),
+        ("GET", "/nothing", 404),
+        ("DELETE", "/active", 405),
+    ],
+)
 def test_unknown_calls_are_a_no(method, path, status):
     assert Operator().call(Call(method, path, b""), True).status == status
 
@@ -128,10 +142,15 @@
 def test_the_handover_file_is_read_back_and_what_cannot_be_trusted_is_told():
     h = ho.Handover("n3", 7, 10**18, frozenset({"s-a", "s-b"}))
     assert ho.unpack(ho.pack(h), "n3", 10**18 + 5, 60 * 10**9) == h
-    bad = {"not json": b"{", "another gateway": ho.pack(ho.Handover("n4", 1, 10**18, frozenset())),
-           "stale": ho.pack(h), "a list of no names": json.dumps(
-               {"form": 1, "gateway": "n3", "version": 1, "written_ns": 10**18, "banned": [1]}).encode(),
-           "no version": b'{"form": 1, "gateway": "n3", "written_ns": 1, "banned": []}'}
+    bad = {
+        "not json": b"{",
+        "another gateway": ho.pack(ho.Handover("n4", 1, 10**18, frozenset())),
+        "stale": ho.pack(h),
+        "a list of no names": json.dumps(
+            {"form": 1, "gateway": "n3", "version": 1, "written_ns": 10**18, "banned": [1]}
+        ).encode(),
+        "no version": b'{"form": 1, "gateway": "n3", "written_ns": 1, "banned": []}',
+    }
     for why, data in bad.items():
         with pytest.raises(ho.HandoverError):
             ho.unpack(data, "n3", 10**18 + (10**12 if why == "stale" else 0), 60 * 10**9)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -37,18 +37,28 @@
 
 # ---- what has ended is not sent on
 
+
 @pytest.mark.parametrize("cancel", [True, False])
 def test_a_client_that_left_while_its_attempt_waited_for_a_connection_is_not_sent_on(tmp_path, cancel):
     """Also where the settings allow no cancelling: what was never sent is nothing to cancel."""
-    play(tmp_path, READY + LATE + """
+    play(
+        tmp_path,
+        READY
+        + LATE
+        + """
         send gw TERM
         expect gw exit 0
-        expect a1 end""", settings={"limits": LONG_DIAL | {"cancel": cancel}})
+        expect a1 end""",
+        settings={"limits": LONG_DIAL | {"cancel": cancel}},
+    )
 
 
 @pytest.mark.parametrize("cancel", [True, False])
 def test_a_second_copy_that_waits_for_a_connection_is_not_sent_after_the_answer(tmp_path, cancel):
-    play(tmp_path, READY + """
+    play(
+        tmp_path,
+        READY
+        + """
         fill b
         send c1 look 1
         expect a1 look 1
@@ -60,12 +70,17 @@
         open b1
         send gw TERM
         expect gw exit 0
-        expect b1 end""", settings={"limits": LONG_DIAL | {"cancel": cancel}})
+        expect b1 end""",
+        settings={"limits": LONG_DIAL | {"cancel": cancel}},
+    )
 
 
 def test_a_request_whose_client_ended_before_it_was_read_is_not_sent_on(tmp_path):
     """Both come while the program is stopped: the end lies behind the request, and is read after its turn."""
-    play(tmp_path, READY + """
+    play(
+        tmp_path,
+        READY
+        + """
         open c1
         open c2
         wait gw clients=2
@@ -82,25 +97,37 @@
         expect a1 look 99
         send a1 ok still
         expect c9 ok still
-        wait gw attempts=1""")
+        wait gw attempts=1""",
+    )
 
 
 def test_a_burst_of_clients_that_leave_is_not_sent_on(tmp_path):
     """Forty requests wait for a connection; all their clients leave, and every dial comes up after that."""
     numbers = range(1, 41)
-    play(tmp_path, READY + "fill a\n" + "".join(f"send c{k} look {k}\n" for k in numbers)
-         + "wait gw connects=40\n" + "".join(f"reset c{k}\n" for k in numbers) + """
+    play(
+        tmp_path,
+        READY
+        + "fill a\n"
+        + "".join(f"send c{k} look {k}\n" for k in numbers)
+        + "wait gw connects=40\n"
+        + "".join(f"reset c{k}\n" for k in numbers)
+        + """
         wait gw left=40
         free a
         open a1
         wait gw attempts=0
         send gw TERM
         expect gw exit 0
-        expect a1 end""", settings={"limits": LONG_DIAL | {"cancel": False}})
+        expect a1 end""",
+        settings={"limits": LONG_DIAL | {"cancel": False}},
+    )
 
 
 def test_the_id_of_a_request_whose_client_left_is_free_as_soon_as_that_is_known(tmp_path):
-    play(tmp_path, READY + """
+    play(
+        tmp_path,
+        READY
+        + """
         send c1 look 1
         expect a1 look 1
         close c1
@@ -108,33 +135,50 @@
         send c2 look 1
         expect a2 look 1
         send a2 ok hello
-        expect c2 ok hello""")
+        expect c2 ok hello""",
+    )
 
 
 @pytest.mark.parametrize("how", ["close", "reset"])
 def test_a_flood_whose_client_is_gone_by_then_is_not_sent_on(tmp_path, how):
     """Three hundred commands at once, on a connection that is taken only after its end."""
-    play(tmp_path, READY + "send gw STOP\nexpect gw stopped\n"
-         + "".join(f"send c1 look {k}\n" for k in range(1, 301)) + f"{how} c1\nsend gw CONT\n" + """
+    play(
+        tmp_path,
+        READY
+        + "send gw STOP\nexpect gw stopped\n"
+        + "".join(f"send c1 look {k}\n" for k in range(1, 301))
+        + f"{how} c1\nsend gw CONT\n"
+        + """
         send c9 look 999
         expect a1 look 999
         send a1 ok still
         expect c9 ok still
-        wait gw attempts=1""")
+        wait gw attempts=1""",
+    )
 
 
 def test_a_flood_of_odd_commands_is_answered_and_disturbs_nobody(tmp_path):
-    play(tmp_path, READY + r"send c1 raw " + r"*1\r\n$3\r\nGET\r\n" * 500 + "\n" + """
+    play(
+        tmp_path,
+        READY
+        + r"send c1 raw "
+        + r"*1\r\n$3\r\nGET\r\n" * 500
+        + "\n"
+        + """
         send c9 look 999
         expect a1 look 999
         send a1 ok still
         expect c9 ok still
         wait gw malformed=500
-        """ + "expect c1 -ERR*\n" * 500 + "wait gw requests=1")
+        """
+        + "expect c1 -ERR*\n" * 500
+        + "wait gw requests=1",
+    )
 
 
 # ---- both in one turn
 
+
 def in_one_turn(first, second):
     return f"send gw STOP\nexpect gw stopped\n{first}\n{second}\nsend gw CONT\n"
 
@@ -144,17 +188,23 @@
     """Decided on by the old list or the new one, it is not sent to the one that drains, where a connection
     rests."""
     both = ["send c1 look 2", "send d1 change a=Terminating b=Ready"]
-    play(tmp_path, READY + """
+    play(
+        tmp_path,
+        READY
+        + """
         send c1 look 1
         expect a1 look 1
         send a1 ok hello
         expect c1 ok hello
-        """ + in_one_turn(both[order], both[1 - order]) + """
+        """
+        + in_one_turn(both[order], both[1 - order])
+        + """
         expect b1 look 2
         send b1 ok hello
         expect c1 ok hello
         expect a1 end
-        wait gw attempts=2""")
+        wait gw attempts=2""",
+    )
 
 
 @pytest.mark.parametrize("cancel", [True, False])
@@ -162,13 +212,20 @@
 def test_an_answer_and_the_end_of_its_client_in_one_turn(tmp_path, order, cancel):
     both = ["send a1 ok late", "close c1"]
     asked = "send c1 look 1\nexpect a1 look 1\n"
-    play(tmp_path, READY + asked + in_one_turn(both[order], both[1 - order]) + """
+    play(
+        tmp_path,
+        READY
+        + asked
+        + in_one_turn(both[order], both[1 - order])
+        + """
         send c9 look 9
         open a1
         wait gw requests=2
         send d1 change b=Ready
         wait gw tables=2
-        wait gw failed=0""", settings={"limits": {"cancel": cancel}})
+        wait gw failed=0""",
+        settings={"limits": {"cancel": cancel}},
+    )
 
 
 def test_an_answer_and_the_deadline_in_one_turn_make_one_answer(tmp_path):
@@ -186,25 +243,35 @@
 
 
 def test_a_reset_and_the_next_request_in_one_turn_on_a_connection_that_rests(tmp_path):
-    play(tmp_path, READY + """
+    play(
+        tmp_path,
+        READY
+        + """
         send c1 look 1
         expect a1 look 1
         send a1 ok hello
         expect c1 ok hello
-        """ + in_one_turn("reset a1", "send c1 book 2") + """
+        """
+        + in_one_turn("reset a1", "send c1 book 2")
+        + """
         expect a2 book 2
         send a2 ok hello
         expect c1 ok hello
         wait gw stale=0
-        wait gw reset=0""")
+        wait gw reset=0""",
+    )
 
 
 # ---- a keyed repeat and its window
 
+
 def test_a_keyed_repeat_whose_connection_comes_up_after_its_window_is_not_sent(tmp_path):
     """The first may have run; the second waits for its connection until it would not be dropped any more."""
     classes = [c | {"window_ns": 700 * MS} for c in settings()["classes"]]
-    play(tmp_path, READY + """
+    play(
+        tmp_path,
+        READY
+        + """
         send c1 put 1 d=90000
         expect a1 put 1
         fill b
@@ -217,7 +284,9 @@
         open b1
         send gw TERM
         expect gw exit 0
-        expect b1 end""", settings={"limits": LONG_DIAL, "classes": classes})
+        expect b1 end""",
+        settings={"limits": LONG_DIAL, "classes": classes},
+    )
 
 
 # ---- answers that nobody asked for
@@ -228,7 +297,10 @@
 def test_a_second_answer_that_comes_late_is_not_taken_for_the_next_requests(tmp_path):
     """What comes behind an answer some milliseconds late tells on the connection only then: until that is
     over, no other request is written to it."""
-    play(tmp_path, READY + f"""
+    play(
+        tmp_path,
+        READY
+        + f"""
         send c1 look 1
         expect a1 look 1
         send a1 ok first
@@ -239,23 +311,35 @@
         expect a1 end
         send a2 ok second
         expect c1 ok second
-        wait gw connects=2""", limits={"settled_ns": NEVER})
+        wait gw connects=2""",
+        limits={"settled_ns": NEVER},
+    )
 
 
 def test_a_connection_that_came_up_for_another_is_taken_at_once(tmp_path):
     """It has carried nothing: nothing can come behind that."""
-    play(tmp_path, READY + LATE + """
+    play(
+        tmp_path,
+        READY
+        + LATE
+        + """
         send c2 look 2
         expect a1 look 2
         send a1 ok hello
         expect c2 ok hello
-        wait gw connects=1""", limits={"settled_ns": NEVER}, settings={"limits": LONG_DIAL})
+        wait gw connects=1""",
+        limits={"settled_ns": NEVER},
+        settings={"limits": LONG_DIAL},
+    )
 
 
 @pytest.mark.parametrize("what", [r"half", SECOND_ANSWER, r"-ERR failed\r\n", r"\r\n"])
 def test_what_comes_on_a_resting_connection_costs_that_connection_alone(tmp_path, what):
     """It lies unread when the next request is decided on: both come while the program is stopped."""
-    play(tmp_path, READY + f"""
+    play(
+        tmp_path,
+        READY
+        + f"""
         send c1 look 1
         expect a1 look 1
         send a1 ok first
@@ -269,11 +353,13 @@
         send a2 ok second
         expect c1 ok second
         wait gw reset=0
-        wait gw stale=0""")
+        wait gw stale=0""",
+    )
 
 
 # ---- a dial that comes up in the moment in which it is given up
 
+
 class Asked:
     """A module that sends its one request to its one backend server, and keeps what comes of it."""
 
@@ -312,6 +398,7 @@
             connection = factory()
             between(connection)
             return connection
+
         return await plain(made, *where)
 
     loop.create_connection = slow
@@ -324,6 +411,7 @@
 def test_a_dial_that_comes_up_as_its_time_ends_is_kept_by_the_attempt_that_it_carries():
     """The loop is held up past the end of the dial's time in the very step in which the connection is made:
     the attempt is sent on it, and nothing of the dial may close it afterwards."""
+
     async def play(listening):
         turn, _, client = await dialled(listening, lambda _: time.sleep(0.2))
         loop = asyncio.get_running_loop()
@@ -346,6 +434,7 @@
 def test_a_connection_that_came_up_too_late_is_not_closed_beneath_the_next_attempt():
     """Its own attempt is given up by then, and it serves another, unless its dial is about to close it. Both
     in the step of the loop in which the dial's time ends."""
+
     async def play(listening):
         turn, backends, _ = await dialled(listening, lambda _: time.sleep(0.2))
         loop, plain = asyncio.get_running_loop(), backends.connected
@@ -355,8 +444,12 @@
             plain(connection)
             if backends.servers[1].resting:  # taken again in the same step
                 now = turn.now_ns()
-                session = Session(2, Call(True, b"0" * 16, b"2", [b"c=look", b"d=9000"], 1, None), Client(),
-                                  now + 9 * SECOND)
+                session = Session(
+                    2,
+                    Call(True, b"0" * 16, b"2", [b"c=look", b"d=9000"], 1, None),
+                    Client(),
+                    now + 9 * SECOND,
+                )
                 turn.take(session, i.Request(2, 0, 0, 7, now + 9 * SECOND, 1.0, 1, 0))
 
         backends.connected = connected
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -27,7 +27,10 @@
 
 def test_a_client_that_left_while_it_was_not_read_is_noticed(tmp_path):
     """One request lies unread behind two that wait: its client's end lies behind it."""
-    play(tmp_path, READY + """
+    play(
+        tmp_path,
+        READY
+        + """
         send c1 look 1
         send c1 look 2
         expect a1 look *
@@ -37,14 +40,20 @@
         wait gw left=2
         expect a1 end
         expect a2 end
-        wait gw requests=2""", limits={"pipelined": 1})
+        wait gw requests=2""",
+        limits={"pipelined": 1},
+    )
 
 
 # ---- shutdown
 
+
 def test_an_answer_is_not_overtaken_by_a_reset_where_more_was_asked_behind_it(tmp_path):
     """The third command lies unread while the gateway, on its way out, writes the answers and ends."""
-    play(tmp_path, READY + """
+    play(
+        tmp_path,
+        READY
+        + """
         send c1 look 1
         send c1 look 2
         expect a1 look *
@@ -62,12 +71,17 @@
         expect c1 eof
         close c1
         expect gw counters*"requests": 2*
-        expect gw exit 0""", limits=SHUT_AT_ONCE | {"pipelined": 1})
+        expect gw exit 0""",
+        limits=SHUT_AT_ONCE | {"pipelined": 1},
+    )
 
 
 def test_a_request_that_crosses_the_end_of_a_resting_connection_meets_no_reset(tmp_path):
     """Its client reads the end, and sends it elsewhere; it is not read as a request here."""
-    play(tmp_path, READY + f"""
+    play(
+        tmp_path,
+        READY
+        + f"""
         send c1 {PING}
         expect c1 +PONG
         expect c1 eof
@@ -76,7 +90,9 @@
         wait gw requests=0
         send c1 look 2
         expect c1 unbroken
-        close c1""", limits={"rest_ns": 10 * MS, "tend_ns": 10 * MS, "drained_ns": NEVER})
+        close c1""",
+        limits={"rest_ns": 10 * MS, "tend_ns": 10 * MS, "drained_ns": NEVER},
+    )
 
 
 def test_what_a_stop_finds_half_written_is_read_to_its_end_and_answered(tmp_path):
@@ -100,7 +116,10 @@
 
 
 def test_who_came_last_before_the_door_shuts_may_still_ask(tmp_path):
-    play(tmp_path, READY + """
+    play(
+        tmp_path,
+        READY
+        + """
         open c1
         wait gw clients=1
         send gw TERM
@@ -111,11 +130,16 @@
         expect c1 ok hello
         expect c1 eof
         close c1
-        expect gw exit 0""", limits=SHUT_AT_ONCE | {"newcomer_ns": NEVER})
+        expect gw exit 0""",
+        limits=SHUT_AT_ONCE | {"newcomer_ns": NEVER},
+    )
 
 
 def test_a_second_term_and_a_reload_meanwhile_change_nothing(tmp_path):
-    play(tmp_path, READY + """
+    play(
+        tmp_path,
+        READY
+        + """
         send c1 look 1
         expect a1 look 1
         send gw TERM
@@ -128,16 +152,24 @@
         expect c1 ok hello
         expect c1 eof
         close c1
-        expect gw exit 0""", limits=SHUT_AT_ONCE)
+        expect gw exit 0""",
+        limits=SHUT_AT_ONCE,
+    )
 
 
 def test_a_crowd_in_the_queue_is_taken_before_the_door_shuts(tmp_path):
     """More than one turn takes: all of them connected, and asked, before the stop was heard of."""
     numbers = range(1, 401)
-    play(tmp_path, READY + "send gw STOP\nexpect gw stopped\n"
-         + "".join(f"send c{k} look {k} c=none\n" for k in numbers) + "send gw TERM\nsend gw CONT\n"
-         + "".join(f"expect c{k} -ERR*\nexpect c{k} eof\nclose c{k}\n" for k in numbers)
-         + "expect gw exit 0", limits=SHUT_AT_ONCE)
+    play(
+        tmp_path,
+        READY
+        + "send gw STOP\nexpect gw stopped\n"
+        + "".join(f"send c{k} look {k} c=none\n" for k in numbers)
+        + "send gw TERM\nsend gw CONT\n"
+        + "".join(f"expect c{k} -ERR*\nexpect c{k} eof\nclose c{k}\n" for k in numbers)
+        + "expect gw exit 0",
+        limits=SHUT_AT_ONCE,
+    )
 
 
 def test_a_request_that_is_whole_only_after_the_last_answers_is_refused_at_once(tmp_path):
@@ -186,7 +218,10 @@
 
 
 def test_an_attempt_that_waits_for_its_connection_at_a_stop_is_still_made(tmp_path):
-    play(tmp_path, READY + """
+    play(
+        tmp_path,
+        READY
+        + """
         fill a
         send c1 look 1
         wait gw connects=1
@@ -198,12 +233,18 @@
         expect c1 ok hello
         expect c1 eof
         close c1
-        expect gw exit 0""", limits=SHUT_AT_ONCE, settings={"limits": {"connect_timeout_ns": NEVER}})
+        expect gw exit 0""",
+        limits=SHUT_AT_ONCE,
+        settings={"limits": {"connect_timeout_ns": NEVER}},
+    )
 
 
 def test_a_repeat_that_becomes_due_at_a_stop_is_still_made(tmp_path):
     """The first attempt breaks in the turn in which the stop is heard."""
-    play(tmp_path, READY + """
+    play(
+        tmp_path,
+        READY
+        + """
         send c1 look 1
         expect a1 look 1
         send d1 change b=Ready
@@ -218,7 +259,9 @@
         expect c1 ok hello
         expect c1 eof
         close c1
-        expect gw exit 0""", limits=SHUT_AT_ONCE)
+        expect gw exit 0""",
+        limits=SHUT_AT_ONCE,
+    )
 
 
 @pytest.mark.parametrize("number", ["HUP", "USR1"])
@@ -229,8 +272,13 @@
     world = World(tmp_path)
     later.write_text(json.dumps(world.table))
     env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
-    program = subprocess.Popen([sys.executable, "-m", "zincstile"], cwd=ROOT, stderr=subprocess.PIPE,
-                               text=True, env=env | {"RELAY_CONFIG": str(path)})
+    program = subprocess.Popen(
+        [sys.executable, "-m", "zincstile"],
+        cwd=ROOT,
+        stderr=subprocess.PIPE,
+        text=True,
+        env=env | {"RELAY_CONFIG": str(path)},
+    )
     guard = threading.Timer(PATIENCE, program.kill)
     guard.start()
     try:
@@ -289,7 +337,10 @@
 
 def test_connections_that_were_ended_make_room_before_others(tmp_path):
     """Their clients don't end them: what is left of their time is nobody's loss, where a client waits."""
-    play(tmp_path, READY + f"""
+    play(
+        tmp_path,
+        READY
+        + f"""
         send c1 {PING}
         expect c1 +PONG
         expect c1 eof
@@ -299,8 +350,16 @@
         expect a2 look 3
         send a1 ok two
         expect c2 ok two
-        wait gw failed=0""", limits={"frontend_connections": 2, "rest_ns": 10 * MS, "tend_ns": 10 * MS,
-                                     "drained_ns": NEVER, "newcomer_ns": MS, "spare_ns": NEVER})
+        wait gw failed=0""",
+        limits={
+            "frontend_connections": 2,
+            "rest_ns": 10 * MS,
+            "tend_ns": 10 * MS,
+            "drained_ns": NEVER,
+            "newcomer_ns": MS,
+            "spare_ns": NEVER,
+        },
+    )
 
 
 @pytest.mark.parametrize("longest_ms", [50, 150, 300, 500, 900, 1500, 3000, 6000, 60000])
@@ -315,14 +374,16 @@
 
 def test_accepted_connections_hold_no_small_answer_back():
     """On a socket of our own, and on one that the platform hands down, however that was made."""
+
     async def play(listening):
         made = []
         turn = SimpleNamespace(loop=asyncio.get_running_loop())
 
         class Taken(asyncio.Protocol):
             def connection_made(self, transport):
-                made.append(transport.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP,
-                                                                          socket.TCP_NODELAY))
+                made.append(
+                    transport.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+                )
 
         acceptor = Acceptor(turn, Taken)
         with socket.create_connection(listening.getsockname(), PATIENCE):
--- a/tests/test_field.py
+++ b/tests/test_field.py
@@ -24,8 +24,14 @@
 
 
 def field(*words, **more):
-    return subprocess.run([sys.executable, "-m", "zincstile", "field", *words], cwd=ROOT, text=True,
-                          capture_output=True, timeout=120, **more)
+    return subprocess.run(
+        [sys.executable, "-m", "zincstile", "field", *words],
+        cwd=ROOT,
+        text=True,
+        capture_output=True,
+        timeout=120,
+        **more,
+    )
 
 
 def play(job):
@@ -110,11 +116,16 @@
         return False
 
 
-@pytest.mark.parametrize(("words", "said"), [
-    (["run", "none.yaml"], "none.yaml: No such file"), (["report", "none.json", "--out", "x"], "none.json"),
-    (["sweep", "--seeds", "3:1"], "not a range"),
-    (["sweep", "--seeds", "1:2", "--kind", "rain"], "no such failure"),
-    (["run", str(PLANS[0]), "--feature", "shared=none.yaml"], "not NAME=FILE")])
+@pytest.mark.parametrize(
+    ("words", "said"),
+    [
+        (["run", "none.yaml"], "none.yaml: No such file"),
+        (["report", "none.json", "--out", "x"], "none.json"),
+        (["sweep", "--seeds", "3:1"], "not a range"),
+        (["sweep", "--seeds", "1:2", "--kind", "rain"], "no such failure"),
+        (["run", str(PLANS[0]), "--feature", "shared=none.yaml"], "not NAME=FILE"),
+    ],
+)
 def test_bad_words_are_told_in_one_line(words, said):
     done = field(*words)
     assert done.returncode == 2 and said in done.stderr and done.stderr.count("\n") == 1
@@ -166,6 +177,7 @@
         near.close()
         healed.close()
         server.close()
+
     asyncio.run(play())
 
 
--- a/tests/test_inherit_memory.py
+++ b/tests/test_inherit_memory.py
@@ -112,9 +112,11 @@
     assert [c["key"] for c in left(g, 3)["customers"]] == [107, 108, 109]
 
 
-JUNK = st.recursive(st.none() | st.booleans() | st.integers(-5, 5) | st.floats() | st.text(max_size=3),
-                    lambda x: st.lists(x, max_size=3) | st.dictionaries(st.text(max_size=3), x, max_size=2),
-                    max_leaves=5)
+JUNK = st.recursive(
+    st.none() | st.booleans() | st.integers(-5, 5) | st.floats() | st.text(max_size=3),
+    lambda x: st.lists(x, max_size=3) | st.dictionaries(st.text(max_size=3), x, max_size=2),
+    max_leaves=5,
+)
 
 
 @given(st.data())
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -217,16 +217,29 @@
     assert wide["split"] > wide["swapped"] > wide["gone"]
 
 
-@pytest.mark.parametrize(("text", "said"), [
-    ("plans: []\nkeeper: {beat_ms: x}\n", "k.yaml:2: $.keeper.beat_ms"), ("plans: 3\n", "k.yaml:1: $.plans"),
-    ("plans: []\nkeeper: {heard_ms: 10}\n", "heard_ns: must cover two beats"),
-    ("plans: [{name: a, rate: 0, burst: 1, spread: 1}]\n", "quota a: rate"),
-    ("plans: []\nkeeper: {endured: [flood]}\n", "no failure is called 'flood'"),
-    ("plans: [{name: a, rate: 1, burst: 1, spread: 2}]\nkeeper: {most_overshoot: 0.01}\n", "most of it by")])
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("plans: []\nkeeper: {beat_ms: x}\n", "k.yaml:2: $.keeper.beat_ms"),
+        ("plans: 3\n", "k.yaml:1: $.plans"),
+        ("plans: []\nkeeper: {heard_ms: 10}\n", "heard_ns: must cover two beats"),
+        ("plans: [{name: a, rate: 0, burst: 1, spread: 1}]\n", "quota a: rate"),
+        ("plans: []\nkeeper: {endured: [flood]}\n", "no failure is called 'flood'"),
+        (
+            "plans: [{name: a, rate: 1, burst: 1, spread: 2}]\nkeeper: {most_overshoot: 0.01}\n",
+            "most of it by",
+        ),
+    ],
+)
 def test_a_file_that_cannot_be_held_is_refused_in_one_line(text, said, tmp_path):
     (tmp_path / "k.yaml").write_text(text)
-    done = subprocess.run([sys.executable, "-m", "zincstile", "bound", str(tmp_path / "k.yaml")], cwd=ROOT,
-                          capture_output=True, text=True, timeout=60)
+    done = subprocess.run(
+        [sys.executable, "-m", "zincstile", "bound", str(tmp_path / "k.yaml")],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
     assert done.returncode == 2 and said in done.stderr and len(done.stderr.splitlines()) == 1
 
 
@@ -234,16 +247,29 @@
 
 
 def kept(seed, *faults, **over):
-    return Run(Plan(**({"seed": seed, "keeper": True, "requests": 220, "last_ms": 5000,
-                        "faults": list(faults)} | over)))
-
-
-@pytest.mark.parametrize("faults", [
-    [], [Fault("keeper_gone", 1000, 2500)], [Fault("keeper_swapped", 1000, 300)],
-    [Fault("keeper_slow", 500, 3000, [], 20.0)], [Fault("keeper_split", 800, 3000, [0])],
-    [Fault("keeper_split", 800, 3000, [0]), Fault("peers_cut", 800, 3000, [0])],
-    [Fault("keeper_gone", 1000, 2500), Fault("crash", 1200, 600, [1]), Fault("shift", 1300, 0, [], 0.6)]],
-    ids=lambda faults: "+".join(f.kind for f in faults) or "calm")
+    return Run(
+        Plan(
+            **(
+                {"seed": seed, "keeper": True, "requests": 220, "last_ms": 5000, "faults": list(faults)}
+                | over
+            )
+        )
+    )
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        [],
+        [Fault("keeper_gone", 1000, 2500)],
+        [Fault("keeper_swapped", 1000, 300)],
+        [Fault("keeper_slow", 500, 3000, [], 20.0)],
+        [Fault("keeper_split", 800, 3000, [0])],
+        [Fault("keeper_split", 800, 3000, [0]), Fault("peers_cut", 800, 3000, [0])],
+        [Fault("keeper_gone", 1000, 2500), Fault("crash", 1200, 600, [1]), Fault("shift", 1300, 0, [], 0.6)],
+    ],
+    ids=lambda faults: "+".join(f.kind for f in faults) or "calm",
+)
 def test_whole_gateways_hold_quotas_and_all_rules_whatever_the_keeper_does(faults):
     run = kept(4, Fault("surge", 500, 3000, [], 8.0), *faults)
     result = run.play()
@@ -256,10 +282,22 @@
 
 def test_gateways_that_trust_any_keeper_pass_the_stated_bound(monkeypatch):
     """That the rule can break: leases are granted whatever the total, and nobody is parted."""
-    monkeypatch.setattr(Accounts, "_leased", lambda self, now, account, number, amount, asked_ns, total: (
-        setattr(account, "asked", 0.0), setattr(account, "hand", account.hand + amount)))
-    rules = {run.breach.rule for run in (kept(seed, Fault("surge", 500, 4000, [], 8.0), requests=600,
-                                              last_ms=9000).play() for seed in range(4)) if run.breach}
+    monkeypatch.setattr(
+        Accounts,
+        "_leased",
+        lambda self, now, account, number, amount, asked_ns, total: (
+            setattr(account, "asked", 0.0),
+            setattr(account, "hand", account.hand + amount),
+        ),
+    )
+    rules = {
+        run.breach.rule
+        for run in (
+            kept(seed, Fault("surge", 500, 4000, [], 8.0), requests=600, last_ms=9000).play()
+            for seed in range(4)
+        )
+        if run.breach
+    }
     assert "quota" in rules
 
 
@@ -270,7 +308,7 @@
     assert words.unpack(1, words.pack(Word(1, 5, False, -1, ()))) == Word(1, 5, False, 0, ())
     for at in range(len(data)):
         assert words.unpack(2, data[:at]) is None
-        assert words.unpack(2, data[:at] + bytes([data[at] ^ 4]) + data[at + 1:]) is None
+        assert words.unpack(2, data[:at] + bytes([data[at] ^ 4]) + data[at + 1 :]) is None
     assert wire.unpack_tell(2, data) is None
 
 
@@ -280,8 +318,11 @@
     table = traffic.configuration(Plan(seed=1), number, "127.0.0.1:1", "127.0.0.1:2", peers, 1, {})
     assert config.read(dict(table), {}).keeper is None
     table |= {"features": {"keeper": str(path)}, "counter": "127.0.0.1:6400"}
-    for text, said in (("keeper: {beat_ms: 0}\n", "beat_ns: must be above 0"), ("keepr: {}\n", "k"),
-                       ("keeper: {most_overshoot: 0.001}\n", "most of it by")):
+    for text, said in (
+        ("keeper: {beat_ms: 0}\n", "beat_ns: must be above 0"),
+        ("keepr: {}\n", "k"),
+        ("keeper: {most_overshoot: 0.001}\n", "most of it by"),
+    ):
         path.write_text(text)
         with pytest.raises(config.ConfigError, match=said) as err:
             config.read(dict(table), {})
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -51,7 +51,10 @@
 
 def test_a_list_that_stops_half_way_is_no_list(tmp_path):
     """The last list stands; what was cut counts for nothing, and the watch is opened anew."""
-    play(tmp_path, READY + """
+    play(
+        tmp_path,
+        READY
+        + """
         send d1 say {"index": 9, "snapshot": true, "endpoints": [
         close d1
         send d2 change
@@ -59,21 +62,35 @@
         expect a1 look 1
         send a1 ok hello
         expect c1 ok hello
-        wait gw watches=2""")
-
-
-@pytest.mark.parametrize("odd", ["[1, 2]", "}", '{"index": Infinity, "snapshot": true, "endpoints": []}',
-                                 "nonsense", '{"index": 1} tail', "[" * 3000 + "]" * 3000],
-                         ids=["array", "closed twice", "infinite", "nonsense", "tail", "deep"])
+        wait gw watches=2""",
+    )
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        "[1, 2]",
+        "}",
+        '{"index": Infinity, "snapshot": true, "endpoints": []}',
+        "nonsense",
+        '{"index": 1} tail',
+        "[" * 3000 + "]" * 3000,
+    ],
+    ids=["array", "closed twice", "infinite", "nonsense", "tail", "deep"],
+)
 def test_a_line_that_is_no_list_costs_the_watch_alone(tmp_path, odd):
-    play(tmp_path, READY + f"""
+    play(
+        tmp_path,
+        READY
+        + f"""
         send d1 say {odd}
         expect d1 end
         send d2 full b=Ready
         send c1 look 1
         expect b1 look 1
         send b1 ok hello
-        expect c1 ok hello""")
+        expect c1 ok hello""",
+    )
 
 
 # ---- silence
@@ -102,11 +119,18 @@
 def test_there_is_always_a_watch_open_while_the_list_is_silent():
     """What discovery tells the moment it returns counts at once: the call that is out is not given up before
     the next has come up. Here that never does, and the one that is out is answered."""
+
     async def play(listening):
         loop, clock, limits = asyncio.get_running_loop(), Clock(), Limits()
         turn = Turn(loop, SimpleNamespace(handle=lambda now, event: []), limits, Counters(), Log("n0"), clock)
-        table = ServerTable(turn, TableReader(["z"], ["k"], clock), listening.getsockname(),
-                            lambda entries, whole: None, lambda: None, random.Random(1))
+        table = ServerTable(
+            turn,
+            TableReader(["z"], ["k"], clock),
+            listening.getsockname(),
+            lambda entries, whole: None,
+            lambda: None,
+            random.Random(1),
+        )
         table.open(None)
         first, _ = await loop.sock_accept(listening)
         ready = {"name": "s-a", "address": "127.0.0.1:1", "status": "Ready"}
@@ -142,18 +166,24 @@
 
 def test_the_old_address_is_heard_while_the_new_one_is_down(tmp_path):
     """Discovery is moved to where nobody listens yet: the old watch stands until the new one has spoken."""
-    play(tmp_path, READY + """
+    play(
+        tmp_path,
+        READY
+        + """
         refuse e
         send gw reload e
         expect gw watch lost*
         send d1 change a=Terminating b=Ready
         wait gw tables=2
         send c1 look 1
-        expect b1 look 1""")
+        expect b1 look 1""",
+    )
 
 
 def test_an_older_watch_that_speaks_after_it_was_silent_is_heard_until_the_new_one_has(tmp_path):
-    play(tmp_path, """
+    play(
+        tmp_path,
+        """
         send d1 full a=Ready b=Ready
         expect gw ready*told
         expect d2 asked
@@ -163,12 +193,16 @@
         wait gw tables=3
         expect d1 end
         send c1 look 1
-        expect a1 look 1""", limits=SILENT | {"table_answer_ns": NEVER})
+        expect a1 look 1""",
+        limits=SILENT | {"table_answer_ns": NEVER},
+    )
 
 
 def test_a_silent_watch_is_followed_by_one_that_is_told_what_was_missed(tmp_path):
     """Silence right after the head, before any list: the next call gets it. Never two that both count."""
-    play(tmp_path, """
+    play(
+        tmp_path,
+        """
         expect d1 asked
         expect d2 asked
         send d2 full a=Ready
@@ -177,11 +211,15 @@
         send c1 look 1
         expect a1 look 1
         send a1 ok hello
-        expect c1 ok hello""", limits=SILENT | {"table_silence_ns": NEVER})
+        expect c1 ok hello""",
+        limits=SILENT | {"table_silence_ns": NEVER},
+    )
 
 
 def test_a_reload_while_the_old_list_is_silent_moves_on_and_the_old_one_is_not_heard_after(tmp_path):
-    play(tmp_path, """
+    play(
+        tmp_path,
+        """
         send d1 full a=Ready
         expect gw ready*told
         expect d2 asked
@@ -192,7 +230,9 @@
         expect d1 end
         expect d2 end
         send c1 look 1
-        expect b1 look 1""", limits=SILENT | {"table_answer_ns": NEVER})
+        expect b1 look 1""",
+        limits=SILENT | {"table_answer_ns": NEVER},
+    )
 
 
 def test_a_list_without_a_length_ends_with_its_connection(tmp_path):
@@ -245,15 +285,20 @@
         end, start = {"name": "s-a", "status": "Gone"}, world.entry("a=Ready@1000")
         entries = [end, start] if later == "start" else [start, end, world.entry("b=Ready")]
         world.send("d1", "say", json.dumps({"index": 9, "snapshot": False, "endpoints": entries}))
-        world.play("wait gw tables=2\nexpect a1 end\nsend c1 look 2\n"
-                   + ("expect a2 look 2" if later == "start" else "expect b1 look 2"))
+        world.play(
+            "wait gw tables=2\nexpect a1 end\nsend c1 look 2\n"
+            + ("expect a2 look 2" if later == "start" else "expect b1 look 2")
+        )
     finally:
         world.end()
 
 
 def test_an_index_that_goes_back_is_followed(tmp_path):
     """A service that began anew counts from the start: its word holds, and the next call names its index."""
-    play(tmp_path, READY + """
+    play(
+        tmp_path,
+        READY
+        + """
         send d1 say {"index": 900, "snapshot": false, "endpoints": []}
         send d1 say {"index": 3, "snapshot": true, "endpoints": []}
         wait gw tables=3
@@ -262,7 +307,8 @@
         send d2 full b=Ready
         wait gw tables=4
         send c1 look 1
-        expect b1 look 1""")
+        expect b1 look 1""",
+    )
 
 
 def test_what_waits_at_servers_that_drain_together_goes_straight_to_one_that_is_ready(tmp_path):
@@ -270,15 +316,19 @@
     is decided on by the new list, not on the old one and refused at the next that drains. So few, alone and
     with so much time that none is refused or seconded for its wait, however long the clients take to ask."""
     count, classes = 24, [c | {"aim_ns": NEVER, "deadline_ns": NEVER} for c in settings()["classes"]]
-    world = World(tmp_path, {"settings": {"limits": {"connect_timeout_ns": NEVER}, "classes": classes,
-                                          "balancers": 1}})
+    world = World(
+        tmp_path, {"settings": {"limits": {"connect_timeout_ns": NEVER}, "classes": classes, "balancers": 1}}
+    )
     try:
-        world.play("send d1 full a=Ready b=Ready c=Ready\nexpect gw ready*told\nfill a\nfill b\nfill c\n"
-                   + "".join(f"send c{k} look {k} d=900000\n" for k in range(1, count + 1)) + f"""
+        world.play(
+            "send d1 full a=Ready b=Ready c=Ready\nexpect gw ready*told\nfill a\nfill b\nfill c\n"
+            + "".join(f"send c{k} look {k} d=900000\n" for k in range(1, count + 1))
+            + f"""
                    wait gw connects={count}
                    reset d1
                    send d2 change a=Terminating b=Terminating
-                   wait gw tables=2""")
+                   wait gw tables=2"""
+        )
         counters = world.counters()
         assert counters["connect_failed"] > 0
         assert (counters["moot"], counters["connects"]) == (0, count + counters["connect_failed"])
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -29,12 +29,23 @@
     clock = [100 * SECOND]
     posted, pools = [], []
     turn = SimpleNamespace(
-        limits=Limits(), deadlines=Deadlines(), now_ns=lambda: clock[0], wake=lambda: None,
-        post=posted.append, carry_out={}, log=SimpleNamespace(often=lambda *words: None),
-        counters=SimpleNamespace(tables=0, watches=0))
-    made = ServerTable(turn, server_table.TableReader([], [], Host), ("10.2.0.1", 8500),
-                       lambda entries, _: pools.append([(b.id, b.mode) for b, _ in entries]), lambda: None,
-                       random.Random(1))
+        limits=Limits(),
+        deadlines=Deadlines(),
+        now_ns=lambda: clock[0],
+        wake=lambda: None,
+        post=posted.append,
+        carry_out={},
+        log=SimpleNamespace(often=lambda *words: None),
+        counters=SimpleNamespace(tables=0, watches=0),
+    )
+    made = ServerTable(
+        turn,
+        server_table.TableReader([], [], Host),
+        ("10.2.0.1", 8500),
+        lambda entries, _: pools.append([(b.id, b.mode) for b, _ in entries]),
+        lambda: None,
+        random.Random(1),
+    )
     made.open = lambda where: None
     return made, clock, posted, pools
 
@@ -56,10 +67,12 @@
     made, clock, posted, pools = world()
     made.begin({"index": 1, "snapshot": True, "endpoints": [entry("s-a"), entry("s-b")]})
     assert made.maintain("s-a", True)
-    assert told(posted, "s-a").mode is i.Mode.DRAINING and pools[-1] == [(server_table.number("s-a"),
-                                                                           i.Mode.DRAINING)]
-    made._take({"index": 2, "snapshot": True, "endpoints": [entry("s-a"), entry("s-b")]}, i.ListKind.FULL,
-               made.where)
+    assert told(posted, "s-a").mode is i.Mode.DRAINING and pools[-1] == [
+        (server_table.number("s-a"), i.Mode.DRAINING)
+    ]
+    made._take(
+        {"index": 2, "snapshot": True, "endpoints": [entry("s-a"), entry("s-b")]}, i.ListKind.FULL, made.where
+    )
     assert told(posted, "s-a").mode is i.Mode.DRAINING and told(posted, "s-b").mode is i.Mode.READY
     made.maintain("s-a", True)  # again: harmless
     clock[0] += 3 * SECOND
@@ -74,8 +87,11 @@
     reborn = told(posted, "s-a").started_ns
     made._take({"index": 2, "snapshot": False, "endpoints": [entry("s-a")]}, i.ListKind.DELTA, made.where)
     assert told(posted, "s-a").started_ns == reborn  # the old start that discovery still lists is not trusted
-    made._take({"index": 3, "snapshot": False, "endpoints": [entry("s-a", since_ms=200_000)]},
-               i.ListKind.DELTA, made.where)
+    made._take(
+        {"index": 3, "snapshot": False, "endpoints": [entry("s-a", since_ms=200_000)]},
+        i.ListKind.DELTA,
+        made.where,
+    )
     assert told(posted, "s-a").started_ns == 200_000 * 1_000_000 + made.reader.apart_ns
 
 
--- a/tests/test_net_keeper.py
+++ b/tests/test_net_keeper.py
@@ -47,8 +47,9 @@
 
     def call(self, name="a", amount=1.0, count=1):
         for _ in range(count):
-            self.gateway.loop.call_soon(self.keeper.call, name, amount, 60_000,
-                                        lambda at, total: self.said.append(total))
+            self.gateway.loop.call_soon(
+                self.keeper.call, name, amount, 60_000, lambda at, total: self.said.append(total)
+            )
 
 
 def test_totals_come_in_the_order_of_the_calls_over_few_connections():
@@ -171,7 +172,9 @@
     from zincstile.net import http
 
     answers = http.Answers(Limits())
-    data = (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n7"
-            b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n1.5")
-    whole = [x for at in range(len(data)) for x in answers.feed(data[at:at + 1])]
+    data = (
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n7"
+        b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n1.5"
+    )
+    whole = [x for at in range(len(data)) for x in answers.feed(data[at : at + 1])]
     assert whole == http.Answers(Limits()).feed(data) == [(200, b"7"), (503, b""), (200, b"1.5")]
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -58,23 +58,52 @@
 class Gateway:
     """One process of the gateway, on the inherited socket, with a control door of its own."""
 
-    def __init__(self, folder, listening: socket.socket, backend: Backend, silent: socket.socket,
-                 limits: dict[str, int]) -> None:
+    def __init__(
+        self,
+        folder,
+        listening: socket.socket,
+        backend: Backend,
+        silent: socket.socket,
+        limits: dict[str, int],
+    ) -> None:
         self.control = ("127.0.0.1", _free_port())
-        endpoint = {"name": "s-a", "address": where(backend.sock), "zone": "z", "type": "k", "group": 1,
-                    "status": "Ready", "weight": 1.0, "since_ms": 0}
-        table = {"name": "n0", "listen": where(listening), "discovery": where(silent),
-                 "seed": f"8c1f{self.control[1]:x}",  # new with each start
-                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024} | limits,
-                 "peer_listen": "127.0.0.1:0", "peers": ["127.0.0.1:1", "127.0.0.1:2"],
-                 "settings": settings(), "known": {"index": 1, "snapshot": True, "endpoints": [endpoint]}}
+        endpoint = {
+            "name": "s-a",
+            "address": where(backend.sock),
+            "zone": "z",
+            "type": "k",
+            "group": 1,
+            "status": "Ready",
+            "weight": 1.0,
+            "since_ms": 0,
+        }
+        table = {
+            "name": "n0",
+            "listen": where(listening),
+            "discovery": where(silent),
+            "seed": f"8c1f{self.control[1]:x}",  # new with each start
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024} | limits,
+            "peer_listen": "127.0.0.1:0",
+            "peers": ["127.0.0.1:1", "127.0.0.1:2"],
+            "settings": settings(),
+            "known": {"index": 1, "snapshot": True, "endpoints": [endpoint]},
+        }
         path = folder / f"config-{self.control[1]}.json"
         path.write_text(json.dumps(table))
         env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
-        env |= {"RELAY_CONFIG": str(path), "RELAY_CONTROL": "{}:{}".format(*self.control),
-                "RELAY_SOCKET_FD": str(listening.fileno()), "TMPDIR": str(folder)}
-        self.program = subprocess.Popen([sys.executable, "-m", "zincstile"], cwd=ROOT, env=env,
-                                        pass_fds=(listening.fileno(),), stderr=subprocess.DEVNULL)
+        env |= {
+            "RELAY_CONFIG": str(path),
+            "RELAY_CONTROL": "{}:{}".format(*self.control),
+            "RELAY_SOCKET_FD": str(listening.fileno()),
+            "TMPDIR": str(folder),
+        }
+        self.program = subprocess.Popen(
+            [sys.executable, "-m", "zincstile"],
+            cwd=ROOT,
+            env=env,
+            pass_fds=(listening.fileno(),),
+            stderr=subprocess.DEVNULL,
+        )
 
     def status(self) -> int:
         try:
@@ -122,8 +151,9 @@
 
 
 def request(number: int, plan: str = "team") -> bytes:
-    return encode(["CALL.GET", CUSTOMER, f"{number:016x}",
-                   f"c=look,t={plan},d=2000,units=1,spread=1,first=0"])
+    return encode(
+        ["CALL.GET", CUSTOMER, f"{number:016x}", f"c=look,t={plan},d=2000,units=1,spread=1,first=0"]
+    )
 
 
 class Clients:
@@ -176,8 +206,10 @@
         assert http(new.control, "POST", "/maintenance/exit", b"s-a") == 200  # the ban came along
         time.sleep(1.0)
         clients.stop()
-        print(f"new version ready after {ready_s:.2f} s; served {clients.served}, "
-              f"refused or reset or unread {clients.broken}, others {clients.other} ({clients.said!r})")
+        print(
+            f"new version ready after {ready_s:.2f} s; served {clients.served}, "
+            f"refused or reset or unread {clients.broken}, others {clients.other} ({clients.said!r})"
+        )
         assert clients.served > 100 and clients.broken <= 2
 
 
@@ -186,6 +218,7 @@
         return [len(os.listdir(f"/proc/{g.program.pid}/fd")) for g in (old, new) if g.program.poll() is None]
 
     with fleet(tmp_path, sockets=128) as (listening, start), contextlib.ExitStack() as stack:
+
         def crowd(count: int) -> None:  # they connect and say nothing
             for _ in range(count):
                 stack.enter_context(socket.create_connection(listening.getsockname(), timeout=3))
@@ -228,8 +261,10 @@
             first.append(time.monotonic() - began)
             whole.append(len(reader.read(size + 2)) == size + 2)
 
-    with fleet(tmp_path, Large(), memory_mb=96, sockets=192) as (listening, start), \
-            contextlib.ExitStack() as stack:
+    with (
+        fleet(tmp_path, Large(), memory_mb=96, sockets=192) as (listening, start),
+        contextlib.ExitStack() as stack,
+    ):
         gw = start()
         gw.until_ready()
         readers = [threading.Thread(target=read, args=(n,)) for n in range(count)]
@@ -243,13 +278,16 @@
             r.join(30)
         with open(f"/proc/{gw.program.pid}/status") as f:
             peak_kb = next(int(line.split()[1]) for line in f if line.startswith("VmHWM"))
-        print(f"{sum(whole)} of {count} values whole, first bytes after {max(first):.3f} s at most, "
-              f"{peak_kb} KB at most")
+        print(
+            f"{sum(whole)} of {count} values whole, first bytes after {max(first):.3f} s at most, "
+            f"{peak_kb} KB at most"
+        )
         assert whole == [True] * count and max(first) < 2.0 and peak_kb < 48 * 1024
 
 
 def test_the_customers_stores_go_along_with_an_upgrade(tmp_path):
     """A customer that has used its quota up has none left at the new version."""
+
     def ask(number: int) -> bytes:
         with socket.create_connection(listening.getsockname(), timeout=3) as s:
             s.sendall(request(number, plan="small"))
@@ -394,23 +432,36 @@
 
 
 def start(tmp_path, env_over: dict[str, str], table_over: dict | None = None) -> subprocess.CompletedProcess:
-    table = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
-             "settings": settings()} | (table_over or {})
+    table = {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:1",
+        "seed": "1",
+        "settings": settings(),
+    } | (table_over or {})
     path = tmp_path / "config.json"
     path.write_text(json.dumps(table))
     env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")} | {"RELAY_CONFIG": str(path)}
-    return subprocess.run([sys.executable, "-m", "zincstile"], cwd=ROOT, env=env | env_over, timeout=20,
-                          capture_output=True, text=True, pass_fds=tuple(
-                              int(v) for k, v in env_over.items() if k == "RELAY_SOCKET_FD" and v.isdigit()))
+    return subprocess.run(
+        [sys.executable, "-m", "zincstile"],
+        cwd=ROOT,
+        env=env | env_over,
+        timeout=20,
+        capture_output=True,
+        text=True,
+        pass_fds=tuple(int(v) for k, v in env_over.items() if k == "RELAY_SOCKET_FD" and v.isdigit()),
+    )
 
 
 def test_a_bad_control_setting_or_socket_is_told_in_one_line_with_exit_2(tmp_path):
     udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     try:
-        for env, table, said in [({"RELAY_CONTROL": "nowhere"}, None, "control: not an address"),
-                                 ({}, {"control": "127.0.0.1:99999"}, "control: not an address"),
-                                 ({"RELAY_SOCKET_FD": "x"}, None, "not a descriptor"),
-                                 ({"RELAY_SOCKET_FD": str(udp.fileno())}, None, "not a listening TCP")]:
+        for env, table, said in [
+            ({"RELAY_CONTROL": "nowhere"}, None, "control: not an address"),
+            ({}, {"control": "127.0.0.1:99999"}, "control: not an address"),
+            ({"RELAY_SOCKET_FD": "x"}, None, "not a descriptor"),
+            ({"RELAY_SOCKET_FD": str(udp.fileno())}, None, "not a listening TCP"),
+        ]:
             done = start(tmp_path, env, table)
             lines = done.stderr.strip().splitlines()
             assert done.returncode == 2 and len(lines) == 1 and said in lines[0], (env, table, done.stderr)
@@ -419,8 +470,9 @@
 
 
 def test_a_spoilt_or_foreign_handover_file_is_told_and_not_trusted(tmp_path):
-    (tmp_path / "zincstile-n0.handover").write_text('{"form": 1, "gateway": "n9", "version": 5, '
-                                                   '"written_ns": 0, "banned": ["s-a"]}')
+    (tmp_path / "zincstile-n0.handover").write_text(
+        '{"form": 1, "gateway": "n9", "version": 5, ' '"written_ns": 0, "banned": ["s-a"]}'
+    )
     with fleet(tmp_path) as (listening, start):
         gw = start()
         gw.until_ready()
--- a/tests/test_place.py
+++ b/tests/test_place.py
@@ -38,21 +38,38 @@
     assert lost[0] == [0, pytest.approx(15), pytest.approx(25)]  # 85 of 100 at most; 40 have no place
     full = flows([zone(120, 100), zone(100, 100), zone(20, 100)], NEAR, 0.1)
     assert full[0] == [100, 0, pytest.approx(20)] and full[1] == [0, 100, 0]
-    alone = flows([zone(50, 100, reach=(True, False, False)), zone(10, 100, reach=(False, True, True)),
-                   zone(10, 100, reach=(False, True, True))], NEAR, 0.1)
+    alone = flows(
+        [
+            zone(50, 100, reach=(True, False, False)),
+            zone(10, 100, reach=(False, True, True)),
+            zone(10, 100, reach=(False, True, True)),
+        ],
+        NEAR,
+        0.1,
+    )
     assert alone[0] == [50, 0, 0]  # cut off from the others, and well by itself
-    free = flows([zone(50, 0, weight=0.0), zone(10, math.inf, weight=3.0), zone(10, math.inf, weight=9.0)],
-                 [[0, 1, 1], [1, 0, 1], [1, 1, 0]], 0.1)
+    free = flows(
+        [zone(50, 0, weight=0.0), zone(10, math.inf, weight=3.0), zone(10, math.inf, weight=9.0)],
+        [[0, 1, 1], [1, 0, 1], [1, 1, 0]],
+        0.1,
+    )
     assert free[0] == [0, pytest.approx(12.5), pytest.approx(37.5)]
 
 
-@given(st.lists(st.tuples(st.floats(0, 500), st.floats(0, 500), st.booleans(), st.booleans()), min_size=1,
-                max_size=6), st.integers(0, 10**6), st.floats(0, 0.9))
+@given(
+    st.lists(
+        st.tuples(st.floats(0, 500), st.floats(0, 500), st.booleans(), st.booleans()), min_size=1, max_size=6
+    ),
+    st.integers(0, 10**6),
+    st.floats(0, 0.9),
+)
 def test_no_view_sends_a_zone_more_than_it_bears_or_others_into_its_headroom(rows, seed, headroom):
     rng, n = random.Random(seed), len(rows)
     reach = [tuple(rng.random() < 0.8 for _ in rows) for _ in rows]
-    zones = [ZoneView(d, r, 1.0 if alive else 0.0, takes=takes, cap=float(takes), reach=reach[k])
-             for k, (d, r, alive, takes) in enumerate(rows)]
+    zones = [
+        ZoneView(d, r, 1.0 if alive else 0.0, takes=takes, cap=float(takes), reach=reach[k])
+        for k, (d, r, alive, takes) in enumerate(rows)
+    ]
     distance = [[0 if a == b else 1 + (a + b) % 3 for b in range(n)] for a in range(n)]
     made = flows(zones, distance, headroom)
     assert made == flows(zones, distance, headroom)
@@ -95,10 +112,16 @@
 
 
 def test_words_survive_their_codec_and_nothing_else_is_read():
-    rng, sights = random.Random(3), tuple(Sight(k, k / 2, -1.0 if k % 3 else 0.5, math.inf if k % 2 else 7.5)
-                                          for k in range(12))
-    made = [CallWord(7, 9), Voice(7, 9, True), Report(3, 9, 12, 2, 31.5, sights, 5, 2),
-            Table(Generation(4, 2, 1, 99), tuple((20,) * 12 for _ in range(12)), (0, 3) * 6, 120_000_000)]
+    rng, sights = (
+        random.Random(3),
+        tuple(Sight(k, k / 2, -1.0 if k % 3 else 0.5, math.inf if k % 2 else 7.5) for k in range(12)),
+    )
+    made = [
+        CallWord(7, 9),
+        Voice(7, 9, True),
+        Report(3, 9, 12, 2, 31.5, sights, 5, 2),
+        Table(Generation(4, 2, 1, 99), tuple((20,) * 12 for _ in range(12)), (0, 3) * 6, 120_000_000),
+    ]
     for word in made:
         data = words.pack(word)
         assert len(data) <= 256 and words.unpack(data) == word and words.unpack(data[:-1]) is None
@@ -126,12 +149,17 @@
     assert Operator().call(Call("GET", "/place", b""), True).status == 404
 
 
-@pytest.mark.parametrize(("text", "said"), [
-    ("place: {regions: {x: [a], y: [a]}}", "zone a is in x and in y"),
-    ("place: {regions: {x: [a], y: [b]}, distances: [{between: [x, y], is: '40'}]}", "with its unit"),
-    ("place: {regions: {x: [a]}, distances: [{between: [x, z], is: 4ms}]}", "no region is called 'z'"),
-    ("place: {headroom: 0.9}", "there is no more room"), ("place: {electors: many}", "electors"),
-    ("place: {regions: {x: [q]}}", "no zone is called q")])
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("place: {regions: {x: [a], y: [a]}}", "zone a is in x and in y"),
+        ("place: {regions: {x: [a], y: [b]}, distances: [{between: [x, y], is: '40'}]}", "with its unit"),
+        ("place: {regions: {x: [a]}, distances: [{between: [x, z], is: 4ms}]}", "no region is called 'z'"),
+        ("place: {headroom: 0.9}", "there is no more room"),
+        ("place: {electors: many}", "electors"),
+        ("place: {regions: {x: [q]}}", "no zone is called q"),
+    ],
+)
 def test_a_bad_file_is_one_line(text, said, tmp_path, capsys):
     path = tmp_path / "place.yaml"
     path.write_text(text + "\nzones: [{name: a, demand: 1, room: 2}, {name: b, demand: 1, room: 2}]\n")
@@ -151,8 +179,20 @@
 @pytest.mark.parametrize(("seed", "share"), [(5, False), (6, True)])
 def test_a_lost_zone_is_left_by_all_in_one_step_and_got_back_slowly(seed, share):
     lost = [k for k in range(18) if k % 3 == 1]
-    run = Run(Plan(seed=seed, gateways=6, boxes=18, requests=1500, last_ms=17000, place=True, greedy=0.1,
-                   anchored=False, share=share, faults=[Fault("unreachable", 2500, 4000, lost)]))
+    run = Run(
+        Plan(
+            seed=seed,
+            gateways=6,
+            boxes=18,
+            requests=1500,
+            last_ms=17000,
+            place=True,
+            greedy=0.1,
+            anchored=False,
+            share=share,
+            faults=[Fault("unreachable", 2500, 4000, lost)],
+        )
+    )
     sent = []  # seconds, crossed
     went = run.referee.sent
 
@@ -160,6 +200,7 @@
         at = (run.scheduler.now_ns - run.began_ns) / 1e9
         sent.append((at, run.referee.boxes[box][0], int(gateway[1:]) % 3))
         return went(gateway, box, request, first_ns)
+
     run.referee.sent = heard
     result = run.play()
     assert result.breach is None, result.breach
@@ -174,22 +215,29 @@
 
 
 def test_a_zone_that_one_gateway_is_told_to_drain_is_left_by_all_until_it_is_told_back():
-    run = Run(Plan(seed=8, gateways=6, boxes=18, requests=1300, last_ms=15000, place=True, greedy=0.1,
-                   anchored=False))
+    run = Run(
+        Plan(
+            seed=8, gateways=6, boxes=18, requests=1300, last_ms=15000, place=True, greedy=0.1, anchored=False
+        )
+    )
     sent, went, module = [], run.referee.sent, "zincstile.place.module"
 
     def heard(gateway, box, request, first_ns):
         sent.append(((run.scheduler.now_ns - run.began_ns) / 1e9, run.referee.boxes[box][0]))
         return went(gateway, box, request, first_ns)
+
     run.referee.sent = heard
     said = importlib.import_module(module).ZoneSaid
     for at, drained in ((3, True), (8, False)):
-        run.scheduler.at(run.began_ns + at * 10**9, lambda drained=drained: run.seats[0].gateway.turn.post(
-            said(1, drained)))
+        run.scheduler.at(
+            run.began_ns + at * 10**9,
+            lambda drained=drained: run.seats[0].gateway.turn.post(said(1, drained)),
+        )
     assert run.play().breach is None
 
     def part(begin, end):
         chosen = [zone == 1 for at, zone in sent if begin <= at < end]
         return sum(chosen) / len(chosen)
+
     assert part(0, 3) > 0.2 and part(4.5, 8) == 0.0 and part(12, 15) > 0.2
     assert {s.gateway.turn.policy.council.states[1].state.name for s in run.seats} == {"WELL"}
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -38,6 +38,7 @@
             seen.append(acts)
             seen.append(g.outcome(rid, 0, sends(acts)[0], i.Result.OK) if sends(acts) else [])
         return seen
+
     assert run() == run()
 
 
@@ -151,9 +152,16 @@
     rid, acts = g.ask()
     g.outcome(rid, 0, sends(acts)[0], i.Result.OK)
     assert g.outcome(rid, 0, sends(acts)[0], i.Result.OK) == []
-    for event in (i.Gone(99), i.Timer(99 * 4), i.Outcome(5, 0, 1, i.Result.OK, 1, True),
-                  i.StreamStarted(5, 0, 1, 1), i.Probed(1, i.Result.OK, 1), i.Counted(1, i.Result.OK, 1.0, 1),
-                  i.PeerMessage(77, 1, []), i.PeerMessage(0, 1, [i.Share(1, 9, 1.0, 1.0, 0)])):
+    for event in (
+        i.Gone(99),
+        i.Timer(99 * 4),
+        i.Outcome(5, 0, 1, i.Result.OK, 1, True),
+        i.StreamStarted(5, 0, 1, 1),
+        i.Probed(1, i.Result.OK, 1),
+        i.Counted(1, i.Result.OK, 1.0, 1),
+        i.PeerMessage(77, 1, []),
+        i.PeerMessage(0, 1, [i.Share(1, 9, 1.0, 1.0, 0)]),
+    ):
         assert g.feed(event) == []
 
 
@@ -170,11 +178,13 @@
     g = Gateway(backends=4)
     p = g.policy
     p.level = 8.0
+
     def tick(strain):
         p.late, p.answers, p.strain, p.out = 50.0 * strain, 50.0, strain, 100.0
         before = p.level
         g.tick(after=500 * MS)
         return p.level / before
+
     assert tick(0.5) > 1.15  # nothing known: half a second of rise
     top = p.level
     for _ in range(6):
@@ -188,6 +198,7 @@
 def test_a_fleet_wide_slowdown_well_within_the_aim_is_no_pressure():
     """It makes every answer late against the calm time, and shedding does not make it quicker."""
     g = Gateway(backends=4)
+
     def strain(latency, count):
         for _ in range(count):
             rid, acts = g.ask(cls=1)
@@ -195,14 +206,16 @@
                 g.outcome(rid, 0, sends(acts)[0], i.Result.OK, after=0, latency=latency)
             g.tick(after=20 * MS)
         return g.policy.strain
+
     assert strain(60 * MS, 200) < 0.5
     assert strain(156 * MS, 100) < 1  # 2.6 times as long, a sixth of the aim
     assert g.policy.level == float("inf")
     assert strain(1500 * MS, 50) > 1
 
 
-@pytest.mark.parametrize(("cls", "over", "copies"), [(0, {}, 1), (1, {}, 0), (2, {}, 1),
-                                                     (0, {"second_copies": False}, 0)])
+@pytest.mark.parametrize(
+    ("cls", "over", "copies"), [(0, {}, 1), (1, {}, 0), (2, {}, 1), (0, {"second_copies": False}, 0)]
+)
 def test_a_second_copy_beside_a_silent_attempt_where_the_class_allows_it(gateway, cls, over, copies):
     g = gateway(over, backends=3)
     rid, acts = g.ask(cls=cls)
@@ -272,8 +285,9 @@
 
 def test_a_cold_backend_gets_its_part_of_a_good_one_where_others_are_left_for_their_doubts():
     """Two of three warm ones are doubted: the third and one that is about half warm carry all."""
-    g = Gateway({"cold_share": 0.25, "cold_ns": 18 * SECOND, "cold_multiple": 2.0}, backends=0,
-                now=100 * SECOND)
+    g = Gateway(
+        {"cold_share": 0.25, "cold_ns": 18 * SECOND, "cold_multiple": 2.0}, backends=0, now=100 * SECOND
+    )
     g.list([backend(n) for n in (1, 2, 3)] + [backend(4, started=96 * SECOND)])
     sent = dict.fromkeys((1, 2, 3, 4), 0)
     for k in range(600):
@@ -291,9 +305,11 @@
 def test_a_cold_backend_that_is_less_busy_relieves_the_only_warm_one_up_to_its_most():
     """All that goes to the one warm server stays out; a cold one answers at once. It gets more than its due,
     and no more than the warm one was seen to work, by its warmth."""
+
     def shares(seen: float) -> float:
-        g = Gateway({"cold_share": 0.5, "cold_ns": 10**6 * SECOND, "cold_multiple": 2.0}, backends=0,
-                    now=100 * SECOND)
+        g = Gateway(
+            {"cold_share": 0.5, "cold_ns": 10**6 * SECOND, "cold_multiple": 2.0}, backends=0, now=100 * SECOND
+        )
         g.list([backend(1), backend(2, started=99 * SECOND)])
         for leaf in g.policy.leaves:
             leaf.arrivals = 10.0 / len(g.policy.leaves)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -142,8 +142,11 @@
 
 def test_the_ceiling_is_empty_at_the_start_unless_all_peers_were_quiet():
     plan = i.PlanSpec("c", rate=2.0, burst=60.0, ceiling_rate=2.0, ceiling_burst=60.0)
-    for senders, shares, least, most in (((1, 2), [], 18.0, 60.0), ((1,), [], 0.0, 4.0),
-                                         ((1, 2), [i.Share(8, 0, 1.0, 60.0, 0)], 0.0, 4.0)):
+    for senders, shares, least, most in (
+        ((1, 2), [], 18.0, 60.0),
+        ((1,), [], 0.0, 4.0),
+        ((1, 2), [i.Share(8, 0, 1.0, 60.0, 0)], 0.0, 4.0),
+    ):
         g = Gateway({"plans": [plan], "gateways": 3}, backends=8)
         for sender in senders:
             told = only(hear(g, shares, sender=sender, after=10 * MS), i.Tell)
@@ -205,8 +208,15 @@
 def test_parts_of_the_ceiling_are_even_where_more_than_the_quota_is_let_in():
     """Guards the ceiling while words travel: beyond the quota nothing else holds what all send together."""
     for over_worth, least, most in ((0.0, 0.6, 1.0), (0.5, 0.5, 0.5)):
-        plan = i.PlanSpec("c", rate=4.0, burst=8.0, over_worth=over_worth, over_cost=0.1, ceiling_rate=8.0,
-                          ceiling_burst=16.0)
+        plan = i.PlanSpec(
+            "c",
+            rate=4.0,
+            burst=8.0,
+            over_worth=over_worth,
+            over_cost=0.1,
+            ceiling_rate=8.0,
+            ceiling_burst=16.0,
+        )
         g = Gateway({"plans": [plan], "gateways": 2}, backends=8)
         g.now += 10 * SECOND
         hear(g, [i.Share(7, 0, 0.0, 8.0, 0)])
--- a/tests/test_referee.py
+++ b/tests/test_referee.py
@@ -17,9 +17,14 @@
     def __init__(self):
         self.now, self.step = 0, 0
         self.figures = Figures(
-            classes={"read": ClassRule("safe"), "order": ClassRule("keyed", "cell", 6 * SECOND),
-                     "pin": ClassRule("unsafe")},
-            plans={"plus": PlanRule(10.0, 20.0, 2.0), "basic": PlanRule()}, answer_grace_ns=58 * MS)
+            classes={
+                "read": ClassRule("safe"),
+                "order": ClassRule("keyed", "cell", 6 * SECOND),
+                "pin": ClassRule("unsafe"),
+            },
+            plans={"plus": PlanRule(10.0, 20.0, 2.0), "basic": PlanRule()},
+            answer_grace_ns=58 * MS,
+        )
         self.referee = Referee(self.figures, lambda: (self.step, self.now))
         self.referee.boxes = {"b1": (0, 1), "b2": (0, 1), "b3": (0, 2)}
         for gateway in ("g0", "g1"):
@@ -102,9 +107,16 @@
     assert bench.broken == ["value"]
 
 
-@pytest.mark.parametrize(("cls", "first", "second", "later_ms", "rule"), [
-    ("read", "b1", "b3", 1, []), ("order", "b1", "b2", 1, []), ("order", "b1", "b3", 1, ["repeat"]),
-    ("order", "b1", "b2", 6001, ["repeat"]), ("pin", "b1", "b2", 1, ["repeat"])])
+@pytest.mark.parametrize(
+    ("cls", "first", "second", "later_ms", "rule"),
+    [
+        ("read", "b1", "b3", 1, []),
+        ("order", "b1", "b2", 1, []),
+        ("order", "b1", "b3", 1, ["repeat"]),
+        ("order", "b1", "b2", 6001, ["repeat"]),
+        ("pin", "b1", "b2", 1, ["repeat"]),
+    ],
+)
 def test_what_may_have_run_goes_out_again_only_as_its_class_allows(bench, cls, first, second, later_ms, rule):
     bench.ask(cls=cls, wait=9000)
     bench.send(first)
@@ -134,8 +146,10 @@
     assert bench.broken == ["repeat"]
 
 
-@pytest.mark.parametrize(("told", "at_ms", "rule"), [
-    (True, 250, []), (True, 251, ["drain"]), (False, 6250, []), (False, 6251, ["drain"])])
+@pytest.mark.parametrize(
+    ("told", "at_ms", "rule"),
+    [(True, 250, []), (True, 251, ["drain"]), (False, 6250, []), (False, 6251, ["drain"])],
+)
 def test_nothing_new_goes_to_a_box_that_drains(bench, told, at_ms, rule):
     bench.ask(wait=20_000)
     bench.referee.changed("b1", "Terminating", 0)
@@ -189,8 +203,7 @@
 
 def test_a_ceiling_holds_over_all_gateways_and_fills_again(bench):
     for number in range(9):
-        bench.ask(b"%d" % number, plan="plus", units=5.0, line=number, wait=60_000,
-                  gateway=f"g{number % 2}")
+        bench.ask(b"%d" % number, plan="plus", units=5.0, line=number, wait=60_000, gateway=f"g{number % 2}")
     for number in range(4):
         bench.arrive("b1", b"%d" % number)
     assert bench.broken == []  # the burst is spent; the slack is 2, and 1.5 for sockets
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -58,8 +58,16 @@
 @pytest.mark.parametrize(("cls", "copies"), [(LOOK, 1), (BOOK, 0), (PUT, 1)])
 def test_two_attempts_are_out_only_where_the_class_allows_a_repeat(gateway, cls, copies):
     """The first stays silent: a second copy goes beside it, never of what is unsafe to repeat."""
-    g = gateway({"classes": [i.ClassSpec(c.name, SECOND, 4 * SECOND, c.effect, 1.0, group=i.Group.ALL,
-                                         window_ns=4 * SECOND) for c in gateway().policy.set.classes]})
+    g = gateway(
+        {
+            "classes": [
+                i.ClassSpec(
+                    c.name, SECOND, 4 * SECOND, c.effect, 1.0, group=i.Group.ALL, window_ns=4 * SECOND
+                )
+                for c in gateway().policy.set.classes
+            ]
+        }
+    )
     number, _ = g.ask(cls)
     sent = [s for _ in range(30) for s in only(g.tick(), i.Send)]
     assert len(sent) == copies and all(s.request == number for s in sent)
@@ -86,12 +94,15 @@
     how, never_ran = WAYS[way]
     world = World(tmp_path, {"limits": {"answer_ns": 100 * MS}})
     try:
-        world.play(READY + f"""
+        world.play(
+            READY
+            + f"""
             send c1 {effect} 1
             expect a1 {effect} 1
             send d1 change b=Ready
             wait gw tables=2
-            {how}""")
+            {how}"""
+        )
         if effect != "book" or never_ran:
             world.play(f"expect b1 {effect} 1\nsend b1 ok second\nexpect c1 ok second\nwait gw attempts=2")
         else:
@@ -126,20 +137,24 @@
     classes = [c | {"window_ns": 1} for c in settings()["classes"]]
     world = World(tmp_path, {"settings": {"classes": classes}})
     try:
-        world.play(READY + """
+        world.play(
+            READY
+            + """
             send c1 put 1
             expect a1 put 1
             send d1 change b=Ready
             wait gw tables=2
             reset a1
             expect c1 -ERR failed
-            wait gw attempts=1""")
+            wait gw attempts=1"""
+        )
     finally:
         world.end()
 
 
 # ---- what has run, by what was written
 
+
 class Owner:
     def __init__(self):
         self.turn, self.buffer = SimpleNamespace(limits=Limits(), now_ns=lambda: 0), memoryview(bytearray(64))
@@ -160,20 +175,25 @@
     written = begun = lambda self, attempt: None
 
 
-@pytest.mark.parametrize(("events", "kept", "result"), [
-    (["pause_writing"], False, i.Result.CONNECT_FAILED),
-    (["pause_writing"], True, i.Result.CONNECT_FAILED),
-    ([], False, i.Result.RESET), ([], True, i.Result.STALE),
-    (["pause_writing", "resume_writing"], False, i.Result.RESET),
-    (["pause_writing", "resume_writing"], True, i.Result.STALE),
-    (["half"], True, i.Result.RESET),
-])
+@pytest.mark.parametrize(
+    ("events", "kept", "result"),
+    [
+        (["pause_writing"], False, i.Result.CONNECT_FAILED),
+        (["pause_writing"], True, i.Result.CONNECT_FAILED),
+        ([], False, i.Result.RESET),
+        ([], True, i.Result.STALE),
+        (["pause_writing", "resume_writing"], False, i.Result.RESET),
+        (["pause_writing", "resume_writing"], True, i.Result.STALE),
+        (["half"], True, i.Result.RESET),
+    ],
+)
 def test_what_breaks_before_its_last_byte_is_written_never_ran(events, kept, result):
     """And a kept connection that breaks before a byte of its answer was closed beneath it."""
     owner = Owner()
     connection = BackendConnection(owner, BackendServer(1, ("", 0), 0, True), None)
-    connection.connection_made(SimpleNamespace(set_write_buffer_limits=lambda high: None,
-                                               write=lambda data: None))
+    connection.connection_made(
+        SimpleNamespace(set_write_buffer_limits=lambda high: None, write=lambda data: None)
+    )
     connection.carry(Attempt(None, 0, connection.server, 0, SECOND, SECOND), kept)
     for event in events:
         if event == "half":
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -114,8 +114,15 @@
 
 
 def test_ceiling_holds_from_an_empty_start_and_with_no_word_from_peers():
-    plan = i.PlanSpec("hard", rate=10.0, burst=20.0, over_worth=0.5, ceiling_rate=20.0, ceiling_burst=40.0,
-                      ceiling_slack=4.0)
+    plan = i.PlanSpec(
+        "hard",
+        rate=10.0,
+        burst=20.0,
+        over_worth=0.5,
+        ceiling_rate=20.0,
+        ceiling_burst=40.0,
+        ceiling_slack=4.0,
+    )
     g = Gateway({"plans": [plan], "gateways": 4}, backends=8)
     taken = 0.0
     for _ in range(300):
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -16,7 +16,8 @@
 SERVES = "send c9 look 99\nexpect a1 look 99\nsend a1 ok still\nexpect c9 ok still\n"
 GOOD = r"*3\r\n$5\r\nhello\r\n$-1\r\n$-1\r\n"
 SCENARIOS = {
-    "a call goes on unchanged and its value comes back": READY + """
+    "a call goes on unchanged and its value comes back": READY
+    + """
         send c1 look 1
         expect a1 look 1
         send a1 ok hello
@@ -26,7 +27,8 @@
         send a1 ok done
         expect c1 ok done
         wait gw connects=1""",
-    "answers come in the order of the commands": READY + f"""
+    "answers come in the order of the commands": READY
+    + f"""
         send c1 look 1
         send c1 {PING}
         send c1 look 2
@@ -37,7 +39,8 @@
         expect c1 ok first
         expect c1 +PONG
         expect c1 ok second""",
-    "pieces and the largest values": READY + """
+    "pieces and the largest values": READY
+    + """
         send c1 slowly look 1
         expect a1 look 1
         send a1 slowly ok hello
@@ -46,26 +49,54 @@
         expect a1 book 2
         send a1 ok 400000
         expect c1 ok 400000""",
-    "an answer in pieces is waited for while it goes on": READY + r"""
+    "an answer in pieces is waited for while it goes on": READY
+    + r"""
         send c1 book 1
         expect a1 book 1
         send a1 raw *3\r\n$5\r\nhe
         send a1 raw llo\r\n$-1
         send a1 raw \r\n$-1\r\n
         expect c1 ok hello""",
-    "a value past the limit ends the client's connection": READY + """
+    "a value past the limit ends the client's connection": READY
+    + """
         send c1 book 2 body=65537
         expect c1 -ERR*limit*
-        expect c1 end""" + "\n" + SERVES,
-    "odd commands are answered and go no further": READY + "".join(f"""
+        expect c1 end"""
+    + "\n"
+    + SERVES,
+    "odd commands are answered and go no further": READY
+    + "".join(
+        f"""
         send c1 {odd}
-        expect c1 -ERR*""" for odd in (
-            r"raw *1\r\n$3\r\nGET\r\n", r"raw *2\r\n$8\r\nCALL.GET\r\n$1\r\n1\r\n", "look 1 c=none",
-            "look 1 t=x", "look 1 d=soon", "look 1 d=1_0", "look 1 d=+5", "look 1 first=-1", "look 1 d=0",
-            "look 1 d=", "look 1 units=nan", "look 1 units=-1", "look 1 spread=0",
-            "look 1 units=5", "look 1 spread=3", "look 1 first=2", "look 1 units=inf",
-            "look 1 body=B", "look 1 c=book", "put 1 k=", "look 1 c=look,x", r"raw *1\r\n$0\r\n\r\n",
-            r"raw *5\r\n$9\r\nCALL.POST\r\n$1\r\nz\r\n$1\r\n1\r\n$3\r\nc=a\r\n$0\r\n\r\n")) + "\n" + SERVES,
+        expect c1 -ERR*"""
+        for odd in (
+            r"raw *1\r\n$3\r\nGET\r\n",
+            r"raw *2\r\n$8\r\nCALL.GET\r\n$1\r\n1\r\n",
+            "look 1 c=none",
+            "look 1 t=x",
+            "look 1 d=soon",
+            "look 1 d=1_0",
+            "look 1 d=+5",
+            "look 1 first=-1",
+            "look 1 d=0",
+            "look 1 d=",
+            "look 1 units=nan",
+            "look 1 units=-1",
+            "look 1 spread=0",
+            "look 1 units=5",
+            "look 1 spread=3",
+            "look 1 first=2",
+            "look 1 units=inf",
+            "look 1 body=B",
+            "look 1 c=book",
+            "put 1 k=",
+            "look 1 c=look,x",
+            r"raw *1\r\n$0\r\n\r\n",
+            r"raw *5\r\n$9\r\nCALL.POST\r\n$1\r\nz\r\n$1\r\n1\r\n$3\r\nc=a\r\n$0\r\n\r\n",
+        )
+    )
+    + "\n"
+    + SERVES,
     "no client is ready for PING before the table": f"""
         send c1 {PING}
         expect c1 -ERR not ready
@@ -74,7 +105,8 @@
         {READY}
         send c1 {PING}
         expect c1 +PONG""",
-    "a client that leaves is owed nothing": READY + """
+    "a client that leaves is owed nothing": READY
+    + """
         send c1 look 1
         expect a1 look 1
         close c1
@@ -86,24 +118,28 @@
         expect a2 look 2
         send a2 ok hello
         expect c3 ok hello""",
-    "an unsafe call that may have run fails": READY + """
+    "an unsafe call that may have run fails": READY
+    + """
         send c1 book 1
         expect a1 book 1
         close a1
         expect c1 -ERR failed
         wait gw reset=1""",
-    "an unsafe call that never ran is refused": READY + """
+    "an unsafe call that never ran is refused": READY
+    + """
         send c1 book 1
         expect a1 book 1
         send a1 -BUSY inflight=7,queue=2
         expect c1 -BUSY*
         wait gw full=1""",
-    "a keyed call that failed is not refused": READY + """
+    "a keyed call that failed is not refused": READY
+    + """
         send c1 put 1
         expect a1 put 1
         send a1 -ERR failed inflight=7,queue=2
         expect c1 -ERR failed""",
-    "a kept connection that ends beneath a call is no reset; the next unsafe call gets a new one": READY + """
+    "a kept connection that ends beneath a call is no reset; the next unsafe call gets a new one": READY
+    + """
         send c1 look 1
         expect a1 look 1
         send a1 ok one
@@ -125,7 +161,8 @@
         expect a2 end
         send c1 look 5
         expect a3 look 5""",
-    "a safe call goes to another backend server": READY + """
+    "a safe call goes to another backend server": READY
+    + """
         send c1 look 1
         expect a1 look 1
         send d1 change b=Ready
@@ -134,12 +171,14 @@
         expect b1 look 1
         send b1 ok hello
         expect c1 ok hello""",
-    "nobody listens there": READY + """
+    "nobody listens there": READY
+    + """
         close a
         send c1 book 1
         expect c1 -BUSY*
         wait gw connect_failed=1""",
-    "an answer that is none": READY + """
+    "an answer that is none": READY
+    + """
         send c1 look 1
         expect a1 look 1
         send a1 raw !what\\r\\n
@@ -157,13 +196,18 @@
         send a4 raw *1\\r\\n$5\\r\\nhello\\r\\n
         expect c1 -BUSY*
         wait gw spoilt=4""",
-    "a good answer counts whatever comes behind it": READY + "".join(f"""
+    "a good answer counts whatever comes behind it": READY
+    + "".join(
+        f"""
         send c1 book {k}
         expect a{k} book {k}
         send a{k} raw {GOOD}{more}
         expect c1 ok hello
-        expect a{k} end""" for k, more in enumerate((GOOD, "noise", "$3", "*3\\r\\n$999999999\\r\\nv"), 1)),
-    "what comes late behind an answer is not taken for the next one's": READY + f"""
+        expect a{k} end"""
+        for k, more in enumerate((GOOD, "noise", "$3", "*3\\r\\n$999999999\\r\\nv"), 1)
+    ),
+    "what comes late behind an answer is not taken for the next one's": READY
+    + f"""
         send c1 look 1
         expect a1 look 1
         send a1 raw {GOOD}
@@ -174,17 +218,31 @@
         expect a2 look 2
         send a2 ok two
         expect c1 ok two""",
-    "spoilt answers are not served, and may have run": READY + "".join(f"""
+    "spoilt answers are not served, and may have run": READY
+    + "".join(
+        f"""
         send c1 book {k}
         expect a{k} book {k}
         send a{k} raw {odd}
         expect c1 -ERR failed
-        expect a{k} end""" for k, odd in enumerate((
-            r"*3\r\n+hello\r\n$-1\r\n$-1\r\n", r"*3\r\n:5\r\n$-1\r\n$-1\r\n", r"+hello\r\n",
-            r"*3\r\n$5\r\nhello!\r\n$-1\r\n$-1\r\n", r"*3\r\n$10\r\nhello\r\n$-1\r\n$-1\r\n",
-            r"*4\r\n$5\r\nhello\r\n$-1\r\n$-1\r\n$-1\r\n", r"*3\r\n$3000000000\r\nhello",
-            r"*2\r\n$5\r\nhello\r\n$-1\r\n", r"-WHAT\r\n"), 1)),
-    "the id of an open request, copied, is turned away and disturbs nobody": READY + """
+        expect a{k} end"""
+        for k, odd in enumerate(
+            (
+                r"*3\r\n+hello\r\n$-1\r\n$-1\r\n",
+                r"*3\r\n:5\r\n$-1\r\n$-1\r\n",
+                r"+hello\r\n",
+                r"*3\r\n$5\r\nhello!\r\n$-1\r\n$-1\r\n",
+                r"*3\r\n$10\r\nhello\r\n$-1\r\n$-1\r\n",
+                r"*4\r\n$5\r\nhello\r\n$-1\r\n$-1\r\n$-1\r\n",
+                r"*3\r\n$3000000000\r\nhello",
+                r"*2\r\n$5\r\nhello\r\n$-1\r\n",
+                r"-WHAT\r\n",
+            ),
+            1,
+        )
+    ),
+    "the id of an open request, copied, is turned away and disturbs nobody": READY
+    + """
         send c1 look 1
         expect a1 look 1
         send c2 look 1
@@ -196,11 +254,15 @@
         expect a1 look 1
         send a1 ok again
         expect c1 ok again""",
-    "the error line comes through, however much is left unread": READY + """
+    "the error line comes through, however much is left unread": READY
+    + """
         send c1 book 1 body=900000
         expect c1 -ERR*limit*
-        expect c1 end""" + "\n" + SERVES,
-    "what was asked before a line that can't be read is still answered": READY + f"""
+        expect c1 end"""
+    + "\n"
+    + SERVES,
+    "what was asked before a line that can't be read is still answered": READY
+    + f"""
         send c1 look 1
         expect a1 look 1
         send c1 raw nonsense\\r\\n
@@ -208,19 +270,22 @@
         expect c1 ok hello
         expect c1 -ERR*
         expect c1 end""",
-    "beyond the quota": READY + """
+    "beyond the quota": READY
+    + """
         send c1 look 1 t=small
         send c1 look 2 t=small
         expect a1 look 1
         send a1 ok hello
         expect c1 ok hello
         expect c1 -BUSY 700""",
-    "the time is up": READY + """
+    "the time is up": READY
+    + """
         send c1 book 1 d=200
         expect a1 book 1
         expect c1 -ERR failed
         expect a1 end""",
-    "a draining backend server gets nothing new": READY + """
+    "a draining backend server gets nothing new": READY
+    + """
         send c1 look 1
         expect a1 look 1
         send c2 look 2
@@ -234,7 +299,8 @@
         send a1 ok one
         expect c1 ok one
         expect a1 end""",
-    "a backend server that started anew gets new connections": READY + """
+    "a backend server that started anew gets new connections": READY
+    + """
         send c1 look 1
         expect a1 look 1
         send a1 ok one
@@ -243,7 +309,8 @@
         expect a1 end
         send c1 look 2
         expect a2 look 2""",
-    "a lost watch leaves the last list standing": READY + """
+    "a lost watch leaves the last list standing": READY
+    + """
         close d1
         send c1 look 1
         expect a1 look 1
@@ -255,7 +322,8 @@
         send d3 full b=Ready
         send c1 look 2
         expect b1 look 2""",
-    "a stop answers what still comes on open connections": READY + """
+    "a stop answers what still comes on open connections": READY
+    + """
         send c1 look 1
         send c2 look 2
         expect a1 look *
@@ -274,7 +342,8 @@
         expect c1 end
         expect gw counters*"served": 3*
         expect gw exit 0""",
-    "a reload moves the watch while the table and all connections stand": READY + """
+    "a reload moves the watch while the table and all connections stand": READY
+    + """
         send c1 look 1
         expect a1 look 1
         send gw reload e
@@ -294,7 +363,8 @@
         expect c1 ok three
         send gw TERM
         expect gw exit 0""",
-    "a reload outlives the end of the old watch and a first try that fails": READY + """
+    "a reload outlives the end of the old watch and a first try that fails": READY
+    + """
         send gw reload e
         expect gw reload discovery at*
         close d1
@@ -305,7 +375,8 @@
         expect b1 look 1
         send b1 ok one
         expect c1 ok one""",
-    "an unusable file at a reload leaves the old configuration": READY + """
+    "an unusable file at a reload leaves the old configuration": READY
+    + """
         send gw reload {"name":
         expect gw reload refused*not JSON; the old configuration stands
         send gw reload []
@@ -316,10 +387,13 @@
         send b1 ok one
         expect c1 ok one
         wait gw reloads=0""",
-    "datagrams of peers and others": READY + """
+    "datagrams of peers and others": READY
+    + """
         expect p1 message
         send p1 raw hello
-        wait gw messages_bad=1""" + "\n" + SERVES,
+        wait gw messages_bad=1"""
+    + "\n"
+    + SERVES,
 }
 
 
@@ -343,10 +417,16 @@
 def test_a_watch_that_says_nothing_is_opened_anew(tmp_path):
     """At first it is owed the list at once, later a line now and then. It ends when the new one has spoken,
     and no sooner: else there would be a while in which nothing could be heard."""
-    play(tmp_path, "expect d1 asked\nsend d2 full a=Ready\nexpect gw ready*told\nexpect d1 end\n" + SERVES,
-         limits={"table_answer_ns": 2 * 10**8, "table_silence_ns": 10**12})
-    play(tmp_path / "b", READY + "send d2 full b=Ready\nexpect d1 end\nsend c1 look 1\nexpect b1 look 1",
-         limits={"table_answer_ns": 10**12, "table_silence_ns": 2 * 10**8})
+    play(
+        tmp_path,
+        "expect d1 asked\nsend d2 full a=Ready\nexpect gw ready*told\nexpect d1 end\n" + SERVES,
+        limits={"table_answer_ns": 2 * 10**8, "table_silence_ns": 10**12},
+    )
+    play(
+        tmp_path / "b",
+        READY + "send d2 full b=Ready\nexpect d1 end\nsend c1 look 1\nexpect b1 look 1",
+        limits={"table_answer_ns": 10**12, "table_silence_ns": 2 * 10**8},
+    )
 
 
 def test_the_known_list_serves_while_discovery_is_silent(tmp_path):
@@ -358,18 +438,26 @@
     limits = {"limits": {"connect_timeout_ns": 10**12}}
     world = World(tmp_path, {"settings": limits})
     try:
-        world.play("fill a" + "\n" + READY + """
+        world.play(
+            "fill a"
+            + "\n"
+            + READY
+            + """
             send c1 book 1 d=90000
             wait gw connects=1
             send d1 change a=Terminating
             expect c1 -BUSY*
-            wait gw attempts=0""")
+            wait gw attempts=0"""
+        )
     finally:
         world.end()
 
 
 def test_a_stop_takes_new_connections_for_a_while(tmp_path):
-    play(tmp_path, READY + """
+    play(
+        tmp_path,
+        READY
+        + """
         send gw TERM
         expect gw stop with 0 sessions
         send c1 look 1
@@ -377,12 +465,16 @@
         send a1 ok hello
         expect c1 ok hello
         expect c1 end
-        expect gw exit 0""", limits={"drain_quiet_ns": 2 * 10**9})
+        expect gw exit 0""",
+        limits={"drain_quiet_ns": 2 * 10**9},
+    )
 
 
 def test_a_stop_goes_on_while_calls_come_and_no_longer_than_its_time(tmp_path):
-    for limits in ({"drain_quiet_ns": 10**9, "drain_ns": 10**12, "drain_most_ns": 10**13},
-                   {"drain_quiet_ns": 10**12, "drain_ns": 15 * 10**8}):
+    for limits in (
+        {"drain_quiet_ns": 10**9, "drain_ns": 10**12, "drain_most_ns": 10**13},
+        {"drain_quiet_ns": 10**12, "drain_ns": 15 * 10**8},
+    ):
         tmp_path.mkdir(exist_ok=True)
         world = World(tmp_path, {"limits": limits})
         try:
@@ -390,42 +482,64 @@
             end, number = time.monotonic() + 1.2, 0
             while time.monotonic() < end:
                 number += 1
-                world.play(f"send c1 look {number} units=0.001\nexpect a1 look {number}\n"
-                           "send a1 ok x\nexpect c1 ok x")
+                world.play(
+                    f"send c1 look {number} units=0.001\nexpect a1 look {number}\n"
+                    "send a1 ok x\nexpect c1 ok x"
+                )
             world.play("expect c1 end\nexpect gw exit 0")
         finally:
             world.end()
 
 
 def test_a_stop_answers_what_can_not_be_waited_for(tmp_path):
-    play(tmp_path, READY + """
+    play(
+        tmp_path,
+        READY
+        + """
         send c1 look 1 d=90000
         expect a1 look 1
         send gw TERM
         expect c1 -ERR failed
         expect c1 end
-        expect gw exit 0""", limits={"drain_most_ns": 10**9, "drain_ns": 1})
+        expect gw exit 0""",
+        limits={"drain_most_ns": 10**9, "drain_ns": 1},
+    )
 
 
 @pytest.mark.parametrize(("asks", "gone"), [("raw", "c30"), (PING, "c10")], ids=["silent", "asked once"])
 def test_resting_clients_make_room_for_new_ones(tmp_path, asks, gone):
     """26 of 60 descriptors are for clients; c1 to c8 asked twice, c10 to c18 once, then comes a crowd."""
+
     def ask(numbers, what=PING):
         pong = "expect c{} +PONG\n" if what == PING else ""
         return "".join(f"send c{k} {what}\n" + pong.format(k) for k in numbers)
+
     often = ask(range(1, 9))
     limits = {"sockets": 60, "spare_ns": 10**12, "newcomer_ns": 1, "silent_ns": 10**12, "rest_ns": 10**12}
-    play(tmp_path, READY + often * 2 + ask(range(10, 19)) + ask(range(30, 80), asks)
-         + f"expect {gone} end\n" + SERVES + often, limits=limits)
+    play(
+        tmp_path,
+        READY
+        + often * 2
+        + ask(range(10, 19))
+        + ask(range(30, 80), asks)
+        + f"expect {gone} end\n"
+        + SERVES
+        + often,
+        limits=limits,
+    )
 
 
 def test_a_command_that_is_begun_and_never_ended_is_dropped(tmp_path):
-    play(tmp_path, READY + "send c1 raw *4\\r\\n\nexpect c1 -ERR*\nexpect c1 end\n" + SERVES,
-         limits={"silent_ns": 10**8, "tend_ns": 10**8})
+    play(
+        tmp_path,
+        READY + "send c1 raw *4\\r\\n\nexpect c1 -ERR*\nexpect c1 end\n" + SERVES,
+        limits={"silent_ns": 10**8, "tend_ns": 10**8},
+    )
 
 
-@pytest.mark.parametrize(("asked", "limit"), [("send c1 raw", "silent_ns"),
-                                              (f"send c1 {PING}\nexpect c1 +PONG", "rest_ns")])
+@pytest.mark.parametrize(
+    ("asked", "limit"), [("send c1 raw", "silent_ns"), (f"send c1 {PING}\nexpect c1 +PONG", "rest_ns")]
+)
 def test_a_client_that_says_nothing_or_no_more_is_closed(tmp_path, asked, limit):
     play(tmp_path, READY + asked + "\nexpect c1 end\n" + SERVES, limits={limit: 10**8, "tend_ns": 10**8})
 
@@ -434,11 +548,16 @@
     """Its connection outlives the time by which a new one has to ask; the silent c2 tells when that is."""
     begun = f"send c1 {PING}\nexpect c1 +PONG\nsend c1 raw *1\\r\\n\n"
     limits = {"silent_ns": 10**8, "command_ns": 10**12, "tend_ns": 10**8}
-    play(tmp_path, READY + begun + "send c2 raw\nexpect c2 end\n"
-         r"send c1 raw $4\r\nPING\r\n" + "\nexpect c1 +PONG",
-         limits=limits)
-    play(tmp_path / "b", READY + begun + "expect c1 -ERR*\nexpect c1 end",
-         limits=limits | {"command_ns": 10**8})
+    play(
+        tmp_path,
+        READY + begun + "send c2 raw\nexpect c2 end\n" r"send c1 raw $4\r\nPING\r\n" + "\nexpect c1 +PONG",
+        limits=limits,
+    )
+    play(
+        tmp_path / "b",
+        READY + begun + "expect c1 -ERR*\nexpect c1 end",
+        limits=limits | {"command_ns": 10**8},
+    )
 
 
 def test_a_client_with_much_unanswered_is_read_no_further(tmp_path):
@@ -458,24 +577,43 @@
 def test_more_clients_than_descriptors_wait_their_turn(tmp_path):
     """26 of 60 descriptors are for clients: with a command begun on each, the others have to wait."""
     asks = "".join(f"send c{k} raw *4\\r\\n\n" for k in range(10, 40))
-    play(tmp_path, READY + asks + "wait gw clients=26\nclose c10\nclose c11\nwait gw clients=28\n",
-         limits={"sockets": 60, "command_ns": 10**12})
-
-
-@pytest.mark.parametrize(("broken", "said"), [
-    ({"settings": None}, "settings"), ({"listen": "nowhere"}, "nowhere"), ({"seed": "xyz"}, "xyz"),
-    ({"settings": {"classes": []}}, "key"),
-    ({"known": {"index": 1, "endpoints": [{"name": "a"}]}}, "known"),
-    ({"limits": {"idle_ns": 0}}, "limits"), ("{", "not JSON"), (None, "No such file"), ([], "")])
+    play(
+        tmp_path,
+        READY + asks + "wait gw clients=26\nclose c10\nclose c11\nwait gw clients=28\n",
+        limits={"sockets": 60, "command_ns": 10**12},
+    )
+
+
+@pytest.mark.parametrize(
+    ("broken", "said"),
+    [
+        ({"settings": None}, "settings"),
+        ({"listen": "nowhere"}, "nowhere"),
+        ({"seed": "xyz"}, "xyz"),
+        ({"settings": {"classes": []}}, "key"),
+        ({"known": {"index": 1, "endpoints": [{"name": "a"}]}}, "known"),
+        ({"limits": {"idle_ns": 0}}, "limits"),
+        ("{", "not JSON"),
+        (None, "No such file"),
+        ([], ""),
+    ],
+)
 def test_a_bad_configuration_is_one_line_and_exit_2(tmp_path, broken, said):
     path = tmp_path / "config.json"
-    table = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1",
-             "settings": settings()}
+    table = {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:1",
+        "seed": "1",
+        "settings": settings(),
+    }
     if broken is not None:
-        path.write_text(json.dumps(table | broken if isinstance(broken, dict) else broken)
-                        if broken != "{" else "{")
+        path.write_text(
+            json.dumps(table | broken if isinstance(broken, dict) else broken) if broken != "{" else "{"
+        )
     env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")} | {"RELAY_CONFIG": str(path)}
-    done = subprocess.run([sys.executable, "-m", "zincstile"], cwd=ROOT, env=env, capture_output=True,
-                          text=True)
+    done = subprocess.run(
+        [sys.executable, "-m", "zincstile"], cwd=ROOT, env=env, capture_output=True, text=True
+    )
     assert done.returncode == 2 and done.stdout == ""
     assert len(done.stderr.splitlines()) == 1 and said in done.stderr
--- a/tests/test_server_table.py
+++ b/tests/test_server_table.py
@@ -11,8 +11,11 @@
 from zincstile.net.server_table import ServerTable, Watch
 
 WITHIN = 10 * SECOND
-KNOWN = {"index": 41, "snapshot": True, "endpoints": [
-    {"name": "s-1", "address": "10.1.0.1:6379", "status": "Ready", "since_ms": 0}]}
+KNOWN = {
+    "index": 41,
+    "snapshot": True,
+    "endpoints": [{"name": "s-1", "address": "10.1.0.1:6379", "status": "Ready", "since_ms": 0}],
+}
 
 
 class Host:
@@ -27,11 +30,23 @@
 def table(number, lim):
     """A table whose tries to open a watch are counted instead."""
     turn = SimpleNamespace(
-        limits=lim, deadlines=Deadlines(), now_ns=lambda: 0, wake=lambda: None, post=lambda event: None,
-        carry_out={}, log=SimpleNamespace(often=lambda *words: None),
-        counters=SimpleNamespace(tables=0, watches=0))
-    made = ServerTable(turn, server_table.TableReader([], [], Host), ("10.2.0.1", 8500),
-                       lambda entries, whole: None, lambda: None, random.Random(number))
+        limits=lim,
+        deadlines=Deadlines(),
+        now_ns=lambda: 0,
+        wake=lambda: None,
+        post=lambda event: None,
+        carry_out={},
+        log=SimpleNamespace(often=lambda *words: None),
+        counters=SimpleNamespace(tables=0, watches=0),
+    )
+    made = ServerTable(
+        turn,
+        server_table.TableReader([], [], Host),
+        ("10.2.0.1", 8500),
+        lambda entries, whole: None,
+        lambda: None,
+        random.Random(number),
+    )
     made.opened_at = []
     made.open = lambda where: made.opened_at.append(where)
     return made
@@ -42,7 +57,7 @@
     got = []
     for _ in range(tries):
         made.lost(made.where, "turned away")
-        (at, _, then, about), = made.turn.deadlines.sweep(1 << 62)
+        ((at, _, then, about),) = made.turn.deadlines.sweep(1 << 62)
         got.append(at)
     return got
 
--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -30,10 +30,12 @@
 
 ROOT = Path(__file__).parent.parent
 SET = SharedSettings()
-BRIEF = [Quota("basic", r, r * b, n, 6.0) for r in (1.6, 2.8) for b in (3.3, 5.0) for n in (2, 3, 4)] + [
-    Quota("standard", r, r * b, n, 6.0) for r in (5.3, 9.2) for b in (3.3, 4.9) for n in (2, 3, 4)] + [
-    Quota("plus", r, r * b, n, 6.0) for r in (16.0, 28.0) for b in (1.5, 2.7) for n in (2, 3, 4)] + [
-    Quota("premium", r, r * b, n, 6.0) for r in (41.0, 71.0) for b in (1.3, 2.3) for n in (2, 3, 4)]
+BRIEF = (
+    [Quota("basic", r, r * b, n, 6.0) for r in (1.6, 2.8) for b in (3.3, 5.0) for n in (2, 3, 4)]
+    + [Quota("standard", r, r * b, n, 6.0) for r in (5.3, 9.2) for b in (3.3, 4.9) for n in (2, 3, 4)]
+    + [Quota("plus", r, r * b, n, 6.0) for r in (16.0, 28.0) for b in (1.5, 2.7) for n in (2, 3, 4)]
+    + [Quota("premium", r, r * b, n, 6.0) for r in (41.0, 71.0) for b in (1.3, 2.3) for n in (2, 3, 4)]
+)
 
 
 @pytest.mark.parametrize("name", search.OPENINGS)
@@ -93,8 +95,16 @@
 def test_a_file_that_asks_for_too_much_is_refused_with_the_term_that_dominates():
     tight = SharedSettings(flight_ns=5 * SECOND)
     assert "most of it by flight" in refused(BRIEF[0], tight)
-    for name, value in (("gap_ns", MS), ("life_ns", MS), ("opening", 2.0), ("least_good", 0.0),
-                        ("most_overshoot", 1.0), ("endured", ("rain",)), ("paused", -1), ("most_out", 0)):
+    for name, value in (
+        ("gap_ns", MS),
+        ("life_ns", MS),
+        ("opening", 2.0),
+        ("least_good", 0.0),
+        ("most_overshoot", 1.0),
+        ("endured", ("rain",)),
+        ("paused", -1),
+        ("most_out", 0),
+    ):
         with pytest.raises(ValueError, match=name):
             SharedSettings(**{name: value})
 
@@ -109,10 +119,16 @@
     assert min(count) > 400 and max(count) < 600
 
 
-WORDS = [Ask(1, 2**33 - 1, 3, 24, 23, 2**32 - 1, 5.5, 1.25, 9), Grant(1, 7, 8, 2.5, 0.125, 3, 2**32 - 1),
-         Close(1, 7, 8, 1.5, 77), SlotAsk(1, 2**40, 2, 3, 1, 5), SlotGrant(1, 7, 8, True, 9),
-         SlotClose(1, 7, 8, 9), Evidence(65535, EVERY, 1.0, 199, 4, 30 * MS),
-         LevelWord(9, 5, 6, 2.5, 8.0, 0)]
+WORDS = [
+    Ask(1, 2**33 - 1, 3, 24, 23, 2**32 - 1, 5.5, 1.25, 9),
+    Grant(1, 7, 8, 2.5, 0.125, 3, 2**32 - 1),
+    Close(1, 7, 8, 1.5, 77),
+    SlotAsk(1, 2**40, 2, 3, 1, 5),
+    SlotGrant(1, 7, 8, True, 9),
+    SlotClose(1, 7, 8, 9),
+    Evidence(65535, EVERY, 1.0, 199, 4, 30 * MS),
+    LevelWord(9, 5, 6, 2.5, 8.0, 0),
+]
 
 
 def test_words_survive_the_way_and_damage_does_not():
@@ -123,12 +139,14 @@
     assert read == sent * 9 and found[0][0] == 5
     data = words.pack(5, WORDS)[0]
     assert all(words.unpack(data[:k]) is None for k in range(len(data)))
-    assert all(words.unpack(data[:k] + bytes([data[k] ^ 1]) + data[k + 1:]) is None for k in range(len(data)))
+    assert all(
+        words.unpack(data[:k] + bytes([data[k] ^ 1]) + data[k + 1 :]) is None for k in range(len(data))
+    )
 
 
 def test_units_never_grow_on_their_way():
     for units in (0.1, 1 / 3, 2.9999999, 5.0005):
-        (_, (grant,)), = [words.unpack(d) for d in words.pack(1, [Grant(0, 1, 2, units, units, 1, 1)])]
+        ((_, (grant,)),) = [words.unpack(d) for d in words.pack(1, [Grant(0, 1, 2, units, units, 1, 1)])]
         assert units - 0.001 < grant.units <= units
 
 
@@ -159,6 +177,7 @@
     def start(me):
         process[0] += 1
         return Slots(SET, me, process[0], longest, random.Random(process[0]))
+
     seats, words, requests, number = [start(g) for g in row], [], {}, 0
     spare, until, most = 0, 0, 0
     for _ in range(4000):
@@ -184,8 +203,10 @@
             if rng.random() < 0.3:
                 one.look(now)
             for word in one.told():
-                words += [(now + rng.choice((1, 5, 30, 80, 900, 5000)) * MS, k, one.process, word)
-                          for _ in range(rng.choice((0, 1, 1, 1, 1, 2)))]
+                words += [
+                    (now + rng.choice((1, 5, 30, 80, 900, 5000)) * MS, k, one.process, word)
+                    for _ in range(rng.choice((0, 1, 1, 1, 1, 2)))
+                ]
         due = [w for w in words if w[0] <= now]
         words = [w for w in words if w[0] > now]
         rng.shuffle(due)
@@ -225,10 +246,14 @@
     plans = [p.name for p in found.settings.plans]
     covered = dict(zip(plans, SharedPolicy(found.settings, 1, found.shared).covered, strict=True))
     assert covered == dict.fromkeys(plans, False) | {"plus": True}  # its quota holds under its ceiling
-    for text, said in (("shared: {life_ms: fast}", "x.yaml:1: $.shared.life_ms"),
-                       ("shared: {hold: 1}", "x.yaml:1"), ("shared: {gap_ms: 10}", "gap_ns"),
-                       ("plans: []", "shared"), ("shared: [", "not YAML"),
-                       ("shared: {flight_ms: 4000}", "most of it by flight")):
+    for text, said in (
+        ("shared: {life_ms: fast}", "x.yaml:1: $.shared.life_ms"),
+        ("shared: {hold: 1}", "x.yaml:1"),
+        ("shared: {gap_ms: 10}", "gap_ns"),
+        ("plans: []", "shared"),
+        ("shared: [", "not YAML"),
+        ("shared: {flight_ms: 4000}", "most of it by flight"),
+    ):
         (tmp_path / "x.yaml").write_text(text + "\n")
         table["features"] = {"shared": str(tmp_path / "x.yaml")}
         with pytest.raises(config.ConfigError, match="x.yaml") as err:
@@ -241,8 +266,10 @@
 
 def test_the_command_states_the_bounds_and_refuses(tmp_path):
     def bound(path):
-        return subprocess.run([sys.executable, "-m", "zincstile", "bound", str(path)], cwd=ROOT, text=True,
-                              capture_output=True)
+        return subprocess.run(
+            [sys.executable, "-m", "zincstile", "bound", str(path)], cwd=ROOT, text=True, capture_output=True
+        )
+
     done = bound(ROOT / "deploy" / "shared.yaml")
     assert done.returncode == 0 and "gossip, 2 parts for 10 s" in done.stdout and "premium" in done.stdout
     path = tmp_path / "much.yaml"
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -49,8 +49,9 @@
 def call(number, name="look", **fields):
     given = {"c": name, "t": "p", "d": "900", "units": "1", "spread": "1", "first": "0"} | fields
     verb = b"CALL.POST" if "k" in fields else b"CALL.GET"
-    return wire.command(verb, b"00000000b4d65521", b"%d" % number,
-                        ",".join(f"{k}={v}" for k, v in given.items()).encode())
+    return wire.command(
+        verb, b"00000000b4d65521", b"%d" % number, ",".join(f"{k}={v}" for k, v in given.items()).encode()
+    )
 
 
 async def reply(reader, parser=None):
@@ -76,6 +77,7 @@
         assert notes.names() == ["arrived", "made"]
         writer.write(wire.command(b"PING") + wire.command(b"INFO", b"load"))
         assert await reply(reader) == "+PONG"
+
     play(scene)
 
 
@@ -86,6 +88,7 @@
         reader, writer = await line(port)
         writer.write(call(1))
         assert await reply(reader) == "-BUSY" and "turned_away" in notes.names()
+
     play(scene)
 
 
@@ -100,19 +103,26 @@
             writer.write(call(1, "order", k="abc"))
             values.append((await reply(reader))[0])
         assert values[0] == values[1] and second.counts["repeats"] == 1
+
     play(scene)
 
 
-@pytest.mark.parametrize("words", [
-    [b"GET", b"x"], [b"CALL.GET", b"a", b"b"],
-    [b"CALL.GET", b"a", b"b", b"c=none,t=p,d=1,units=1,spread=1,first=0"],
-    [b"CALL.GET", b"a", b"b", b"c=look,c=look"]])
+@pytest.mark.parametrize(
+    "words",
+    [
+        [b"GET", b"x"],
+        [b"CALL.GET", b"a", b"b"],
+        [b"CALL.GET", b"a", b"b", b"c=none,t=p,d=1,units=1,spread=1,first=0"],
+        [b"CALL.GET", b"a", b"b", b"c=look,c=look"],
+    ],
+)
 def test_a_guide_box_says_when_it_is_sent_what_no_client_sent(words):
     async def scene():
         _, notes, port = await box()
         reader, writer = await line(port)
         writer.write(wire.command(*words))
         assert await reply(reader) == "-SYNTAX" and notes.names()[-1] == "foreign"
+
     play(scene)
 
 
@@ -124,6 +134,7 @@
         assert made.warmth() == pytest.approx(0.25, abs=0.01)
         made.began_s -= 5
         assert made.warmth() == pytest.approx(0.625, abs=0.01)
+
     play(scene)
 
 
@@ -154,6 +165,7 @@
             async def chunk(writer=writer):  # kept open by being kept
                 size = int(await reader.readline(), 16)
                 return json.loads((await reader.readexactly(size + 2))[:size].strip() or b"null")
+
             return chunk
 
         chunk = await watch(0)
@@ -170,6 +182,7 @@
         again = await (await watch(change["index"]))()  # what was missed, as a change
         assert not again["snapshot"] and again["endpoints"][0]["status"] == "Gone"
         assert [row[3] for row in notes.said if row[0] == "told"][:2] == ["Ready", "Terminating"]
+
     play(scene)
 
 
@@ -192,11 +205,15 @@
         assert await ask(b"a?add=1&ttl_ms=50") == [(503, b"")]  # the run has not begun
         counter.open = True
         assert await ask(b"a?add=1&ttl_ms=50", b"a?add=-2.5&ttl_ms=9", b"b?add=3&ttl_ms=9000") == [
-            (200, b"1"), (200, b"-1.5"), (200, b"3")]
+            (200, b"1"),
+            (200, b"-1.5"),
+            (200, b"3"),
+        ]
         wrong = [b"a?add=x&ttl_ms=1", b"?add=1&ttl_ms=1", b"a?add=2e9&ttl_ms=1", b"a?add=1&ttl_ms=0"]
         assert await ask(*wrong) == [(400, b"")] * 4
         await asyncio.sleep(0.06)
         assert await ask(b"a?add=0&ttl_ms=50") == [(200, b"0")]  # forgotten
+
     play(scene)
 
 
@@ -210,6 +227,7 @@
         with pytest.raises((ConnectionResetError, asyncio.IncompleteReadError)):
             await reader.readexactly(1)
         assert [await r.read() for r, _ in kept] == [b"", b""]
+
     play(scene)
 
 
@@ -231,6 +249,7 @@
                         writer.close()
                         return
                     writer.write(what)
+
         server = await asyncio.start_server(gateway, HOST, 0)
         front = Front(loop, random.Random(1), notes, {"g0": server.sockets[0].getsockname()[:2]})
         front.watch()
@@ -242,4 +261,5 @@
         assert front.tally == {("p", "denied"): 1, ("p", "served"): 1}
         assert len(asked) == 3 and asked[0] != asked[1] == asked[2]
         server.close()
+
     play(scene)
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -24,8 +24,19 @@
 
 
 def entries(count, version=1):
-    return [{"name": f"s-{k:03x}", "address": f"10.1.{version}.{k}:6379", "zone": "a", "type": "std",
-             "group": k % 3, "status": "Ready", "weight": 1.0, "since_ms": 7 * k} for k in range(count)]
+    return [
+        {
+            "name": f"s-{k:03x}",
+            "address": f"10.1.{version}.{k}:6379",
+            "zone": "a",
+            "type": "std",
+            "group": k % 3,
+            "status": "Ready",
+            "weight": 1.0,
+            "since_ms": 7 * k,
+        }
+        for k in range(count)
+    ]
 
 
 class Fleet:
@@ -54,9 +65,9 @@
 @pytest.mark.parametrize(("count", "loss"), [(3, 0.0), (12, 0.3), (40, 0.073)])
 def test_who_starts_gets_the_list_from_those_that_have_it_within_the_intake(count, loss):
     fleet, listed = Fleet(count, loss), entries(200)
-    for one in fleet.all[:max(2, count // 3)]:
+    for one in fleet.all[: max(2, count // 3)]:
         one.told_by_discovery(0, 41, listed, True)
-    seekers = fleet.all[max(2, count // 3):]
+    seekers = fleet.all[max(2, count // 3) :]
     for one in seekers:
         one.seek(0)
     fleet.run(12 * SECOND)
@@ -74,8 +85,11 @@
     for k in range(4):
         fleet.all[k].told_by_discovery(0, 40 + (k >= 2), entries(60, version=k // 2), True)
     # one teller of the newest list tells lines that don't give its sums
-    fleet.spoil = lambda sender, data: words.pack(words.Lines(41, w.bucket, w.part, w.parts, (b"x",))) if (
-        sender == 3 and isinstance(w := words.unpack(data), words.Lines)) else data
+    fleet.spoil = (
+        lambda sender, data: words.pack(words.Lines(41, w.bucket, w.part, w.parts, (b"x",)))
+        if (sender == 3 and isinstance(w := words.unpack(data), words.Lines))
+        else data
+    )
     fleet.all[4].seek(0)
     fleet.run(6 * SECOND)
     found = fleet.all[4].take_found()
@@ -115,8 +129,12 @@
 def test_words_survive_their_codec_and_nothing_is_longer_than_a_datagram():
     lines = [words.line(e) for e in entries(40)]
     assert all(words.entry(x)["name"] == e["name"] for x, e in zip(lines, entries(40), strict=True))
-    made = [words.What(), words.Want(5, (0, 31)), *words.parted(5, 3, lines),
-            words.Digest(5, 40, 20 * MS, 1, tuple(range(words.BUCKETS)), True)]
+    made = [
+        words.What(),
+        words.Want(5, (0, 31)),
+        *words.parted(5, 3, lines),
+        words.Digest(5, 40, 20 * MS, 1, tuple(range(words.BUCKETS)), True),
+    ]
     for word in made:
         data = words.pack(word)
         assert len(data) <= 256 and words.unpack(data) == word
@@ -160,9 +178,14 @@
 
 
 def test_a_gateway_is_ready_by_the_best_right_it_has():
-    for right, confirmed, at in ((Right.TOLD, False, 0), (Right.AGREED, False, 0),
-                                 (Right.LONE, False, SET.lone_ns), (Right.KNOWN, False, SET.known_ns),
-                                 (Right.KNOWN, True, 0), (Right.NONE, True, None)):
+    for right, confirmed, at in (
+        (Right.TOLD, False, 0),
+        (Right.AGREED, False, 0),
+        (Right.LONE, False, SET.lone_ns),
+        (Right.KNOWN, False, SET.known_ns),
+        (Right.KNOWN, True, 0),
+        (Right.NONE, True, None),
+    ):
         one = Readiness(SET, 5 * SECOND)
         one.has(right, confirmed)
         one.has(Right.NONE)
@@ -170,9 +193,16 @@
         assert one.ready(5 * SECOND) is (at == 0)
 
 
-@pytest.mark.parametrize(("text", "said"), [
-    ("start: {wait_ms: 0}", "wait_ns: must be above 0"), ("start: {first_per_s: 0}", "first_per_s"),
-    ("start: {lone_ms: 10}", "lone_ns"), ("start: {weight: 3}", "weight"), ("begin: {}", "begin")])
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("start: {wait_ms: 0}", "wait_ns: must be above 0"),
+        ("start: {first_per_s: 0}", "first_per_s"),
+        ("start: {lone_ms: 10}", "lone_ns"),
+        ("start: {weight: 3}", "weight"),
+        ("begin: {}", "begin"),
+    ],
+)
 def test_a_bad_file_is_one_line_and_the_settings_have_to_allow_peers(text, said, tmp_path):
     path = tmp_path / "start.yaml"
     path.write_text(text)
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -31,7 +31,7 @@
     """A slow backend server: the value in small pieces. The time of its first byte."""
     began = time.monotonic()
     for at in range(0, len(data), piece):
-        sock.sendall(data[at:at + piece])
+        sock.sendall(data[at : at + piece])
         time.sleep(pause_s)
     return began
 
@@ -102,8 +102,14 @@
         assert got in ((0, 0), (70000, 4)), (cut, got)
     assert stream_head(whole, 65536) == (70000, 4)
     assert stream_head(b"*3\r\n$65536\r\n", 65536) is None  # not larger: read whole as before
-    for other in (b"-BUSY\r\n", b"*2\r\n$9\r\n", b"*3\r\n:1\r\n", b"*3\r\n$-1\r\n", b"*3\r\n$1x\r\n",
-                  b"*3\r\n$" + b"9" * 12):
+    for other in (
+        b"-BUSY\r\n",
+        b"*2\r\n$9\r\n",
+        b"*3\r\n:1\r\n",
+        b"*3\r\n$-1\r\n",
+        b"*3\r\n$1x\r\n",
+        b"*3\r\n$" + b"9" * 12,
+    ):
         assert stream_head(other, 65536) is None, other
 
 
--- a/tests/test_turn.py
+++ b/tests/test_turn.py
@@ -107,6 +107,7 @@
 
 def probe(answer):
     """What the module hears of one probe of a backend server that answers so; None: nobody listens."""
+
     async def play():
         asked, module = [], Probing()
 
@@ -130,6 +131,7 @@
         backends.shut()
         server.close()
         return asked, module.probed
+
     return asyncio.run(asyncio.wait_for(play(), 20))
 
 
@@ -141,8 +143,17 @@
     assert [(p.backend, p.result, p.report) for p in probed] == [(5, i.Result.OK, [7.0, 2.0])]
 
 
-@pytest.mark.parametrize("report", [b"inflight=nan,queue=2", b"inflight=7,queue=inf", b"inflight=-1,queue=2",
-                                    b"inflight=7", b"inflight=7,queue=2,x", b"\xff"])
+@pytest.mark.parametrize(
+    "report",
+    [
+        b"inflight=nan,queue=2",
+        b"inflight=7,queue=inf",
+        b"inflight=-1,queue=2",
+        b"inflight=7",
+        b"inflight=7,queue=2,x",
+        b"\xff",
+    ],
+)
 def test_a_report_that_can_not_be_is_none(report):
     _, probed = probe(b"$%d\r\n%b\r\n" % (len(report), report))
     assert [(p.result, p.report) for p in probed] == [(i.Result.OK, [])]
@@ -171,6 +182,7 @@
 def test_an_attempt_of_a_client_that_left_in_the_same_turn_is_told_to_have_ended():
     """Guards the module's count of what is out: a client left in the very turn that begins the next
     attempt."""
+
     async def play():
         module = Leaving()
         turn = Turn(asyncio.get_running_loop(), module, Limits(), Counters(), Log("n0"))
@@ -185,5 +197,6 @@
             await asyncio.sleep(0)
         assert not backends.attempts and not turn.over
         return module
+
     module = asyncio.run(asyncio.wait_for(play(), 20))
     assert module.sent == 1 and module.told == [(0, i.Result.FULL), (1, i.Result.MOOT)]
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -103,20 +103,29 @@
 
     def again():
         net.a.loop.call_soon(again)
+
     again()
     with pytest.raises(StuckError):
         net.run()
 
 
-@pytest.mark.parametrize("ways", [
-    {}, {"split": 0.8}, {"window_bytes": 300}, {"window_bytes": 64, "split": 0.5}, {"read_bytes": 7},
-    {"jitter": 3.0, "split": 0.5}])
+@pytest.mark.parametrize(
+    "ways",
+    [
+        {},
+        {"split": 0.8},
+        {"window_bytes": 300},
+        {"window_bytes": 64, "split": 0.5},
+        {"read_bytes": 7},
+        {"jitter": 3.0, "split": 0.5},
+    ],
+)
 def test_bytes_arrive_whole_and_in_order_however_they_are_cut_up(ways):
     net = Net(**ways)
     client, server = joined(net)
     sent = bytes(random.Random(2).randbytes(5000))
     for at in range(0, 5000, 700):
-        client.transport.write(sent[at:at + 700])
+        client.transport.write(sent[at : at + 700])
     client.transport.close()
     net.run(5000)
     assert server.got == sent and server.log[-2:] == ["eof", "lost clean"]
@@ -161,6 +170,7 @@
 
 def connect(net, give_up_s=0.5):
     """What comes of connecting from a to b."""
+
     async def try_it():
         try:
             async with asyncio.timeout(give_up_s):
@@ -242,8 +252,9 @@
 def datagrams(net, count, **ways):
     one, two = Heard(), Heard()
     for process, heard in ((net.a, one), (net.b, two)):
-        process.loop.create_task(process.loop.create_datagram_endpoint(
-            lambda heard=heard: heard, local_addr=(process.host, 7)))
+        process.loop.create_task(
+            process.loop.create_datagram_endpoint(lambda heard=heard: heard, local_addr=(process.host, 7))
+        )
     net.run(1)
     for k in range(count):
         one.transport.sendto(b"%d" % k, (net.b.host, 7))
@@ -271,6 +282,7 @@
 
 async def _play(loop, host, run_for):
     """Echo, end of sending, abort; what each side saw."""
+
     class Echo(Side):
         def data_received(self, data):
             super().data_received(data)
@@ -285,6 +297,7 @@
     def made():
         servers.append(Echo())
         return servers[-1]
+
     server = await loop.create_server(made, host, 0)
     port = server.sockets[0].getsockname()[1]
     for how in ("write_eof", "close", "abort"):
--- a/tests/test_wide.py
+++ b/tests/test_wide.py
@@ -158,7 +158,7 @@
         g.list([backend(1), backend(2), backend(3, started=g.now)])
     rate, seconds = 133.0, [0.0] * 5  # units that a warm one is seen to do in a second
     for step in range(50):
-        for g in fleet[step % 10::10]:
+        for g in fleet[step % 10 :: 10]:
             g.policy.done_rate, g.policy.good = 2 * rate / 200, 2
             rid, acts = g.ask(cls=1, units=2.0, after=SECOND if step >= 10 else (1 + step) * 100 * MS)
             seconds[step // 10] += 2.0 * sends(acts).count(3)
@@ -218,8 +218,13 @@
 
 
 def test_what_many_cold_backends_can_do_is_used_by_gateways_that_send_little():
-    over = {"cold_share": 0.5, "cold_ns": 10**6 * SECOND, "cold_multiple": 2.0, "cold_window_ns": 3 * SECOND,
-            "plans": [i.PlanSpec("p", rate=1e6, burst=1e6)]}
+    over = {
+        "cold_share": 0.5,
+        "cold_ns": 10**6 * SECOND,
+        "cold_multiple": 2.0,
+        "cold_window_ns": 3 * SECOND,
+        "plans": [i.PlanSpec("p", rate=1e6, burst=1e6)],
+    }
     got = sent = 0
     for me in range(WIDE):
         g = gateway(me=me, seed=me, backends=0, **over)
@@ -263,8 +268,9 @@
 
 
 def test_a_plan_with_a_ceiling_is_served_at_the_start_of_a_tier_that_nobody_hears():
-    plan = i.PlanSpec("plus", rate=7.0, burst=24.0, over_cost=1.0, ceiling_rate=12.0, ceiling_burst=39.0,
-                      ceiling_slack=6.0)
+    plan = i.PlanSpec(
+        "plus", rate=7.0, burst=24.0, over_cost=1.0, ceiling_rate=12.0, ceiling_burst=39.0, ceiling_slack=6.0
+    )
     let_in = 0.0
     for me in range(3):  # all of the customer's set
         g = gateway(me=me, seed=me, plans=[plan], largest_units=6.0)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -13,15 +13,43 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 SETTINGS = {
-    "balancers": 3, "ordinal": 1, "zone": 0, "discovery": "pushed", "an_unknown_key": 5,
+    "balancers": 3,
+    "ordinal": 1,
+    "zone": 0,
+    "discovery": "pushed",
+    "an_unknown_key": 5,
     "classes": [{"name": "a", "aim_ns": 10**9, "deadline_ns": 4 * 10**9, "effect": "free", "gain": 1.0}],
-    "plans": [{"name": "p", "price": 1.0, "refill": 2.0, "burst": 9.0, "concurrency": 0, "over_worth": 0.0,
-               "beyond_costs": 0.5, "never_over_rate": 0.0, "hard_burst": 0.0, "tolerance": 0.0}],
-    "limits": {"peers": True, "probes": True, "cancel": True, "may_duplicate": True, "retry_after": True,
-               "send_cap": 3},
-    "obligations": {"drain_grace_ns": 1, "start_capacity": 0.2, "warm_up_ns": 1, "overload_factor": 2,
-                    "fall_ns": 1},
-    "domain": {"peer_intake": 60.0, "units_top": 4}}
+    "plans": [
+        {
+            "name": "p",
+            "price": 1.0,
+            "refill": 2.0,
+            "burst": 9.0,
+            "concurrency": 0,
+            "over_worth": 0.0,
+            "beyond_costs": 0.5,
+            "never_over_rate": 0.0,
+            "hard_burst": 0.0,
+            "tolerance": 0.0,
+        }
+    ],
+    "limits": {
+        "peers": True,
+        "probes": True,
+        "cancel": True,
+        "may_duplicate": True,
+        "retry_after": True,
+        "send_cap": 3,
+    },
+    "obligations": {
+        "drain_grace_ns": 1,
+        "start_capacity": 0.2,
+        "warm_up_ns": 1,
+        "overload_factor": 2,
+        "fall_ns": 1,
+    },
+    "domain": {"peer_intake": 60.0, "units_top": 4},
+}
 BACKEND = bytes([10, 18, 74, 7]) + struct.pack("<H", 7003)
 
 
@@ -33,8 +61,11 @@
 def opening(settings=None):
     text = json.dumps(SETTINGS if settings is None else settings).encode()
     entry = BACKEND + struct.pack("<BHHBfQ", 0, 0, 0, 1, 1.0, 0)
-    return [struct.pack("<BH", 90, 3), struct.pack("<BQI", 50, 7, len(text)) + text,
-            struct.pack("<BBQI", 70, 2, 1, 1) + entry]
+    return [
+        struct.pack("<BH", 90, 3),
+        struct.pack("<BQI", 50, 7, len(text)) + text,
+        struct.pack("<BBQI", 70, 2, 1, 1) + entry,
+    ]
 
 
 def knock(rid=9, plan=0):
@@ -98,8 +129,10 @@
 
 
 def test_peer_messages_survive_the_trip_and_damage_is_dropped():
-    shares = [i.Share(2**33 - k, 0, 12.5 + k, -1.25, k, want=-2.5, mark=65535 - k, answer=k % 2 == 0)
-              for k in range(40)]
+    shares = [
+        i.Share(2**33 - k, 0, 12.5 + k, -1.25, k, want=-2.5, mark=65535 - k, answer=k % 2 == 0)
+        for k in range(40)
+    ]
     figures, doubts = [0.5, 2.0, 1024.0], [i.Doubt(2**16 - 1, 5, 1.0), i.Doubt(7, 0, 0.0)]
     messages = wire.pack_tell(i.Tell(2, 4_000_000_000, shares, figures, doubts))
     assert all(len(m) <= 256 for m in messages)
--- a/tests/test_worlds.py
+++ b/tests/test_worlds.py
@@ -19,15 +19,23 @@
 
 
 def command(*words, **env):
-    return subprocess.run([sys.executable, "-m", "zincstile", *words], cwd=ROOT, capture_output=True,
-    text=True,
-                          timeout=300, env=os.environ | env)
+    return subprocess.run(
+        [sys.executable, "-m", "zincstile", *words],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=300,
+        env=os.environ | env,
+    )
 
 
 def test_a_sweep_keeps_the_rules():
     results = list(sweep.play_all(range(100_000, 100_120), 4))
-    broken = [f"{r.line()}: {r.breach.text}; replay: python -m zincstile sim run --seed {r.seed}"
-              for r in results if r.breach]
+    broken = [
+        f"{r.line()}: {r.breach.text}; replay: python -m zincstile sim run --seed {r.seed}"
+        for r in results
+        if r.breach
+    ]
     assert not broken, "\n".join(broken)
     assert sum(r.requests for r in results) / len(results) >= 150
     assert sum(r.faults for r in results) / len(results) >= 3
@@ -47,9 +55,10 @@
 
 
 def test_a_sweep_is_the_same_however_it_is_shared_out():
-    lines = [command("sim", "sweep", "--seeds", "5:13", "--jobs", jobs,
-    PYTHONHASHSEED=hashes).stdout.splitlines()
-             for jobs, hashes in (("1", "7"), ("3", "8"))]
+    lines = [
+        command("sim", "sweep", "--seeds", "5:13", "--jobs", jobs, PYTHONHASHSEED=hashes).stdout.splitlines()
+        for jobs, hashes in (("1", "7"), ("3", "8"))
+    ]
     assert lines[0][-1].split("digest=")[1] == lines[1][-1].split("digest=")[1]
     assert lines[0][-1].startswith("sweep seeds=8 ok=8 broken=0 seconds=")
 
@@ -70,15 +79,27 @@
     drawn = [plan.draw(seed) for seed in range(300)]
     beside = (*plan.LINKS, *plan.REAL_ONLY)
     assert {f.kind for p in drawn for f in p.faults} == {
-        k for k in plan.Kind.__args__ if "keeper" not in k and k not in beside}
+        k for k in plan.Kind.__args__ if "keeper" not in k and k not in beside
+    }
     assert sum(len(p.faults) for p in drawn) / len(drawn) >= 3
 
 
-@pytest.mark.parametrize(("text", "place"), [
-    ("seed: 1\nfaults:\n- kind: crash\n  at_ms: 5\n- kind: melt\n  at_ms: 5\n", "p.yaml:5: $.faults[1].kind"),
-    ("seed: 1\nboxes: 0\n", "p.yaml:2: $.boxes"), ("seed: x\n", "p.yaml:1: $.seed"),
-    ("seed: 1\nfaults: [\n", "p.yaml:3: not YAML"), ("- 1\n", "p.yaml:1: $"), ("", "p.yaml:1: $"),
-    ("seed: 1\ncolour: red\n", "p.yaml:1: $"), ("seed: 1\nsplit: 2.0\n", "p.yaml:2: $.split")])
+@pytest.mark.parametrize(
+    ("text", "place"),
+    [
+        (
+            "seed: 1\nfaults:\n- kind: crash\n  at_ms: 5\n- kind: melt\n  at_ms: 5\n",
+            "p.yaml:5: $.faults[1].kind",
+        ),
+        ("seed: 1\nboxes: 0\n", "p.yaml:2: $.boxes"),
+        ("seed: x\n", "p.yaml:1: $.seed"),
+        ("seed: 1\nfaults: [\n", "p.yaml:3: not YAML"),
+        ("- 1\n", "p.yaml:1: $"),
+        ("", "p.yaml:1: $"),
+        ("seed: 1\ncolour: red\n", "p.yaml:1: $"),
+        ("seed: 1\nsplit: 2.0\n", "p.yaml:2: $.split"),
+    ],
+)
 def test_a_plan_that_cannot_be_used_is_named_by_file_and_place(text, place):
     with pytest.raises(typed_yaml.FileError) as err:
         typed_yaml.parse(text, "p.yaml", Plan)
@@ -92,9 +113,23 @@
     assert result.breach is None, f"{result.line()}: {result.breach.text}"
 
 
-QUICK = ["drain-unseen", "answers-out-of-order", "key-to-any-rack", "copies-all", "cold-unlimited",
-         "ceiling-ignored", "give-up-one-off", "deadlines-off", "never-rests", "kept-after-timeout",
-         "stop-at-once", "ids-leak", "connections-leak", "key-lost", "outcome-not-borne"]
+QUICK = [
+    "drain-unseen",
+    "answers-out-of-order",
+    "key-to-any-rack",
+    "copies-all",
+    "cold-unlimited",
+    "ceiling-ignored",
+    "give-up-one-off",
+    "deadlines-off",
+    "never-rests",
+    "kept-after-timeout",
+    "stop-at-once",
+    "ids-leak",
+    "connections-leak",
+    "key-lost",
+    "outcome-not-borne",
+]
 
 
 @pytest.mark.parametrize("name", QUICK)
@@ -121,21 +156,36 @@
 def test_a_plan_by_hand_is_played_as_it_stands():
     calm = Run(Plan(seed=3, requests=60, last_ms=2000, udp_loss=0.0)).play()
     assert calm.breach is None and calm.tally["served"] > 30 and "unreached" not in calm.tally
-    crash = Run(Plan(seed=3, requests=60, last_ms=2000, faults=[
-        Fault("crash", 300, 1500, [0]), Fault("crash", 300, 1500, [1]), Fault("crash", 300, 1500,
-        [2])])).play()
+    crash = Run(
+        Plan(
+            seed=3,
+            requests=60,
+            last_ms=2000,
+            faults=[
+                Fault("crash", 300, 1500, [0]),
+                Fault("crash", 300, 1500, [1]),
+                Fault("crash", 300, 1500, [2]),
+            ],
+        )
+    ).play()
     assert crash.breach is None and crash.tally["unreached"] > 0
     assert crash.tally["served"] < calm.tally["served"]
 
 
-@pytest.mark.parametrize(("words", "said"), [
-    (("sim", "run"), "give --seed N or --plan FILE"), (("sim", "run", "--seed", "x"), "'x' is not a valid"),
-    (("sim", "run", "--plan", "/nonexistent.yaml"), "/nonexistent.yaml: No such file"),
-    (("sim", "sweep", "--seeds", "9:3"), "not a range of seeds"),
-    (("sim", "sweep", "--seeds", "a"), "not a range"),
-    (("sim", "run", "--seed", "1", "--rule", "calm"), "no such rule"),
-    (("sim", "mutants", "--only", "nothing"), "no such mutant"), (("frobnicate",), "No such command"),
-    (("sim", "shrink", "--seed", "3", "--out", "/nonexistent/x"), "nothing to shrink")])
+@pytest.mark.parametrize(
+    ("words", "said"),
+    [
+        (("sim", "run"), "give --seed N or --plan FILE"),
+        (("sim", "run", "--seed", "x"), "'x' is not a valid"),
+        (("sim", "run", "--plan", "/nonexistent.yaml"), "/nonexistent.yaml: No such file"),
+        (("sim", "sweep", "--seeds", "9:3"), "not a range of seeds"),
+        (("sim", "sweep", "--seeds", "a"), "not a range"),
+        (("sim", "run", "--seed", "1", "--rule", "calm"), "no such rule"),
+        (("sim", "mutants", "--only", "nothing"), "no such mutant"),
+        (("frobnicate",), "No such command"),
+        (("sim", "shrink", "--seed", "3", "--out", "/nonexistent/x"), "nothing to shrink"),
+    ],
+)
 def test_bad_input_is_one_line_and_exit_2(words, said):
     done = command(*words)
     assert done.returncode == 2 and said in done.stderr
@@ -150,13 +200,16 @@
 
 
 def test_the_gateway_without_words_loads_the_standard_library_only():
-    code = ("import sys, zincstile.__main__\n"
-            "import zincstile.net.gateway, zincstile.net.control, zincstile.control.operator\n"
-            "foreign = {m.split('.')[0] for m in sys.modules} - set(sys.stdlib_module_names)\n"
-            "own = [m for m in sys.modules if m.startswith(('zincstile.cli', 'zincstile.virtual', "
-            "'zincstile.worlds', 'zincstile.standin', 'zincstile.rules'))]\n"
-            "foreign -= {'zincstile', 'sitecustomize'}\n"
-            "print(sorted(m for m in foreign if m[0] != '_'), own)")
-    done = subprocess.run([sys.executable, "-S", "-c", code], cwd=ROOT, capture_output=True, text=True,
-                          timeout=60)
+    code = (
+        "import sys, zincstile.__main__\n"
+        "import zincstile.net.gateway, zincstile.net.control, zincstile.control.operator\n"
+        "foreign = {m.split('.')[0] for m in sys.modules} - set(sys.stdlib_module_names)\n"
+        "own = [m for m in sys.modules if m.startswith(('zincstile.cli', 'zincstile.virtual', "
+        "'zincstile.worlds', 'zincstile.standin', 'zincstile.rules'))]\n"
+        "foreign -= {'zincstile', 'sitecustomize'}\n"
+        "print(sorted(m for m in foreign if m[0] != '_'), own)"
+    )
+    done = subprocess.run(
+        [sys.executable, "-S", "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=60
+    )
     assert done.stdout.strip() == "[] []", done.stdout + done.stderr
--- a/zincstile/bounds.py
+++ b/zincstile/bounds.py
@@ -26,8 +26,9 @@
 
     def __post_init__(self) -> None:
         if not (self.rate > 0 and self.burst >= 0 and self.spread >= 1 and self.largest > 0):
-            raise ValueError(f"quota {self.name}: rate, spread and largest must be above 0, burst not "
-                             "negative")
+            raise ValueError(
+                f"quota {self.name}: rate, spread and largest must be above 0, burst not " "negative"
+            )
 
     @property
     def minute(self) -> float:
@@ -69,5 +70,7 @@
     """Why a bound is over what is allowed, with the term that dominates; None where it is not."""
     if bound.share <= most + DIGITS:
         return None
-    return (f"plan {quota.name}: {bound.failure}: up to {bound.units:.2f} units, "
-            f"{100 * bound.share:.1f}% of a minute, over {100 * most:.1f}%; most of it by {bound.dominant}")
+    return (
+        f"plan {quota.name}: {bound.failure}: up to {bound.units:.2f} units, "
+        f"{100 * bound.share:.1f}% of a minute, over {100 * most:.1f}%; most of it by {bound.dominant}"
+    )
--- a/zincstile/cli/bound.py
+++ b/zincstile/cli/bound.py
@@ -27,8 +27,10 @@
 
 
 def _title(quota: Quota, more: str) -> str:
-    return (f"plan {quota.name}: {quota.rate:g} units a second, {quota.burst:g} at once, over {quota.spread} "
-            f"gateways; {more}")
+    return (
+        f"plan {quota.name}: {quota.rate:g} units a second, {quota.burst:g} at once, over {quota.spread} "
+        f"gateways; {more}"
+    )
 
 
 @click.command("bound")
@@ -43,24 +45,35 @@
         if features.kind(file) == "shared":
             settings, quotas = features.shared(file)
             for quota in quotas:
-                more = (f"{by_loans.holders(quota, settings)} hold a part, a start opens with "
-                        f"{100 * by_loans.opening(quota, settings):.0f}% of it, "
-                        f"{by_loans.turn_most(quota, settings):.1f} borrowed units a turn")
-                _shown(console, _title(quota, more), [
-                    *by_loans.bounds(quota, settings), by_loans.gossip(quota, WAYS, CUT_S)])
-            console.print(f"budget: {settings.most_out:g} units out for each ready server by all gateways "
-                          f"together, {by_loans.MOST_FACTOR * settings.most_out:g} at most while parts of "
-                          "silent ones are taken over")
+                more = (
+                    f"{by_loans.holders(quota, settings)} hold a part, a start opens with "
+                    f"{100 * by_loans.opening(quota, settings):.0f}% of it, "
+                    f"{by_loans.turn_most(quota, settings):.1f} borrowed units a turn"
+                )
+                _shown(
+                    console,
+                    _title(quota, more),
+                    [*by_loans.bounds(quota, settings), by_loans.gossip(quota, WAYS, CUT_S)],
+                )
+            console.print(
+                f"budget: {settings.most_out:g} units out for each ready server by all gateways "
+                f"together, {by_loans.MOST_FACTOR * settings.most_out:g} at most while parts of "
+                "silent ones are taken over"
+            )
             features.check_shared(file, settings, quotas)
         else:
             settings, quotas = features.keeper(file)
             for quota in quotas:
                 carry, hand = by_keeper.carry_most(quota, settings), by_keeper.lease_most(quota, settings)
-                _shown(console, _title(quota, f"hands on {carry:.2f}, leases {hand:.2f} at most"),
-                       by_keeper.bounds(quota, settings))
+                _shown(
+                    console,
+                    _title(quota, f"hands on {carry:.2f}, leases {hand:.2f} at most"),
+                    by_keeper.bounds(quota, settings),
+                )
             features.check(file, settings, quotas)
     except FileError as err:
         raise Told(str(err)) from None
-    console.print(f"every bound to be endured is under {100 * settings.most_overshoot:g}% of a quota's "
-                  "minute")
+    console.print(
+        f"every bound to be endured is under {100 * settings.most_overshoot:g}% of a quota's " "minute"
+    )
     return 0
--- a/zincstile/cli/commands.py
+++ b/zincstile/cli/commands.py
@@ -10,11 +10,13 @@
 from . import missing
 
 # word: module beside this one, and what it is for
-GROUPS = {"sim": ("sim", "Worlds by seed: run one, sweep many, shrink a failing one."),
-          "bound": ("bound", "How far quotas held through a count keeper can be passed, failure by failure."),
-          "field": ("field", "Several real processes, and faults between them: run, sweep, report."),
-          "place": ("place", "Zones and regions: where traffic goes when a zone is lost."),
-          "demo": ("demo", "Three real gateways and all they speak with, on loopback, for a short load.")}
+GROUPS = {
+    "sim": ("sim", "Worlds by seed: run one, sweep many, shrink a failing one."),
+    "bound": ("bound", "How far quotas held through a count keeper can be passed, failure by failure."),
+    "field": ("field", "Several real processes, and faults between them: run, sweep, report."),
+    "place": ("place", "Zones and regions: where traffic goes when a zone is lost."),
+    "demo": ("demo", "Three real gateways and all they speak with, on loopback, for a short load."),
+}
 
 
 class Told(click.ClickException):
--- a/zincstile/cli/demo.py
+++ b/zincstile/cli/demo.py
@@ -49,8 +49,9 @@
 
 
 @click.command("demo")
-@click.option("--seconds", type=click.IntRange(1, 60), default=4, show_default=True,
-              help="Length of the load.")
+@click.option(
+    "--seconds", type=click.IntRange(1, 60), default=4, show_default=True, help="Length of the load."
+)
 @click.option("--seed", type=click.IntRange(min=0), default=1, show_default=True)
 def command(seconds: int, seed: int) -> int:
     """Starts three gateways and all they speak with, plays a short calm load, and checks the rules.
@@ -108,8 +109,17 @@
         for k, port in enumerate(listens):
             agent = Agent(loop, roster, f"g{k}", self.witness)
             discovery = await agent.start(HOST)
-            self._gateway(traffic.configuration(
-                plan, k, f"{HOST}:{port}", f"{HOST}:{discovery}", peers, rng.getrandbits(64), agent.whole()))
+            self._gateway(
+                traffic.configuration(
+                    plan,
+                    k,
+                    f"{HOST}:{port}",
+                    f"{HOST}:{discovery}",
+                    peers,
+                    rng.getrandbits(64),
+                    agent.whole(),
+                )
+            )
         front = Front(loop, rng, self.witness, {f"g{k}": (HOST, p) for k, p in enumerate(listens)})
         front.watch()
         until = time.monotonic() + READY_S
@@ -130,9 +140,14 @@
         env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
         env["PYTHONPATH"] = str(Path(__file__).resolve().parents[2])
         with open(path.with_suffix(".log"), "w", encoding="utf-8") as log:
-            self.programs.append(subprocess.Popen(
-                [sys.executable, "-m", "zincstile"], stderr=log, cwd=self.folder,
-                env=env | {"RELAY_CONFIG": str(path)}))
+            self.programs.append(
+                subprocess.Popen(
+                    [sys.executable, "-m", "zincstile"],
+                    stderr=log,
+                    cwd=self.folder,
+                    env=env | {"RELAY_CONFIG": str(path)},
+                )
+            )
 
     async def _load(self, front: Front) -> None:
         loop = asyncio.get_running_loop()
@@ -155,8 +170,10 @@
         waits = sorted(front.waits_s)
         if waits:
             half, most = (1000 * waits[int(len(waits) * share)] for share in (0.5, 0.99))
-            self.console.print(f"half of the served had their answer within {half:.0f} ms, 99 in 100 within "
-                               f"{most:.0f} ms")
+            self.console.print(
+                f"half of the served had their answer within {half:.0f} ms, 99 in 100 within "
+                f"{most:.0f} ms"
+            )
         for breach in self.referee.breaches:
             self.console.print(f"rule {breach.rule} broken: {breach.text}")
             for line in breach.history:
--- a/zincstile/cli/field.py
+++ b/zincstile/cli/field.py
@@ -40,13 +40,24 @@
 @command.command("run")
 @click.argument("plan_file", metavar="PLAN.yaml", type=click.Path())
 @click.option("--seed", type=click.IntRange(min=0), help="In place of the plan's own.")
-@click.option("--feature", "features", multiple=True, metavar="NAME=FILE",
-              help="A file under deploy/ that every gateway is told of.")
+@click.option(
+    "--feature",
+    "features",
+    multiple=True,
+    metavar="NAME=FILE",
+    help="A file under deploy/ that every gateway is told of.",
+)
 @click.option("--out", type=click.Path(dir_okay=False), help="Write the result as JSON.")
 @click.option("--report", "page", type=click.Path(dir_okay=False), help="Write a page with charts.")
 @click.option("--keep", type=click.Path(file_okay=False), help="Keep configurations and logs in this folder.")
-def run(plan_file: str, seed: int | None, features: tuple[str, ...], out: str | None, page: str | None,
-        keep: str | None) -> int:
+def run(
+    plan_file: str,
+    seed: int | None,
+    features: tuple[str, ...],
+    out: str | None,
+    page: str | None,
+    keep: str | None,
+) -> int:
     """Plays one plan; exit 1 where a rule is broken."""
     from ..field import report as pages
     from ..field import result as results
@@ -67,8 +78,10 @@
     except (FileError, PlaceError, NotReadyError) as err:
         raise Told(f"field: {err}") from None
     for row in found.plans:
-        click.echo(f"plan {row.plan}: {row.worst:.2f} units beyond a quota at most, stated {row.bound:.2f}; "
-                   f"sent {row.sent:.0f}, one all-seeing store {row.best:.0f}")
+        click.echo(
+            f"plan {row.plan}: {row.worst:.2f} units beyond a quota at most, stated {row.bound:.2f}; "
+            f"sent {row.sent:.0f}, one all-seeing store {row.best:.0f}"
+        )
     for breach in found.breaches:
         click.echo(f"broken rule={breach.rule} t={breach.at_s:.3f}: {breach.text}")
         for line in breach.history:
@@ -84,13 +97,26 @@
 @click.option("--gateways", type=click.IntRange(2, 64), default=8, show_default=True)
 @click.option("--kind", "kinds", multiple=True, help="Only these failures; all where none is named.")
 @click.option("--zones", is_flag=True, help="Troubles of zones, with features.place unless --gossip.")
-@click.option("--jobs", type=click.IntRange(1, 64), default=max(1, (os.cpu_count() or 2) // 4),
-              show_default=True, help="Runs beside each other.")
+@click.option(
+    "--jobs",
+    type=click.IntRange(1, 64),
+    default=max(1, (os.cpu_count() or 2) // 4),
+    show_default=True,
+    help="Runs beside each other.",
+)
 @click.option("--feature", "features", multiple=True, metavar="NAME=FILE")
 @click.option("--gossip", is_flag=True, help="By the gossip's shares, which state no bound.")
 @click.option("--out", type=click.Path(file_okay=False), help="Write each result into this folder.")
-def sweep(span: str, gateways: int, kinds: tuple[str, ...], zones: bool, jobs: int,
-          features: tuple[str, ...], gossip: bool, out: str | None) -> int:
+def sweep(
+    span: str,
+    gateways: int,
+    kinds: tuple[str, ...],
+    zones: bool,
+    jobs: int,
+    features: tuple[str, ...],
+    gossip: bool,
+    out: str | None,
+) -> int:
     """Plays many runs of drawn failures; exit 1 where any breaks a rule."""
     from ..field import result as results
     from ..field import sweep as sweeps
@@ -117,19 +143,27 @@
         raise Told(f"field: {err}") from None
     click.echo(sweeps.table(done))
     broken = sum(not r.ok for r in done)
-    click.echo(f"field sweep runs={len(done)} ok={len(done) - broken} broken={broken} "
-               f"seconds={time.monotonic() - began:.0f}")
+    click.echo(
+        f"field sweep runs={len(done)} ok={len(done) - broken} broken={broken} "
+        f"seconds={time.monotonic() - began:.0f}"
+    )
     return 1 if broken else 0
 
 
 @command.command("start")
 @click.option("--gateways", type=click.IntRange(1, 250), default=24, show_default=True)
-@click.option("--boxes", type=click.IntRange(1, 250), default=24, show_default=True,
-              help="Lines of the list.")
+@click.option(
+    "--boxes", type=click.IntRange(1, 250), default=24, show_default=True, help="Lines of the list."
+)
 @click.option("--lists-per-s", "per_s", type=click.FloatRange(0.1, 1e6), default=20.0, show_default=True)
 @click.option("--wave", "waves", multiple=True, help="Which waves; all that there are where none is named.")
-@click.option("--patience", type=click.FloatRange(1, 600), default=60.0, show_default=True,
-              help="Seconds that a wave is waited for.")
+@click.option(
+    "--patience",
+    type=click.FloatRange(1, 600),
+    default=60.0,
+    show_default=True,
+    help="Seconds that a wave is waited for.",
+)
 @click.option("--slower-after", type=click.IntRange(0), default=0, help="Half as fast after so many calls.")
 @click.option("--resets-every", type=click.IntRange(0), default=0, help="Each so-manieth call is reset.")
 @click.option("--halves-every", type=click.IntRange(0), default=0, help="Each so-manieth answer stalls.")
@@ -137,8 +171,16 @@
 @click.option("--places", type=click.IntRange(1), default=100_000, help="Callers that wait; more get 503.")
 @click.option("--seed", type=click.IntRange(min=0), default=1, show_default=True)
 @click.option("--feature", "features", multiple=True, metavar="NAME=FILE")
-def start(gateways: int, boxes: int, per_s: float, waves: tuple[str, ...], patience: float, seed: int,
-          features: tuple[str, ...], **wrong: int) -> int:
+def start(
+    gateways: int,
+    boxes: int,
+    per_s: float,
+    waves: tuple[str, ...],
+    patience: float,
+    seed: int,
+    features: tuple[str, ...],
+    **wrong: int,
+) -> int:
     """Cold starts of real processes with a list service that has to be asked; exit 1 where one is late."""
     from ..field import start as starts
     from ..field import sweep as sweeps
@@ -149,13 +191,15 @@
     for wave in waves:
         if wave not in starts.WAVES:
             raise Told(f"--wave {wave}: no such wave; there are {', '.join(starts.WAVES)}")
-    plan = Plan(seed=seed, gateways=gateways, boxes=boxes, requests=0, asked=True, lists_per_s=per_s,
-                one_address=True)
+    plan = Plan(
+        seed=seed, gateways=gateways, boxes=boxes, requests=0, asked=True, lists_per_s=per_s, one_address=True
+    )
     try:
         with tempfile.TemporaryDirectory(prefix="zincstile-start-") as folder:
             names = list(waves or starts.WAVES)
-            rows = starts.play(plan, Path(folder), Manners(per_s, **wrong), names, patience,
-                               sweeps.features(features))
+            rows = starts.play(
+                plan, Path(folder), Manners(per_s, **wrong), names, patience, sweeps.features(features)
+            )
     except FileError as err:
         raise Told(f"field: {err}") from None
     except (PlaceError, NotReadyError, OSError) as err:
--- a/zincstile/cli/place.py
+++ b/zincstile/cli/place.py
@@ -36,8 +36,17 @@
     dead = {z for word in lost for z in settings.regions.get(word, (word,))}
     for word in gone - set(names):
         raise Told(f"place: no zone or region is called {word}; there are {', '.join(names)}")
-    views = [ZoneView(r.demand, r.room, 1.0 if r.name not in dead else 0.0, takes=r.name not in gone,
-                      cap=float(r.name not in gone), reach=(r.name not in dead,) * len(rows)) for r in rows]
+    views = [
+        ZoneView(
+            r.demand,
+            r.room,
+            1.0 if r.name not in dead else 0.0,
+            takes=r.name not in gone,
+            cap=float(r.name not in gone),
+            reach=(r.name not in dead,) * len(rows),
+        )
+        for r in rows
+    ]
     made = flows(views, settings.matrix(names), settings.headroom)
     table = Table(title="units a second from each zone (rows) to each (columns)")
     for head in ("zone", *names, "refused"):
@@ -46,13 +55,16 @@
     for row, sent in zip(rows, made, strict=True):
         left = max(0.0, row.demand - sum(sent))
         refused += left
-        table.add_row(row.name, *(f"{x:.1f}" if x else "-" for x in sent),
-                      f"{left:.1f}" if left > 1e-6 else "-")
+        table.add_row(
+            row.name, *(f"{x:.1f}" if x else "-" for x in sent), f"{left:.1f}" if left > 1e-6 else "-"
+        )
     bears = [sum(m[b] for m in made) / r.room if r.room else 0.0 for b, r in enumerate(rows)]
     table.add_row("used", *(f"{100 * x:.0f}%" for x in bears), "", style="dim")
     console = Console()
     console.print(table)
     total = sum(r.demand for r in rows)
-    console.print(f"{refused:.1f} of {total:.1f} units a second have no place "
-                  f"({100 * refused / total if total else 0:.1f}%)")
+    console.print(
+        f"{refused:.1f} of {total:.1f} units a second have no place "
+        f"({100 * refused / total if total else 0:.1f}%)"
+    )
     return 1 if refused > 1e-6 else 0
--- a/zincstile/cli/sim.py
+++ b/zincstile/cli/sim.py
@@ -65,8 +65,9 @@
 @command.command("run")
 @click.option("--seed", type=click.IntRange(min=0), help="The world to play.")
 @click.option("--plan", "path", type=click.Path(), help="A plan in YAML in place of the drawn one.")
-@click.option("--trace", type=click.Path(dir_okay=False),
-              help="Write a line for all that crosses the network.")
+@click.option(
+    "--trace", type=click.Path(dir_okay=False), help="Write a line for all that crosses the network."
+)
 @click.option("--logs", is_flag=True, help="Print the gateways' logs.")
 @RULE
 def run(seed: int | None, path: str | None, trace: str | None, logs: bool, rules: tuple[str, ...]) -> int:
@@ -84,8 +85,10 @@
     if logs:
         sys.stdout.writelines(world.logs)
     kinds = ", ".join(f"{k} {n}" for k, n in sorted(result.tally.items()))
-    click.echo(f"{result.seconds:.1f} virtual seconds, {len(plan.faults)} faults, {result.attempts} tries, "
-               f"requests: {kinds}")
+    click.echo(
+        f"{result.seconds:.1f} virtual seconds, {len(plan.faults)} faults, {result.attempts} tries, "
+        f"requests: {kinds}"
+    )
     if result.breach is not None:
         click.echo(result.breach.text)
         for line in result.breach.history:
@@ -123,11 +126,15 @@
         click.echo(f"{result.line()}: {result.breach.text}")
         click.echo(f"  replay: python -m zincstile sim run --seed {result.seed}")
     requests = sum(r.requests for r in done)
-    click.echo(f"{requests / len(done):.0f} requests, {sum(r.faults for r in done) / len(done):.1f} faults, "
-               f"{sum(r.seconds for r in done) / len(done):.1f} virtual seconds and "
-               f"{sum(r.steps for r in done) / len(done):.0f} steps a seed")
-    click.echo(f"sweep seeds={len(done)} ok={len(done) - len(broken)} broken={len(broken)} "
-               f"seconds={time.monotonic() - began:.1f} digest={digest_of(done)}")
+    click.echo(
+        f"{requests / len(done):.0f} requests, {sum(r.faults for r in done) / len(done):.1f} faults, "
+        f"{sum(r.seconds for r in done) / len(done):.1f} virtual seconds and "
+        f"{sum(r.steps for r in done) / len(done):.0f} steps a seed"
+    )
+    click.echo(
+        f"sweep seeds={len(done)} ok={len(done) - len(broken)} broken={len(broken)} "
+        f"seconds={time.monotonic() - began:.1f} digest={digest_of(done)}"
+    )
     return 1 if broken else 0
 
 
@@ -142,8 +149,7 @@
     from ..worlds.shrink import smallest
 
     plan = _plan(seed, path)
-    found = smallest(plan, runs, lambda text: print(text, file=sys.stderr, flush=True),
-                     _rules(rules))
+    found = smallest(plan, runs, lambda text: print(text, file=sys.stderr, flush=True), _rules(rules))
     if found is None:
         raise Told(f"seed {plan.seed}: no rule is broken, there is nothing to shrink")
     try:
@@ -151,15 +157,23 @@
     except OSError as err:
         raise Told(f"{out}: {err.strerror}") from None
     wanted = found.plan.requests if found.plan.only is None else len(found.plan.only)
-    click.echo(f"{len(plan.faults)} faults and {plan.requests} requests came down to "
-               f"{len(found.plan.faults)} and {wanted} in {found.runs} runs")
+    click.echo(
+        f"{len(plan.faults)} faults and {plan.requests} requests came down to "
+        f"{len(found.plan.faults)} and {wanted} in {found.runs} runs"
+    )
     click.echo(found.result.line())
     return 0
 
 
 @command.command("mutants")
-@click.option("--seeds", "most", type=click.IntRange(1), default=500, show_default=True,
-              help="Seeds to try for each at most.")
+@click.option(
+    "--seeds",
+    "most",
+    type=click.IntRange(1),
+    default=500,
+    show_default=True,
+    help="Seeds to try for each at most.",
+)
 @click.option("--jobs", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True)
 @click.option("--only", multiple=True, help="Names of those to try.")
 @click.option("--shared", "of_shared", is_flag=True, help="Those of the shared state.")
@@ -178,8 +192,10 @@
     missed = 0
     for row in them.try_all(only or tuple(them.MUTANTS), most, jobs):
         missed += row.seeds is None
-        click.echo(f"{row.name:24} {row.rule or '-':10} "
-                   f"{'not named in ' + str(most) if row.seeds is None else row.seeds}")
+        click.echo(
+            f"{row.name:24} {row.rule or '-':10} "
+            f"{'not named in ' + str(most) if row.seeds is None else row.seeds}"
+        )
     click.echo(f"mutants={len(only or them.MUTANTS)} missed={missed}")
     return 1 if missed else 0
 
@@ -211,13 +227,17 @@
             click.echo(f"{found.opening}: {found.broken}")
     for name in them.OPENINGS:
         mine = rows[name]
-        click.echo(f"{name:36}{sum(f.states for f in mine):10} states"
-                   f"{sum(f.steps for f in mine):11} steps{max(f.worst for f in mine):8.2f} units"
-                   f"{max(f.of_bound for f in mine):6.2f} of the bound")
+        click.echo(
+            f"{name:36}{sum(f.states for f in mine):10} states"
+            f"{sum(f.steps for f in mine):11} steps{max(f.worst for f in mine):8.2f} units"
+            f"{max(f.of_bound for f in mine):6.2f} of the bound"
+        )
     every = [f for mine in rows.values() for f in mine]
     broken = sum(bool(f.broken) for f in every)
-    click.echo(f"search depth={depth} states={sum(f.states for f in every)} "
-               f"steps={sum(f.steps for f in every)} broken={broken}")
+    click.echo(
+        f"search depth={depth} states={sum(f.states for f in every)} "
+        f"steps={sum(f.steps for f in every)} broken={broken}"
+    )
     return 1 if broken else 0
 
 
@@ -288,8 +308,14 @@
 
 
 @command.command("place-model")
-@click.option("--gateways", "sizes", multiple=True, type=click.IntRange(2, 1000), default=(9, 50, 200),
-              show_default=True)
+@click.option(
+    "--gateways",
+    "sizes",
+    multiple=True,
+    type=click.IntRange(2, 1000),
+    default=(9, 50, 200),
+    show_default=True,
+)
 @click.option("--zones", type=click.IntRange(1, 13), default=12, show_default=True)
 @click.option("--regions", type=click.IntRange(1, 13), default=4, show_default=True)
 @click.option("--seed", type=click.IntRange(min=0), default=1, show_default=True)
@@ -313,25 +339,41 @@
 
     found = list(them.search_all(depth, jobs))
     for one in sorted(found, key=lambda f: f.case):
-        click.echo(f"{one.case:40}{one.states:10} states{one.steps:11} steps{one.tables:5} tables"
-                   + (f"  broken: {one.broken}" if one.broken else ""))
+        click.echo(
+            f"{one.case:40}{one.states:10} states{one.steps:11} steps{one.tables:5} tables"
+            + (f"  broken: {one.broken}" if one.broken else "")
+        )
     broken = sum(bool(one.broken) for one in found)
-    click.echo(f"place-search depth={depth} states={sum(f.states for f in found)} "
-               f"steps={sum(f.steps for f in found)} broken={broken}")
+    click.echo(
+        f"place-search depth={depth} states={sum(f.states for f in found)} "
+        f"steps={sum(f.steps for f in found)} broken={broken}"
+    )
     return 1 if broken else 0
 
 
 @command.command("start-model")
-@click.option("--gateways", "sizes", multiple=True, type=click.IntRange(1, 20_000), default=(100, 1000),
-              show_default=True)
-@click.option("--alive", type=click.FloatRange(0, 0.95), default=0.0, show_default=True,
-              help="Part that runs and has the list.")
+@click.option(
+    "--gateways",
+    "sizes",
+    multiple=True,
+    type=click.IntRange(1, 20_000),
+    default=(100, 1000),
+    show_default=True,
+)
+@click.option(
+    "--alive",
+    type=click.FloatRange(0, 0.95),
+    default=0.0,
+    show_default=True,
+    help="Part that runs and has the list.",
+)
 @click.option("--lines", type=click.IntRange(1, 5000), default=200, show_default=True, help="Of the list.")
 @click.option("--lists-per-s", "per_s", type=click.FloatRange(0.1, 1e6), default=20.0, show_default=True)
 @click.option("--seed", type=click.IntRange(min=0), default=1, show_default=True)
 @click.option("--alone", is_flag=True, help="Without lists from peers.")
-def start_model(sizes: tuple[int, ...], alive: float, lines: int, per_s: float, seed: int,
-                alone: bool) -> int:
+def start_model(
+    sizes: tuple[int, ...], alive: float, lines: int, per_s: float, seed: int, alone: bool
+) -> int:
     """A cold start of any number of gateways by the pure modules alone; exit 1 where one is never ready."""
     from ..start.settings import StartSettings
     from ..worlds import start_model as them
@@ -351,16 +393,20 @@
     from ..worlds import trial
 
     chosen, passed = seeds(span), 0
-    click.echo(f"{'failure':14}{'worst units':>12}{'of its bound':>14}{'of a minute':>13}{'sent':>7}"
-               f"{'calls/try':>11}")
+    click.echo(
+        f"{'failure':14}{'worst units':>12}{'of its bound':>14}{'of a minute':>13}{'sent':>7}"
+        f"{'calls/try':>11}"
+    )
     for name, rows in trial.try_failures(chosen, gateways, jobs):
         over = [row for row in rows if row.overshoot > row.bound + 1e-6]
         passed += len(over)
         near = max(row.overshoot / max(row.bound, 1e-9) for row in rows)
-        click.echo(f"{name:14}{max(row.overshoot for row in rows):12.2f}{near:14.2f}"
-                   f"{100 * max(row.share for row in rows):12.2f}%"
-                   f"{sum(row.served for row in rows) / len(rows):7.2f}"
-                   f"{sum(row.calls_per_try for row in rows) / len(rows):11.2f}")
+        click.echo(
+            f"{name:14}{max(row.overshoot for row in rows):12.2f}{near:14.2f}"
+            f"{100 * max(row.share for row in rows):12.2f}%"
+            f"{sum(row.served for row in rows) / len(rows):7.2f}"
+            f"{sum(row.calls_per_try for row in rows) / len(rows):11.2f}"
+        )
         for row in over[:3]:
             click.echo(f"  seed {row.seed}: {row.overshoot:.2f} units, over its bound of {row.bound:.2f}")
     click.echo(f"trials={len(chosen) * len(trial.FAILURES)} over={passed}")
--- a/zincstile/control/handover.py
+++ b/zincstile/control/handover.py
@@ -40,8 +40,17 @@
 
 
 def pack(h: Handover) -> bytes:
-    return json.dumps({"form": FORM, "gateway": h.gateway, "version": h.version, "written_ns": h.written_ns,
-                       "banned": sorted(h.banned), "ready_by": h.ready_by, "back": h.back}).encode()
+    return json.dumps(
+        {
+            "form": FORM,
+            "gateway": h.gateway,
+            "version": h.version,
+            "written_ns": h.written_ns,
+            "banned": sorted(h.banned),
+            "ready_by": h.ready_by,
+            "back": h.back,
+        }
+    ).encode()
 
 
 def unpack(data: bytes, gateway: str, now_ns: int, stale_ns: int) -> Handover:
@@ -57,8 +66,9 @@
             raise HandoverError(f"key {key}: missing or not a {kind.__name__}")
     if t["gateway"] != gateway:
         raise HandoverError(f"key gateway: {t['gateway']!r} is another gateway's")
-    if t["version"] < 0 or not all(isinstance(n, str) and n and not any(c.isspace() for c in n)
-                                   for n in t["banned"]):
+    if t["version"] < 0 or not all(
+        isinstance(n, str) and n and not any(c.isspace() for c in n) for n in t["banned"]
+    ):
         raise HandoverError("key banned: not a list of names")
     if now_ns - t["written_ns"] > stale_ns:
         raise HandoverError(f"key written_ns: stale, {(now_ns - t['written_ns']) / 1e9:.0f} s old")
@@ -67,5 +77,6 @@
     back = t.get("back", {})
     if not isinstance(back, dict) or not all(type(at) is int and 0 <= at <= now_ns for at in back.values()):
         raise HandoverError("key back: not names and times that are over")
-    return Handover(t["gateway"], t["version"], t["written_ns"], frozenset(t["banned"]),
-                    t.get("ready_by", ""), back)
+    return Handover(
+        t["gateway"], t["version"], t["written_ns"], frozenset(t["banned"]), t.get("ready_by", ""), back
+    )
--- a/zincstile/control/http.py
+++ b/zincstile/control/http.py
@@ -11,10 +11,20 @@
 from dataclasses import dataclass
 
 CRLF = b"\r\n"
-REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-           408: "Request Timeout", 409: "Conflict", 411: "Length Required", 413: "Content Too Large",
-           431: "Request Header Fields Too Large", 500: "Internal Server Error", 503: "Service Unavailable",
-           505: "HTTP Version Not Supported"}
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
+    411: "Length Required",
+    413: "Content Too Large",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+    505: "HTTP Version Not Supported",
+}
 TOKEN = frozenset(b"!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz")
 
 
@@ -80,7 +90,7 @@
                 self._length = max(0, self._length_given)
         if len(self._buf) < self._length:
             return None
-        self._call = Call(self._method, self._path, bytes(self._buf[:self._length]))
+        self._call = Call(self._method, self._path, bytes(self._buf[: self._length]))
         return self._call
 
     def _line(self) -> bytes | None:
@@ -92,7 +102,7 @@
         if end > self.bounds.line_bytes:
             raise CallError(431 if self._method else 400, "too long a line")
         line = bytes(self._buf[:end])
-        del self._buf[:end + 1]
+        del self._buf[: end + 1]
         return line[:-1] if line.endswith(b"\r") else line
 
     def _request_line(self, line: bytes) -> None:
@@ -116,8 +126,11 @@
         if name == b"transfer-encoding":
             raise CallError(411, "a body in chunks")
         if name == b"content-length":
-            if not value.isdigit() or len(value) > 9 or (self._length_given >= 0 and
-                                                          int(value) != self._length_given):
+            if (
+                not value.isdigit()
+                or len(value) > 9
+                or (self._length_given >= 0 and int(value) != self._length_given)
+            ):
                 raise CallError(400, "a length that is no length")
             self._length_given = int(value)
             if self._length_given > self.bounds.body_bytes:
@@ -127,6 +140,8 @@
 def answer(status: int, text: str = "") -> bytes:
     """The whole answer, which ends the connection."""
     body = (text + "\n").encode() if text else b""
-    head = (f"HTTP/1.1 {status} {REASONS.get(status, 'Error')}\r\nContent-Type: text/plain\r\n"
-            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n")
+    head = (
+        f"HTTP/1.1 {status} {REASONS.get(status, 'Error')}\r\nContent-Type: text/plain\r\n"
+        f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+    )
     return head.encode() + body
--- a/zincstile/control/operator.py
+++ b/zincstile/control/operator.py
@@ -25,8 +25,11 @@
     ZONE_BACK = 7  # neither holds any more
 
 
-ZONE_CALLS = {"/place/drain": Change.ZONE_DRAIN, "/place/hold": Change.ZONE_HOLD,
-              "/place/back": Change.ZONE_BACK}
+ZONE_CALLS = {
+    "/place/drain": Change.ZONE_DRAIN,
+    "/place/hold": Change.ZONE_HOLD,
+    "/place/back": Change.ZONE_BACK,
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,8 +55,13 @@
     def call(self, c: Call, ready: bool) -> Reply:
         """ready: the process takes clients (listening, with a server table). 405 for a known path with
         another method, 404 for an unknown path."""
-        routes = {"/status": "GET", "/standby": "POST", "/active": "POST", "/maintenance/enter": "POST",
-                  "/maintenance/exit": "POST"}
+        routes = {
+            "/status": "GET",
+            "/standby": "POST",
+            "/active": "POST",
+            "/maintenance/enter": "POST",
+            "/maintenance/exit": "POST",
+        }
         path = c.path.split("?", 1)[0]
         if self.zones:
             routes |= {"/place": "GET"} | dict.fromkeys(ZONE_CALLS, "POST")
--- a/zincstile/field/datagrams.py
+++ b/zincstile/field/datagrams.py
@@ -36,8 +36,12 @@
 
     def peers(self, number: int) -> list[str]:
         """The `peers` of a gateway's file: its own address, and the way to each other one."""
-        return [f"{places.gateway(self.block, k)}:{places.PEERS_PORT}" if k == number
-                else f"{places.seen(places.PEER, number, k)}:{self.port}" for k in range(len(self.names))]
+        return [
+            f"{places.gateway(self.block, k)}:{places.PEERS_PORT}"
+            if k == number
+            else f"{places.seen(places.PEER, number, k)}:{self.port}"
+            for k in range(len(self.names))
+        ]
 
     def _read(self) -> None:
         for _ in range(TAKEN):
@@ -47,11 +51,20 @@
                 return
             except OSError:
                 continue  # a port that nobody listens on: that gateway is down
-            own = next((INFO.unpack(d)[2] for level, kind, d in control
-                        if level == socket.IPPROTO_IP and kind == PKTINFO), b"\x7f\0\0\1")
+            own = next(
+                (
+                    INFO.unpack(d)[2]
+                    for level, kind, d in control
+                    if level == socket.IPPROTO_IP and kind == PKTINFO
+                ),
+                b"\x7f\0\0\1",
+            )
             kind, source, target = places.who(socket.inet_ntoa(own))
-            if kind != places.PEER or sender[0] != places.gateway(self.block, source) \
-                    or not 0 <= target < len(self.names):
+            if (
+                kind != places.PEER
+                or sender[0] != places.gateway(self.block, source)
+                or not 0 <= target < len(self.names)
+            ):
                 self.strange += 1
                 continue
             self.sent[source] += 1
@@ -67,8 +80,12 @@
             return
         own = socket.inet_aton(places.seen(places.PEER, target, source))
         with contextlib.suppress(OSError):  # a full buffer, or nobody there: lost, as datagrams are
-            self.sock.sendmsg([data], [(socket.IPPROTO_IP, PKTINFO, INFO.pack(0, own, b"\0" * 4))], 0,
-                              (places.gateway(self.block, target), places.PEERS_PORT))
+            self.sock.sendmsg(
+                [data],
+                [(socket.IPPROTO_IP, PKTINFO, INFO.pack(0, own, b"\0" * 4))],
+                0,
+                (places.gateway(self.block, target), places.PEERS_PORT),
+            )
 
     def close(self) -> None:
         self.loop.remove_reader(self.sock.fileno())
--- a/zincstile/field/gate.py
+++ b/zincstile/field/gate.py
@@ -139,8 +139,15 @@
 class Ground:
     """A loop as a stand-in sees it, at one place of the field. All else is the loop's own."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, links: Links, place: str, kind: int, number: int,
-                 gateways: list[str]) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        links: Links,
+        place: str,
+        kind: int,
+        number: int,
+        gateways: list[str],
+    ) -> None:
         self.loop, self.links, self.place, self.kind, self.number = loop, links, place, kind, number
         self.gateways = gateways
         self.gates: dict[Gate, None] = {}
@@ -165,13 +172,15 @@
         """Where that gateway finds this place."""
         return f"{places.seen(self.kind, gateway_number, self.number)}:{self.port}"
 
-    async def create_server(self, factory: Callable[[], asyncio.Protocol], host: str = "",
-                            port: int = 0) -> asyncio.AbstractServer:
+    async def create_server(
+        self, factory: Callable[[], asyncio.Protocol], host: str = "", port: int = 0
+    ) -> asyncio.AbstractServer:
         """As the loop's, on all addresses of this place."""
         sock = places.on_loopback(socket.SOCK_STREAM, True, self.port if self.stays else 0)
         self.port = sock.getsockname()[1]
-        self._server = await self.loop.create_server(lambda: self.gate(self, factory()), sock=sock,
-                                                     backlog=QUEUE)
+        self._server = await self.loop.create_server(
+            lambda: self.gate(self, factory()), sock=sock, backlog=QUEUE
+        )
         return self._server
 
     @property
--- a/zincstile/field/programs.py
+++ b/zincstile/field/programs.py
@@ -24,31 +24,43 @@
 
 def _die_with(parent: int):
     """Run in the child before it becomes the program."""
+
     def prepare() -> None:
         LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL, 0, 0, 0)
         if os.getppid() != parent:  # it died before that was asked
             os._exit(1)
+
     return prepare
 
 
 class Program:
     """One process. `log` is its standard error, a file."""
 
-    def __init__(self, words: list[str], env: dict[str, str], log: Path, folder: Path,
-                 listening: int | None = None) -> None:
+    def __init__(
+        self, words: list[str], env: dict[str, str], log: Path, folder: Path, listening: int | None = None
+    ) -> None:
         self.log, self._read = log, log.stat().st_size if log.exists() else 0
         self.line = b""
         self.asked_to_end = False
         self.up = False  # its log says that it listens: from here on it knows its signals
         # as deployed: `build` leaves bytecode, which an environment for tests may tell Python not to write
-        kept = {k: v for k, v in os.environ.items()
-                if not k.startswith("RELAY_") and k != "PYTHONDONTWRITEBYTECODE"}
+        kept = {
+            k: v
+            for k, v in os.environ.items()
+            if not k.startswith("RELAY_") and k != "PYTHONDONTWRITEBYTECODE"
+        }
         kept["PYTHONPATH"] = str(ROOT)
         with open(log, "ab") as out:
             self.process = subprocess.Popen(
-                [sys.executable, *words], stdout=subprocess.DEVNULL, stderr=out, stdin=subprocess.DEVNULL,
-                cwd=folder, env=kept | env, preexec_fn=_die_with(os.getpid()),
-                pass_fds=() if listening is None else (listening,))
+                [sys.executable, *words],
+                stdout=subprocess.DEVNULL,
+                stderr=out,
+                stdin=subprocess.DEVNULL,
+                cwd=folder,
+                env=kept | env,
+                preexec_fn=_die_with(os.getpid()),
+                pass_fds=() if listening is None else (listening,),
+            )
 
     @property
     def alive(self) -> bool:
--- a/zincstile/field/report.py
+++ b/zincstile/field/report.py
@@ -44,9 +44,19 @@
 
 def chart(title: str, seconds: list[int], lines: dict[str, list[float | None]], **more: object) -> str:
     """One chart over the seconds of the run."""
-    made = pygal.Line(style=STYLE, height=300, width=680, show_dots=False, title=title, legend_at_bottom=True,
-                      x_title="second", js=[], show_minor_x_labels=False, x_labels_major_every=max(
-                          1, len(seconds) // 12), **more)
+    made = pygal.Line(
+        style=STYLE,
+        height=300,
+        width=680,
+        show_dots=False,
+        title=title,
+        legend_at_bottom=True,
+        x_title="second",
+        js=[],
+        show_minor_x_labels=False,
+        x_labels_major_every=max(1, len(seconds) // 12),
+        **more,
+    )
     made.x_labels = [str(s) for s in seconds]
     for name, values in lines.items():
         made.add(name, values)
@@ -77,25 +87,31 @@
         if len(found) <= MANY:
             return found
         columns = [[v for v in column if v is not None] for column in zip(*found.values(), strict=True)]
-        return {"least": [min(c, default=None) for c in columns],
-                "mean": [sum(c) / len(c) if c else None for c in columns],
-                "most": [max(c, default=None) for c in columns]}
+        return {
+            "least": [min(c, default=None) for c in columns],
+            "mean": [sum(c) / len(c) if c else None for c in columns],
+            "most": [max(c, default=None) for c in columns],
+        }
 
     def by_zone(self, figure: str) -> dict[str, list[float | None]]:
-        return {zone: list(self.total(figure, [n for n in self.names if self.zones[n] == zone]))
-                for zone in sorted(set(self.zones.values()))}
+        return {
+            zone: list(self.total(figure, [n for n in self.names if self.zones[n] == zone]))
+            for zone in sorted(set(self.zones.values()))
+        }
 
     def all(self) -> str:
         """Every chart of the page."""
         answers = {kind: list(self.total(kind)) for kind in ANSWERS}
-        parts = [chart("answers a second", self.seconds, answers),
-                 chart("served a second, by zone", self.seconds, self.by_zone("served")),
-                 chart("served a second, by gateway", self.seconds, self.by_gateway("served")),
-                 chart("units sent on a second, by zone", self.seconds, self.by_zone("units")),
-                 chart("level (units out for each good server)", self.seconds, self.by_gateway("level")),
-                 chart("units out", self.seconds, self.by_gateway("out")),
-                 chart("servers doubted by half or more", self.seconds, self.by_gateway("doubted")),
-                 chart("messages sent a second", self.seconds, self.by_gateway("messages_out", rate=True))]
+        parts = [
+            chart("answers a second", self.seconds, answers),
+            chart("served a second, by zone", self.seconds, self.by_zone("served")),
+            chart("served a second, by gateway", self.seconds, self.by_gateway("served")),
+            chart("units sent on a second, by zone", self.seconds, self.by_zone("units")),
+            chart("level (units out for each good server)", self.seconds, self.by_gateway("level")),
+            chart("units out", self.seconds, self.by_gateway("out")),
+            chart("servers doubted by half or more", self.seconds, self.by_gateway("doubted")),
+            chart("messages sent a second", self.seconds, self.by_gateway("messages_out", rate=True)),
+        ]
         if any("hand" in row for row in self.result.series):
             parts.append(chart("borrowed units in hand", self.seconds, self.by_gateway("hand")))
         return "".join(parts)
@@ -117,41 +133,84 @@
 def _gateway_rows(result: FieldResult) -> list[list[object]]:
     def count(row: GatewayRow, name: str) -> int:
         return int(row.counters.get(name, 0))
+
     rows: list[list[object]] = []
     for row in result.rows:
         requests = count(row, "requests")
         cpu = row.counters.get("cpu_ms", 0.0) / requests if requests else 0.0
-        rows.append([row.name, row.zone, row.starts, result.ready_s.get(row.name, 0.0), requests,
-                     count(row, "served"), count(row, "denied"), count(row, "failed"), row.datagrams,
-                     row.datagrams / max(0.1, result.seconds), cpu, row.memory_kb / 1024])
+        rows.append(
+            [
+                row.name,
+                row.zone,
+                row.starts,
+                result.ready_s.get(row.name, 0.0),
+                requests,
+                count(row, "served"),
+                count(row, "denied"),
+                count(row, "failed"),
+                row.datagrams,
+                row.datagrams / max(0.1, result.seconds),
+                cpu,
+                row.memory_kb / 1024,
+            ]
+        )
     return rows
 
 
 def one(result: FieldResult) -> str:
     """What there is to say of one run."""
     verdict = "every rule held" if result.ok else '<span class="bad">not every rule held</span>'
-    parts = [f"<p>{html.escape(result.plan)}, seed {result.seed}, {result.gateways} gateways, {result.boxes} "
-             f"guide boxes, {result.seconds:.1f} s: {verdict}. {result.requests} requests, {result.attempts} "
-             f"attempts, {100 * result.goodput:.1f}% of what one all-seeing store would let in.</p>"]
+    parts = [
+        f"<p>{html.escape(result.plan)}, seed {result.seed}, {result.gateways} gateways, {result.boxes} "
+        f"guide boxes, {result.seconds:.1f} s: {verdict}. {result.requests} requests, {result.attempts} "
+        f"attempts, {100 * result.goodput:.1f}% of what one all-seeing store would let in.</p>"
+    ]
     for breach in result.breaches:
         past = "\n".join(breach.history)
-        parts.append(f"<p class=bad>{html.escape(breach.rule)} at {breach.at_s:.2f} s: "
-                     f"{html.escape(breach.text)}</p><pre>{html.escape(past)}</pre>")
+        parts.append(
+            f"<p class=bad>{html.escape(breach.rule)} at {breach.at_s:.2f} s: "
+            f"{html.escape(breach.text)}</p><pre>{html.escape(past)}</pre>"
+        )
     if result.plans:
-        parts.append("<h2>Quotas over all gateways</h2>" + table(
-            ["plan", "worst beyond a quota", "stated bound", "of it", "sent", "all-seeing store"],
-            [[p.plan, p.worst, p.bound, p.worst / p.bound if p.bound else 0.0, p.sent, p.best]
-             for p in result.plans]))
+        parts.append(
+            "<h2>Quotas over all gateways</h2>"
+            + table(
+                ["plan", "worst beyond a quota", "stated bound", "of it", "sent", "all-seeing store"],
+                [
+                    [p.plan, p.worst, p.bound, p.worst / p.bound if p.bound else 0.0, p.sent, p.best]
+                    for p in result.plans
+                ],
+            )
+        )
     parts.append("<h2>Over time</h2>" + Charts(result).all())
     if result.events:
         parts.append("<h2>Faults</h2>" + table(["second", "what"], [[s, what] for s, what in result.events]))
-    parts.append("<h2>Gateways</h2>" + table(
-        ["gateway", "zone", "starts", "ready, s", "requests", "served", "denied", "failed", "datagrams",
-         "a second", "CPU ms a request", "MB"], _gateway_rows(result)))
-    parts.append("<h2>Answers</h2>" + table(
-        ["kind", "count"], [[k, n] for k, n in sorted(result.tally.items())])
+    parts.append(
+        "<h2>Gateways</h2>"
+        + table(
+            [
+                "gateway",
+                "zone",
+                "starts",
+                "ready, s",
+                "requests",
+                "served",
+                "denied",
+                "failed",
+                "datagrams",
+                "a second",
+                "CPU ms a request",
+                "MB",
+            ],
+            _gateway_rows(result),
+        )
+    )
+    parts.append(
+        "<h2>Answers</h2>"
+        + table(["kind", "count"], [[k, n] for k, n in sorted(result.tally.items())])
         + table(["latency of the served", "ms"], [[k, v] for k, v in result.latency_ms.items()])
-        + table(["datagrams between gateways", "count"], [[k, n] for k, n in result.links.items()]))
+        + table(["datagrams between gateways", "count"], [[k, n] for k, n in result.links.items()])
+    )
     return "".join(parts)
 
 
@@ -162,12 +221,14 @@
     "goodput against one all-seeing store": lambda r: r.goodput,
     "nearest to a stated bound": lambda r: max((p.worst / p.bound for p in r.plans if p.bound), default=0.0),
     "worst units beyond a quota": lambda r: max((p.worst for p in r.plans), default=0.0),
-    "datagrams a gateway and second": lambda r: sum(
-        x.datagrams for x in r.rows) / max(1, len(r.rows)) / max(0.1, r.seconds),
-    "CPU ms a request": lambda r: sum(x.counters.get("cpu_ms", 0.0) for x in r.rows) / max(1.0, sum(
-        x.counters.get("requests", 0.0) for x in r.rows)),
+    "datagrams a gateway and second": lambda r: sum(x.datagrams for x in r.rows)
+    / max(1, len(r.rows))
+    / max(0.1, r.seconds),
+    "CPU ms a request": lambda r: sum(x.counters.get("cpu_ms", 0.0) for x in r.rows)
+    / max(1.0, sum(x.counters.get("requests", 0.0) for x in r.rows)),
     "most memory, MB": lambda r: max((x.memory_kb for x in r.rows), default=0) / 1024,
-    "p50, ms": lambda r: r.latency_ms.get("p50", 0.0), "p99, ms": lambda r: r.latency_ms.get("p99", 0.0),
+    "p50, ms": lambda r: r.latency_ms.get("p50", 0.0),
+    "p99, ms": lambda r: r.latency_ms.get("p99", 0.0),
     "broken rules": lambda r: float(len(r.breaches)),
 }
 
@@ -177,8 +238,10 @@
     title = "zincstile field: " + ", ".join(name for name, _ in results)
     if len(results) == 1:
         return PAGE.format(title=html.escape(title), body=one(results[0][1]))
-    compared = table(["", *(name for name, _ in results)],
-                     [[what, *(take(r) for _, r in results)] for what, take in FIGURES.items()])
+    compared = table(
+        ["", *(name for name, _ in results)],
+        [[what, *(take(r) for _, r in results)] for what, take in FIGURES.items()],
+    )
     columns = "".join(f"<div><h2>{html.escape(name)}</h2>{one(r)}</div>" for name, r in results)
     return PAGE.format(title=html.escape(title), body=compared + f'<div class="side">{columns}</div>')
 
--- a/zincstile/field/result.py
+++ b/zincstile/field/result.py
@@ -74,8 +74,10 @@
 
     def line(self) -> str:
         near = max((p.worst / p.bound for p in self.plans if p.bound), default=0.0)
-        said = f"ok={'yes' if self.ok else 'no'} requests={self.requests} goodput={self.goodput:.3f} " \
-               f"nearest_bound={near:.2f}"
+        said = (
+            f"ok={'yes' if self.ok else 'no'} requests={self.requests} goodput={self.goodput:.3f} "
+            f"nearest_bound={near:.2f}"
+        )
         if self.breaches:
             said += f" broken={self.breaches[0].rule}"
         return f"field seed={self.seed} {said}"
@@ -88,8 +90,10 @@
     found = HdrHistogram(1, HIGHEST_US, DIGITS)
     for one in seconds:
         found.record_value(max(1, min(HIGHEST_US, int(one * 1e6))))
-    return {name: found.get_value_at_percentile(at) / 1000
-            for name, at in (("p50", 50.0), ("p90", 90.0), ("p99", 99.0), ("most", 100.0))}
+    return {
+        name: found.get_value_at_percentile(at) / 1000
+        for name, at in (("p50", 50.0), ("p90", 90.0), ("p99", 99.0), ("most", 100.0))
+    }
 
 
 def write(result: FieldResult, path: Path) -> None:
