--- a/zincstile/field/run.py
+++ b/zincstile/field/run.py
@@ -108,9 +108,15 @@
 class Run:
     """`stage.Stage` with real processes. `features`: files that every gateway is told of, by name."""
 
-    def __init__(self, plan: Plan, folder: Path, name: str = "", features: dict[str, str] | None = None,
-                 stated: dict[str, tuple[float, float, float]] | None = None,
-                 opening: dict[str, float] | None = None) -> None:
+    def __init__(
+        self,
+        plan: Plan,
+        folder: Path,
+        name: str = "",
+        features: dict[str, str] | None = None,
+        stated: dict[str, tuple[float, float, float]] | None = None,
+        opening: dict[str, float] | None = None,
+    ) -> None:
         self.plan, self.folder, self.name = plan, folder, name or f"seed {plan.seed}"
         self.features = features or {}
         self.rng = random.Random(f"field {plan.seed}")
@@ -118,8 +124,12 @@
         self.base = Trouble(loss=plan.udp_loss, twice=plan.udp_twice)
         figures = traffic.figures()
         figures = replace(
-            figures, answer_grace_ns=figures.answer_grace_ns + SLACK_NS, drain_ns=figures.drain_ns + SLACK_NS,
-            told_at_most_ns=figures.told_at_most_ns + SLACK_NS, cold_slack_ns=2 * figures.cold_slack_ns)
+            figures,
+            answer_grace_ns=figures.answer_grace_ns + SLACK_NS,
+            drain_ns=figures.drain_ns + SLACK_NS,
+            told_at_most_ns=figures.told_at_most_ns + SLACK_NS,
+            cold_slack_ns=2 * figures.cold_slack_ns,
+        )
         self.stated, self.opening = stated or traffic.quotas(), opening
         self.referee = Referee(figures, lambda: (0, time.monotonic_ns()))
         self.series = Series()
@@ -182,14 +192,25 @@
             await agent.start("")
             folder = self.folder / name
             (folder / "tmp").mkdir(parents=True, exist_ok=True)
-            seat = Seat(k, name, agent, ground, f"{places.gateway(self.block, k)}:{places.CLIENTS_PORT}",
-                        folder, ground.address(k))
+            seat = Seat(
+                k,
+                name,
+                agent,
+                ground,
+                f"{places.gateway(self.block, k)}:{places.CLIENTS_PORT}",
+                folder,
+                ground.address(k),
+            )
             if self._upgrades:
                 seat.socket = self._listening(seat)
             self.seats.append(seat)
-        self.front = Front(self.loop, random.Random(f"front {plan.seed}"), self.ears, {
-            s.name: (places.gateway(self.block, s.number), places.CLIENTS_PORT) for s in self.seats},
-            dead_s=(0.3, 1.5))
+        self.front = Front(
+            self.loop,
+            random.Random(f"front {plan.seed}"),
+            self.ears,
+            {s.name: (places.gateway(self.block, s.number), places.CLIENTS_PORT) for s in self.seats},
+            dead_s=(0.3, 1.5),
+        )
         self.front.weigh = self._weigh
         await self._until(lambda: all(c.port for _, c in self.counters.values()), READY_S)
         self._first_s = time.monotonic()
@@ -215,13 +236,15 @@
 
     async def _ready(self) -> None:
         self.front.watch()
-        await self._until(lambda: all(self.front.up.values()) or not all(
-            s.program.alive for s in self.seats), READY_S)
+        await self._until(
+            lambda: all(self.front.up.values()) or not all(s.program.alive for s in self.seats), READY_S
+        )
         down = [n for n, up in self.front.up.items() if not up]
         if down:
             tail = [f"{n}: {(self.folder / n / 'log').read_text()[-400:].strip()}" for n in down[:3]]
-            raise NotReadyError(f"{len(down)} of {len(self.names)} gateways did not start; "
-                                + " | ".join(tail))
+            raise NotReadyError(
+                f"{len(down)} of {len(self.names)} gateways did not start; " + " | ".join(tail)
+            )
         for seat in self.seats:
             seat.ready_s = self.front.ready_s[seat.name] - self._first_s
         await asyncio.sleep(SETTLE_S)  # the first beats pass
@@ -245,8 +268,12 @@
             if now - sampled > SAMPLE_S:
                 sampled = now
                 self._sample()
-            if now > start + last + 0.2 and not self.front.open and not self.front.coming and all(
-                    s.older is None for s in self.seats):
+            if (
+                now > start + last + 0.2
+                and not self.front.open
+                and not self.front.coming
+                and all(s.older is None for s in self.seats)
+            ):
                 break
         self.lasted_s = self.loop.time() - start
 
@@ -361,9 +388,14 @@
         rng = random.Random(f"box {self.plan.seed} {number}")
         cell = number % RACKS if cell is None else cell
         model = Model(
-            cores=1 + (number % 3 == 0), speed=rng.uniform(1 / FACTOR, FACTOR), places=rng.randint(8, 24),
-            work_ns={n: ms * MS for n, ms in traffic.WORK_MS.items()}, cold_share=0.25,
-            warm_s=traffic.WARM_MS / 1000, drops_left=self.plan.drops_left)
+            cores=1 + (number % 3 == 0),
+            speed=rng.uniform(1 / FACTOR, FACTOR),
+            places=rng.randint(8, 24),
+            work_ns={n: ms * MS for n, ms in traffic.WORK_MS.items()},
+            cold_share=0.25,
+            warm_s=traffic.WARM_MS / 1000,
+            drops_left=self.plan.drops_left,
+        )
         return self._place(name, zone, cell, model, cold, at)
 
     def _place(self, name: str, zone: int, cell: int, model: Model, cold: bool, at: Place | None) -> Place:
@@ -405,8 +437,9 @@
         self._troubled(("hush", place), between(self.names, [place.entry.name]), Trouble(cut=True), silent)
 
     def lag_box(self, place: Place, ms: float) -> None:
-        self._troubled(("lag", place), between(self.names, [place.entry.name]),
-                       Trouble(delay_s=ms / 1000), ms > 0)
+        self._troubled(
+            ("lag", place), between(self.names, [place.entry.name]), Trouble(delay_s=ms / 1000), ms > 0
+        )
 
     def part(self, seat: Seat, place: Place, apart: bool) -> None:
         self._troubled((seat, place), between([seat.name], [place.entry.name]), Trouble(cut=True), apart)
@@ -424,8 +457,9 @@
         """A gateway's configuration file, as it stands now."""
         plan, number = self.plan, seat.number
         seed = random.Random(f"{seat.name} {plan.seed} {seat.starts}").getrandbits(64)
-        table = traffic.configuration(plan, number, seat.listen, seat.discovery, self.datagrams.peers(number),
-                                      seed, self._known(seat))
+        table = traffic.configuration(
+            plan, number, seat.listen, seat.discovery, self.datagrams.peers(number), seed, self._known(seat)
+        )
         if self.features:
             table["features"] = self.features
         if self.counters:
@@ -455,8 +489,13 @@
             words = ["-m", "zincstile.field.skewed", str(seat.skew_ns / MS)]
         if seat.socket is not None:
             env["RELAY_SOCKET_FD"] = str(seat.socket.fileno())
-        return Program(words, env, seat.folder / "log", self.folder,
-                       seat.socket.fileno() if seat.socket is not None else None)
+        return Program(
+            words,
+            env,
+            seat.folder / "log",
+            self.folder,
+            seat.socket.fileno() if seat.socket is not None else None,
+        )
 
     def _fold(self, seat: Seat) -> None:
         """What the process that ends has counted is kept."""
@@ -560,27 +599,62 @@
         referee, quotas = self.referee, self.referee.quotas
         rows = []
         for seat in self.seats:
-            counters = {k: seat.counters.get(k, 0) + seat.latest.get(k, 0)
-                        for k in {*seat.counters, *seat.latest}}
-            rows.append(GatewayRow(
-                seat.name, traffic.ZONES[seat.zone], seat.starts, self.datagrams.sent[seat.number],
-                self.datagrams.bytes[seat.number], counters, seat.memory_kb))
+            counters = {
+                k: seat.counters.get(k, 0) + seat.latest.get(k, 0) for k in {*seat.counters, *seat.latest}
+            }
+            rows.append(
+                GatewayRow(
+                    seat.name,
+                    traffic.ZONES[seat.zone],
+                    seat.starts,
+                    self.datagrams.sent[seat.number],
+                    self.datagrams.bytes[seat.number],
+                    counters,
+                    seat.memory_kb,
+                )
+            )
         tally: dict[str, int] = {}
         for (_, kind), n in self.front.tally.items():
             tally[kind] = tally.get(kind, 0) + n
-        plans = [PlanRow(plan, round(worst, 3), 0.0 if bound == math.inf else round(bound, 3), round(sent, 2),
-                         round(best, 2))
-                 for plan, (worst, bound, sent, best) in sorted(quotas.by_plan().items())]
-        breaches = [BreachRow(b.rule, round(b.at_ns / 1e9 - self.began_s, 3), b.request, b.text, b.history)
-                    for b in referee.breaches]
+        plans = [
+            PlanRow(
+                plan,
+                round(worst, 3),
+                0.0 if bound == math.inf else round(bound, 3),
+                round(sent, 2),
+                round(best, 2),
+            )
+            for plan, (worst, bound, sent, best) in sorted(quotas.by_plan().items())
+        ]
+        breaches = [
+            BreachRow(b.rule, round(b.at_ns / 1e9 - self.began_s, 3), b.request, b.text, b.history)
+            for b in referee.breaches
+        ]
         return FieldResult(
-            self.name, self.plan.seed, self.plan.gateways, self.plan.boxes,
-            [f"{f.kind} at {f.at_ms} for {f.for_ms}" for f in self.plan.faults], round(self.lasted_s, 2),
-            not breaches, referee.counts["asked"], referee.counts["attempts"], tally, plans,
-            {"cold": round(referee.cold.nearest, 4), "ceiling": round(referee.ceilings.nearest, 4),
-             "quota": round(quotas.nearest, 4)},
-            rows, breaches, latencies(self.front.waits_s), dict(self.links.counts),
-            self.series.rows(self.names), self.events, {s.name: round(s.ready_s, 3) for s in self.seats})
+            self.name,
+            self.plan.seed,
+            self.plan.gateways,
+            self.plan.boxes,
+            [f"{f.kind} at {f.at_ms} for {f.for_ms}" for f in self.plan.faults],
+            round(self.lasted_s, 2),
+            not breaches,
+            referee.counts["asked"],
+            referee.counts["attempts"],
+            tally,
+            plans,
+            {
+                "cold": round(referee.cold.nearest, 4),
+                "ceiling": round(referee.ceilings.nearest, 4),
+                "quota": round(quotas.nearest, 4),
+            },
+            rows,
+            breaches,
+            latencies(self.front.waits_s),
+            dict(self.links.counts),
+            self.series.rows(self.names),
+            self.events,
+            {s.name: round(s.ready_s, 3) for s in self.seats},
+        )
 
 
 def play(plan: Plan, folder: Path, **told_besides: Any) -> FieldResult:
--- a/zincstile/field/sight.py
+++ b/zincstile/field/sight.py
@@ -17,8 +17,20 @@
 from ..standin.witness import Witness
 
 KINDS = ("served", "denied", "failed", "unreached")
-FIGURES = ("level", "out", "good", "doubted", "messages_out", "messages_in", "cpu_ms", "memory_kb", "loans",
-           "hand", "attempts", "customers")
+FIGURES = (
+    "level",
+    "out",
+    "good",
+    "doubted",
+    "messages_out",
+    "messages_in",
+    "cpu_ms",
+    "memory_kb",
+    "loans",
+    "hand",
+    "attempts",
+    "customers",
+)
 
 
 @dataclass(slots=True)
--- a/zincstile/field/start.py
+++ b/zincstile/field/start.py
@@ -74,8 +74,14 @@
 class StartRun(Run):
     """`patience_s`: how long a wave is waited for."""
 
-    def __init__(self, plan: Plan, folder: Path, manners: Manners, patience_s: float = 60.0,
-                 features: dict[str, str] | None = None) -> None:
+    def __init__(
+        self,
+        plan: Plan,
+        folder: Path,
+        manners: Manners,
+        patience_s: float = 60.0,
+        features: dict[str, str] | None = None,
+    ) -> None:
         super().__init__(plan, folder, "start", features)
         self.manners, self.patience_s = manners, patience_s
         self.rows: list[StartRow] = []
@@ -208,14 +214,27 @@
         service, count = self.service, len(seats)
         work = count / self.manners.per_s + (OUTAGE_S if name in ("outage", "down") else 0.0)
         memory = [s.program.memory_kb() / 1024 for s in seats]
-        self.rows.append(StartRow(
-            name, count, len(self.roster.entries), self.manners.per_s, round(up, 2),
-            round(_at(ready, count, 0.5), 2), round(_at(ready, count, 0.99), 2),
-            round(_at(ready, count, 1.0), 2), len(ready), round(work + up, 2),
-            round(service.counts["calls"] / count, 3), max(service.by.values(), default=0),
-            service.most_in(ANY_S), service.counts["for the left"],
-            round(service.counts["bytes"] / 1e6, 2), round(sorted(memory)[count // 2], 1),
-            round(sorted(m.cpu_ms for m in marks)[count // 2])))
+        self.rows.append(
+            StartRow(
+                name,
+                count,
+                len(self.roster.entries),
+                self.manners.per_s,
+                round(up, 2),
+                round(_at(ready, count, 0.5), 2),
+                round(_at(ready, count, 0.99), 2),
+                round(_at(ready, count, 1.0), 2),
+                len(ready),
+                round(work + up, 2),
+                round(service.counts["calls"] / count, 3),
+                max(service.by.values(), default=0),
+                service.most_in(ANY_S),
+                service.counts["for the left"],
+                round(service.counts["bytes"] / 1e6, 2),
+                round(sorted(memory)[count // 2], 1),
+                round(sorted(m.cpu_ms for m in marks)[count // 2]),
+            )
+        )
 
 
 def _at(ready: list[float], count: int, part: float) -> float:
@@ -224,8 +243,14 @@
     return ready[need - 1] if len(ready) >= need else -1.0
 
 
-def play(plan: Plan, folder: Path, manners: Manners, names: list[str], patience_s: float,
-         features: dict[str, str] | None = None) -> list[StartRow]:
+def play(
+    plan: Plan,
+    folder: Path,
+    manners: Manners,
+    names: list[str],
+    patience_s: float,
+    features: dict[str, str] | None = None,
+) -> list[StartRow]:
     """The waves, one after another."""
     signal.signal(signal.SIGUSR1, signal.SIG_IGN)
     return asyncio.run(StartRun(plan, folder, manners, patience_s, features).waves(names))
@@ -233,11 +258,15 @@
 
 def table(rows: list[StartRow]) -> str:
     """One line a wave."""
-    lines = [f"{'wave':14}{'n':>5}{'lists/s':>9}{'up':>7}{'half':>7}{'99%':>7}{'all':>7}{'ready':>7}"
-             f"{'least':>7}{'times':>7}{'calls':>7}{'most':>6}{'in 0.1s':>9}"
-             f"{'left':>6}{'MB':>7}{'CPU ms':>8}{'RSS':>6}"]
+    lines = [
+        f"{'wave':14}{'n':>5}{'lists/s':>9}{'up':>7}{'half':>7}{'99%':>7}{'all':>7}{'ready':>7}"
+        f"{'least':>7}{'times':>7}{'calls':>7}{'most':>6}{'in 0.1s':>9}"
+        f"{'left':>6}{'MB':>7}{'CPU ms':>8}{'RSS':>6}"
+    ]
     for r in rows:
-        lines.append(f"{r.wave:14}{r.gateways:5}{r.per_s:9.0f}{r.up_s:7.1f}{r.half_s:7.1f}{r.most_s:7.1f}"
-                     f"{r.all_s:7.1f}{r.ready:7}{r.least_s:7.1f}{r.times:7.2f}{r.calls_each:7.2f}"
-                     f"{r.calls_most:6}{r.calls_in_any:9}{r.for_the_left:6}{r.megabytes:7.2f}{r.cpu_ms:8.0f}{r.memory_mb:6.1f}")
+        lines.append(
+            f"{r.wave:14}{r.gateways:5}{r.per_s:9.0f}{r.up_s:7.1f}{r.half_s:7.1f}{r.most_s:7.1f}"
+            f"{r.all_s:7.1f}{r.ready:7}{r.least_s:7.1f}{r.times:7.2f}{r.calls_each:7.2f}"
+            f"{r.calls_most:6}{r.calls_in_any:9}{r.for_the_left:6}{r.megabytes:7.2f}{r.cpu_ms:8.0f}{r.memory_mb:6.1f}"
+        )
     return "\n".join(lines)
--- a/zincstile/field/sweep.py
+++ b/zincstile/field/sweep.py
@@ -60,20 +60,45 @@
     return plan
 
 
-def _drawn(gateways: int, kinds: tuple[str, ...], files: dict[str, str], gossip: bool,
-           seed: int) -> FieldResult:
+def _drawn(
+    gateways: int, kinds: tuple[str, ...], files: dict[str, str], gossip: bool, seed: int
+) -> FieldResult:
     kind = kinds[seed % len(kinds)]
     plan = draw(seed, gateways, kind, gossip)
     try:
         with tempfile.TemporaryDirectory(prefix="zincstile-field-") as folder:
             return one(plan, Path(folder), kind, files)
     except (PlaceError, run.NotReadyError) as err:  # told as a run that is not all right
-        return FieldResult(kind, seed, gateways, plan.boxes, [], 0.0, False, 0, 0, {}, [], {}, [], [
-            BreachRow("start", 0.0, "-", str(err))], {}, {}, [], [])
-
-
-def many(seeds: range, gateways: int, kinds: tuple[str, ...], jobs: int, files: dict[str, str],
-         gossip: bool = False) -> Iterator[FieldResult]:
+        return FieldResult(
+            kind,
+            seed,
+            gateways,
+            plan.boxes,
+            [],
+            0.0,
+            False,
+            0,
+            0,
+            {},
+            [],
+            {},
+            [],
+            [BreachRow("start", 0.0, "-", str(err))],
+            {},
+            {},
+            [],
+            [],
+        )
+
+
+def many(
+    seeds: range,
+    gateways: int,
+    kinds: tuple[str, ...],
+    jobs: int,
+    files: dict[str, str],
+    gossip: bool = False,
+) -> Iterator[FieldResult]:
     """In the order in which they end. Failures go round by the seed."""
     with multiprocessing.get_context("spawn").Pool(min(jobs, len(seeds)), maxtasksperchild=8) as pool:
         yield from pool.imap_unordered(partial(_drawn, gateways, kinds, files, gossip), seeds)
@@ -88,8 +113,10 @@
 
 def table(done: list[FieldResult]) -> str:
     """One line a failure: runs, worst beside stated, goodput, messages."""
-    lines = [f"{'failure':14}{'runs':>5}{'broken':>8}{'worst units':>13}{'of its bound':>14}"
-             f"{'goodput':>9}{'least':>7}{'msg/s':>7}{'CPU ms':>8}"]
+    lines = [
+        f"{'failure':14}{'runs':>5}{'broken':>8}{'worst units':>13}{'of its bound':>14}"
+        f"{'goodput':>9}{'least':>7}{'msg/s':>7}{'CPU ms':>8}"
+    ]
     for kind in dict.fromkeys(r.plan for r in done):
         rows = [r for r in done if r.plan == kind]
         plans = [p for r in rows for p in r.plans]
@@ -98,7 +125,9 @@
         sent, best = sum(p.sent for p in plans), sum(p.best for p in plans)
         rate = [x.datagrams / max(0.1, r.seconds) for r in rows for x in r.rows]
         least = min((r.goodput for r in rows), default=0.0)
-        lines.append(f"{kind:14}{len(rows):5}{sum(not r.ok for r in rows):8}{worst:13.2f}{near:14.2f}"
-                     f"{sent / best if best else 1.0:9.3f}{least:7.2f}"
-                     f"{sum(rate) / max(1, len(rate)):7.1f}{_cpu(rows):8.2f}")
+        lines.append(
+            f"{kind:14}{len(rows):5}{sum(not r.ok for r in rows):8}{worst:13.2f}{near:14.2f}"
+            f"{sent / best if best else 1.0:9.3f}{least:7.2f}"
+            f"{sum(rate) / max(1, len(rate)):7.1f}{_cpu(rows):8.2f}"
+        )
     return "\n".join(lines)
--- a/zincstile/framing.py
+++ b/zincstile/framing.py
@@ -1,4 +1,6 @@
-"""A datagram between gateways of one kind: a byte that no other begins with, what it holds, a check. No I/O.
+"""A datagram between gateways of one kind: a byte that no other begins with, what it holds, a check.
+
+No I/O.
 """
 
 from __future__ import annotations
@@ -19,7 +21,7 @@
     if not HEAD.size <= len(data) <= LARGEST:
         return None
     found, kind, check = HEAD.unpack_from(data)
-    body = data[HEAD.size:]
+    body = data[HEAD.size :]
     if found != magic or check != zlib.crc32(body, kind) & 0xFFFF:
         return None
     return kind, body
--- a/zincstile/inherit.py
+++ b/zincstile/inherit.py
@@ -19,8 +19,18 @@
 
 FORM = 1
 SECOND = 1_000_000_000
-PLAIN = ("late", "answers", "silence", "silences", "done_rate", "seen_rate", "strain", "stale", "mean_units",
-         "credit")  # numbers that are kept as they are
+PLAIN = (
+    "late",
+    "answers",
+    "silence",
+    "silences",
+    "done_rate",
+    "seen_rate",
+    "strain",
+    "stale",
+    "mean_units",
+    "credit",
+)  # numbers that are kept as they are
 LEVELS = ("level", "brim")  # numbers that may be infinite
 OF_LEAF = ("arrivals", "sent", "earned", "rate")
 OF_CUSTOMER = ("level", "ceiling", "mine", "theirs", "untold", "total", "word")
@@ -34,28 +44,57 @@
 
 def leave(m: Memory, now: int, most_customers: int) -> dict[str, Any]:
     """The memory as a table; of the customers the last used where there are more."""
+
     def age(at: float) -> float:
         return min(1e9, max(0.0, (now - at) / SECOND))
 
     def customer(c: Customer) -> dict[str, Any]:
         t = {key: getattr(c, key) for key in OF_CUSTOMER}
-        return t | {"key": c.key, "plan": c.plan, "spread": c.spread, "known": c.known, "wide": c.wide,
-                    "told": c.told, "mark": c.mark, "filled_s": age(c.filled_ns), "used_s": age(c.used_ns),
-                    "word_s": age(c.word_ns), "peers": [
-                        {"peer": p, "told_s": age(w.told_ns), "granted_s": age(w.granted_ns)}
-                        | {key: getattr(w, key) for key in OF_WORD} for p, w in c.peers.items()]}
+        return t | {
+            "key": c.key,
+            "plan": c.plan,
+            "spread": c.spread,
+            "known": c.known,
+            "wide": c.wide,
+            "told": c.told,
+            "mark": c.mark,
+            "filled_s": age(c.filled_ns),
+            "used_s": age(c.used_ns),
+            "word_s": age(c.word_ns),
+            "peers": [
+                {"peer": p, "told_s": age(w.told_ns), "granted_s": age(w.granted_ns)}
+                | {key: getattr(w, key) for key in OF_WORD}
+                for p, w in c.peers.items()
+            ],
+        }
 
     last = sorted(m.customers.values(), key=lambda c: c.filled_ns)[-most_customers:]
     return {
-        "form": FORM, "start": m.start, "begun": m.begun, "rose": m.rose, "met": m.met,
+        "form": FORM,
+        "start": m.start,
+        "begun": m.begun,
+        "rose": m.rose,
+        "met": m.met,
         "cut_s": age(m.cut_ns),
-        "plain": [getattr(m, key) for key in PLAIN], "levels": [getattr(m, key) for key in LEVELS],
-        "unit_ns": m.unit_ns, "calm_ns": m.calm_ns, "seen": m.seen, "broken": m.broken,
+        "plain": [getattr(m, key) for key in PLAIN],
+        "levels": [getattr(m, key) for key in LEVELS],
+        "unit_ns": m.unit_ns,
+        "calm_ns": m.calm_ns,
+        "seen": m.seen,
+        "broken": m.broken,
         "leaves": [[getattr(x, key) for key in OF_LEAF] for x in m.leaves],
-        "servers": [{"id": s.info.id, "started_s": age(s.info.started_ns) if s.info.started_ns else 0.0,
-                     "slowness": s.slowness, "doubt": sorted(s.doubt.items())} for s in m.servers.values()],
+        "servers": [
+            {
+                "id": s.info.id,
+                "started_s": age(s.info.started_ns) if s.info.started_ns else 0.0,
+                "slowness": s.slowness,
+                "doubt": sorted(s.doubt.items()),
+            }
+            for s in m.servers.values()
+        ],
         "heard": [[p, start, age(at)] for p, (start, at) in m.heard.items()],
-        "customers": [customer(c) for c in last]}
+        "customers": [customer(c) for c in last],
+    }
 
 
 def spent(m: Memory) -> dict[str, Any]:
@@ -66,6 +105,7 @@
 def check(t: Any, m: Memory) -> None:
     """TableError where the table doesn't fit a memory made from this process's settings. Guards against a
     file that is spoilt or was written under other settings: half of a memory is worse than none."""
+
     def number(x: Any, key: str, least: float = 0.0, whole: bool = False, endless: bool = False) -> None:
         if isinstance(x, bool) or not isinstance(x, int if whole else (int, float)):
             raise TableError(f"key {key}: not a number")
@@ -114,8 +154,11 @@
             number(c["mark"], "customers.mark", far, whole=True)
             row([c[key] for key in OF_CUSTOMER], "customers", len(OF_CUSTOMER), far)
             row([c[key] for key in ("filled_s", "used_s", "word_s")], "customers", 3)
-            if c["plan"] >= len(m.leaves) // (2 * len(m.unit_ns)) or not c["spread"] or not all(
-                    isinstance(c[key], bool) for key in ("known", "wide")):
+            if (
+                c["plan"] >= len(m.leaves) // (2 * len(m.unit_ns))
+                or not c["spread"]
+                or not all(isinstance(c[key], bool) for key in ("known", "wide"))
+            ):
                 raise TableError("key customers: out of range")
             for p in c["told"]:
                 number(p, "customers.told", whole=True)
@@ -123,17 +166,20 @@
                 for key in ("peer", "start", "open"):
                     number(w[key], f"customers.peers.{key}", whole=True)
                 number(w["mark"], "customers.peers.mark", -1, whole=True)
-                row([w[key] for key in ("total", "granted", "told_s", "granted_s")], "customers.peers", 4,
-                    far)
+                row(
+                    [w[key] for key in ("total", "granted", "told_s", "granted_s")], "customers.peers", 4, far
+                )
     except (KeyError, TypeError, ValueError) as err:
         if isinstance(err, TableError):
             raise
-        raise TableError(f"key {err}: missing" if isinstance(err, KeyError) else "a value of another kind") \
-            from None
+        raise TableError(
+            f"key {err}: missing" if isinstance(err, KeyError) else "a value of another kind"
+        ) from None
 
 
 def take(m: Memory, now: int, t: dict[str, Any]) -> None:
     """Fills a memory that has seen no event yet from a table that was checked."""
+
     def at(age_s: float) -> int:
         return now - int(age_s * SECOND)
 
@@ -145,8 +191,14 @@
     for leaf, row in zip(m.leaves, t["leaves"], strict=True):
         for key, x in zip(OF_LEAF, row, strict=True):
             setattr(leaf, key, x)
-    m.evidence = {s["id"]: (at(s["started_s"]) if s["started_s"] else 0, s["slowness"],
-                            {group: bad for group, bad in s["doubt"]}) for s in t["servers"]}
+    m.evidence = {
+        s["id"]: (
+            at(s["started_s"]) if s["started_s"] else 0,
+            s["slowness"],
+            {group: bad for group, bad in s["doubt"]},
+        )
+        for s in t["servers"]
+    }
     m.heard = {peer: (start, at(age_s)) for peer, start, age_s in t["heard"]}
     for row in t["customers"]:
         c = m.customer(row["key"], row["plan"], 0.0, at(row["filled_s"]))
--- a/zincstile/interface.py
+++ b/zincstile/interface.py
@@ -121,15 +121,31 @@
                 if not 0 <= getattr(c, key) < float("inf"):
                     raise ValueError(f"classes[{c.name}].{key}: must be finite and not negative")
         for p in self.plans:
-            for key in ("price", "rate", "burst", "open_limit", "over_worth", "over_cost", "ceiling_rate",
-                        "ceiling_burst", "ceiling_slack"):
+            for key in (
+                "price",
+                "rate",
+                "burst",
+                "open_limit",
+                "over_worth",
+                "over_cost",
+                "ceiling_rate",
+                "ceiling_burst",
+                "ceiling_slack",
+            ):
                 if not 0 <= getattr(p, key) < float("inf"):
                     raise ValueError(f"plans[{p.name}].{key}: must be finite and not negative")
         for key in ("max_attempts", "largest_units"):
             if not 1 <= getattr(self, key) < float("inf"):
                 raise ValueError(f"{key}: must be finite and at least 1")
-        for key in ("max_retry_after_ns", "peer_in_per_s", "drain_grace_ns", "cold_ns", "cold_multiple",
-                    "cold_window_ns", "cross_zone_price"):
+        for key in (
+            "max_retry_after_ns",
+            "peer_in_per_s",
+            "drain_grace_ns",
+            "cold_ns",
+            "cold_multiple",
+            "cold_window_ns",
+            "cross_zone_price",
+        ):
             if not 0 <= getattr(self, key) < float("inf"):
                 raise ValueError(f"{key}: must be finite and not negative")
         if not 0 < self.cold_share <= 1:
@@ -275,8 +291,19 @@
     token: int
 
 
-Event = (Started | Inherited | BackendList | Request | Outcome | StreamStarted | Probed | PeerMessage
-         | Counted | Gone | Timer)
+Event = (
+    Started
+    | Inherited
+    | BackendList
+    | Request
+    | Outcome
+    | StreamStarted
+    | Probed
+    | PeerMessage
+    | Counted
+    | Gone
+    | Timer
+)
 
 # ---- actions
 
--- a/zincstile/keeper/accounts.py
+++ b/zincstile/keeper/accounts.py
@@ -81,9 +81,15 @@
     def __init__(self, settings: KeeperSettings, view: View, me: int) -> None:
         self.settings, self.view, self.me = settings, view, me
         self.accounts: dict[int, Account] = {}
-        self.counts = {"calls": 0, "granted": 0.0, "given back": 0.0, "unanswered": 0, "even": 0.0,
-        "shrunk": 0,
-                       "told late": 0.0}
+        self.counts = {
+            "calls": 0,
+            "granted": 0.0,
+            "given back": 0.0,
+            "unanswered": 0,
+            "even": 0.0,
+            "shrunk": 0,
+            "told late": 0.0,
+        }
         self._calls: list[Call] = []
         self._granted: dict[int, int] = {}  # customers that got a lease since the last calls, and its epoch
         self._plans: dict[Quota, tuple[float, float]] = {}
@@ -154,8 +160,10 @@
         rate, most = account.quota.rate / len(account.row), account.quota.burst / len(account.row)
         if account.even_ns < 0:  # empty at first: what was leased before has been sent
             account.even, account.even_ns = 0.0, self.view.even_from_ns()
-        account.even = min(max(most, account.quota.largest if most else 0.0),
-                           account.even + rate * (now - account.even_ns) / SECOND)
+        account.even = min(
+            max(most, account.quota.largest if most else 0.0),
+            account.even + rate * (now - account.even_ns) / SECOND,
+        )
         account.even_ns = now
         if account.even + KEPT < units:
             return False
@@ -201,8 +209,11 @@
         if amount <= KEPT or account.hand > wanted / 2 and not lack:
             return
         account.asked = amount
-        self._call(self._name(account, number), amount,
-                   lambda at, total: self._leased(at, account, number, amount, now, total))
+        self._call(
+            self._name(account, number),
+            amount,
+            lambda at, total: self._leased(at, account, number, amount, now, total),
+        )
 
     def _call(self, name: str, amount: float, answered: Callable[[int, float | None], None]) -> None:
         self._calls.append(Call(name, amount, answered))
@@ -222,8 +233,11 @@
             return
         account.reading = len(wanted)
         for one in wanted:
-            self._call(self._name(account, one), 0.0,
-                       lambda at, total, one=one: self._told(at, account, number, one, total))
+            self._call(
+                self._name(account, one),
+                0.0,
+                lambda at, total, one=one: self._told(at, account, number, one, total),
+            )
 
     def _told(self, now: int, account: Account, number: int, one: int, total: float | None) -> None:
         account.reading -= 1
@@ -250,8 +264,9 @@
         if number in account.epochs:
             account.epochs[number].open = level
 
-    def _leased(self, now: int, account: Account, number: int, amount: float, asked_ns: int,
-                total: float | None) -> None:
+    def _leased(
+        self, now: int, account: Account, number: int, amount: float, asked_ns: int, total: float | None
+    ) -> None:
         account.asked = 0.0
         epoch = account.epochs.get(number)
         if total is None:
@@ -305,4 +320,5 @@
             epoch.late.clear()
             epoch.mine += amount
             self.counts["told late"] += amount
+
         self._call(self._name(account, number), amount, told)
--- a/zincstile/keeper/bound.py
+++ b/zincstile/keeper/bound.py
@@ -24,9 +24,14 @@
     again = {"store": carry + epoch}  # what the other keeper, or the new one, may give out once more
     unseen = rate * settings.noticed_ns / SECOND * (settings.ways - 1)
     found = {
-        "none": base, "slow": base, "calls lost": base, "gateway dead": base, "gone": base,
+        "none": base,
+        "slow": base,
+        "calls lost": base,
+        "gateway dead": base,
+        "gone": base,
         "split": base | {"store": again["store"] * (settings.ways - 1), "unnoticed": unseen},
-        "swapped": base | again}
+        "swapped": base | again,
+    }
     return [Bound(name, found[name], minute) for name in FAILURES]
 
 
@@ -36,8 +41,11 @@
     low, high = 0.0, max(0.0, quota.burst)
 
     def fits(carry: float) -> bool:
-        return all(b.share <= settings.most_overshoot for b in _raw(quota, settings, carry)
-                   if b.failure in settings.endured)
+        return all(
+            b.share <= settings.most_overshoot
+            for b in _raw(quota, settings, carry)
+            if b.failure in settings.endured
+        )
 
     if fits(high):
         return high
@@ -54,6 +62,9 @@
 
 def refused(quota: Quota, settings: KeeperSettings) -> str | None:
     """Why this quota can't be held as the settings ask; None where it can."""
-    found = (too_much(quota, b, settings.most_overshoot) for b in bounds(quota, settings)
-             if b.failure in settings.endured)
+    found = (
+        too_much(quota, b, settings.most_overshoot)
+        for b in bounds(quota, settings)
+        if b.failure in settings.endured
+    )
     return next((why for why in found if why), None)
--- a/zincstile/keeper/module.py
+++ b/zincstile/keeper/module.py
@@ -89,6 +89,7 @@
 
         def beaten(at: int, total: float | None) -> None:
             self.view.beaten(at, period, total)
+
         self._call(name, 1.0, 60_000, beaten)
         self._tell_peers(now)
         self.timer(now + self.keeper.beat_ns, BEAT)
@@ -128,8 +129,11 @@
         plan = self.set.plans[c.plan]
         row = [(ask.first + k) % self.set.gateways for k in range(c.spread)]
         return self.accounts.account(
-            c.key, Quota(plan.name, plan.rate, plan.burst, c.spread, self.set.largest_units), row,
-            now + self.apart_ns)
+            c.key,
+            Quota(plan.name, plan.rate, plan.burst, c.spread, self.set.largest_units),
+            row,
+            now + self.apart_ns,
+        )
 
     def _pay(self, now: int, live: Live, again: bool) -> Paid:
         account, common = self._account(now, live.customer, live.ask), now + self.apart_ns
--- a/zincstile/keeper/settings.py
+++ b/zincstile/keeper/settings.py
@@ -27,8 +27,17 @@
     period_ns: int = 30 * SECOND  # the beats' name changes so often; names live 60 s
 
     def __post_init__(self) -> None:
-        for name in ("epoch_ns", "lease_ns", "lease_most_ns", "beat_ns", "heard_ns", "late_ns", "call_ns",
-                     "missed", "period_ns"):
+        for name in (
+            "epoch_ns",
+            "lease_ns",
+            "lease_most_ns",
+            "beat_ns",
+            "heard_ns",
+            "late_ns",
+            "call_ns",
+            "missed",
+            "period_ns",
+        ):
             if getattr(self, name) < 1:
                 raise ValueError(f"{name}: must be above 0")
         if self.skew_ns < 0:
@@ -38,11 +47,13 @@
         if not 0 < self.most_overshoot < 1:
             raise ValueError("most_overshoot: must be above 0 and below 1")
         if self.heard_ns < 2 * self.beat_ns + self.late_ns:
-            raise ValueError("heard_ns: must cover two beats and a late word: one lost word would part the "
-                             "gateways")
+            raise ValueError(
+                "heard_ns: must cover two beats and a late word: one lost word would part the " "gateways"
+            )
         if self.period_ns < 4 * self.heard_ns or self.period_ns > 30 * SECOND:
-            raise ValueError("period_ns: must be at least four times heard_ns, and 30 s at most, as names "
-                             "live 60 s")
+            raise ValueError(
+                "period_ns: must be at least four times heard_ns, and 30 s at most, as names " "live 60 s"
+            )
         if self.epoch_ns < 2 * self.call_ns or self.epoch_ns > 20 * SECOND:
             raise ValueError("epoch_ns: must be at least twice call_ns, and 20 s at most")
         for name in self.endured:
--- a/zincstile/keeper/view.py
+++ b/zincstile/keeper/view.py
@@ -134,8 +134,14 @@
         """To be told to all peers at every beat, and at once when trust ends."""
         if self.trusts:
             self._said_ns = now
-        return Word(self.me, now, self.trusts, self._period, tuple(self._totals)[-TOLD:],
-                    self._times[-1] if self._times else 0)
+        return Word(
+            self.me,
+            now,
+            self.trusts,
+            self._period,
+            tuple(self._totals)[-TOLD:],
+            self._times[-1] if self._times else 0,
+        )
 
     def hear(self, now: int, word: Word) -> None:
         """One that took too long, or is older than what is known, says nothing."""
@@ -148,12 +154,20 @@
             self._apart[word.sender] = now + settings.apart_ns
         elif now >= self._apart.get(word.sender, 0):
             for peer, other in self._heard.items():
-                if peer != word.sender and other.period == word.period and now >= self._apart.get(peer, 0) \
-                        and not other.totals_apart(word):
+                if (
+                    peer != word.sender
+                    and other.period == word.period
+                    and now >= self._apart.get(peer, 0)
+                    and not other.totals_apart(word)
+                ):
                     self._apart[peer] = self._apart[word.sender] = now + settings.apart_ns
         since = now
-        if known is not None and known.trusts and word.sent_ns - known.sent_ns < settings.heard_ns \
-                and now >= self._apart.get(word.sender, 0):
+        if (
+            known is not None
+            and known.trusts
+            and word.sent_ns - known.sent_ns < settings.heard_ns
+            and now >= self._apart.get(word.sender, 0)
+        ):
             since = known.since_ns
         again = known is not None and known.period == word.period
         totals = known.totals if again else deque(maxlen=REMEMBERED)
@@ -168,15 +182,20 @@
         if not set(word.totals).isdisjoint(self._totals):
             return True
         last, slack = word.totals[-1], self.settings.call_ns + self.settings.skew_ns
-        return any(total > last if at < word.beaten_ns - slack else
-                   total < last and at > word.beaten_ns + slack
-                   for at, total in zip(self._times, self._totals, strict=True))
+        return any(
+            total > last if at < word.beaten_ns - slack else total < last and at > word.beaten_ns + slack
+            for at, total in zip(self._times, self._totals, strict=True)
+        )
 
     def same(self, now: int, peer: int) -> bool:
         """That peer is counted by the same keeper, as far as its last words tell."""
         found = self._heard.get(peer)
-        return (found is not None and found.trusts and now - found.sent_ns < self.settings.heard_ns
-                and now >= self._apart.get(peer, 0))
+        return (
+            found is not None
+            and found.trusts
+            and now - found.sent_ns < self.settings.heard_ns
+            and now >= self._apart.get(peer, 0)
+        )
 
     def part(self, now: int, row: list[int]) -> float:
         """The part of a quota of these gateways that belongs to those on this keeper; 0 without one."""
@@ -189,8 +208,9 @@
         keeper never counted."""
         if not self.trusts or self.since_ns > since_ns or self.sound_ns > since_ns:
             return 0.0
-        return sum(peer == self.me or self.same(now, peer) and self._heard[peer].since_ns <= since_ns
-                   for peer in row) / len(row)
+        return sum(
+            peer == self.me or self.same(now, peer) and self._heard[peer].since_ns <= since_ns for peer in row
+        ) / len(row)
 
     def even_from_ns(self) -> int:
         """From when this gateway may use its even part, if it trusts no keeper till then."""
@@ -199,5 +219,7 @@
     def line(self, now: int) -> str:
         """For the log."""
         heard = sum(self.same(now, peer) for peer in self._heard)
-        return f"keeper {self.state.value}, {heard} of {len(self._heard)} peers on it, " \
-               f"{(now - self._said_ns) / SECOND:.1f} s since the last word of trust"
+        return (
+            f"keeper {self.state.value}, {heard} of {len(self._heard)} peers on it, "
+            f"{(now - self._said_ns) / SECOND:.1f} s since the last word of trust"
+        )
--- a/zincstile/keeper/words.py
+++ b/zincstile/keeper/words.py
@@ -26,9 +26,9 @@
     """None for what is damaged, or of another layout."""
     if len(data) < HEAD.size + CHECK.size or data[0] != MAGIC:
         return None
-    body, (check,) = data[:-CHECK.size], CHECK.unpack(data[-CHECK.size:])
+    body, (check,) = data[: -CHECK.size], CHECK.unpack(data[-CHECK.size :])
     _, trusts, count, period, sent_ns, beaten_ns = HEAD.unpack_from(body)
     if check != zlib.crc32(body) & 0xFFFF or count > TOLD or len(body) != HEAD.size + count * TOTAL.size:
         return None
-    totals = tuple(t for t, in TOTAL.iter_unpack(body[HEAD.size:]))
+    totals = tuple(t for (t,) in TOTAL.iter_unpack(body[HEAD.size :]))
     return Word(sender, sent_ns, bool(trusts), period, totals, beaten_ns)
--- a/zincstile/links.py
+++ b/zincstile/links.py
@@ -83,6 +83,7 @@
                 for pair in chosen:
                     self._laid[pair].remove(trouble)
                 self._renew(chosen)
+
         return take_away
 
     def _renew(self, pairs: list[Pair]) -> None:
@@ -107,8 +108,12 @@
         if trouble is CLEAR:
             self.counts["passed"] += 1
             return [0.0]
-        if trouble.cut or trouble.loss and self.rng.random() < trouble.loss \
-                or not self._room((source, target), trouble, now_s):
+        if (
+            trouble.cut
+            or trouble.loss
+            and self.rng.random() < trouble.loss
+            or not self._room((source, target), trouble, now_s)
+        ):
             self.counts["lost"] += 1
             return []
         copies = 2 if trouble.twice and self.rng.random() < trouble.twice else 1
--- a/zincstile/net/backend.py
+++ b/zincstile/net/backend.py
@@ -87,11 +87,26 @@
             self._report(session, number, action.backend, Result.MOOT, 0)
             return
         until_ns = min(action.until_ns, session.give_up_ns)
-        self._launch(now, session, number, action.backend, until_ns, min(until_ns, action.by_ns or until_ns),
-                     action.fresh)
-
-    def _launch(self, now: int, session: Session | None, number: int, backend: int, until_ns: int,
-                by_ns: int, fresh: bool = False) -> None:
+        self._launch(
+            now,
+            session,
+            number,
+            action.backend,
+            until_ns,
+            min(until_ns, action.by_ns or until_ns),
+            action.fresh,
+        )
+
+    def _launch(
+        self,
+        now: int,
+        session: Session | None,
+        number: int,
+        backend: int,
+        until_ns: int,
+        by_ns: int,
+        fresh: bool = False,
+    ) -> None:
         server = self.servers.get(backend)
         if server is None or not server.ready or by_ns <= now:
             self._report(session, number, backend, Result.MOOT, 0)
@@ -304,8 +319,8 @@
         stream, limits = connection.stream, self.turn.limits
         connection.heard_ns = self.turn.now_ns()
         if connection.left:
-            piece = data[:connection.left]
-            data = data[len(piece):]
+            piece = data[: connection.left]
+            data = data[len(piece) :]
             connection.left -= len(piece)
             connection.last2 = (connection.last2 + piece[-2:])[-2:]
             stream.push(piece)
@@ -366,14 +381,24 @@
         attempt.connection = None
         self.turn.deadlines.drop(attempt.deadline)
         attempt.deadline = None
-        self._report(attempt.session, attempt.number, attempt.server.id, result,
-                     self.turn.now_ns() - attempt.sent_ns, report)
-
-    def answered(self, connection: BackendConnection, attempt: Attempt, reply: resp.Reply,
-                 alone: bool) -> None:
+        self._report(
+            attempt.session,
+            attempt.number,
+            attempt.server.id,
+            result,
+            self.turn.now_ns() - attempt.sent_ns,
+            report,
+        )
+
+    def answered(
+        self, connection: BackendConnection, attempt: Attempt, reply: resp.Reply, alone: bool
+    ) -> None:
         found, denial = resp.answer(reply), isinstance(reply, resp.ErrorLine)
-        if connection.whole and alone and (
-                reply.startswith(DENIALS) if denial else found is not None or attempt.session is None):
+        if (
+            connection.whole
+            and alone
+            and (reply.startswith(DENIALS) if denial else found is not None or attempt.session is None)
+        ):
             self._rest(connection)
         else:  # what is left to write, or came behind the answer, would confuse the next
             connection.transport.abort()
@@ -408,8 +433,15 @@
         latency = self.turn.now_ns() - attempt.sent_ns
         self._report(session, attempt.number, attempt.server.id, result, latency, report)
 
-    def _report(self, session: Session | None, number: int, backend: int, result: Result, latency: int,
-                report: bytes = b"") -> None:
+    def _report(
+        self,
+        session: Session | None,
+        number: int,
+        backend: int,
+        result: Result,
+        latency: int,
+        report: bytes = b"",
+    ) -> None:
         figures = self._figures(report)
         if session is None:
             self.turn.post(i.Probed(backend, result, latency, figures))
--- a/zincstile/net/backend_connection.py
+++ b/zincstile/net/backend_connection.py
@@ -28,11 +28,13 @@
     def encode(self, attempt: Attempt) -> bytes: ...
     def written(self, attempt: Attempt) -> None: ...
     def begun(self, attempt: Attempt) -> None: ...
-    def answered(self, connection: BackendConnection, attempt: Attempt, reply: resp.Reply,
-                 alone: bool) -> None: ...
+    def answered(
+        self, connection: BackendConnection, attempt: Attempt, reply: resp.Reply, alone: bool
+    ) -> None: ...
     def spoilt(self, attempt: Attempt, why: str) -> None: ...
-    def stream_begin(self, connection: BackendConnection, attempt: Attempt, size: int,
-                     data: bytes) -> None: ...
+    def stream_begin(
+        self, connection: BackendConnection, attempt: Attempt, size: int, data: bytes
+    ) -> None: ...
     def streaming(self, connection: BackendConnection, data: bytes) -> None: ...
     def stream_lost(self, connection: BackendConnection) -> None: ...
     def lost(self, connection: BackendConnection) -> None: ...
@@ -42,11 +44,21 @@
 class Attempt:
     """One sending of a session's call; without a session, a probe."""
 
-    __slots__ = ("session", "number", "server", "sent_ns", "until_ns", "by_ns", "deadline", "connection",
-                 "begun")
-
-    def __init__(self, session: Session | None, number: int, server: BackendServer, now: int,
-                 until_ns: int, by_ns: int) -> None:
+    __slots__ = (
+        "session",
+        "number",
+        "server",
+        "sent_ns",
+        "until_ns",
+        "by_ns",
+        "deadline",
+        "connection",
+        "begun",
+    )
+
+    def __init__(
+        self, session: Session | None, number: int, server: BackendServer, now: int, until_ns: int, by_ns: int
+    ) -> None:
         self.session, self.number, self.server = session, number, server
         self.sent_ns, self.until_ns = now, until_ns
         self.by_ns = by_ns  # its last byte is written by then, or never
@@ -76,9 +88,28 @@
 
 
 class BackendConnection(asyncio.BufferedProtocol):
-    __slots__ = ("pools", "server", "transport", "attempt", "rested_ns", "settled_ns", "heard_ns", "_parser",
-                 "_unwritten", "_half", "_kept", "_decided", "stream", "left", "last2", "tail", "tail_parts",
-                 "held", "paced", "dial")
+    __slots__ = (
+        "pools",
+        "server",
+        "transport",
+        "attempt",
+        "rested_ns",
+        "settled_ns",
+        "heard_ns",
+        "_parser",
+        "_unwritten",
+        "_half",
+        "_kept",
+        "_decided",
+        "stream",
+        "left",
+        "last2",
+        "tail",
+        "tail_parts",
+        "held",
+        "paced",
+        "dial",
+    )
 
     def __init__(self, pools: Owner, server: BackendServer, attempt: Attempt | None) -> None:
         self.pools, self.server, self.attempt = pools, server, attempt
@@ -145,7 +176,7 @@
             self._decided = head is None
             if head is not None and head[0]:
                 self._parser = resp.ReplyParser(pools.turn.limits)
-                pools.stream_begin(self, attempt, head[0], (kept + data)[head[1]:])
+                pools.stream_begin(self, attempt, head[0], (kept + data)[head[1] :])
                 return
         replies = parser.feed(data)
         if attempt is None:
--- a/zincstile/net/config.py
+++ b/zincstile/net/config.py
@@ -88,21 +88,35 @@
         name=str(env.get("RELAY_NAME") or t["name"]),
         listen=address(env.get("RELAY_LISTEN") or t["listen"]),
         discovery=address(env.get("RELAY_DISCOVERY") or t["discovery"]),
-        seed=int(str(t["seed"]), 16), settings=decoded,
+        seed=int(str(t["seed"]), 16),
+        settings=decoded,
         zones=[str(z) for z in settings.get("zones") or []],
         kinds=[str(k) for k in settings.get("skus") or []],
         limits=Limits.for_gateway(
-            int(own.get("sockets", 1024)), int(own.get("memory_mb", 192)), int(limits.get("max_open", 20000)),
+            int(own.get("sockets", 1024)),
+            int(own.get("memory_mb", 192)),
+            int(limits.get("max_open", 20000)),
             int(limits.get("connect_timeout_ns", 250_000_000)),
-            int(limits.get("idle_close_ns", 30_000_000_000)), decoded.longest_ns, given,
-            decoded.gateways, int((settings.get("obligations") or {}).get("ask_within_ns", 10_000_000_000))
-            if decoded.ask_for_list else 0, bool(env.get("RELAY_CONTROL") or t.get("control"))),
+            int(limits.get("idle_close_ns", 30_000_000_000)),
+            decoded.longest_ns,
+            given,
+            decoded.gateways,
+            int((settings.get("obligations") or {}).get("ask_within_ns", 10_000_000_000))
+            if decoded.ask_for_list
+            else 0,
+            bool(env.get("RELAY_CONTROL") or t.get("control")),
+        ),
         known=t.get("known") or {},
-        peer_listen=address(t["peer_listen"]) if t.get("peer_listen") else None, peers=peers,
+        peer_listen=address(t["peer_listen"]) if t.get("peer_listen") else None,
+        peers=peers,
         counter=address(t["counter"]) if _feature(t, "keeper") and t.get("counter") else None,
-        keeper=_keeper(t, decoded), shared=_shared(t, decoded), start=_start(t, decoded),
+        keeper=_keeper(t, decoded),
+        shared=_shared(t, decoded),
+        start=_start(t, decoded),
         place=_place(t, decoded),
-        socket_fd=_descriptor(env.get("RELAY_SOCKET_FD")), control=_control(t, env))
+        socket_fd=_descriptor(env.get("RELAY_SOCKET_FD")),
+        control=_control(t, env),
+    )
 
 
 def _control(t: dict[str, Any], env: dict[str, str] | os._Environ[str]) -> Address | None:
@@ -134,8 +148,12 @@
     """One for each plan that has a quota, and each number of gateways that a customer may come in by."""
     from ..bounds import of_plan
 
-    return [of_plan(p, spread, settings.largest_units) for p in settings.plans if p.rate
-            for spread in range(1, settings.gateways + 1)]
+    return [
+        of_plan(p, spread, settings.largest_units)
+        for p in settings.plans
+        if p.rate
+        for spread in range(1, settings.gateways + 1)
+    ]
 
 
 def _shared(t: dict[str, Any], settings: Settings) -> Any:
--- a/zincstile/net/control.py
+++ b/zincstile/net/control.py
@@ -78,8 +78,14 @@
 
 
 class ControlDoor:
-    def __init__(self, turn: Turn, operator: Operator, apply: Callable[[Reply], None],
-                 ready: Callable[[], bool], host: Host) -> None:
+    def __init__(
+        self,
+        turn: Turn,
+        operator: Operator,
+        apply: Callable[[Reply], None],
+        ready: Callable[[], bool],
+        host: Host,
+    ) -> None:
         self.turn, self.operator, self.apply, self.ready, self.host = turn, operator, apply, ready, host
         self.counters = turn.counters
         limits = turn.limits
@@ -136,8 +142,15 @@
     """The file by which processes of one gateway share what operators said: written whole on each change
     and well within `handover_stale_ns`, read where another process wrote it since."""
 
-    def __init__(self, turn: Turn, operator: Operator, gateway: str, path: str, host: Host,
-                 adopt: Callable[[set[str], set[str]], None]) -> None:
+    def __init__(
+        self,
+        turn: Turn,
+        operator: Operator,
+        gateway: str,
+        path: str,
+        host: Host,
+        adopt: Callable[[set[str], set[str]], None],
+    ) -> None:
         self.turn, self.operator, self.gateway, self.path, self.host = turn, operator, gateway, path, host
         self.adopt = adopt
         self.me = ""  # this process, as `ready_by` names it
@@ -175,8 +188,11 @@
 
     def write(self) -> None:
         o = self.operator
-        data = ho.pack(ho.Handover(self.gateway, o.version, self.host.unix_ns(), frozenset(o.banned),
-                                   self.ready_by, self.back()))
+        data = ho.pack(
+            ho.Handover(
+                self.gateway, o.version, self.host.unix_ns(), frozenset(o.banned), self.ready_by, self.back()
+            )
+        )
         try:
             self.host.write_file(self.path, data)
             self._seen = self.host.stat(self.path)
--- a/zincstile/net/counters.py
+++ b/zincstile/net/counters.py
@@ -8,13 +8,46 @@
 
 
 class Counters:
-    __slots__ = ("clients", "requests", "pings", "malformed", "served", "denied", "failed", "left",
-                 "attempts", "ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot",
-                 "spoilt", "stale",
-                 "connects", "messages_in", "messages_out", "messages_bad", "tables", "watches", "faults",
-                 "turns", "reloads", "keeper_calls", "keeper_unanswered", "keeper_full",
-                 "control_calls", "control_no", "control_bad", "handover_bad", "standby_closed",
-                 "streamed", "streams_cut")
+    __slots__ = (
+        "clients",
+        "requests",
+        "pings",
+        "malformed",
+        "served",
+        "denied",
+        "failed",
+        "left",
+        "attempts",
+        "ok",
+        "error",
+        "full",
+        "timeout",
+        "connect_failed",
+        "reset",
+        "cancelled",
+        "moot",
+        "spoilt",
+        "stale",
+        "connects",
+        "messages_in",
+        "messages_out",
+        "messages_bad",
+        "tables",
+        "watches",
+        "faults",
+        "turns",
+        "reloads",
+        "keeper_calls",
+        "keeper_unanswered",
+        "keeper_full",
+        "control_calls",
+        "control_no",
+        "control_bad",
+        "handover_bad",
+        "standby_closed",
+        "streamed",
+        "streams_cut",
+    )
 
     def __init__(self) -> None:
         for name in self.__slots__:
--- a/zincstile/net/features.py
+++ b/zincstile/net/features.py
@@ -210,8 +210,11 @@
         within = span(row.within) if row.within is not None else None
     except ValueError as err:
         raise FileError(f"{path}: distances: {err}") from None
-    given = {k: v for k, v in msgspec.structs.asdict(row).items()
-             if v is not None and k not in ("regions", "distances", "within")}
+    given = {
+        k: v
+        for k, v in msgspec.structs.asdict(row).items()
+        if v is not None and k not in ("regions", "distances", "within")
+    }
     times = {k[:-3] + "_ns": v * MS for k, v in given.items() if k.endswith("_ms")}
     rest = {k: v for k, v in given.items() if not k.endswith("_ms")}
     if within is not None:
@@ -236,8 +239,9 @@
     for region, names in settings.regions.items():
         for name in names:
             if zones and name not in zones:
-                raise FileError(f"{path}: regions: {region}: no zone is called {name}; there are "
-                                f"{', '.join(zones)}")
+                raise FileError(
+                    f"{path}: regions: {region}: no zone is called {name}; there are " f"{', '.join(zones)}"
+                )
 
 
 def _check(path: str, settings: Any, quotas: list[Quota], refused: Callable[..., str | None]) -> None:
--- a/zincstile/net/frontend.py
+++ b/zincstile/net/frontend.py
@@ -62,12 +62,20 @@
             raise CallError(f"missing or unknown: {err.args[0]!r}") from None
         except ValueError:
             raise CallError("a value that is no number") from None
-        if len(words[1]) != 16 or not words[1].isalnum() or customer >= 2**33 \
-                or not 0 < len(words[2]) <= self.id_bytes:
+        if (
+            len(words[1]) != 16
+            or not words[1].isalnum()
+            or customer >= 2**33
+            or not 0 < len(words[2]) <= self.id_bytes
+        ):
             raise CallError("no such customer or id")
         # Guards the customer's quota too: what a stranger says under its name would be remembered.
-        if not (0 < wait_ms <= 3_600_000 and 0 < units <= self.largest_units
-                and 0 < spread <= self.gateways and first < self.gateways):
+        if not (
+            0 < wait_ms <= 3_600_000
+            and 0 < units <= self.largest_units
+            and 0 < spread <= self.gateways
+            and first < self.gateways
+        ):
             raise CallError("a value out of range")
         if (spec.effect is i.Effect.SAFE) != (verb == READ):
             raise CallError("the wrong command for this class")
@@ -76,15 +84,32 @@
         wait_ns = wait_ms * 1_000_000
         give_up = now + wait_ns - min(self.margin_ns, wait_ns // 2)
         call = Call(verb == READ, words[1], words[2], fields, wait_at, words[4] if len(words) > 4 else None)
-        return call, i.Request(number, cls, plan, customer, give_up, units, spread, first,
-                               given.get(b"r") == b"1")
+        return call, i.Request(
+            number, cls, plan, customer, give_up, units, spread, first, given.get(b"r") == b"1"
+        )
 
 
 class ClientConnection(asyncio.BufferedProtocol):
     """One client. Its commands are answered in order; it is read no further while too much is unanswered."""
 
-    __slots__ = ("door", "turn", "counters", "transport", "_parser", "_waiting", "_out", "_dirty", "_closing",
-                 "_full", "_paused", "_drained", "rested_ns", "begun_ns", "ended_ns", "asked")
+    __slots__ = (
+        "door",
+        "turn",
+        "counters",
+        "transport",
+        "_parser",
+        "_waiting",
+        "_out",
+        "_dirty",
+        "_closing",
+        "_full",
+        "_paused",
+        "_drained",
+        "rested_ns",
+        "begun_ns",
+        "ended_ns",
+        "asked",
+    )
 
     def __init__(self, door: FrontDoor) -> None:
         self.door, self.turn, self.counters = door, door.turn, door.turn.counters
@@ -186,8 +211,13 @@
             self.counters.pings += 1
             self.asked += 1
             door = self.door
-            self._reply(resp.error("standby") if door.standby else
-                        resp.PONG if door.ready and not door.over else resp.error("not ready"))
+            self._reply(
+                resp.error("standby")
+                if door.standby
+                else resp.PONG
+                if door.ready and not door.over
+                else resp.error("not ready")
+            )
             return
         number, now = turn.next_id(), self.turn.now_ns()
         try:
@@ -335,11 +365,19 @@
         if self._closing or self._waiting or self.transport.is_closing():
             return
         if not self._parser.idle:
-            if now - self.begun_ns > limits.command_ns or \
-                    not self.asked and now - self.rested_ns > limits.silent_ns:
+            if (
+                now - self.begun_ns > limits.command_ns
+                or not self.asked
+                and now - self.rested_ns > limits.silent_ns
+            ):
                 self._give_up("a command that does not end")
-        elif now - self.rested_ns > (limits.standby_rest_ns if self.door.standby else
-                                     limits.rest_ns if self.asked else limits.silent_ns):
+        elif now - self.rested_ns > (
+            limits.standby_rest_ns
+            if self.door.standby
+            else limits.rest_ns
+            if self.asked
+            else limits.silent_ns
+        ):
             closed = self.close_if_idle()
             self.counters.standby_closed += closed and self.door.standby
 
@@ -384,8 +422,11 @@
     def listen(self, address: tuple[str, int], inherited: int | None = None) -> None:
         """On the address, or on the socket that the platform hands down, which an old process shares."""
         self.inherited = inherited is not None
-        self._socket = self.host.inherit(inherited) if self.inherited else \
-            self.host.listen(address, self.turn.limits.backlog)
+        self._socket = (
+            self.host.inherit(inherited)
+            if self.inherited
+            else self.host.listen(address, self.turn.limits.backlog)
+        )
         self._resume()  # a shared queue is left to the old process until this one is ready: see `take`
         self._tend(None)
 
@@ -425,8 +466,10 @@
             held = len(self.clients) + self._acceptor.coming
             if held >= limits.frontend_connections and not self._make_room():
                 # Guards against running out of descriptors: the rest waits in the backlog until one is free.
-                self.turn.log.often("full", f"{len(self.clients)} client connections {self._kinds()}: "
-                                            "taking no more for now")
+                self.turn.log.often(
+                    "full",
+                    f"{len(self.clients)} client connections {self._kinds()}: " "taking no more for now",
+                )
                 self._pause()
                 self.turn.deadlines.add(self.turn.now_ns() + limits.newcomer_ns, self._resume)
                 self.turn.wake()
@@ -451,8 +494,11 @@
             if c.lingers and now - c.ended_ns > limits.newcomer_ns and not c.transport.is_closing():
                 return c.give_way()
         least = (limits.newcomer_ns, limits.newcomer_ns, limits.spare_ns)
-        resting = [(min(c.asked, 2), c.rested_ns, k, c) for k, c in enumerate(self.clients)
-                   if now - c.rested_ns > least[min(c.asked, 2)] and c.idle]
+        resting = [
+            (min(c.asked, 2), c.rested_ns, k, c)
+            for k, c in enumerate(self.clients)
+            if now - c.rested_ns > least[min(c.asked, 2)] and c.idle
+        ]
         return any(c.give_way() for *_, c in sorted(resting))
 
     def done(self, session: Session) -> None:
@@ -497,8 +543,13 @@
         """All that rest; how many. Spared for a moment are those that came last and have not asked: what they
         came for is on its way."""
         now, least = self.turn.now_ns(), self.turn.limits.newcomer_ns
-        return sum([client.close_if_idle() for client in list(self.clients)
-                    if client.asked or now - client.rested_ns > least])
+        return sum(
+            [
+                client.close_if_idle()
+                for client in list(self.clients)
+                if client.asked or now - client.rested_ns > least
+            ]
+        )
 
     @property
     def empty(self) -> bool:
--- a/zincstile/net/gateway.py
+++ b/zincstile/net/gateway.py
@@ -33,8 +33,14 @@
         self.door = FrontDoor(self.turn, config.settings, buffer, host)
         self.backends = Backends(self.turn, config.settings, buffer)
         self.peers = Peers(self.turn, config.peers)
-        self.table = ServerTable(self.turn, TableReader(config.zones, config.kinds, host), config.discovery,
-                                 self.backends.update, self._ready, random.Random(config.seed))
+        self.table = ServerTable(
+            self.turn,
+            TableReader(config.zones, config.kinds, host),
+            config.discovery,
+            self.backends.update,
+            self._ready,
+            random.Random(config.seed),
+        )
         self.keeper = self._keep(buffer) if config.keeper else None
         if config.shared:
             self._share_state()
@@ -78,8 +84,12 @@
         keeper, turn = Keeper(self.turn, self.config.counter, buffer), self.turn
 
         def call(_: int, action: module.KeeperCall) -> None:
-            keeper.call(action.name, action.amount, action.ttl_ms,
-                        lambda at, total: turn.post(module.KeeperAnswer(action.number, total)))
+            keeper.call(
+                action.name,
+                action.amount,
+                action.ttl_ms,
+                lambda at, total: turn.post(module.KeeperAnswer(action.number, total)),
+            )
 
         def heard(sender: int, data: bytes) -> module.KeeperWord | None:
             word = words.unpack(sender, data)
@@ -87,7 +97,8 @@
 
         turn.carry_out[module.KeeperCall] = call
         turn.carry_out[module.KeeperTell] = lambda _, action: self.peers.send(
-            action.peer, words.pack(action.word))
+            action.peer, words.pack(action.word)
+        )
         self.peers.others[words.MAGIC] = heard
         return keeper
 
@@ -111,8 +122,17 @@
         from .start import Starter
 
         config = self.config
-        return Starter(self.turn, self.peers, self.table, config.start, config.settings.me,
-                       config.settings.gateways, config.settings.peer_in_per_s, config.seed, self._ready)
+        return Starter(
+            self.turn,
+            self.peers,
+            self.table,
+            config.start,
+            config.settings.me,
+            config.settings.gateways,
+            config.settings.peer_in_per_s,
+            config.seed,
+            self._ready,
+        )
 
     def _choose_zones(self) -> None:
         """The words between gateways by which zones are chosen in common."""
@@ -123,7 +143,8 @@
             return None if found is None else module.PlaceWord(sender, found)
 
         self.turn.carry_out[module.PlaceTell] = lambda _, action: self.peers.send(
-            action.peer, words.pack(action.word))
+            action.peer, words.pack(action.word)
+        )
         self.peers.others[words.MAGIC] = heard
 
     def _operate(self) -> None:
@@ -137,11 +158,13 @@
         if self.config.place:
             self.operator.zones = self.config.zones
             self.operator.table = lambda: self.turn.policy.shown(self.turn.now_ns())
-        self.control = ControlDoor(self.turn, self.operator, self._apply, lambda: self.door.ready and
-                                   not self._stopping, self.host)
+        self.control = ControlDoor(
+            self.turn, self.operator, self._apply, lambda: self.door.ready and not self._stopping, self.host
+        )
         base = os.path.join(self.host.tmpdir(), f"zincstile-{self.config.name}")
-        self.handover = HandoverFile(self.turn, self.operator, self.config.name, f"{base}.handover",
-                                     self.host, self._adopt)
+        self.handover = HandoverFile(
+            self.turn, self.operator, self.config.name, f"{base}.handover", self.host, self._adopt
+        )
         self.handover.me = f"{self.config.seed:x}"
         self.heritage = Heritage(self.turn, self.host, base, self.handover.me, self._share)
         self.handover.also, self.handover.back = self.heritage.look, self.table.back
@@ -158,8 +181,13 @@
         elif reply.change in (Change.ZONE_DRAIN, Change.ZONE_HOLD, Change.ZONE_BACK):
             from ..place.module import ZoneSaid
 
-            self.turn.post(ZoneSaid(self.config.zones.index(reply.name), reply.change is Change.ZONE_DRAIN,
-                                    reply.change is Change.ZONE_HOLD))
+            self.turn.post(
+                ZoneSaid(
+                    self.config.zones.index(reply.name),
+                    reply.change is Change.ZONE_DRAIN,
+                    reply.change is Change.ZONE_HOLD,
+                )
+            )
             self.log.line(f"zone {reply.text}")
         elif reply.change in (Change.BAN, Change.UNBAN):
             banned = reply.change is Change.BAN
@@ -192,16 +220,23 @@
         for plan in settings.plans:
             if plan.rate:
                 quota = of_plan(plan, settings.gateways, settings.largest_units)
-                found = by_loans.bounds(quota, config.shared) if config.shared else by_keeper.bounds(
-                    quota, config.keeper)
+                found = (
+                    by_loans.bounds(quota, config.shared)
+                    if config.shared
+                    else by_keeper.bounds(quota, config.keeper)
+                )
                 held_by = config.shared or config.keeper
                 worst = max((b for b in found if b.failure in held_by.endured), key=lambda b: b.units)
-                self.log.line(f"bound plan {plan.name}: {worst.units:.2f} units at most beyond a quota, "
-                              f"{100 * worst.share:.1f}% of a minute, by {worst.failure}")
+                self.log.line(
+                    f"bound plan {plan.name}: {worst.units:.2f} units at most beyond a quota, "
+                    f"{100 * worst.share:.1f}% of a minute, by {worst.failure}"
+                )
         if config.shared:
-            self.log.line(f"bound budget: {config.shared.most_out:g} units out for each ready server by all "
-                          f"gateways, times {by_loans.MOST_FACTOR:g} at most where parts of silent ones are "
-                          "taken over")
+            self.log.line(
+                f"bound budget: {config.shared.most_out:g} units out for each ready server by all "
+                f"gateways, times {by_loans.MOST_FACTOR:g} at most where parts of silent ones are "
+                "taken over"
+            )
 
     def _caught(self, _: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         """What escaped a connection's callback: asyncio closes that connection, the process goes on."""
@@ -245,8 +280,9 @@
             self._state_bounds()
         inherited = " (inherited)" if self.door.inherited else ""
         operators = f", operators on {self.control.address}" if self.control else ""
-        self.log.line(f"start listening on {self.door.address}{inherited}, peers on {self.peers.address}"
-                      f"{operators}")
+        self.log.line(
+            f"start listening on {self.door.address}{inherited}, peers on {self.peers.address}" f"{operators}"
+        )
         await self.ended
         self._count()
         self.log.line("end")
--- a/zincstile/net/host.py
+++ b/zincstile/net/host.py
@@ -54,8 +54,11 @@
         except OSError as err:
             sock.detach()
             raise ConfigError(f"{where}: {err.strerror or err}") from None
-        if sock.family not in (socket.AF_INET, socket.AF_INET6) or sock.type != socket.SOCK_STREAM \
-                or not listening:
+        if (
+            sock.family not in (socket.AF_INET, socket.AF_INET6)
+            or sock.type != socket.SOCK_STREAM
+            or not listening
+        ):
             sock.detach()
             raise ConfigError(f"{where}: not a listening TCP socket")
         sock.setblocking(False)
--- a/zincstile/net/http.py
+++ b/zincstile/net/http.py
@@ -23,8 +23,19 @@
 class LineReader:
     """The body of one answer, line by line, whether it comes in chunks, by length or until the end."""
 
-    __slots__ = ("limits", "status", "done", "retry_after_s", "_buf", "_state", "_left", "_line", "_headers",
-                 "_chunked", "_length")
+    __slots__ = (
+        "limits",
+        "status",
+        "done",
+        "retry_after_s",
+        "_buf",
+        "_state",
+        "_left",
+        "_line",
+        "_headers",
+        "_chunked",
+        "_length",
+    )
 
     def __init__(self, limits: Limits) -> None:
         self.limits = limits
@@ -63,7 +74,7 @@
             if len(self._buf) > self.limits.line_bytes:
                 raise HttpError("too long a line")
             return None
-        line, self._buf = self._buf[:end], self._buf[end + 2:]
+        line, self._buf = self._buf[:end], self._buf[end + 2 :]
         return line
 
     def _status_line(self, _: list[bytes]) -> bool:
@@ -121,8 +132,8 @@
         return True
 
     def _chunk(self, lines: list[bytes]) -> bool:
-        part = self._buf[:self._left]
-        self._buf = self._buf[len(part):]
+        part = self._buf[: self._left]
+        self._buf = self._buf[len(part) :]
         self._left -= len(part)
         self._body(part, lines)
         if self._left == 0:
@@ -146,8 +157,8 @@
         return line is not None
 
     def _plain(self, lines: list[bytes]) -> bool:
-        part = self._buf if self._left < 0 else self._buf[:self._left]
-        self._buf = self._buf[len(part):]
+        part = self._buf if self._left < 0 else self._buf[: self._left]
+        self._buf = self._buf[len(part) :]
         self._body(part, lines)
         if self._left > 0:
             self._left -= len(part)
--- a/zincstile/net/inherit.py
+++ b/zincstile/net/inherit.py
@@ -120,8 +120,13 @@
         """Guards the memory that files count as: with fewer customers, the last used, until it fits."""
         limits, most = self.turn.limits, len(self.turn.policy.customers)
         while True:
-            data = json.dumps({"for": heir, "written_ns": self.host.unix_ns(), "memory": inherit.leave(
-                self.turn.policy, self.turn.now_ns(), most)}).encode()
+            data = json.dumps(
+                {
+                    "for": heir,
+                    "written_ns": self.host.unix_ns(),
+                    "memory": inherit.leave(self.turn.policy, self.turn.now_ns(), most),
+                }
+            ).encode()
             if len(data) <= limits.inherit_bytes or not most:
                 break
             most //= 2
@@ -133,8 +138,9 @@
     def end(self) -> None:
         """What was sent since a new process took the memory."""
         if self.heir:
-            self._write(".spent", json.dumps(
-                {"for": self.heir, "spent": inherit.spent(self.turn.policy)}).encode())
+            self._write(
+                ".spent", json.dumps({"for": self.heir, "spent": inherit.spent(self.turn.policy)}).encode()
+            )
 
     def _write(self, ending: str, data: bytes) -> None:
         try:
--- a/zincstile/net/json_objects.py
+++ b/zincstile/net/json_objects.py
@@ -41,7 +41,7 @@
         for token in TOKENS.finditer(line):
             sign = token[0]
             if sign in (b"{", b"["):
-                if not self._depth and line[begin:token.start()].strip():
+                if not self._depth and line[begin : token.start()].strip():
                     raise ValueError("text between objects")
                 self._depth += 1
             elif sign in (b"}", b"]"):
@@ -49,7 +49,7 @@
                 if self._depth < 0:
                     raise ValueError("a bracket that closes nothing")
                 if not self._depth:
-                    whole.append(b"\n".join([*self._parts, line[begin:token.end()]]))
+                    whole.append(b"\n".join([*self._parts, line[begin : token.end()]]))
                     self._parts, self._size, begin = [], 0, token.end()
         rest = line[begin:].strip()
         if rest:
--- a/zincstile/net/keeper.py
+++ b/zincstile/net/keeper.py
@@ -85,8 +85,13 @@
 
     def call(self, name: str, amount: float, ttl_ms: int, then: Then) -> None:
         """Adds the amount to the name; ValueError where that can't be asked."""
-        if not 1 <= len(name) <= 64 or not name.isascii() or not math.isfinite(amount) or abs(amount) > 1e9 \
-                or ttl_ms < 1:
+        if (
+            not 1 <= len(name) <= 64
+            or not name.isascii()
+            or not math.isfinite(amount)
+            or abs(amount) > 1e9
+            or ttl_ms < 1
+        ):
             raise ValueError(f"no such call: {name[:70]!r} {amount} {ttl_ms}")
         turn, now = self.turn, self.turn.now_ns()
         host = "{}:{}".format(*self.address)
--- a/zincstile/net/limits.py
+++ b/zincstile/net/limits.py
@@ -83,31 +83,54 @@
     standby_rest_ns: int = 500 * MS  # in standby, a connection that rested this long is closed
 
     @classmethod
-    def for_gateway(cls, sockets: int, memory_mb: int, max_open: int, connect_ns: int, idle_close_ns: int,
-                    longest_ns: int, given: dict[str, int], gateways: int = 1,
-                    ask_within_ns: int = 0, operators: bool = False) -> Limits:
+    def for_gateway(
+        cls,
+        sockets: int,
+        memory_mb: int,
+        max_open: int,
+        connect_ns: int,
+        idle_close_ns: int,
+        longest_ns: int,
+        given: dict[str, int],
+        gateways: int = 1,
+        ask_within_ns: int = 0,
+        operators: bool = False,
+    ) -> Limits:
         """Splits the descriptors: a reserve for what is neither client nor backend, and three to two. Where
         memory is short, large values and unread answers get less of it. operators: their door is open, and
         its callers are counted in the reserve. ask_within_ns, above 0 where
         discovery has to be asked: then it is one service for all gateways, which is asked the more seldom the
         more there are, and left the time to answer. What is given by name goes before."""
         usual, memory_mb = cls(), max(1, memory_mb)
-        reserve = max(16, sockets // 25) + operators * given.get("control_connections",
-                                                                 usual.control_connections)
+        reserve = max(16, sockets // 25) + operators * given.get(
+            "control_connections", usual.control_connections
+        )
         stop_ns = min(longest_ns, 3 * SECOND) + 600 * MS  # 0.1 s before SIGKILL
         rest = max(2, sockets - reserve)
         again_ns = usual.table_again_ns * (gateways if ask_within_ns else 1)
-        asked = {"table_first_ask_ns": again_ns, "table_answer_ns": usual.table_silence_ns,
-                 "table_patience_ns": max(usual.table_silence_ns, gateways * usual.table_list_ns),
-                 "table_again_most_ns": max(usual.table_again_most_ns, min(ask_within_ns, again_ns * 16))}
-        return cls(**{
-            "frontend_connections": rest * 3 // 5, "backend_connections": rest - rest * 3 // 5,
-            "reserved": reserve, "answer_bytes": min(usual.answer_bytes, memory_mb << 14),
-            "written_bytes": min(usual.written_bytes, memory_mb << 11),
-            "sessions": max(1, max_open), "connect_ns": connect_ns, "idle_ns": idle_close_ns * 2 // 3,
-            "table_again_ns": again_ns, **(asked if ask_within_ns else {}),
-            "drain_most_ns": stop_ns,
-            "drain_ns": max(stop_ns - 700 * MS, min(usual.drain_least_ns, stop_ns)), **given})
+        asked = {
+            "table_first_ask_ns": again_ns,
+            "table_answer_ns": usual.table_silence_ns,
+            "table_patience_ns": max(usual.table_silence_ns, gateways * usual.table_list_ns),
+            "table_again_most_ns": max(usual.table_again_most_ns, min(ask_within_ns, again_ns * 16)),
+        }
+        return cls(
+            **{
+                "frontend_connections": rest * 3 // 5,
+                "backend_connections": rest - rest * 3 // 5,
+                "reserved": reserve,
+                "answer_bytes": min(usual.answer_bytes, memory_mb << 14),
+                "written_bytes": min(usual.written_bytes, memory_mb << 11),
+                "sessions": max(1, max_open),
+                "connect_ns": connect_ns,
+                "idle_ns": idle_close_ns * 2 // 3,
+                "table_again_ns": again_ns,
+                **(asked if ask_within_ns else {}),
+                "drain_most_ns": stop_ns,
+                "drain_ns": max(stop_ns - 700 * MS, min(usual.drain_least_ns, stop_ns)),
+                **given,
+            }
+        )
 
     def shared(self) -> Limits:
         """Of two processes of one gateway during an upgrade, whose descriptors count together: half of what
@@ -115,5 +138,8 @@
         them is no more either."""
         rest = self.frontend_connections + self.backend_connections
         part = max(0.1, (rest - self.reserved) / 2 / rest)
-        return replace(self, frontend_connections=max(1, int(self.frontend_connections * part)),
-                       backend_connections=max(1, int(self.backend_connections * part)))
+        return replace(
+            self,
+            frontend_connections=max(1, int(self.frontend_connections * part)),
+            backend_connections=max(1, int(self.backend_connections * part)),
+        )
--- a/zincstile/net/peers.py
+++ b/zincstile/net/peers.py
@@ -25,8 +25,9 @@
     async def open(self, where: Address) -> None:
         family = socket.AF_INET6 if ":" in where[0] else socket.AF_INET
         # A new version binds beside the old one while that still serves: both take datagrams until it ends.
-        await self.turn.loop.create_datagram_endpoint(lambda: self, local_addr=where, family=family,
-                                                   reuse_port=True)
+        await self.turn.loop.create_datagram_endpoint(
+            lambda: self, local_addr=where, family=family, reuse_port=True
+        )
 
     def close(self) -> None:
         if self.transport is not None:
--- a/zincstile/net/resp.py
+++ b/zincstile/net/resp.py
@@ -76,7 +76,7 @@
             if len(buf) - at >= self.limits.line_bytes:
                 raise RespError("too long a line")
             return 0, -1
-        text = buf[at + 1:end]
+        text = buf[at + 1 : end]
         if not text.isdigit():
             if text == b"-1":
                 return -1, end + 2
@@ -93,7 +93,7 @@
         if len(buf) < end + 2:
             self._end = end + 2
             return None, -1
-        if buf[end:end + 2] != CRLF:
+        if buf[end : end + 2] != CRLF:
             raise RespError("a value without its end")
         return buf[start:end], end + 2
 
@@ -124,7 +124,7 @@
                 if size - at >= line:
                     raise RespError("too long a line")
                 return words, -1
-            digits = buf[at + 1:end]
+            digits = buf[at + 1 : end]
             if not digits.isdigit() or len(digits) > 9:
                 raise RespError("invalid length")
             start = end + 2
@@ -134,7 +134,7 @@
             if size < end + 2:
                 self._end = end + 2
                 return words, -1
-            if buf[end:end + 2] != CRLF:
+            if buf[end : end + 2] != CRLF:
                 raise RespError("a value without its end")
             words.append(buf[start:end])
             at = end + 2
@@ -176,7 +176,7 @@
             if len(buf) - at >= self.limits.line_bytes:
                 raise RespError("too long a line")
             return None, -1
-        text = buf[at + 1:end]
+        text = buf[at + 1 : end]
         return (ErrorLine(text) if sign == 45 else PlainLine(text)), end + 2
 
 
--- a/zincstile/net/server_table.py
+++ b/zincstile/net/server_table.py
@@ -48,17 +48,29 @@
         name = str(e["name"])
         self.names[name] = number(name)
         where = ("", 0) if mode is i.Mode.GONE and not e.get("address") else address(e["address"])
-        return i.Backend(self.names[name], self.zones.get(e.get("zone"), len(self.zones)),
-                         self.kinds.get(e.get("type"), len(self.kinds)), int(e.get("group") or 0), mode,
-                         float(e.get("weight") or 1.0), started), where
+        return i.Backend(
+            self.names[name],
+            self.zones.get(e.get("zone"), len(self.zones)),
+            self.kinds.get(e.get("type"), len(self.kinds)),
+            int(e.get("group") or 0),
+            mode,
+            float(e.get("weight") or 1.0),
+            started,
+        ), where
 
 
 class ServerTable:
     """Hands every change to the pools and to the module. A lost watch leaves the last list standing."""
 
-    def __init__(self, turn: Turn, reader: TableReader, where: Address,
-                 update: Callable[[Entries, bool], None], first: Callable[[], None],
-                 rng: random.Random) -> None:
+    def __init__(
+        self,
+        turn: Turn,
+        reader: TableReader,
+        where: Address,
+        update: Callable[[Entries, bool], None],
+        first: Callable[[], None],
+        rng: random.Random,
+    ) -> None:
         self.turn, self.reader, self.where, self.update, self.first = turn, reader, where, update, first
         self.rng = rng  # of this gateway alone: a fleet that draws alike calls in step
         self.told = False  # discovery has said something since the start
@@ -66,8 +78,7 @@
         self.closed = False
         limits = turn.limits
         self.listener: Any = None  # hears discovery's own words too (`net/start`)
-        self.asking = Asking(rng, limits.table_again_ns, limits.table_again_most_ns,
-                             limits.table_patience_ns)
+        self.asking = Asking(rng, limits.table_again_ns, limits.table_again_most_ns, limits.table_patience_ns)
         self._looks: dict[asyncio.Task, None] = {}
         self._watch: Watch | None = None  # the last that was opened; an older one stands until it speaks
         self._old: Watch | None = None
@@ -103,8 +114,9 @@
         if self.told:
             return False
         try:
-            self._take({"index": version, "snapshot": True, "endpoints": entries}, i.ListKind.CACHED,
-                       self.where)
+            self._take(
+                {"index": version, "snapshot": True, "endpoints": entries}, i.ListKind.CACHED, self.where
+            )
         except (ValueError, KeyError, TypeError, AttributeError) as err:
             self.turn.log.often("start", f"a peer's list can't be read: {type(err).__name__} {err}")
             return False
@@ -239,8 +251,11 @@
 
     def back(self) -> dict[str, int]:
         """Those put back from maintenance that count as started then, and when, in Unix time."""
-        return {name: self.reborn[number_] - self.reader.apart_ns
-                for name, number_ in self.reader.names.items() if number_ in self.reborn}
+        return {
+            name: self.reborn[number_] - self.reader.apart_ns
+            for name, number_ in self.reader.names.items()
+            if number_ in self.reborn
+        }
 
     def put_back(self, back: dict[str, int]) -> None:
         """What an older process of this gateway says of them. Guards a server that is cold against a new
@@ -271,8 +286,21 @@
 class Watch(asyncio.BufferedProtocol):
     """One open watch."""
 
-    __slots__ = ("table", "where", "transport", "began_ns", "_buffer", "_lines", "_objects", "_why",
-                 "_deadline", "_heard_ns", "_spoke", "_retry_ns", "_first_ns")
+    __slots__ = (
+        "table",
+        "where",
+        "transport",
+        "began_ns",
+        "_buffer",
+        "_lines",
+        "_objects",
+        "_why",
+        "_deadline",
+        "_heard_ns",
+        "_spoke",
+        "_retry_ns",
+        "_first_ns",
+    )
 
     def __init__(self, table: ServerTable, where: Address) -> None:
         self.table, self.where = table, where
--- a/zincstile/net/start.py
+++ b/zincstile/net/start.py
@@ -23,8 +23,18 @@
 class Starter:
     """Of one process. `ready` is called once, when it may say yes."""
 
-    def __init__(self, turn: Turn, peers: Peers, table: ServerTable, settings: StartSettings, me: int,
-                 gateways: int, intake_per_s: float, seed: int, ready: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        turn: Turn,
+        peers: Peers,
+        table: ServerTable,
+        settings: StartSettings,
+        me: int,
+        gateways: int,
+        intake_per_s: float,
+        seed: int,
+        ready: Callable[[], None],
+    ) -> None:
         self.turn, self.peers, self.table, self.settings, self._ready = turn, peers, table, settings, ready
         self.rng = random.Random(f"start {seed}")
         self.lists = Lists(settings, me, gateways, intake_per_s, self.rng)
@@ -91,8 +101,10 @@
             return
         sure = found.right is Right.AGREED
         if self.table.take_told(found.version, found.entries, sure):
-            self.turn.log.line(f"list of {len(found.entries)} backend servers, version {found.version}, "
-                               f"{found.right.value}, confirmed {found.age_ns // 1_000_000} ms ago")
+            self.turn.log.line(
+                f"list of {len(found.entries)} backend servers, version {found.version}, "
+                f"{found.right.value}, confirmed {found.age_ns // 1_000_000} ms ago"
+            )
             self.readiness.has(found.right)
             if sure:
                 self._open(soon=True)
--- a/zincstile/net/turn.py
+++ b/zincstile/net/turn.py
@@ -25,15 +25,26 @@
 class Turn:
     """Holds the sessions, the events of the next turn, and the one alarm for the deadlines."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, policy: Policy, limits: Limits, counters: Counters,
-                 log: Log, host: Host = HOST) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        policy: Policy,
+        limits: Limits,
+        counters: Counters,
+        log: Log,
+        host: Host = HOST,
+    ) -> None:
         self.loop, self.policy, self.limits, self.counters, self.log = loop, policy, limits, counters, log
         self.now_ns, self.readable = host.monotonic_ns, host.readable  # for all that are handed the turn
         self.ended = host.ended
         self.deadlines = Deadlines()
         self.sessions: dict[int, Session] = {}
         self.carry_out: dict[type, Callable[[int, Any], None]] = {
-            i.SetTimer: self._set_timer, i.Refuse: self._deny, i.Fail: self._fail, i.Log: self._note}
+            i.SetTimer: self._set_timer,
+            i.Refuse: self._deny,
+            i.Fail: self._fail,
+            i.Log: self._note,
+        }
         self.over: dict[int, Session] = {}  # ended since the last turn's end: the module may not know it yet
         self.withdraw: Callable[[Session], None] = lambda session: None  # what of one that ended is not sent
         self._events: list[i.Event] = []
--- a/zincstile/place/council.py
+++ b/zincstile/place/council.py
@@ -21,8 +21,16 @@
 class Council:
     """Of one process of one gateway. `distance`: between zones, by number."""
 
-    def __init__(self, settings: PlaceSettings, me: int, gateways: int, zone: int,
-                 distance: list[list[int]], process: int, rng: random.Random) -> None:
+    def __init__(
+        self,
+        settings: PlaceSettings,
+        me: int,
+        gateways: int,
+        zone: int,
+        distance: list[list[int]],
+        process: int,
+        rng: random.Random,
+    ) -> None:
         self.settings, self.me, self.gateways, self.zone = settings, me, gateways, zone
         self.distance, self.process, self.rng = distance, process, rng
         self.view = View(settings, gateways, len(distance))
@@ -48,14 +56,26 @@
         self._number += 1
         dead = [was if s.dead < 0 else s.dead >= DEAD for s, was in zip(sights, self._dead, strict=True)]
         table = self.table(now)
-        news = [z for z, is_ in enumerate(dead) if is_ and not self._dead[z]
-                and (table is None or table.states[z] != State.LOST)]
+        news = [
+            z
+            for z, is_ in enumerate(dead)
+            if is_ and not self._dead[z] and (table is None or table.states[z] != State.LOST)
+        ]
         if news:  # a zone fails that the fleet does not know of: soon, and apart from those that see the same
             self._told_ns = now - self.rng.randrange(
-                self.view.every_ns - self.view.every_ns // len(sights), self.view.every_ns + 1)
+                self.view.every_ns - self.view.every_ns // len(sights), self.view.every_ns + 1
+            )
         self._dead = dead
-        report = Report(self.me, self.process, self._number, self.zone, demand, tuple(sights),
-                        self.view.said, self.view.said_number)
+        report = Report(
+            self.me,
+            self.process,
+            self._number,
+            self.zone,
+            demand,
+            tuple(sights),
+            self.view.said,
+            self.view.said_number,
+        )
         self.view.hear(now, report)
         self.terms.look(now, self.view.heard(now))
         if self.terms.holds(now):
--- a/zincstile/place/flows.py
+++ b/zincstile/place/flows.py
@@ -34,8 +34,7 @@
     return view.room * view.cap if view.weight > 0 else 0.0
 
 
-def flows(zones: Sequence[ZoneView], distance: Sequence[Sequence[int]],
-          headroom: float) -> list[list[float]]:
+def flows(zones: Sequence[ZoneView], distance: Sequence[Sequence[int]], headroom: float) -> list[list[float]]:
     """For each zone the units a second that it sends to each. A row sums up to its demand at most."""
     count = len(zones)
     made = [[0.0] * count for _ in zones]
@@ -48,8 +47,14 @@
     return made
 
 
-def _spill(zones: Sequence[ZoneView], distance: Sequence[Sequence[int]], headroom: float,
-           made: list[list[float]], used: list[float], ring: int) -> None:
+def _spill(
+    zones: Sequence[ZoneView],
+    distance: Sequence[Sequence[int]],
+    headroom: float,
+    made: list[list[float]],
+    used: list[float],
+    ring: int,
+) -> None:
     """What is left of all zones goes to those that are just so far away, until all is placed or full."""
     count = len(zones)
     for _ in range(count * count):
@@ -58,9 +63,16 @@
             left = view.demand - sum(made[a])
             if left <= SLIVER:
                 continue
-            near = [b for b in range(count) if b != a and distance[a][b] == ring
-                    and zones[b].takes and zones[b].reach[a] and zones[b].weight > 0
-                    and _free(zones, used, b, headroom) > SLIVER]
+            near = [
+                b
+                for b in range(count)
+                if b != a
+                and distance[a][b] == ring
+                and zones[b].takes
+                and zones[b].reach[a]
+                and zones[b].weight > 0
+                and _free(zones, used, b, headroom) > SLIVER
+            ]
             # by room where that is known of all, else by good servers
             free = {b: _free(zones, used, b, headroom) for b in near}
             by = free if all(f < math.inf for f in free.values()) else {b: zones[b].weight for b in near}
@@ -84,8 +96,12 @@
     return math.inf if bears == math.inf else max(0.0, bears * (1 - headroom) - used[b])
 
 
-def shares(made: Sequence[Sequence[float]], zones: Sequence[ZoneView],
-           before: Sequence[Sequence[int]] | None = None, step: float = 1.0) -> list[list[int]]:
+def shares(
+    made: Sequence[Sequence[float]],
+    zones: Sequence[ZoneView],
+    before: Sequence[Sequence[int]] | None = None,
+    step: float = 1.0,
+) -> list[list[int]]:
     """Of each zone's traffic the parts that go to each; what is missing to PARTS has no place. A part may
     grow or shrink by `step` of the traffic against `before`, unless that part is of a zone that does not take
     it any more. Rounded down: nothing is promised that has no room."""
@@ -104,12 +120,14 @@
     return found
 
 
-def _stepped(wanted: list[int], before: Sequence[int], zones: Sequence[ZoneView], a: int,
-             most: int) -> list[int]:
+def _stepped(
+    wanted: list[int], before: Sequence[int], zones: Sequence[ZoneView], a: int, most: int
+) -> list[int]:
     """From `before` towards `wanted`, by `most` parts. What zones that are not reached any more had moves at
     once."""
-    now = [x if zones[b].reach[a] and zones[b].takes and zones[b].weight > 0 else 0
-           for b, x in enumerate(before)]
+    now = [
+        x if zones[b].reach[a] and zones[b].takes and zones[b].weight > 0 else 0 for b, x in enumerate(before)
+    ]
     freed = sum(before) - sum(now)
     grow = [max(0, w - x) for w, x in zip(wanted, now, strict=True)]
     shrink = [max(0, x - w) for w, x in zip(wanted, now, strict=True)]
--- a/zincstile/place/module.py
+++ b/zincstile/place/module.py
@@ -112,8 +112,15 @@
             self.place, self.zone_names = place, names
             self.luck = random.Random(f"place {seed}")
             self.home = min(settings.zone, count - 1)
-            self.council = Council(place, settings.me, settings.gateways, self.home, distance,
-                                   self.luck.getrandbits(32), self.luck)
+            self.council = Council(
+                place,
+                settings.me,
+                settings.gateways,
+                self.home,
+                distance,
+                self.luck.getrandbits(32),
+                self.luck,
+            )
             self.tries = [Tries() for _ in names]
             self.spills = [Spill() for _ in names]
             self.good_in = [0.0] * count
@@ -145,8 +152,14 @@
                 budget = self.level * self.good / taken_s
             for z in range(count):
                 part = self.good_in[z] / self.good if self.good else 0.0
-                sights.append(Sight(self.ready_in[z], self.good_in[z], self.tries[z].dead,
-                                    budget * part if budget < math.inf else math.inf))
+                sights.append(
+                    Sight(
+                        self.ready_in[z],
+                        self.good_in[z],
+                        self.tries[z].dead,
+                        budget * part if budget < math.inf else math.inf,
+                    )
+                )
             self.council.beat(now, sum(x.arrivals for x in self.leaves), sights)
             self._tell_council()
 
@@ -170,14 +183,16 @@
             for s in self.ready:
                 z = min(s.info.zone, count - 1)
                 self.ready_in[z] += 1
-                doubt = min((s.doubt.get(g, 0.0) - self.usual[g] for g in range(len(self.set.classes))),
-                            default=0.0)
+                doubt = min(
+                    (s.doubt.get(g, 0.0) - self.usual[g] for g in range(len(self.set.classes))), default=0.0
+                )
                 warmth = self._warmth(now, s)
                 self.warm_in[z] += warmth
                 self.good_in[z] += warmth * (doubt < FAULTY) * min(1.0, SLOW / max(SLOW, s.slowness))
             total = sum(self.good_in)
             mine = self.good_in[self.home] + sum(
-                self.good_in[z] for z in range(count) if z != self.home and self._weights(now)[z] > 0)
+                self.good_in[z] for z in range(count) if z != self.home and self._weights(now)[z] > 0
+            )
             if self.cold and 0 < mine < total:  # a cold server's due comes from those that send to its zone
                 self.parts = [min(1.0, p * total / mine) for p in self.parts]
 
@@ -244,10 +259,13 @@
             table = self.council.table(now)
             for zone in range(count):
                 state = State.WELL if table is None else table.states[zone]
-                lost = state == State.LOST or state != State.DRAINING and table is not None and (
-                    zone == self.home and not table.shares[zone][zone])
-                if now < self.try_ns[zone] or not self.ready_in[zone] or not (
-                        lost or self._out(zone)):
+                lost = (
+                    state == State.LOST
+                    or state != State.DRAINING
+                    and table is not None
+                    and (zone == self.home and not table.shares[zone][zone])
+                )
+                if now < self.try_ns[zone] or not self.ready_in[zone] or not (lost or self._out(zone)):
                     continue
                 self.try_ns[zone] = now + int(place.back_ns * TRY_PART * (0.5 + self.luck.random()))
                 server = self._within(now, live, zone)
@@ -273,8 +291,12 @@
                 return None
             states = table.states if table is not None else (0,) * count
             for zone in sorted(range(count), key=lambda z: (distance[self.home][z], self.luck.random())):
-                if zone == tried or zone in dead or not self.ready_in[zone] \
-                        or states[zone] in (State.LOST, State.DRAINING):
+                if (
+                    zone == tried
+                    or zone in dead
+                    or not self.ready_in[zone]
+                    or states[zone] in (State.LOST, State.DRAINING)
+                ):
                     continue
                 rate = place.spill * self._room(zone) / self.set.gateways
                 if zone == self.home or self.spills[zone].take(now, rate, live.ask.units):
@@ -309,24 +331,41 @@
             c, terms = self.counted, self.council.terms
             term = terms.table.generation.term if terms is not None and terms.table is not None else 0
             return super().sight() | {
-                "near": c.near, "far": c.far, "spilled": c.spilled, "nowhere": c.nowhere,
-                "tables": self.council.changes, "term": term}
+                "near": c.near,
+                "far": c.far,
+                "spilled": c.spilled,
+                "nowhere": c.nowhere,
+                "tables": self.council.changes,
+                "term": term,
+            }
 
         def shown(self, now: int) -> str:
             """The table with its reasons, for operators."""
             table = self.council.table(now)
-            head = "no table: each gateway by its stated part" if table is None else (
-                f"table {table.generation.term}.{table.generation.number} by gateway "
-                f"{table.generation.proposer}, {(now - self.council.terms.had_ns) // 1_000_000} ms old")
+            head = (
+                "no table: each gateway by its stated part"
+                if table is None
+                else (
+                    f"table {table.generation.term}.{table.generation.number} by gateway "
+                    f"{table.generation.proposer}, {(now - self.council.terms.had_ns) // 1_000_000} ms old"
+                )
+            )
             lines = [head]
             for z, name in enumerate(names):
                 if not self.ready_in[z] and z != self.home:
                     continue
                 state = State(table.states[z]).name.lower() if table else "-"
-                row = "" if table is None else " ".join(
-                    f"{names[b]}:{100 * x / PARTS:.0f}%" for b, x in enumerate(table.shares[z]) if x)
-                lines.append(f"{name} {state} ready={self.ready_in[z]} good={self.good_in[z]:.1f} "
-                             f"dead={self.tries[z].dead:.2f} sends {row or 'nothing'}")
+                row = (
+                    ""
+                    if table is None
+                    else " ".join(
+                        f"{names[b]}:{100 * x / PARTS:.0f}%" for b, x in enumerate(table.shares[z]) if x
+                    )
+                )
+                lines.append(
+                    f"{name} {state} ready={self.ready_in[z]} good={self.good_in[z]:.1f} "
+                    f"dead={self.tries[z].dead:.2f} sends {row or 'nothing'}"
+                )
             return "\n".join(lines)
 
     return Placed
--- a/zincstile/place/settings.py
+++ b/zincstile/place/settings.py
@@ -37,15 +37,24 @@
     electors: int = 9  # gateways that choose who proposes, at most
 
     def __post_init__(self) -> None:
-        for name in ("within_ns", "lost_ns", "back_ns", "ramp_ns", "beat_ns", "term_ns", "hold_ns",
-                     "electors"):
+        for name in (
+            "within_ns",
+            "lost_ns",
+            "back_ns",
+            "ramp_ns",
+            "beat_ns",
+            "term_ns",
+            "hold_ns",
+            "electors",
+        ):
             if getattr(self, name) < 1:
                 raise ValueError(f"{name}: must be above 0")
         if not 0 <= self.headroom < 1:
             raise ValueError("headroom: a part from 0 up to 1; at 1 no zone has room for another")
         if not 0 < self.spill <= 1 - self.headroom:
-            raise ValueError(f"spill: above 0, at most {1 - self.headroom:g}: there is no more room beside "
-                             "the headroom")
+            raise ValueError(
+                f"spill: above 0, at most {1 - self.headroom:g}: there is no more room beside " "the headroom"
+            )
         if not 0 < self.step <= 1:
             raise ValueError("step: a part above 0, at most 1")
         if self.hold_ns < 2 * self.beat_ns:
--- a/zincstile/place/states.py
+++ b/zincstile/place/states.py
@@ -41,8 +41,9 @@
     against_ns: int = -1  # since when what is seen speaks against the state
     lost_ns: int = -1
 
-    def look(self, now: int, reached: bool | None, short: bool, eased: bool, draining: bool,
-             held: bool = False) -> State:
+    def look(
+        self, now: int, reached: bool | None, short: bool, eased: bool, draining: bool, held: bool = False
+    ) -> State:
         """What is seen by now; `reached` is None where nobody says anything of it. Held: it stays."""
         if held:
             self.against_ns = -1
--- a/zincstile/place/terms.py
+++ b/zincstile/place/terms.py
@@ -101,8 +101,9 @@
 class Terms:
     """Of one process of one gateway."""
 
-    def __init__(self, settings: PlaceSettings, me: int, gateways: int, process: int, now: int,
-                 rng: random.Random) -> None:
+    def __init__(
+        self, settings: PlaceSettings, me: int, gateways: int, process: int, now: int, rng: random.Random
+    ) -> None:
         self.settings, self.me, self.process, self.rng = settings, me, process, rng
         self.electors = electors(gateways, settings.electors)
         self.needed = len(self.electors) // 2 + 1
@@ -120,8 +121,11 @@
 
     def holds(self, now: int) -> bool:
         mine = self.mine
-        return mine is not None and len(mine.voices) >= self.needed \
+        return (
+            mine is not None
+            and len(mine.voices) >= self.needed
             and now - mine.called_ns < self.settings.term_ns
+        )
 
     def look(self, now: int, heard: set[int]) -> None:
         """Once a beat. Who holds a term renews it in time; else the first elector that is heard calls one
@@ -160,14 +164,18 @@
         if self.renewing is not None and len(self.renewing.voices) >= self.needed:
             self.mine, self.renewing = self.renewing, None
 
-    def propose(self, now: int, shares: tuple[tuple[int, ...], ...],
-                states: tuple[int, ...]) -> Table | None:
+    def propose(self, now: int, shares: tuple[tuple[int, ...], ...], states: tuple[int, ...]) -> Table | None:
         """A table of this term; None where this gateway holds none. One equal to the last renews that."""
         if not self.holds(now):
             return None
         mine, last = self.mine, self.table
-        if last is None or last.generation.term != mine.term or last.generation.process != self.process \
-                or last.generation.proposer != self.me or (last.shares, last.states) != (shares, states):
+        if (
+            last is None
+            or last.generation.term != mine.term
+            or last.generation.process != self.process
+            or last.generation.proposer != self.me
+            or (last.shares, last.states) != (shares, states)
+        ):
             mine.number += 1
             last = Table(Generation(mine.term, mine.number, self.me, self.process), shares, states)
         self._take(now, last)
--- a/zincstile/place/view.py
+++ b/zincstile/place/view.py
@@ -81,8 +81,11 @@
 
     def hear(self, now: int, word: Report) -> bool:
         """False where it says nothing new, or can't be."""
-        if not 0 <= word.origin < self.gateways or not 0 <= word.zone < self.zones \
-                or len(word.sights) != self.zones:
+        if (
+            not 0 <= word.origin < self.gateways
+            or not 0 <= word.zone < self.zones
+            or len(word.sights) != self.zones
+        ):
             return False
         if word.said_number > self.said_number:
             self.said, self.said_number = word.said, word.said_number
@@ -119,14 +122,26 @@
             good = sorted(s.good for s in sights)[len(sights) // 2] if sights else 0.0
             all_, dead = (sum(tried[a][z][k] for a in range(self.zones)) for k in (0, 1))
             reached = None if not all_ else dead < LOST * all_
-            state = states[z].look(now, reached, demand > room, demand * EASED <= room,
-                                   bool(self.said >> z & 1), bool(self.said >> z + HOLD & 1))
+            state = states[z].look(
+                now,
+                reached,
+                demand > room,
+                demand * EASED <= room,
+                bool(self.said >> z & 1),
+                bool(self.said >> z + HOLD & 1),
+            )
             if state is State.RETURNING and room == math.inf:
                 room = max(demand, sum(r.demand for r in reports) / self.zones)  # finite, for a part of it
-            found.append(ZoneView(
-                demand, room, max(good, 1e-3) if any(s.ready for s in sights) else 0.0, states[z].part(now),
-                state not in (State.LOST, State.DRAINING),
-                tuple((a, z) not in self.apart for a in range(self.zones))))
+            found.append(
+                ZoneView(
+                    demand,
+                    room,
+                    max(good, 1e-3) if any(s.ready for s in sights) else 0.0,
+                    states[z].part(now),
+                    state not in (State.LOST, State.DRAINING),
+                    tuple((a, z) not in self.apart for a in range(self.zones)),
+                )
+            )
         return found
 
     def _part(self, now: int, tried: list[list[list[int]]]) -> None:
--- a/zincstile/place/words.py
+++ b/zincstile/place/words.py
@@ -36,12 +36,23 @@
         g = word.generation
         age = min(U16, -(-max(0, word.age_ns) // AGE_NS))  # rounded up: never told younger than it is
         kind = 3
-        body = TABLE.pack(g.term, g.number, g.proposer, g.process, age, len(word.shares)) + bytes(
-            word.states) + b"".join(bytes(row) for row in word.shares)
+        body = (
+            TABLE.pack(g.term, g.number, g.proposer, g.process, age, len(word.shares))
+            + bytes(word.states)
+            + b"".join(bytes(row) for row in word.shares)
+        )
     else:
         kind = 4
-        body = REPORT.pack(word.origin, word.process, word.number % 2**32, word.zone,
-                           _grains(word.demand, U32), word.said, word.said_number, len(word.sights))
+        body = REPORT.pack(
+            word.origin,
+            word.process,
+            word.number % 2**32,
+            word.zone,
+            _grains(word.demand, U32),
+            word.said,
+            word.said_number,
+            len(word.sights),
+        )
         for s in word.sights:
             dead = 255 if s.dead < 0 else min(254, int(254 * s.dead))
             body += SIGHT.pack(min(U16, s.ready), _grains(s.good, U16), dead, _grains(s.room, U32))
@@ -69,10 +80,10 @@
 
 def _table(body: bytes) -> Table | None:
     term, number, proposer, process, age, zones = TABLE.unpack_from(body)
-    rest = body[TABLE.size:]
+    rest = body[TABLE.size :]
     if not 0 < zones <= MOST_ZONES or len(rest) != zones * (zones + 1):
         return None
-    shares = tuple(tuple(rest[zones * (1 + a):zones * (2 + a)]) for a in range(zones))
+    shares = tuple(tuple(rest[zones * (1 + a) : zones * (2 + a)]) for a in range(zones))
     if any(sum(row) > 250 for row in shares):
         return None
     return Table(Generation(term, number, proposer, process), shares, tuple(rest[:zones]), age * AGE_NS)
@@ -85,6 +96,12 @@
     sights = []
     for k in range(zones):
         ready, good, dead, room = SIGHT.unpack_from(body, REPORT.size + k * SIGHT.size)
-        sights.append(Sight(ready, good / GRAIN, -1.0 if dead == 255 else dead / 254,
-                            math.inf if room == U32 else room / GRAIN))
+        sights.append(
+            Sight(
+                ready,
+                good / GRAIN,
+                -1.0 if dead == 255 else dead / 254,
+                math.inf if room == U32 else room / GRAIN,
+            )
+        )
     return Report(origin, process, number, zone, demand / GRAIN, tuple(sights), said, said_number)
--- a/zincstile/rules/quotas.py
+++ b/zincstile/rules/quotas.py
@@ -27,8 +27,13 @@
 class Quotas:
     """The stores of all customers. `stated`: plan: rate, burst, and the bound in units."""
 
-    def __init__(self, stated: dict[str, tuple[float, float, float]], late_ns: int = 0,
-                 opening: dict[str, float] | None = None, began_ns: int = 0) -> None:
+    def __init__(
+        self,
+        stated: dict[str, tuple[float, float, float]],
+        late_ns: int = 0,
+        opening: dict[str, float] | None = None,
+        began_ns: int = 0,
+    ) -> None:
         self.stated, self.late_ns = stated, late_ns  # units on their way to a box arrive later by so much
         self.opening, self.began_ns = opening or {}, began_ns  # part of the burst that the all-seeing store
         # begins with, as gateways that know no past do; and when
--- a/zincstile/shared/bound.py
+++ b/zincstile/shared/bound.py
@@ -60,15 +60,23 @@
     restart = {"restart": opening(quota, settings) * quota.burst}
     lent = turn_most(quota, settings) if quota.spread > 1 else 0.0
     paused = {"asleep": asleep(quota, settings), "in a turn": settings.paused * lent}
-    found = {"none": steady, "cut": steady, "restart": steady | restart, "paused": steady | paused,
-             "all": steady | restart | paused}
+    found = {
+        "none": steady,
+        "cut": steady,
+        "restart": steady | restart,
+        "paused": steady | paused,
+        "all": steady | restart | paused,
+    }
     return [Bound(name, found[name], quota.minute) for name in FAILURES]
 
 
 def refused(quota: Quota, settings: SharedSettings) -> str | None:
     """Why this quota can't be held as the settings ask; None where it can."""
-    found = (too_much(quota, b, settings.most_overshoot) for b in bounds(quota, settings)
-             if b.failure in settings.endured)
+    found = (
+        too_much(quota, b, settings.most_overshoot)
+        for b in bounds(quota, settings)
+        if b.failure in settings.endured
+    )
     return next((why for why in found if why), None)
 
 
@@ -85,8 +93,10 @@
     pairs = min(ways, quota.spread // 2)  # sides with two gateways that hear each other: each the whole rate
     parts = pairs + (min(ways, quota.spread - pairs) - pairs) / quota.spread  # and an even part each alone
     alone = min(cut_s, SILENCE_S)
-    terms = {"lag": quota.rate * (LAG_S + BEAT_S),
-             "stores": (ways - 1) * quota.burst,
-             "unnoticed": (ways - 1) * quota.rate * alone,
-             "parted": max(0.0, parts - 1) * quota.rate * max(0.0, cut_s - alone)}
+    terms = {
+        "lag": quota.rate * (LAG_S + BEAT_S),
+        "stores": (ways - 1) * quota.burst,
+        "unnoticed": (ways - 1) * quota.rate * alone,
+        "parted": max(0.0, parts - 1) * quota.rate * max(0.0, cut_s - alone),
+    }
     return Bound(f"gossip, {ways} parts for {cut_s:g} s", terms, quota.minute)
--- a/zincstile/shared/levels.py
+++ b/zincstile/shared/levels.py
@@ -116,8 +116,11 @@
         """Of itself, and of some others, the youngest first."""
         self.number += 1
         own = LevelWord(self.me, self.life, self.number, out, wants, 0)
-        young = [LevelWord(o, k.life, k.number, k.out, k.wants, now - k.made_ns)
-                 for o, k in self.known.items() if now - k.made_ns < self.silence_ns]
+        young = [
+            LevelWord(o, k.life, k.number, k.out, k.wants, now - k.made_ns)
+            for o, k in self.known.items()
+            if now - k.made_ns < self.silence_ns
+        ]
         rng.shuffle(young)
         young.sort(key=lambda w: w.age_ns // (self.silence_ns // 8))
         return [own, *young[:TOLD]]
--- a/zincstile/shared/loans.py
+++ b/zincstile/shared/loans.py
@@ -197,8 +197,17 @@
         self.words: list[Word] = []
         self.closes: list[Close] = []  # they go with other words to the same gateway, or at the next beat
         self.busy: dict[int, None] = {}  # customers with something that ends by time
-        self.counts = {"asks": 0, "grants": 0, "lent": 0.0, "borrowed": 0.0, "returned": 0.0, "ended": 0.0,
-                       "refused": 0, "unanswered": 0, "again": 0}
+        self.counts = {
+            "asks": 0,
+            "grants": 0,
+            "lent": 0.0,
+            "borrowed": 0.0,
+            "returned": 0.0,
+            "ended": 0.0,
+            "refused": 0,
+            "unanswered": 0,
+            "again": 0,
+        }
         self._marks = rng.getrandbits(31)
         self.slow: dict[int, None] = {}  # customers with an ask that is late, since this was looked at last
         self.waiting: dict[int, Purse] = {}  # asks that may be sent again, by mark
@@ -213,8 +222,19 @@
             part = 1 / len(held_by) if self.me in held_by else 0.0
             most, rate, awake = quota.burst * part, quota.rate * part, self.clock.look(now)
             own = min(most, opening(quota, self.settings) * most + rate * awake / SECOND)
-            found = self.purses[key] = Purse(key, plan, quota, row, held_by, most, rate,
-                                             turn_most(quota, self.settings), own, awake, used_ns=now)
+            found = self.purses[key] = Purse(
+                key,
+                plan,
+                quota,
+                row,
+                held_by,
+                most,
+                rate,
+                turn_most(quota, self.settings),
+                own,
+                awake,
+                used_ns=now,
+            )
         return found
 
     def idle(self, now: int, purse: Purse) -> bool:
@@ -312,8 +332,11 @@
 
     def ahead(self, now: int, purse: Purse) -> None:
         """Borrows what recent use needs before it lacks."""
-        if len(purse.held_by) < 2 and self.me in purse.held_by \
-                or any(not x.overdue for x in purse.asked.values()):
+        if (
+            len(purse.held_by) < 2
+            and self.me in purse.held_by
+            or any(not x.overdue for x in purse.asked.values())
+        ):
             return
         wanted = min(self._ahead(now, purse), purse.turn_most)
         have = purse.own + sum(x.units for x in purse.loans)
@@ -331,8 +354,12 @@
         able, doubtful = [], []
         for one in purse.held_by:
             peer = self.peers.get(one)
-            if one == self.me or any(x.ask.to == one and not x.overdue for x in purse.asked.values()) \
-                    or peer is not None and now < peer.quiet_until_ns:
+            if (
+                one == self.me
+                or any(x.ask.to == one and not x.overdue for x in purse.asked.values())
+                or peer is not None
+                and now < peer.quiet_until_ns
+            ):
                 continue
             level = self._estimate(now, purse, one)
             if level >= min(units, WORTH_S * purse.quota.rate) and level > KEPT:
@@ -399,8 +426,9 @@
             peer = self.peers.setdefault(one.ask.to, Peer())
             peer.missed += 1
             if now >= peer.quiet_until_ns and peer.missed >= MISSED:
-                peer.quiet_ns = min(self.settings.quiet_most_ns, max(self.settings.quiet_ns,
-                                                                     2 * peer.quiet_ns))
+                peer.quiet_ns = min(
+                    self.settings.quiet_most_ns, max(self.settings.quiet_ns, 2 * peer.quiet_ns)
+                )
                 peer.quiet_until_ns = now + int(peer.quiet_ns * (0.5 + self.rng.random()))
 
     def again(self, now: int) -> int | None:
@@ -453,8 +481,9 @@
         self._tell(sender, process, purse, ask, purse.lent[key])
 
     def _tell(self, to: int, process: int, purse: Purse, ask: Ask, lent: Lent) -> None:
-        self.words.append(Grant(to, purse.key, ask.mark, lent.units, lent.level, lent.number, process,
-                                lent.gain))
+        self.words.append(
+            Grant(to, purse.key, ask.mark, lent.units, lent.level, lent.number, process, lent.gain)
+        )
 
     def _use(self, now: int, purse: Purse) -> float:
         return purse.use * math.exp(-(now - purse.used_ns) / SECOND / USE_S)
@@ -565,10 +594,15 @@
     def sight(self, now: int) -> dict[str, float]:
         """For the log: customers, units in the own stores, in hand, lent out."""
         purses = self.purses.values()
-        return {"purses": len(self.purses), "own": round(sum(p.own for p in purses), 2),
-                "hand": round(sum(x.units for p in purses for x in p.loans if x.end_ns > now), 2),
-                "lent": round(sum(p.out for p in purses), 2), "loans": self.counts["grants"],
-                "asks": self.counts["asks"], "unanswered": self.counts["unanswered"]}
+        return {
+            "purses": len(self.purses),
+            "own": round(sum(p.own for p in purses), 2),
+            "hand": round(sum(x.units for p in purses for x in p.loans if x.end_ns > now), 2),
+            "lent": round(sum(p.out for p in purses), 2),
+            "loans": self.counts["grants"],
+            "asks": self.counts["asks"],
+            "unanswered": self.counts["unanswered"],
+        }
 
 
 def grains(units: float) -> float:
--- a/zincstile/shared/module.py
+++ b/zincstile/shared/module.py
@@ -102,8 +102,13 @@
             self.named[name].doubt.setdefault(0, MARK)
         if self.judges.trouble is not self.said_trouble:
             self.said_trouble = self.judges.trouble
-            self.acts.append(i.Log("shared this gateway is cut off from the back end" if self.said_trouble
-                                   else "shared this gateway reaches the back end again"))
+            self.acts.append(
+                i.Log(
+                    "shared this gateway is cut off from the back end"
+                    if self.said_trouble
+                    else "shared this gateway reaches the back end again"
+                )
+            )
         if now - self.sweep_ns >= SWEEP_NS:
             self.sweep_ns = now
             self.loans.sweep(now, IDLE_NS)
@@ -148,8 +153,12 @@
 
     def _asked_for(self, now: int, event: SharedWords, ask: Ask | SlotAsk) -> None:
         set_ = self.set
-        if ask.plan >= len(set_.plans) or not set_.plans[ask.plan].rate \
-                or not 1 <= ask.spread <= set_.gateways or ask.first >= set_.gateways:
+        if (
+            ask.plan >= len(set_.plans)
+            or not set_.plans[ask.plan].rate
+            or not 1 <= ask.spread <= set_.gateways
+            or ask.first >= set_.gateways
+        ):
             self.strange += 1
             return
         if isinstance(ask, SlotAsk):
@@ -256,8 +265,12 @@
         if not plan.rate or plan.over_worth > plan.over_cost or plan.ceiling_rate < plan.rate:
             return False
         quotas = [of_plan(plan, n, self.set.largest_units) for n in range(1, self.set.gateways + 1)]
-        return all(b.units <= q.most + DIGITS for q in quotas for b in bounds(q, self.shared)
-                   if b.failure in self.shared.endured)
+        return all(
+            b.units <= q.most + DIGITS
+            for q in quotas
+            for b in bounds(q, self.shared)
+            if b.failure in self.shared.endured
+        )
 
     def _ceiling_part(self, now: int, c: Customer, plan: i.PlanSpec) -> float:
         """All of it where the quota alone holds it; else an even part, whoever is heard."""
@@ -307,6 +320,13 @@
 
     def sight(self) -> dict[str, float]:
         more = self.loans.sight(self.tick_ns) if self.loans else {}
-        return super().sight() | more | {
-            "factor": round(self.levels.factor, 2), "alive": self.levels.alive(self.tick_ns),
-            "accused": len(self.accused), "trouble": int(self.judges.trouble)}
+        return (
+            super().sight()
+            | more
+            | {
+                "factor": round(self.levels.factor, 2),
+                "alive": self.levels.alive(self.tick_ns),
+                "accused": len(self.accused),
+                "trouble": int(self.judges.trouble),
+            }
+        )
--- a/zincstile/shared/settings.py
+++ b/zincstile/shared/settings.py
@@ -33,8 +33,20 @@
     most_overshoot: float = 0.05  # of what a quota gives in any minute
 
     def __post_init__(self) -> None:
-        for name in ("life_ns", "held_ns", "again_ns", "flight_ns", "gap_ns", "beat_ns", "ahead_ns",
-                     "quiet_ns", "quiet_most_ns", "holders", "witnesses", "told_ns"):
+        for name in (
+            "life_ns",
+            "held_ns",
+            "again_ns",
+            "flight_ns",
+            "gap_ns",
+            "beat_ns",
+            "ahead_ns",
+            "quiet_ns",
+            "quiet_most_ns",
+            "holders",
+            "witnesses",
+            "told_ns",
+        ):
             if getattr(self, name) < 1:
                 raise ValueError(f"{name}: must be above 0")
         if self.life_ns < 2 * self.held_ns:
--- a/zincstile/shared/slots.py
+++ b/zincstile/shared/slots.py
@@ -108,8 +108,9 @@
 class Slots:
     """Of one gateway. `longest_ns`: the longest deadline of a request."""
 
-    def __init__(self, settings: SharedSettings, me: int, process: int, longest_ns: int,
-                 rng: random.Random) -> None:
+    def __init__(
+        self, settings: SharedSettings, me: int, process: int, longest_ns: int, rng: random.Random
+    ) -> None:
         self.settings, self.me, self.process, self.rng = settings, me, process, rng
         self.life_ns = longest_ns + settings.held_ns
         self.racks: dict[int, Rack] = {}
--- a/zincstile/shared/words.py
+++ b/zincstile/shared/words.py
@@ -42,13 +42,15 @@
 
 
 def _ask(w: Ask) -> bytes:
-    return ASK.pack(w.customer, w.plan, w.spread, w.first, w.mark, _units(w.units), _units(w.least),
-                    w.heard % 2**32)
+    return ASK.pack(
+        w.customer, w.plan, w.spread, w.first, w.mark, _units(w.units), _units(w.least), w.heard % 2**32
+    )
 
 
 def _grant(w: Grant) -> bytes:
-    return GRANT.pack(w.customer, w.mark, _units(w.units), _units(w.level), w.number % 2**32, w.process,
-                      _units(w.gain))
+    return GRANT.pack(
+        w.customer, w.mark, _units(w.units), _units(w.level), w.number % 2**32, w.process, _units(w.gain)
+    )
 
 
 def _close(w: Close) -> bytes:
@@ -68,13 +70,20 @@
 
 
 def _evidence(w: Evidence) -> bytes:
-    return JUDGED.pack(w.server, w.group, int(255 * min(1.0, max(0.0, w.bad))), w.zone, _aged(w.age_ns),
-                       w.origin)
+    return JUDGED.pack(
+        w.server, w.group, int(255 * min(1.0, max(0.0, w.bad))), w.zone, _aged(w.age_ns), w.origin
+    )
 
 
 def _level(w: LevelWord) -> bytes:
-    return LEVEL.pack(w.origin, w.life % 2**32, w.number, min(MOST, int(16 * w.out)), _aged(w.age_ns),
-                      min(65535, int(16 * w.wants)))
+    return LEVEL.pack(
+        w.origin,
+        w.life % 2**32,
+        w.number,
+        min(MOST, int(16 * w.out)),
+        _aged(w.age_ns),
+        min(65535, int(16 * w.wants)),
+    )
 
 
 def _of(form: struct.Struct, make: Callable[..., AnyWord]) -> tuple[struct.Struct, Callable[..., AnyWord]]:
@@ -82,23 +91,49 @@
 
 
 PACKED: dict[type, tuple[int, Callable[..., bytes]]] = {
-    Ask: (1, _ask), Grant: (2, _grant), Close: (3, _close), Evidence: (4, _evidence), LevelWord: (5, _level),
-    SlotAsk: (6, _slot_ask), SlotGrant: (7, _slot_grant), SlotClose: (8, _slot_close)}
+    Ask: (1, _ask),
+    Grant: (2, _grant),
+    Close: (3, _close),
+    Evidence: (4, _evidence),
+    LevelWord: (5, _level),
+    SlotAsk: (6, _slot_ask),
+    SlotGrant: (7, _slot_grant),
+    SlotClose: (8, _slot_close),
+}
 READ: dict[int, tuple[struct.Struct, Callable[..., AnyWord]]] = {
-    1: _of(ASK, lambda customer, plan, spread, first, mark, units, least, heard: Ask(
-        -1, customer, plan, spread, first, mark, units / GRAIN, least / GRAIN, heard)),
-    2: _of(GRANT, lambda customer, mark, units, level, number, process, gain: Grant(
-        -1, customer, mark, units / GRAIN, level / GRAIN, number, process, gain / GRAIN)),
+    1: _of(
+        ASK,
+        lambda customer, plan, spread, first, mark, units, least, heard: Ask(
+            -1, customer, plan, spread, first, mark, units / GRAIN, least / GRAIN, heard
+        ),
+    ),
+    2: _of(
+        GRANT,
+        lambda customer, mark, units, level, number, process, gain: Grant(
+            -1, customer, mark, units / GRAIN, level / GRAIN, number, process, gain / GRAIN
+        ),
+    ),
     3: _of(CLOSE, lambda customer, mark, left, process: Close(-1, customer, mark, left / GRAIN, process)),
-    4: _of(JUDGED, lambda server, group, bad, zone, age, origin: Evidence(
-        server, group, bad / 255, origin, zone, age * AGE_NS)),
-    5: _of(LEVEL, lambda origin, life, number, out, age, wants: LevelWord(
-        origin, life, number, out / 16, wants / 16, age * AGE_NS)),
-    6: _of(SLOT_ASK, lambda customer, plan, spread, first, mark: SlotAsk(
-        -1, customer, plan, spread, first, mark)),
-    7: _of(SLOT_GRANT, lambda customer, mark, given, process: SlotGrant(
-        -1, customer, mark, bool(given), process)),
-    8: _of(SLOT_CLOSE, lambda customer, mark, process: SlotClose(-1, customer, mark, process))}
+    4: _of(
+        JUDGED,
+        lambda server, group, bad, zone, age, origin: Evidence(
+            server, group, bad / 255, origin, zone, age * AGE_NS
+        ),
+    ),
+    5: _of(
+        LEVEL,
+        lambda origin, life, number, out, age, wants: LevelWord(
+            origin, life, number, out / 16, wants / 16, age * AGE_NS
+        ),
+    ),
+    6: _of(
+        SLOT_ASK, lambda customer, plan, spread, first, mark: SlotAsk(-1, customer, plan, spread, first, mark)
+    ),
+    7: _of(
+        SLOT_GRANT, lambda customer, mark, given, process: SlotGrant(-1, customer, mark, bool(given), process)
+    ),
+    8: _of(SLOT_CLOSE, lambda customer, mark, process: SlotClose(-1, customer, mark, process)),
+}
 
 
 def pack(process: int, words: Iterable[AnyWord]) -> list[bytes]:
@@ -125,7 +160,7 @@
     if len(data) < HEAD.size or len(data) > LARGEST:
         return None
     magic, process, check, count = HEAD.unpack_from(data)
-    body, at, words = data[HEAD.size:], 0, []
+    body, at, words = data[HEAD.size :], 0, []
     if magic != MAGIC or check != zlib.crc32(body, process) & 0xFFFF:
         return None
     for _ in range(count):
--- a/zincstile/standin/wire.py
+++ b/zincstile/standin/wire.py
@@ -34,7 +34,7 @@
                 end = at + self._size
                 if len(buf) < end + 2:
                     break
-                if buf[end:end + 2] != b"\r\n":
+                if buf[end : end + 2] != b"\r\n":
                     raise ForeignError("a word without its end")
                 self.words.append(buf[at:end])
                 at, self._size, self._left = end + 2, -1, self._left - 1
@@ -45,7 +45,7 @@
             end = buf.find(b"\r\n", at)
             if end < 0:
                 break
-            sign, digits = buf[at:at + 1], buf[at + 1:end]
+            sign, digits = buf[at : at + 1], buf[at + 1 : end]
             if sign != (b"$" if self._left else b"*") or not digits.isdigit():
                 raise ForeignError(f"not a command: {buf[at:end][:40]!r}")
             at = end + 2
@@ -86,7 +86,7 @@
     end = buf.find(b"\r\n", at)
     if end < 0:
         return None, -1
-    sign, rest, after = buf[at:at + 1], buf[at + 1:end], end + 2
+    sign, rest, after = buf[at : at + 1], buf[at + 1 : end], end + 2
     if sign in (b"+", b"-", b":"):
         return buf[at:end].decode("latin-1"), after
     try:
@@ -98,9 +98,9 @@
             return None, after
         if len(buf) < after + size + 2:
             return None, -1
-        if buf[after + size:after + size + 2] != b"\r\n":
+        if buf[after + size : after + size + 2] != b"\r\n":
             raise ForeignError("a value without its end")
-        return buf[after:after + size], after + size + 2
+        return buf[after : after + size], after + size + 2
     if sign != b"*":
         raise ForeignError(f"not a reply: {buf[at:end][:40]!r}")
     parts: list[object] = []
--- a/zincstile/start/lists.py
+++ b/zincstile/start/lists.py
@@ -119,8 +119,9 @@
     """Of one gateway: tells of its own list, and seeks one where it has none. Feed it events; `told` gives
     the words to send, `timer_ns` when it has to be looked at again."""
 
-    def __init__(self, settings: StartSettings, me: int, gateways: int, intake_per_s: float,
-                 rng: random.Random) -> None:
+    def __init__(
+        self, settings: StartSettings, me: int, gateways: int, intake_per_s: float, rng: random.Random
+    ) -> None:
         self.settings, self.me, self.rng = settings, me, rng
         self.others = [g for g in range(gateways) if g != me]
         self.intake_per_s = max(4.0, INTAKE * intake_per_s)
@@ -245,8 +246,10 @@
         tellers: dict[tuple, list[Digest]] = {}
         for heard in self._heard.values():
             tellers.setdefault(heard.digest.same, []).append(heard.digest)
-        best = max(tellers.values(), key=lambda of: (
-            -min(d.rank for d in of), of[0].version, len(of), -min(d.age_ns for d in of)))
+        best = max(
+            tellers.values(),
+            key=lambda of: (-min(d.rank for d in of), of[0].version, len(of), -min(d.age_ns for d in of)),
+        )
         digest = min(best, key=lambda d: d.age_ns)
         if self._target is None or digest.same != self._target.same:
             sums = self.book.sums()
@@ -261,8 +264,11 @@
         self._want(now)
 
     def _tellers(self) -> list[int]:
-        return [p for p, h in self._heard.items() if self._target is not None
-                and h.digest.same == self._target.same]
+        return [
+            p
+            for p, h in self._heard.items()
+            if self._target is not None and h.digest.same == self._target.same
+        ]
 
     def _want(self, now: int) -> None:
         """Buckets that are missing, as many as the intake has room for."""
@@ -270,11 +276,12 @@
         if target is None or not peers:
             return
         missing = [b for b in range(BUCKETS) if b not in self._have and b not in self._asked]
-        self._open = min(self.intake_per_s * SPAN_S,
-                         self._open + self.intake_per_s * (now - self._open_ns) / SECOND)
+        self._open = min(
+            self.intake_per_s * SPAN_S, self._open + self.intake_per_s * (now - self._open_ns) / SECOND
+        )
         self._open_ns = now
         per_bucket = max(1.0, target.count / BUCKETS / PER_DATAGRAM)
-        chosen = missing[:int(self._open / per_bucket)]
+        chosen = missing[: int(self._open / per_bucket)]
         self._open -= per_bucket * len(chosen)
         least = min(self._heard[p].missed // MISSES for p in peers)  # who was silent lately is asked last
         peers = [p for p in peers if self._heard[p].missed // MISSES == least]
@@ -291,8 +298,12 @@
     def _lines(self, now: int, sender: int, word: Lines) -> None:
         """Late ones too: what a busy fleet's peers told after the wait for it was over is as good."""
         asked, target = self._asked.get(word.bucket), self._target
-        if target is None or word.version != target.version or word.bucket in self._have \
-                or sender not in self._heard:
+        if (
+            target is None
+            or word.version != target.version
+            or word.bucket in self._have
+            or sender not in self._heard
+        ):
             return
         parts = self._partly.setdefault(word.bucket, {}) if asked is None else asked.parts
         parts[word.part] = sender, word
@@ -321,8 +332,13 @@
 
     def _done(self, now: int) -> None:
         target = self._target
-        if target is None or len(self._have) < BUCKETS or self.found is not None \
-                and self.found.version >= target.version and self.found.right is Right.AGREED:
+        if (
+            target is None
+            or len(self._have) < BUCKETS
+            or self.found is not None
+            and self.found.version >= target.version
+            and self.found.right is Right.AGREED
+        ):
             return
         agreed = len(self._tellers()) >= min(self.settings.agree, len(self.others))
         right = Right.AGREED if agreed else Right.LONE
--- a/zincstile/start/policy.py
+++ b/zincstile/start/policy.py
@@ -28,7 +28,8 @@
         def __init__(self, settings: i.Settings, seed: int, *more: object) -> None:
             super().__init__(settings, seed, *more)
             self.opening: Opening | None = Opening(
-                start, settings.gateways, settings.largest_units, random.Random(f"opening {seed}"))
+                start, settings.gateways, settings.largest_units, random.Random(f"opening {seed}")
+            )
 
         def on_started(self, now: int, event: i.Started) -> None:
             self.opening.begin(now)
@@ -69,8 +70,12 @@
 
         def _open(self, now: int, why: str) -> None:
             after, refused = (now - self.start_ns) // 1_000_000, self.opening.refused
-            self.acts.append(i.Log(f"start admission is open after {after} ms, {why}; {refused} tries turned "
-                                   "away by the pace"))
+            self.acts.append(
+                i.Log(
+                    f"start admission is open after {after} ms, {why}; {refused} tries turned "
+                    "away by the pace"
+                )
+            )
             self.opening = None
 
         def sight(self) -> dict[str, float]:
--- a/zincstile/start/settings.py
+++ b/zincstile/start/settings.py
@@ -26,8 +26,18 @@
     open_ns: int = 10 * SECOND  # after so long admission is open whatever was seen
 
     def __post_init__(self) -> None:
-        for name in ("wait_ns", "each_ns", "again_ns", "agree", "lone_ns", "fan", "oldest_ns", "known_ns",
-                     "double_ns", "open_ns"):
+        for name in (
+            "wait_ns",
+            "each_ns",
+            "again_ns",
+            "agree",
+            "lone_ns",
+            "fan",
+            "oldest_ns",
+            "known_ns",
+            "double_ns",
+            "open_ns",
+        ):
             if getattr(self, name) < 1:
                 raise ValueError(f"{name}: must be above 0")
         if not self.told_per_s > 0:
--- a/zincstile/start/words.py
+++ b/zincstile/start/words.py
@@ -105,14 +105,17 @@
         kind, body = 1, b""
     elif isinstance(word, Digest):
         age = min(AGE_MOST, -(-max(0, word.age_ns) // AGE_NS))  # rounded up: never told younger than it is
-        kind, body = 2, DIGEST.pack(word.version % 2**64, word.count, age, word.rank + OPEN * word.open,
-                                    *word.sums)
+        kind, body = (
+            2,
+            DIGEST.pack(word.version % 2**64, word.count, age, word.rank + OPEN * word.open, *word.sums),
+        )
     elif isinstance(word, Want):
         kind, body = 3, WANT.pack(word.version % 2**64, sum(1 << b for b in word.buckets))
     else:
         kind = 4
         body = LINES.pack(word.version % 2**64, word.bucket, word.part, word.parts) + b"".join(
-            bytes([len(x)]) + x for x in word.lines)
+            bytes([len(x)]) + x for x in word.lines
+        )
     return framing.framed(MAGIC, kind, body)
 
 
@@ -146,7 +149,7 @@
         size = body[at]
         if at + 1 + size > len(body):
             return None
-        found.append(body[at + 1:at + 1 + size])
+        found.append(body[at + 1 : at + 1 + size])
         at += 1 + size
     return Lines(version, number, part, parts, tuple(found)) if number < BUCKETS and part < parts else None
 
--- a/zincstile/state.py
+++ b/zincstile/state.py
@@ -106,8 +106,7 @@
     open: int = 0
     peers: dict[int, Word] = field(default_factory=dict)
 
-    def merge(self, peer: int, start: int, s: i.Share, now: int, turn: int,
-              flight_ns: int) -> float | None:
+    def merge(self, peer: int, start: int, s: i.Share, now: int, turn: int, flight_ns: int) -> float | None:
         """Units the peer sent since its last word by running totals modulo turn; None without such a word.
 
         What was granted counts as told. A repeated ask takes its grant back first; a total from before a
@@ -257,8 +256,11 @@
     def _seen_before(self, s: Server) -> Server:
         """With the evidence that an older process of this gateway left, if it is of the same start."""
         started_ns, slowness, doubt = self.evidence.pop(s.info.id, (-1, 1.0, {}))
-        if started_ns >= 0 and bool(started_ns) == bool(s.info.started_ns) \
-                and abs(started_ns - s.info.started_ns) < inherit.SAME_START_S * 1e9:
+        if (
+            started_ns >= 0
+            and bool(started_ns) == bool(s.info.started_ns)
+            and abs(started_ns - s.info.started_ns) < inherit.SAME_START_S * 1e9
+        ):
             s.slowness, s.doubt = slowness, doubt
         return s
 
@@ -294,25 +296,41 @@
         """What an ask and its answer tell of the fleet; the groups' arrivals only where the budget binds."""
         level = 0.0 if self.level == float("inf") else self.level
         arrivals = [x.arrivals for x in self.leaves] if any(x.rate < 1 for x in self.leaves) else []
-        return [self.late, self.answers, self.silence, self.silences, self.out, self.done_rate,
-                *self.broken[:2], level, *(u / 1e9 for u in self.unit_ns), *arrivals]
+        return [
+            self.late,
+            self.answers,
+            self.silence,
+            self.silences,
+            self.out,
+            self.done_rate,
+            *self.broken[:2],
+            level,
+            *(u / 1e9 for u in self.unit_ns),
+            *arrivals,
+        ]
 
     def sight(self) -> dict[str, float]:
         """What the module believes at present, for the log: units that it aims at for each good server (-1:
         no bound yet), units out, good servers, servers with a doubt of a half or more, customers."""
         doubted = sum(any(bad >= 0.5 for bad in s.doubt.values()) for s in self.ready)
         level = -1.0 if self.level == math.inf else round(self.level, 3)
-        return {"level": level, "out": round(sum(a.units for a in self.attempts.values()), 2),
-                "good": round(self.good, 2), "ready": len(self.ready), "doubted": doubted,
-                "strain": round(self.strain, 3), "customers": len(self.customers),
-                "attempts": len(self.attempts)}
+        return {
+            "level": level,
+            "out": round(sum(a.units for a in self.attempts.values()), 2),
+            "good": round(self.good, 2),
+            "ready": len(self.ready),
+            "doubted": doubted,
+            "strain": round(self.strain, 3),
+            "customers": len(self.customers),
+            "attempts": len(self.attempts),
+        }
 
     def take_figures(self, figures: list[float]) -> None:
         """In the order of figures(); a level of nought is none."""
         self.late, self.answers, self.silence, self.silences, self.out, self.done_rate = figures[:6]
         self.broken[:2], self.level = figures[6:LEVEL], figures[LEVEL] or self.level
         after = LEVEL + 1 + len(self.unit_ns)
-        self.unit_ns = [max(1.0, x * 1e9) for x in figures[LEVEL + 1:after]]
+        self.unit_ns = [max(1.0, x * 1e9) for x in figures[LEVEL + 1 : after]]
         for leaf, arrivals in zip(self.leaves, figures[after:], strict=False):
             leaf.arrivals = arrivals
 
--- a/zincstile/virtual/clock.py
+++ b/zincstile/virtual/clock.py
@@ -31,8 +31,9 @@
 
     __slots__ = ("at_ns", "then", "args", "process")
 
-    def __init__(self, at_ns: int, then: Callable[..., Any], args: tuple[Any, ...],
-                 process: Process | None) -> None:
+    def __init__(
+        self, at_ns: int, then: Callable[..., Any], args: tuple[Any, ...], process: Process | None
+    ) -> None:
         self.at_ns, self.then, self.args, self.process = at_ns, then, args, process
 
     def cancel(self) -> None:
@@ -101,8 +102,11 @@
                 then(*entry.args)
             except Exception as err:
                 process.loop.call_exception_handler(
-                    {"message": f"Exception in callback {getattr(then, '__qualname__', then)}",
-                     "exception": err})
+                    {
+                        "message": f"Exception in callback {getattr(then, '__qualname__', then)}",
+                        "exception": err,
+                    }
+                )
             return True
         return False
 
--- a/zincstile/virtual/loop.py
+++ b/zincstile/virtual/loop.py
@@ -47,8 +47,9 @@
         at_ns = self.process.ready_ns(round(when * 1e9))
         return self.scheduler.at(at_ns, callback, *args, process=self.process)
 
-    def call_later(self, delay: float, callback: Callable[..., Any], *args: Any,
-                   context: Any = None) -> Entry:
+    def call_later(
+        self, delay: float, callback: Callable[..., Any], *args: Any, context: Any = None
+    ) -> Entry:
         at_ns = self.process.ready_ns(self.scheduler.now_ns + round(delay * 1e9))
         return self.scheduler.at(at_ns, callback, *args, process=self.process)
 
@@ -115,17 +116,29 @@
         if found is not None:
             found[1](*found[2])
 
-    async def connect_accepted_socket(self, protocol_factory: Factory, sock: tcp.Accepted, **_: Any,
-                                      ) -> tuple[asyncio.BaseTransport, asyncio.BaseProtocol]:
+    async def connect_accepted_socket(
+        self,
+        protocol_factory: Factory,
+        sock: tcp.Accepted,
+        **_: Any,
+    ) -> tuple[asyncio.BaseTransport, asyncio.BaseProtocol]:
         return await self._begin(sock.take(), protocol_factory)
 
-    async def create_connection(self, protocol_factory: Factory, host: str, port: int, **_: Any,
-                                ) -> tuple[asyncio.BaseTransport, asyncio.BaseProtocol]:
+    async def create_connection(
+        self,
+        protocol_factory: Factory,
+        host: str,
+        port: int,
+        **_: Any,
+    ) -> tuple[asyncio.BaseTransport, asyncio.BaseProtocol]:
         endpoint = await tcp.connect(self.process, (host, port))
         return await self._begin(endpoint, protocol_factory)
 
-    async def _begin(self, endpoint: tcp.Endpoint, factory: Factory,
-                     ) -> tuple[asyncio.BaseTransport, asyncio.BaseProtocol]:
+    async def _begin(
+        self,
+        endpoint: tcp.Endpoint,
+        factory: Factory,
+    ) -> tuple[asyncio.BaseTransport, asyncio.BaseProtocol]:
         """As asyncio's transports do: made, then read, then told; given up while that lasts, it is closed."""
         protocol, waiter = factory(), self.create_future()
         endpoint.begin(protocol)
@@ -137,12 +150,17 @@
             raise
         return endpoint, protocol
 
-    async def create_server(self, protocol_factory: Factory, host: str, port: int, *, backlog: int = 100,
-                            **_: Any) -> tcp.Server:
+    async def create_server(
+        self, protocol_factory: Factory, host: str, port: int, *, backlog: int = 100, **_: Any
+    ) -> tcp.Server:
         return tcp.Server(self.process, (host, port), backlog, protocol_factory)
 
-    async def create_datagram_endpoint(self, protocol_factory: Factory, local_addr: tuple[str, int], **_: Any,
-                                       ) -> tuple[asyncio.BaseTransport, asyncio.BaseProtocol]:
+    async def create_datagram_endpoint(
+        self,
+        protocol_factory: Factory,
+        local_addr: tuple[str, int],
+        **_: Any,
+    ) -> tuple[asyncio.BaseTransport, asyncio.BaseProtocol]:
         protocol = protocol_factory()
         return udp.Datagrams(self.process, local_addr, protocol), protocol
 
--- a/zincstile/virtual/network.py
+++ b/zincstile/virtual/network.py
@@ -102,8 +102,9 @@
 
     def silent(self, a: str, b: str) -> bool:
         """Nothing passes between these machines at present."""
-        return bool(self.mute and (a in self.mute or b in self.mute) and a != b
-                    or self.cuts and (a, b) in self.cuts)
+        return bool(
+            self.mute and (a in self.mute or b in self.mute) and a != b or self.cuts and (a, b) in self.cuts
+        )
 
     def hush(self, host: str) -> None:
         """The machine is cut off: open connections stay open and say nothing, new ones never come up."""
--- a/zincstile/virtual/process.py
+++ b/zincstile/virtual/process.py
@@ -19,8 +19,15 @@
 class Process:
     """Starts when it is made. Its end is sudden: what it had planned never happens."""
 
-    def __init__(self, network: Network, name: str, host: str, zone: int = 0, descriptors: int = 1 << 20,
-                 quantum_ns: int = 1) -> None:
+    def __init__(
+        self,
+        network: Network,
+        name: str,
+        host: str,
+        zone: int = 0,
+        descriptors: int = 1 << 20,
+        quantum_ns: int = 1,
+    ) -> None:
         self.network, self.scheduler, self.name, self.host = network, network.scheduler, name, host
         self.zone, self.descriptors, self.quantum_ns = zone, descriptors, quantum_ns
         self.alive = True
--- a/zincstile/virtual/tcp.py
+++ b/zincstile/virtual/tcp.py
@@ -141,7 +141,8 @@
         """As asyncio does with what a connection can't bear. What is no trouble of the network is told."""
         if not isinstance(err, OSError):
             self.process.loop.call_exception_handler(
-                {"message": message, "exception": err, "protocol": self.protocol})
+                {"message": message, "exception": err, "protocol": self.protocol}
+            )
         self._force(err)
 
     def _lose(self, err: Exception | None) -> None:
--- a/zincstile/virtual/udp.py
+++ b/zincstile/virtual/udp.py
@@ -71,7 +71,7 @@
 
     def _read(self, data: bytes, sender: Address) -> None:
         if not self._closing:
-            self.protocol.datagram_received(data[:self.max_size], sender)
+            self.protocol.datagram_received(data[: self.max_size], sender)
 
     def close(self) -> None:
         if not self._closing:
--- a/zincstile/wire.py
+++ b/zincstile/wire.py
@@ -18,10 +18,24 @@
 SHARE = struct.Struct("<IBBIhBhH")
 MAGIC, LARGEST, GRAIN, ANSWER, MOST = 0xB9, 256, 16.0, 0x80, 60000.0
 EFFECTS = {"free": i.Effect.SAFE, "guarded": i.Effect.KEYED, "single_shot": i.Effect.UNSAFE}
-RESULTS = {0: i.Result.OK, 5: i.Result.ERROR, 11: i.Result.FULL, 110: i.Result.TIMEOUT,
-           111: i.Result.CONNECT_FAILED, 104: i.Result.RESET, 125: i.Result.CANCELLED, 114: i.Result.MOOT}
-FIELD_NAMES = {"rif": "inflight", "q": "queue", "busy": "util", "lat_ms": "latency_ms", "rate": "qps",
-               "fail_rate": "eps"}
+RESULTS = {
+    0: i.Result.OK,
+    5: i.Result.ERROR,
+    11: i.Result.FULL,
+    110: i.Result.TIMEOUT,
+    111: i.Result.CONNECT_FAILED,
+    104: i.Result.RESET,
+    125: i.Result.CANCELLED,
+    114: i.Result.MOOT,
+}
+FIELD_NAMES = {
+    "rif": "inflight",
+    "q": "queue",
+    "busy": "util",
+    "lat_ms": "latency_ms",
+    "rate": "qps",
+    "fail_rate": "eps",
+}
 
 
 class WireError(ValueError):
@@ -72,39 +86,65 @@
         effect = _need(c, "effect")
         if effect not in EFFECTS:
             raise WireError(f"settings: unknown effect '{effect}'")
-        classes.append(i.ClassSpec(
-            name=str(_need(c, "name")), aim_ns=int(_need(c, "aim_ns")),
-            deadline_ns=int(_need(c, "deadline_ns")),
-            effect=EFFECTS[effect], worth=float(_need(c, "gain")), late_worth=float(c.get("late_worth", 0)),
-            group=i.Group(c.get("group", "all")), window_ns=int(c.get("window_ns", 0)),
-            stream=bool(c.get("stream", False))))
+        classes.append(
+            i.ClassSpec(
+                name=str(_need(c, "name")),
+                aim_ns=int(_need(c, "aim_ns")),
+                deadline_ns=int(_need(c, "deadline_ns")),
+                effect=EFFECTS[effect],
+                worth=float(_need(c, "gain")),
+                late_worth=float(c.get("late_worth", 0)),
+                group=i.Group(c.get("group", "all")),
+                window_ns=int(c.get("window_ns", 0)),
+                stream=bool(c.get("stream", False)),
+            )
+        )
     plans = []
     for p in _need(t, "plans"):
-        plans.append(i.PlanSpec(
-            name=str(p.get("name", "")), price=float(_need(p, "price")), rate=float(_need(p, "refill")),
-            burst=float(_need(p, "burst")), open_limit=int(_need(p, "concurrency")),
-            over_worth=float(_need(p, "over_worth")), over_cost=float(_need(p, "beyond_costs")),
-            ceiling_rate=float(_need(p, "never_over_rate")), ceiling_burst=float(_need(p, "hard_burst")),
-            ceiling_slack=float(_need(p, "tolerance"))))
+        plans.append(
+            i.PlanSpec(
+                name=str(p.get("name", "")),
+                price=float(_need(p, "price")),
+                rate=float(_need(p, "refill")),
+                burst=float(_need(p, "burst")),
+                open_limit=int(_need(p, "concurrency")),
+                over_worth=float(_need(p, "over_worth")),
+                over_cost=float(_need(p, "beyond_costs")),
+                ceiling_rate=float(_need(p, "never_over_rate")),
+                ceiling_burst=float(_need(p, "hard_burst")),
+                ceiling_slack=float(_need(p, "tolerance")),
+            )
+        )
     discovery = _need(t, "discovery")
     if discovery not in ("pushed", "on_request"):
         raise WireError(f"settings: unknown discovery '{discovery}'")
     limits, rules = _need(t, "limits"), _need(t, "obligations")
     domain = t.get("domain") or {}
     return i.Settings(
-        me=int(_need(t, "ordinal")), gateways=int(_need(t, "balancers")), classes=classes, plans=plans,
-        zone=int(_need(t, "zone")), ask_for_list=discovery == "on_request",
-        peers=bool(_need(limits, "peers")), probes=bool(_need(limits, "probes")),
-        cancel=bool(_need(limits, "cancel")), second_copies=bool(_need(limits, "may_duplicate")),
-        retry_after=bool(_need(limits, "retry_after")), max_attempts=int(_need(limits, "send_cap")),
+        me=int(_need(t, "ordinal")),
+        gateways=int(_need(t, "balancers")),
+        classes=classes,
+        plans=plans,
+        zone=int(_need(t, "zone")),
+        ask_for_list=discovery == "on_request",
+        peers=bool(_need(limits, "peers")),
+        probes=bool(_need(limits, "probes")),
+        cancel=bool(_need(limits, "cancel")),
+        second_copies=bool(_need(limits, "may_duplicate")),
+        retry_after=bool(_need(limits, "retry_after")),
+        max_attempts=int(_need(limits, "send_cap")),
         max_retry_after_ns=int(limits.get("max_retry_after_ns", 0)),
-        peer_in_per_s=float(domain.get("peer_intake", 0)), largest_units=float(domain.get("units_top", 1)),
+        peer_in_per_s=float(domain.get("peer_intake", 0)),
+        largest_units=float(domain.get("units_top", 1)),
         settled_after=bool(domain.get("cost_after", False)),
-        drain_grace_ns=int(_need(rules, "drain_grace_ns")), cold_share=float(_need(rules, "start_capacity")),
-        cold_ns=int(_need(rules, "warm_up_ns")), cold_multiple=float(_need(rules, "overload_factor")),
+        drain_grace_ns=int(_need(rules, "drain_grace_ns")),
+        cold_share=float(_need(rules, "start_capacity")),
+        cold_ns=int(_need(rules, "warm_up_ns")),
+        cold_multiple=float(_need(rules, "overload_factor")),
         cold_window_ns=int(_need(rules, "fall_ns")),
         cross_zone_price=float((t.get("prices") or {}).get("cross_zone", 0)),
-        report_fields=[FIELD_NAMES.get(f, str(f)) for f in (t.get("telemetry") or {}).get("fields", [])])
+        report_fields=[FIELD_NAMES.get(f, str(f)) for f in (t.get("telemetry") or {}).get("fields", [])],
+    )
 
 
 class _Reader:
@@ -121,7 +161,7 @@
         if end > len(self.data):
             raise WireError("frame: a record is cut short")
         self.at = end
-        return self.data[end - size:end]
+        return self.data[end - size : end]
 
 
 U8, U16, U32 = struct.Struct("<B"), struct.Struct("<H"), struct.Struct("<I")
@@ -187,17 +227,25 @@
     too long."""
     doubts = [d for d in tell.doubts if d.group <= 255]
     room = LARGEST - HEAD.size - SHARE.size * bool(tell.shares) - DOUBT.size * len(doubts)
-    figures = tell.figures[:max(0, room // FIGURE.size)]
+    figures = tell.figures[: max(0, room // FIGURE.size)]
     extra = b"".join(FIGURE.pack(min(MOST, max(0.0, x))) for x in figures)
     extra += b"".join(DOUBT.pack(d.backend, d.group, int(d.value * 255)) for d in doubts)
     counts, messages, at = (len(figures), len(doubts)), [], 0
     while not messages or at < len(tell.shares):
         end = at + (LARGEST - HEAD.size - len(extra)) // SHARE.size
         body = extra + b"".join(
-            SHARE.pack(s.customer % 2**32, s.customer >> 32 | ANSWER * s.answer, s.plan,
-                       round(s.total * GRAIN) % 2**32, _short(s.level), max(0, min(255, s.open)),
-                       _short(s.want), s.mark)
-            for s in tell.shares[at:end])
+            SHARE.pack(
+                s.customer % 2**32,
+                s.customer >> 32 | ANSWER * s.answer,
+                s.plan,
+                round(s.total * GRAIN) % 2**32,
+                _short(s.level),
+                max(0, min(255, s.open)),
+                _short(s.want),
+                s.mark,
+            )
+            for s in tell.shares[at:end]
+        )
         check = zlib.crc32(body, tell.start) & 0xFFFF
         messages.append(HEAD.pack(MAGIC, tell.start, check, *counts) + body)
         extra, counts, at = b"", (0, 0), end
@@ -209,24 +257,40 @@
     if len(data) < HEAD.size:
         return None
     magic, start, check, figures, doubts = HEAD.unpack_from(data)
-    body = data[HEAD.size:]
+    body = data[HEAD.size :]
     after = figures * FIGURE.size
     first = after + doubts * DOUBT.size
     if magic != MAGIC or check != zlib.crc32(body, start) & 0xFFFF:
         return None
     if len(body) < first or (len(body) - first) % SHARE.size:
         return None
-    shares = [i.Share(low | (high % ANSWER) << 32, plan, total / GRAIN, level / GRAIN, out, want / GRAIN,
-                      mark, high >= ANSWER)
-              for low, high, plan, total, level, out, want, mark in SHARE.iter_unpack(body[first:])]
-    return i.PeerMessage(sender, start, shares, [x for x, in FIGURE.iter_unpack(body[:after])],
-                         [i.Doubt(b, g, v / 255) for b, g, v in DOUBT.iter_unpack(body[after:first])])
+    shares = [
+        i.Share(
+            low | (high % ANSWER) << 32,
+            plan,
+            total / GRAIN,
+            level / GRAIN,
+            out,
+            want / GRAIN,
+            mark,
+            high >= ANSWER,
+        )
+        for low, high, plan, total, level, out, want, mark in SHARE.iter_unpack(body[first:])
+    ]
+    return i.PeerMessage(
+        sender,
+        start,
+        shares,
+        [x for (x,) in FIGURE.iter_unpack(body[:after])],
+        [i.Doubt(b, g, v / 255) for b, g, v in DOUBT.iter_unpack(body[after:first])],
+    )
 
 
 def _outcome(r: _Reader) -> i.Outcome:
     rid, attempt, raw, code, latency, finished, used, cost = r.take(OUTCOME)
-    return i.Outcome(rid, attempt, _backend(raw), _result(code), latency, bool(finished), used, float(cost),
-                     _report(r))
+    return i.Outcome(
+        rid, attempt, _backend(raw), _result(code), latency, bool(finished), used, float(cost), _report(r)
+    )
 
 
 def _stream(r: _Reader) -> i.StreamStarted:
@@ -245,8 +309,18 @@
 
 
 READERS: dict[int, Callable[[_Reader], Any]] = {
-    50: _open, 70: _list, 30: _request, 120: _peer, 110: lambda r: Stop(), 40: _outcome, 100: _stream,
-    80: _probed, 10: _counted, 20: lambda r: i.Gone(r.take(U32)[0]), 60: lambda r: i.Timer(r.take(TIMER)[0])}
+    50: _open,
+    70: _list,
+    30: _request,
+    120: _peer,
+    110: lambda r: Stop(),
+    40: _outcome,
+    100: _stream,
+    80: _probed,
+    10: _counted,
+    20: lambda r: i.Gone(r.take(U32)[0]),
+    60: lambda r: i.Timer(r.take(TIMER)[0]),
+}
 
 
 def read_records(data: bytes, count: int) -> list[tuple[int, Any]]:
