--- a/zincstile/worlds/shrink.py
+++ b/zincstile/worlds/shrink.py
@@ -18,8 +18,18 @@
 from .plan import Plan
 from .world import Result, Run
 
-PLAIN = {"quantum_us": 0, "split": 0.0, "read_bytes": 0, "window_bytes": 65536, "udp_loss": 0.0,
-         "udp_twice": 0.0, "drops_left": True, "sockets": 256, "plus_beyond": False, "connect_ms": 250}
+PLAIN = {
+    "quantum_us": 0,
+    "split": 0.0,
+    "read_bytes": 0,
+    "window_bytes": 65536,
+    "udp_loss": 0.0,
+    "udp_twice": 0.0,
+    "drops_left": True,
+    "sockets": 256,
+    "plus_beyond": False,
+    "connect_ms": 250,
+}
 
 
 @dataclass(slots=True)
@@ -57,7 +67,7 @@
         while items:
             size = max(1, len(items) // parts)
             for at in range(0, len(items), size):
-                rest = items[:at] + items[at + size:]
+                rest = items[:at] + items[at + size :]
                 if self.holds(put(self.best, rest)):
                     items, parts = rest, max(2, parts - 1)
                     break
@@ -67,8 +77,9 @@
                 parts = min(len(items), parts * 2)
 
 
-def smallest(plan: Plan, most: int, tell: Callable[[str], None],
-             rules: tuple[str, ...] = NAMES) -> Smallest | None:
+def smallest(
+    plan: Plan, most: int, tell: Callable[[str], None], rules: tuple[str, ...] = NAMES
+) -> Smallest | None:
     """None where the plan breaks none of these rules."""
     first = Run(plan, rules=rules).play()
     if first.breach is None:
