--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -58,6 +58,11 @@
 CUSTOMER = "00000000b4d65521"
 EFFECTS = {"look": "free", "book": "single_shot", "put": "guarded"}
 
+# Texts that many scenarios share: a PING, the first list of servers, a call that is answered.
+PING = r"raw *1\r\n$4\r\nPING\r\n"
+READY = "send d1 full a=Ready\nexpect gw ready*told\n"
+SERVES = "send c9 look 99\nexpect a1 look 99\nsend a1 ok still\nexpect c9 ok still\n"
+
 
 def settings():
     classes = [
@@ -401,3 +406,16 @@
         fills = [sock for socks in self.fills.values() for sock in socks]
         for thing in [*self.lines.values(), *self.listeners.values(), self.peer, *fills]:
             thing.close()
+
+
+def play(tmp_path, text, **config):
+    """One scenario against a gateway of its own, which has to live to the end without a fault."""
+    tmp_path.mkdir(exist_ok=True)
+    world = World(tmp_path, config)
+    try:
+        world.play(text)
+        assert world.program.poll() in (None, 0)
+        if world.program.poll() is None:
+            assert world.counters()["faults"] == 0
+    finally:
+        world.end()
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -1,19 +1,10 @@
-"""The real program, spoken to over sockets; tests/scenario.py tells what the lines mean."""
+"""Requests, answers and the server table over sockets; tests/scenario.py tells what the lines mean."""
 
 from __future__ import annotations
 
-import json
-import os
-import subprocess
-import sys
-import time
-
 import pytest
-from scenario import ROOT, World, call, encode, settings
+from scenario import PING, READY, SERVES, World, play
 
-PING = r"raw *1\r\n$4\r\nPING\r\n"
-READY = "send d1 full a=Ready\nexpect gw ready*told\n"
-SERVES = "send c9 look 99\nexpect a1 look 99\nsend a1 ok still\nexpect c9 ok still\n"
 GOOD = r"*3\r\n$5\r\nhello\r\n$-1\r\n$-1\r\n"
 SCENARIOS = {
     "a call goes on unchanged and its value comes back": READY
@@ -397,18 +388,6 @@
 }
 
 
-def play(tmp_path, text, **config):
-    tmp_path.mkdir(exist_ok=True)
-    world = World(tmp_path, config)
-    try:
-        world.play(text)
-        assert world.program.poll() in (None, 0)
-        if world.program.poll() is None:
-            assert world.counters()["faults"] == 0
-    finally:
-        world.end()
-
-
 @pytest.mark.parametrize("name", SCENARIOS)
 def test_scenario(name, tmp_path):
     play(tmp_path, SCENARIOS[name])
@@ -451,169 +430,3 @@
         )
     finally:
         world.end()
-
-
-def test_a_stop_takes_new_connections_for_a_while(tmp_path):
-    play(
-        tmp_path,
-        READY
-        + """
-        send gw TERM
-        expect gw stop with 0 sessions
-        send c1 look 1
-        expect a1 look 1
-        send a1 ok hello
-        expect c1 ok hello
-        expect c1 end
-        expect gw exit 0""",
-        limits={"drain_quiet_ns": 2 * 10**9},
-    )
-
-
-def test_a_stop_goes_on_while_calls_come_and_no_longer_than_its_time(tmp_path):
-    for limits in (
-        {"drain_quiet_ns": 10**9, "drain_ns": 10**12, "drain_most_ns": 10**13},
-        {"drain_quiet_ns": 10**12, "drain_ns": 15 * 10**8},
-    ):
-        tmp_path.mkdir(exist_ok=True)
-        world = World(tmp_path, {"limits": limits})
-        try:
-            world.play(READY + "send gw TERM\nexpect gw stop with 0 sessions")
-            end, number = time.monotonic() + 1.2, 0
-            while time.monotonic() < end:
-                number += 1
-                world.play(
-                    f"send c1 look {number} units=0.001\nexpect a1 look {number}\n"
-                    "send a1 ok x\nexpect c1 ok x"
-                )
-            world.play("expect c1 end\nexpect gw exit 0")
-        finally:
-            world.end()
-
-
-def test_a_stop_answers_what_can_not_be_waited_for(tmp_path):
-    play(
-        tmp_path,
-        READY
-        + """
-        send c1 look 1 d=90000
-        expect a1 look 1
-        send gw TERM
-        expect c1 -ERR failed
-        expect c1 end
-        expect gw exit 0""",
-        limits={"drain_most_ns": 10**9, "drain_ns": 1},
-    )
-
-
-@pytest.mark.parametrize(("asks", "gone"), [("raw", "c30"), (PING, "c10")], ids=["silent", "asked once"])
-def test_resting_clients_make_room_for_new_ones(tmp_path, asks, gone):
-    """26 of 60 descriptors are for clients; c1 to c8 asked twice, c10 to c18 once, then comes a crowd."""
-
-    def ask(numbers, what=PING):
-        pong = "expect c{} +PONG\n" if what == PING else ""
-        return "".join(f"send c{k} {what}\n" + pong.format(k) for k in numbers)
-
-    often = ask(range(1, 9))
-    limits = {"sockets": 60, "spare_ns": 10**12, "newcomer_ns": 1, "silent_ns": 10**12, "rest_ns": 10**12}
-    play(
-        tmp_path,
-        READY
-        + often * 2
-        + ask(range(10, 19))
-        + ask(range(30, 80), asks)
-        + f"expect {gone} end\n"
-        + SERVES
-        + often,
-        limits=limits,
-    )
-
-
-def test_a_command_that_is_begun_and_never_ended_is_dropped(tmp_path):
-    play(
-        tmp_path,
-        READY + "send c1 raw *4\\r\\n\nexpect c1 -ERR*\nexpect c1 end\n" + SERVES,
-        limits={"silent_ns": 10**8, "tend_ns": 10**8},
-    )
-
-
-@pytest.mark.parametrize(
-    ("asked", "limit"), [("send c1 raw", "silent_ns"), (f"send c1 {PING}\nexpect c1 +PONG", "rest_ns")]
-)
-def test_a_client_that_says_nothing_or_no_more_is_closed(tmp_path, asked, limit):
-    play(tmp_path, READY + asked + "\nexpect c1 end\n" + SERVES, limits={limit: 10**8, "tend_ns": 10**8})
-
-
-def test_a_client_that_has_asked_may_take_longer_for_a_command(tmp_path):
-    """Its connection outlives the time by which a new one has to ask; the silent c2 tells when that is."""
-    begun = f"send c1 {PING}\nexpect c1 +PONG\nsend c1 raw *1\\r\\n\n"
-    limits = {"silent_ns": 10**8, "command_ns": 10**12, "tend_ns": 10**8}
-    play(
-        tmp_path,
-        READY + begun + "send c2 raw\nexpect c2 end\n" r"send c1 raw $4\r\nPING\r\n" + "\nexpect c1 +PONG",
-        limits=limits,
-    )
-    play(
-        tmp_path / "b",
-        READY + begun + "expect c1 -ERR*\nexpect c1 end",
-        limits=limits | {"command_ns": 10**8},
-    )
-
-
-def test_a_client_with_much_unanswered_is_read_no_further(tmp_path):
-    world = World(tmp_path, {"limits": {"pipelined": 2, "read_bytes": 512}})
-    try:
-        calls = "".join(encode(call("look", k)).decode() for k in range(1, 41))
-        world.play(READY)
-        world.send("c1", "raw", calls)
-        while world.counters()["requests"] < 3:
-            pass
-        world.play(f"send c2 {PING}\nexpect c2 +PONG")
-        assert world.counters()["requests"] <= 6
-    finally:
-        world.end()
-
-
-def test_more_clients_than_descriptors_wait_their_turn(tmp_path):
-    """26 of 60 descriptors are for clients: with a command begun on each, the others have to wait."""
-    asks = "".join(f"send c{k} raw *4\\r\\n\n" for k in range(10, 40))
-    play(
-        tmp_path,
-        READY + asks + "wait gw clients=26\nclose c10\nclose c11\nwait gw clients=28\n",
-        limits={"sockets": 60, "command_ns": 10**12},
-    )
-
-
-@pytest.mark.parametrize(
-    ("broken", "said"),
-    [
-        ({"settings": None}, "settings"),
-        ({"listen": "nowhere"}, "nowhere"),
-        ({"seed": "xyz"}, "xyz"),
-        ({"settings": {"classes": []}}, "key"),
-        ({"known": {"index": 1, "endpoints": [{"name": "a"}]}}, "known"),
-        ({"limits": {"idle_ns": 0}}, "limits"),
-        ("{", "not JSON"),
-        (None, "No such file"),
-        ([], ""),
-    ],
-)
-def test_a_bad_configuration_is_one_line_and_exit_2(tmp_path, broken, said):
-    path = tmp_path / "config.json"
-    table = {
-        "name": "n0",
-        "listen": "127.0.0.1:0",
-        "discovery": "127.0.0.1:1",
-        "seed": "1",
-        "settings": settings(),
-    }
-    if broken is not None:
-        path.write_text(
-            json.dumps(table | broken if isinstance(broken, dict) else broken) if broken != "{" else "{"
-        )
-    env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")} | {"RELAY_CONFIG": str(path)}
-    done = subprocess.run(
-        [sys.executable, "-m", "zincstile"], cwd=ROOT, env=env, capture_output=True, text=True
-    )
-    assert done.returncode == 2 and done.stdout == ""
-    assert len(done.stderr.splitlines()) == 1 and said in done.stderr
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,60 @@
+"""What a gateway still takes and answers after SIGTERM, over sockets."""
+
+from __future__ import annotations
+
+import time
+
+from scenario import READY, World, play
+
+
+def test_a_stop_takes_new_connections_for_a_while(tmp_path):
+    play(
+        tmp_path,
+        READY
+        + """
+        send gw TERM
+        expect gw stop with 0 sessions
+        send c1 look 1
+        expect a1 look 1
+        send a1 ok hello
+        expect c1 ok hello
+        expect c1 end
+        expect gw exit 0""",
+        limits={"drain_quiet_ns": 2 * 10**9},
+    )
+
+
+def test_a_stop_goes_on_while_calls_come_and_no_longer_than_its_time(tmp_path):
+    for limits in (
+        {"drain_quiet_ns": 10**9, "drain_ns": 10**12, "drain_most_ns": 10**13},
+        {"drain_quiet_ns": 10**12, "drain_ns": 15 * 10**8},
+    ):
+        tmp_path.mkdir(exist_ok=True)
+        world = World(tmp_path, {"limits": limits})
+        try:
+            world.play(READY + "send gw TERM\nexpect gw stop with 0 sessions")
+            end, number = time.monotonic() + 1.2, 0
+            while time.monotonic() < end:
+                number += 1
+                world.play(
+                    f"send c1 look {number} units=0.001\nexpect a1 look {number}\n"
+                    "send a1 ok x\nexpect c1 ok x"
+                )
+            world.play("expect c1 end\nexpect gw exit 0")
+        finally:
+            world.end()
+
+
+def test_a_stop_answers_what_can_not_be_waited_for(tmp_path):
+    play(
+        tmp_path,
+        READY
+        + """
+        send c1 look 1 d=90000
+        expect a1 look 1
+        send gw TERM
+        expect c1 -ERR failed
+        expect c1 end
+        expect gw exit 0""",
+        limits={"drain_most_ns": 10**9, "drain_ns": 1},
+    )
