Untie the circles of imports, and test that imports point down

Seen: tests/test_imports.py on the code before fails with the circle of cli.commands and cli, and with field.skewed's import of __main__; clock, network, process, loop, tcp and udp of virtual/ were one circle, by types only. Change: serve.py holds the gateway's start, which __main__ and field.skewed call; errors and the word on a missing library stand below the commands (cli/errors.py, cli/libraries.py; Told is BadInputError now). In virtual/ the scheduler and the network name what they need of a process as protocols; base_process.py is a process without its loop, which tcp, udp and the loop build on, and process.py puts both together. The test reads all modules with ast, imports in functions and for types among them, and holds them to a list of layers.

--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -8,9 +8,10 @@
 
 import pytest
 
+from zincstile.virtual.base_process import OWN
 from zincstile.virtual.clock import MS, SECOND, Scheduler, StuckError
 from zincstile.virtual.network import Network, Ways
-from zincstile.virtual.process import OWN, Process
+from zincstile.virtual.process import Process
 
 
 class Net:
--- a/zincstile/__main__.py
+++ b/zincstile/__main__.py
@@ -1,53 +1,22 @@
-"""Starts one real gateway: `python -m zincstile`, told where it is by RELAY_CONFIG and its like.
+"""`python -m zincstile`: without words one real gateway (`zincstile.serve`), on the standard library alone.
 
-With words after it, it is the command line (`zincstile.cli`), which is loaded only then.
+With words it is the command line (`zincstile.cli`), which is loaded only then.
 """
 
 from __future__ import annotations
 
-import signal
 import sys
 
 
-def serve() -> int:
-    """The gateway, to its end; the exit code."""
-    # Before anything that takes time: guards a start against a reload, whose signal would end it. What comes
-    # before the loop hears signals is kept, as the file may be older than what it tells.
-    early: list[int] = []
-    for number in (signal.SIGHUP, signal.SIGUSR1):
-        signal.signal(number, lambda number, _: early.append(number))
-    # The gateway speaks no TLS. asyncio does without `ssl` where there is none, which spares each start a
-    # twelfth of its CPU and the process 1.3 MB. Commands keep it: their libraries may want it.
-    sys.modules["ssl"] = None  # type: ignore[assignment]
-
-    import asyncio
-    import gc
-    import os
-
-    from .net.config import Config, ConfigError, load
-    from .net.gateway import Gateway
-
-    async def run(config: Config) -> None:
-        gateway = Gateway(config, asyncio.get_running_loop())
-        gc.freeze()  # what stands by now stays
-        await gateway.run(early)
-
-    try:
-        asyncio.run(run(load(os.environ)))
-    except ConfigError as err:
-        print(f"zincstile: {' '.join(str(err).split())}", file=sys.stderr)
-        return 2
-    except OSError as err:
-        print(f"zincstile: can't start: {err}", file=sys.stderr)
-        return 1
-    return 0
-
-
 def main(words: list[str]) -> int:
+    """Serves, or runs the command that the words name; returns the exit code."""
     if words:
         from .cli import main as command
 
         return command(words)
+
+    from .serve import serve
+
     return serve()
 
 
--- a/zincstile/cli/__init__.py
+++ b/zincstile/cli/__init__.py
@@ -7,21 +7,13 @@
 
 from __future__ import annotations
 
-import sys
+from .libraries import missing
 
 
 def main(words: list[str]) -> int:
-    """Runs the command that the words name; its exit code."""
+    """Runs the command that the words name; returns its exit code."""
     try:
         from .commands import run
     except ModuleNotFoundError as err:
         return missing(err)
     return run(words)
-
-
-def missing(err: ModuleNotFoundError) -> int:
-    """Tells which library a command needs."""
-    if (err.name or "").startswith("zincstile"):
-        raise err
-    print(f"zincstile: this command needs {err.name}: pip install 'zincstile[all]'", file=sys.stderr)
-    return 2
--- a/zincstile/cli/bound.py
+++ b/zincstile/cli/bound.py
@@ -11,7 +11,7 @@
 from ..net import features
 from ..shared import bound as by_loans
 from ..typed_yaml import FileError
-from .commands import Told
+from .errors import BadInputError
 
 WAYS, CUT_S = 2, 10.0  # of the cut that today's gossip is stated for, beside the loans
 
@@ -72,7 +72,7 @@
                 )
             features.check(file, settings, quotas)
     except FileError as err:
-        raise Told(str(err)) from None
+        raise BadInputError(str(err)) from None
     console.print(
         f"every bound to be endured is under {100 * settings.most_overshoot:g}% of a quota's " "minute"
     )
--- a/zincstile/cli/commands.py
+++ b/zincstile/cli/commands.py
@@ -7,7 +7,8 @@
 
 import click
 
-from . import missing
+from .errors import BadInputError
+from .libraries import missing
 
 # word: module beside this one, and what it is for
 GROUPS = {
@@ -19,16 +20,7 @@
 }
 
 
-class Told(click.ClickException):
-    """Bad input: one line, exit 2."""
-
-    exit_code = 2
-
-    def show(self, file=None) -> None:
-        print(f"zincstile: {' '.join(self.format_message().split())}", file=sys.stderr)
-
-
-class Lazy(click.Group):
+class LazyGroup(click.Group):
     """Loads a command's module when it is named, and not before."""
 
     def list_commands(self, ctx: click.Context) -> list[str]:
@@ -44,7 +36,7 @@
             formatter.write_dl([(name, text) for name, (_, text) in GROUPS.items()])
 
 
-@click.command(cls=Lazy, context_settings={"help_option_names": ["-h", "--help"]})
+@click.command(cls=LazyGroup, context_settings={"help_option_names": ["-h", "--help"]})
 def zincstile() -> None:
     """An admission gateway. Without words it serves, as RELAY_CONFIG says."""
 
@@ -56,7 +48,7 @@
     except click.exceptions.Exit as err:
         return err.exit_code
     except click.UsageError as err:
-        Told(err.format_message()).show()
+        BadInputError(err.format_message()).show()
         return 2
     except click.ClickException as err:
         err.show()
--- a/zincstile/cli/field.py
+++ b/zincstile/cli/field.py
@@ -13,7 +13,7 @@
 from ..typed_yaml import FileError
 from ..worlds import plan as plans
 from ..worlds.plan import Plan
-from .commands import Told
+from .errors import BadInputError
 
 
 @click.group("field")
@@ -28,10 +28,10 @@
     try:
         plan = plans.load(path)
     except FileError as err:
-        raise Told(str(err)) from None
+        raise BadInputError(str(err)) from None
     for name in ("gateways", "boxes"):
         if getattr(plan, name) > places.MOST:
-            raise Told(f"{path}: $.{name}: {places.MOST} at most")
+            raise BadInputError(f"{path}: $.{name}: {places.MOST} at most")
     if seed is not None:
         plan.seed = seed
     return plan
@@ -76,7 +76,7 @@
         if page is not None:
             pages.write([(found.plan, found)], Path(page))
     except (FileError, PlaceError, NotReadyError) as err:
-        raise Told(f"field: {err}") from None
+        raise BadInputError(f"field: {err}") from None
     for row in found.plans:
         click.echo(
             f"plan {row.plan}: {row.worst:.2f} units beyond a quota at most, stated {row.bound:.2f}; "
@@ -126,7 +126,7 @@
     known = places.KINDS if zones else shared.FAILURES
     for kind in kinds:
         if kind not in known:
-            raise Told(f"--kind {kind}: no such failure; there are {', '.join(known)}")
+            raise BadInputError(f"--kind {kind}: no such failure; there are {', '.join(known)}")
     chosen, began, done = seeds(span), time.monotonic(), []
     try:
         files = sweeps.features(features)
@@ -140,7 +140,7 @@
                 click.echo(f"{found.plan}: {found.line()}: {found.breaches[0].text}")
             print(f"{len(done)} of {len(chosen)}", file=sys.stderr, flush=True)
     except FileError as err:
-        raise Told(f"field: {err}") from None
+        raise BadInputError(f"field: {err}") from None
     click.echo(sweeps.table(done))
     broken = sum(not r.ok for r in done)
     click.echo(
@@ -190,7 +190,7 @@
 
     for wave in waves:
         if wave not in starts.WAVES:
-            raise Told(f"--wave {wave}: no such wave; there are {', '.join(starts.WAVES)}")
+            raise BadInputError(f"--wave {wave}: no such wave; there are {', '.join(starts.WAVES)}")
     plan = Plan(
         seed=seed, gateways=gateways, boxes=boxes, requests=0, asked=True, lists_per_s=per_s, one_address=True
     )
@@ -201,9 +201,9 @@
                 plan, Path(folder), Manners(per_s, **wrong), names, patience, sweeps.features(features)
             )
     except FileError as err:
-        raise Told(f"field: {err}") from None
+        raise BadInputError(f"field: {err}") from None
     except (PlaceError, NotReadyError, OSError) as err:
-        raise Told(f"field: {err}") from None
+        raise BadInputError(f"field: {err}") from None
     click.echo(starts.table(rows))
     return 0 if all(r.ready == r.gateways for r in rows) else 1
 
@@ -219,6 +219,6 @@
     try:
         pages.write([(Path(f).stem, results.read(f)) for f in files], Path(out))
     except FileError as err:
-        raise Told(str(err)) from None
+        raise BadInputError(str(err)) from None
     click.echo(f"{len(files)} results in {out}")
     return 0
--- a/zincstile/cli/place.py
+++ b/zincstile/cli/place.py
@@ -9,7 +9,7 @@
 from ..net import features
 from ..place.flows import ZoneView, flows
 from ..typed_yaml import FileError
-from .commands import Told
+from .errors import BadInputError
 
 
 @click.group("place")
@@ -31,11 +31,11 @@
             raise FileError(f"{file}: zones: none given; a dry run needs what each is asked for and bears")
         features.check_place(file, settings, names)
     except FileError as err:
-        raise Told(str(err)) from None
+        raise BadInputError(str(err)) from None
     gone = {z for word in (*lost, *drained) for z in settings.regions.get(word, (word,))}
     dead = {z for word in lost for z in settings.regions.get(word, (word,))}
     for word in gone - set(names):
-        raise Told(f"place: no zone or region is called {word}; there are {', '.join(names)}")
+        raise BadInputError(f"place: no zone or region is called {word}; there are {', '.join(names)}")
     views = [
         ZoneView(
             r.demand,
--- a/zincstile/cli/sim.py
+++ b/zincstile/cli/sim.py
@@ -14,7 +14,7 @@
 from ..typed_yaml import FileError
 from ..worlds import plan as plans
 from ..worlds.plan import Plan
-from .commands import Told
+from .errors import BadInputError
 
 
 @click.group("sim")
@@ -25,13 +25,13 @@
 
 def _plan(seed: int | None, path: str | None) -> Plan:
     if path is None and seed is None:
-        raise Told("sim: give --seed N or --plan FILE")
+        raise BadInputError("sim: give --seed N or --plan FILE")
     if path is None:
         return plans.draw(seed)
     try:
         plan = plans.load(path)
     except FileError as err:
-        raise Told(str(err)) from None
+        raise BadInputError(str(err)) from None
     if seed is not None:
         plan.seed = seed
     return plan
@@ -41,7 +41,7 @@
     """The rules to look at; all where none is named."""
     for name in names:
         if name not in NAMES:
-            raise Told(f"--rule {name}: no such rule; there are {', '.join(NAMES)}")
+            raise BadInputError(f"--rule {name}: no such rule; there are {', '.join(NAMES)}")
     return names or NAMES
 
 
@@ -52,7 +52,7 @@
     """`A:B`, A in and B out."""
     first, colon, last = text.partition(":")
     if not colon or not first.isdecimal() or not last.isdecimal() or int(first) >= int(last):
-        raise Told(f"--seeds {text}: not a range of seeds A:B with A below B")
+        raise BadInputError(f"--seeds {text}: not a range of seeds A:B with A below B")
     return range(int(first), int(last))
 
 
@@ -81,7 +81,7 @@
         try:
             Path(trace).write_text("\n".join([*world.network.trace, ""]), encoding="utf-8")
         except OSError as err:
-            raise Told(f"{trace}: {err.strerror}") from None
+            raise BadInputError(f"{trace}: {err.strerror}") from None
     if logs:
         sys.stdout.writelines(world.logs)
     kinds = ", ".join(f"{k} {n}" for k, n in sorted(result.tally.items()))
@@ -151,11 +151,11 @@
     plan = _plan(seed, path)
     found = smallest(plan, runs, lambda text: print(text, file=sys.stderr, flush=True), _rules(rules))
     if found is None:
-        raise Told(f"seed {plan.seed}: no rule is broken, there is nothing to shrink")
+        raise BadInputError(f"seed {plan.seed}: no rule is broken, there is nothing to shrink")
     try:
         Path(out).write_text(plans.dump(found.plan), encoding="utf-8")
     except OSError as err:
-        raise Told(f"{out}: {err.strerror}") from None
+        raise BadInputError(f"{out}: {err.strerror}") from None
     wanted = found.plan.requests if found.plan.only is None else len(found.plan.only)
     click.echo(
         f"{len(plan.faults)} faults and {plan.requests} requests came down to "
@@ -188,7 +188,9 @@
 
     unknown = set(only) - them.MUTANTS.keys()
     if unknown:
-        raise Told(f"--only {sorted(unknown)[0]}: no such mutant; there are {', '.join(them.MUTANTS)}")
+        raise BadInputError(
+            f"--only {sorted(unknown)[0]}: no such mutant; there are {', '.join(them.MUTANTS)}"
+        )
     missed = 0
     for row in them.try_all(only or tuple(them.MUTANTS), most, jobs):
         missed += row.seeds is None
@@ -203,7 +205,9 @@
 def _mutants_by_checkers(them: Any, jobs: int, only: tuple[str, ...]) -> int:
     unknown = set(only) - them.MUTANTS.keys()
     if unknown:
-        raise Told(f"--only {sorted(unknown)[0]}: no such mutant; there are {', '.join(them.MUTANTS)}")
+        raise BadInputError(
+            f"--only {sorted(unknown)[0]}: no such mutant; there are {', '.join(them.MUTANTS)}"
+        )
     missed = 0
     for name, said in them.try_all(only or tuple(them.MUTANTS), jobs):
         missed += not said
--- a/zincstile/field/skewed.py
+++ b/zincstile/field/skewed.py
@@ -7,14 +7,15 @@
 import sys
 import time
 
-from .. import __main__ as program
 from ..net.host import Host
+from ..serve import serve
 
 
 def main(words: list[str]) -> int:
+    """Shifts the Unix clock by the milliseconds that are named, then serves; returns the exit code."""
     shift_ns = int(float(words[0]) * 1_000_000)
     Host.unix_ns = staticmethod(lambda: time.time_ns() + shift_ns)
-    return program.main([])
+    return serve()
 
 
 if __name__ == "__main__":
--- a/zincstile/virtual/clock.py
+++ b/zincstile/virtual/clock.py
@@ -11,14 +11,9 @@
 import heapq
 import math
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
-
-if TYPE_CHECKING:
-    from .process import Process
+from typing import Any, Protocol
 
 MICROSECOND, MS, SECOND = 1_000, 1_000_000, 1_000_000_000
-
-
 STUCK = 20_000  # steps at one instant: code that asks for itself again and again
 
 
@@ -26,13 +21,21 @@
     """Time stands still: something asks to be called at once, for ever."""
 
 
+class Owner(Protocol):
+    """What the scheduler has to know of the process in which something happens."""
+
+    alive: bool
+    paused_ns: int  # nothing of it happens before then
+    loop: asyncio.AbstractEventLoop
+
+
 class Entry:
     """Something that will happen. It has what asyncio's handles have, so it may stand for one."""
 
     __slots__ = ("at_ns", "then", "args", "process")
 
     def __init__(
-        self, at_ns: int, then: Callable[..., Any], args: tuple[Any, ...], process: Process | None
+        self, at_ns: int, then: Callable[..., Any], args: tuple[Any, ...], process: Owner | None
     ) -> None:
         self.at_ns, self.then, self.args, self.process = at_ns, then, args, process
 
@@ -63,7 +66,7 @@
     def __len__(self) -> int:
         return len(self._heap)
 
-    def at(self, at_ns: int, then: Callable[..., Any], *args: Any, process: Process | None = None) -> Entry:
+    def at(self, at_ns: int, then: Callable[..., Any], *args: Any, process: Owner | None = None) -> Entry:
         """then(*args) at that time, or now where it has passed; in that process, which may have died by
         then."""
         entry = Entry(at_ns if at_ns > self.now_ns else self.now_ns, then, args, process)
--- a/zincstile/virtual/loop.py
+++ b/zincstile/virtual/loop.py
@@ -11,21 +11,19 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from . import tcp, udp
+from .base_process import BaseProcess
 from .clock import Entry
 
-if TYPE_CHECKING:
-    from .process import Process
-
 Factory = Callable[[], asyncio.BaseProtocol]
 
 
 class VirtualLoop(asyncio.AbstractEventLoop):
     """The loop of one process."""
 
-    def __init__(self, process: Process) -> None:
+    def __init__(self, process: BaseProcess) -> None:
         self.process, self.scheduler = process, process.scheduler
         self.signals: dict[int, tuple[Callable[..., Any], tuple[Any, ...]]] = {}
         self.readers: dict[int, tuple[tcp.Listener, Callable[..., Any], tuple[Any, ...]]] = {}
--- a/zincstile/virtual/network.py
+++ b/zincstile/virtual/network.py
@@ -8,21 +8,31 @@
 import hashlib
 import random
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import Any, Protocol
 
 from ..links import Links
 from .clock import MICROSECOND, MS, Scheduler
 
-if TYPE_CHECKING:
-    from .process import Process
-    from .tcp import Endpoint, Listener
-    from .udp import Datagrams
-
 Address = tuple[str, int]
 
 
+class Connection(Protocol):
+    """One side of a TCP connection, as the network knows it."""
+
+    def resume_held(self) -> None:
+        """Sends what was held back while the network was cut."""
+
+
+class Located(Protocol):
+    """A process, as the network knows it: the machine and the zone that it runs in, and its connections."""
+
+    host: str
+    zone: int
+    endpoints: Iterable[Connection]
+
+
 @dataclass(slots=True)
 class Ways:
     """How the network treats what crosses it. Times in nanoseconds, shares from 0 to 1."""
@@ -45,15 +55,15 @@
 
     def __init__(self, scheduler: Scheduler, rng: random.Random, ways: Ways | None = None) -> None:
         self.scheduler, self.rng, self.ways = scheduler, rng, ways or Ways()
-        self.processes: dict[str, Process] = {}
-        self.listeners: dict[Address, Listener] = {}
-        self.listening: dict[int, Listener] = {}  # by descriptor
-        self.bound: dict[Address, Datagrams] = {}
+        self.processes: dict[str, Located] = {}
+        self.listeners: dict[Address, Any] = {}  # `tcp.Listener`
+        self.listening: dict[int, Any] = {}  # the same, by descriptor
+        self.bound: dict[Address, Any] = {}  # `udp.Datagrams`
         self.mute: dict[str, None] = {}  # machines that nothing reaches or leaves
         self.lag_ns: dict[str, int] = {}  # machines whose ways are longer by so much
         self.cuts: dict[tuple[str, str], None] = {}  # machines between which nothing passes, both ways round
         self.links: Links | None = None  # what is wrong with datagrams between processes, by their names
-        self.on_connected: Callable[[Endpoint, Endpoint], None] | None = None  # who opened it, who took it
+        self.on_connected: Callable[[Any, Any], None] | None = None  # endpoints: who opened it, who took it
         self.trace: list[str] | None = None  # lines of all that happened, where it is kept
         self._digest = hashlib.blake2b(digest_size=8)
         self._lines: list[str] = []
@@ -92,7 +102,7 @@
         self._descriptors += 1
         return self._descriptors
 
-    def way_ns(self, a: Process, b: Process) -> int:
+    def way_ns(self, a: Located, b: Located) -> int:
         """One way from a to b, with this piece's jitter."""
         ways = self.ways
         base = ways.own_ns if a.host == b.host else ways.near_ns if a.zone == b.zone else ways.far_ns
--- a/zincstile/virtual/process.py
+++ b/zincstile/virtual/process.py
@@ -1,64 +1,18 @@
-"""A program on a machine of its own: its loop, descriptors, signals, pauses and end."""
+"""A program on a machine of its own: `base_process` with an event loop and signals."""
 
 from __future__ import annotations
 
-import errno
-import os
-from typing import TYPE_CHECKING
-
+from .base_process import BaseProcess
 from .loop import VirtualLoop
 
-if TYPE_CHECKING:
-    from .network import Network
-    from .tcp import Endpoint, Listener
-    from .udp import Datagrams
-
-OWN = 8  # descriptors that a Python process with a loop holds before it opens anything
-
-
-class Process:
-    """Starts when it is made. Its end is sudden: what it had planned never happens."""
-
-    def __init__(
-        self,
-        network: Network,
-        name: str,
-        host: str,
-        zone: int = 0,
-        descriptors: int = 1 << 20,
-        quantum_ns: int = 1,
-    ) -> None:
-        self.network, self.scheduler, self.name, self.host = network, network.scheduler, name, host
-        self.zone, self.descriptors, self.quantum_ns = zone, descriptors, quantum_ns
-        self.alive = True
-        self.paused_ns = 0  # nothing of it happens before then
-        self.opened = self.most_opened = OWN
-        self.endpoints: dict[Endpoint, None] = {}
-        self.listeners: dict[Listener, None] = {}
-        self.datagrams: dict[Datagrams, None] = {}
-        self.loop = VirtualLoop(self)
-        network.processes[self.name] = self
 
-    def ready_ns(self, at_ns: int) -> int:
-        """When it gets to what is ready at that time: it looks once a quantum, and so finds several
-        things."""
-        quantum = self.quantum_ns
-        return -(-at_ns // quantum) * quantum if quantum > 1 else at_ns
+class Process(BaseProcess):
+    """A process with its event loop."""
 
-    def take_descriptor(self) -> None:
-        """OSError with EMFILE where it holds as many as it may."""
-        if self.opened >= self.descriptors:
-            raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
-        self.opened += 1
-        if self.opened > self.most_opened:
-            self.most_opened = self.opened
+    loop: VirtualLoop
 
-    def give_descriptor(self) -> None:
-        self.opened -= 1
-
-    def pause(self, for_ns: int) -> None:
-        """It gets no CPU for so long, while its machine goes on taking what comes."""
-        self.paused_ns = max(self.paused_ns, self.scheduler.now_ns + for_ns)
+    def _make_loop(self) -> VirtualLoop:
+        return VirtualLoop(self)
 
     def signal(self, number: int) -> None:
         """Its handler runs in its loop; without one the signal ends it."""
@@ -69,18 +23,3 @@
             self.kill()
         else:
             self.loop.call_soon(found[0], *found[1])
-
-    def kill(self) -> None:
-        """Its connections are reset, its addresses refuse, and its machine forgets it."""
-        if not self.alive:
-            return
-        self.alive = False
-        self.network.note("killed", self.name)
-        for listener in list(self.listeners):
-            listener.close()
-        for endpoint in list(self.endpoints):
-            endpoint.cut()
-        for datagrams in list(self.datagrams):
-            datagrams.cut()
-        if self.network.processes.get(self.name) is self:
-            del self.network.processes[self.name]
--- a/zincstile/virtual/tcp.py
+++ b/zincstile/virtual/tcp.py
@@ -13,13 +13,11 @@
 import os
 from collections import deque
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
+from .base_process import BaseProcess
 from .clock import MS, SECOND
-
-if TYPE_CHECKING:
-    from .network import Address
-    from .process import Process
+from .network import Address
 
 MORE = 262144  # largest read of a protocol that is not buffered, as asyncio's
 HIGH = 65536  # asyncio's usual mark of a transport's buffer
@@ -28,7 +26,7 @@
 class Endpoint(asyncio.Transport):
     """One side of a connection."""
 
-    def __init__(self, process: Process, local: Address, remote: Address) -> None:
+    def __init__(self, process: BaseProcess, local: Address, remote: Address) -> None:
         super().__init__()
         self.process, self.network, self.local, self.remote = process, process.network, local, remote
         self.peer: Endpoint | None = None
@@ -348,7 +346,7 @@
 class Listener:
     """A listening socket, with the machine's line of connections that nobody has taken yet."""
 
-    def __init__(self, process: Process, address: Address, backlog: int) -> None:
+    def __init__(self, process: BaseProcess, address: Address, backlog: int) -> None:
         self.process, self.network = process, process.network
         host, port = address
         self.address = host, port or self.network.port()
@@ -420,7 +418,9 @@
 class Server:
     """What `create_server` gives: takes every connection at once and makes a protocol for it."""
 
-    def __init__(self, process: Process, address: Address, backlog: int, factory: Callable[[], Any]) -> None:
+    def __init__(
+        self, process: BaseProcess, address: Address, backlog: int, factory: Callable[[], Any]
+    ) -> None:
         self.process, self._factory = process, factory
         self._listener = Listener(process, address, backlog)
         self._listener.watch(self._take)
@@ -444,7 +444,7 @@
         return None
 
 
-async def connect(process: Process, address: Address) -> Endpoint:
+async def connect(process: BaseProcess, address: Address) -> Endpoint:
     """A connection that is up. OSError where it is refused or no descriptor is left; where the other machine
     is silent or its line is full it never comes up, and the caller has to give up by itself."""
     process.take_descriptor()
--- a/zincstile/virtual/udp.py
+++ b/zincstile/virtual/udp.py
@@ -5,19 +5,17 @@
 import asyncio
 import errno
 import os
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
+from .base_process import BaseProcess
 from .clock import SECOND
-
-if TYPE_CHECKING:
-    from .network import Address
-    from .process import Process
+from .network import Address
 
 
 class Datagrams(asyncio.DatagramTransport):
     """A bound socket, and the transport on it."""
 
-    def __init__(self, process: Process, address: Address, protocol: Any) -> None:
+    def __init__(self, process: BaseProcess, address: Address, protocol: Any) -> None:
         super().__init__()
         self.process, self.network, self.protocol = process, process.network, protocol
         self.address = address[0], address[1] or self.network.port()
