--- /dev/null
+++ b/zincstile/field/emulated.py
@@ -0,0 +1,144 @@
+"""The emulated services of a run: backends with their entries in discovery's list, and quota services."""
+
+from __future__ import annotations
+
+import random
+import time
+from dataclasses import replace
+from typing import Any
+
+from ..links import Trouble, between
+from ..standin.counter import Counter
+from ..standin.discovery import Entry
+from ..standin.guidebox import GuideBox, Model
+from ..worlds import traffic
+from . import places
+from .gate import Gate, Ground
+from .members import Place, Seat
+from .sight import Tap
+from .testbed import MS, RACKS, Testbed
+
+MOST_SPEED_FACTOR = 1.3  # by which the cores' speed differs at most
+
+
+class _BackendGate(Gate):
+    """A connection to a fake backend: what comes is also read by a tap."""
+
+    def connection_made(self, transport: Any) -> None:
+        super().connection_made(transport)
+        self.tap = Tap(self.ground.ears, self.gateway, self.ground.place)
+
+    def data_received(self, data: bytes) -> None:
+        self.tap.feed(data)
+        super().data_received(data)
+
+
+class EmulatedServices(Testbed):
+    """Starts, stops and disturbs the emulated services, as a plan's faults ask for it."""
+
+    # ---- backends and their list
+
+    def _entry_for(self, entry: Entry, gateway: int) -> Entry:
+        """With the address by which that gateway finds it, on its clock."""
+        place = self.places.get(entry.name)
+        seer = places.ALL if self.plan.one_address else gateway
+        return entry if place is None else replace(entry, address=place.ground.address(seer))
+
+    def box(self, zone: int, cold: bool, cell: int | None = None, at: Place | None = None) -> Place:
+        """A new backend of drawn speed and size; at another's address where one is given."""
+        self._backends_made += 1
+        number, name = self._backends_made, f"s-{self._backends_made:02x}"
+        rng = random.Random(f"box {self.plan.seed} {number}")
+        cell = number % RACKS if cell is None else cell
+        model = Model(
+            cores=1 + (number % 3 == 0),
+            speed=rng.uniform(1 / MOST_SPEED_FACTOR, MOST_SPEED_FACTOR),
+            places=rng.randint(8, 24),
+            work_ns={n: ms * MS for n, ms in traffic.WORK_MS.items()},
+            cold_share=0.25,
+            warm_s=traffic.WARM_MS / 1000,
+            drops_left=self.plan.drops_left,
+        )
+        return self._start_backend(name, zone, cell, model, cold, at)
+
+    def _start_backend(
+        self, name: str, zone: int, cell: int, model: Model, cold: bool, at: Place | None
+    ) -> Place:
+        """A backend begins to listen, and its invariants begin to be watched."""
+        number = at.number if at else (self._backends_made - 1) % places.MOST
+        ground = Ground(self.loop, self.links, name, places.BOX, number, self.names)
+        ground.gate, ground.ears, ground.stays = _BackendGate, self.ears, True
+        if at is not None:
+            ground.port = at.ground.port
+        rng = random.Random(f"{name} {self.plan.seed} {self._backends_made}")
+        box = GuideBox(ground, name, model, self.racks[cell], rng, self.ears, cold)  # type: ignore[arg-type]
+        box.gateway_of = lambda gate: gate.gateway  # type: ignore[attr-defined]
+        self._spawn(box.start(""))
+        since = int(time.time() * 1000) if cold else 0
+        entry = Entry(name, "", traffic.ZONES[zone], "std", cell, "Ready", 1.0, since)
+        self.referee.boxes[name] = zone, cell
+        self.referee.cold.began(name, since, box.capacity, lambda: box.warmth() >= 1)
+        self.places[name] = Place(entry, box, ground, zone, model, number)
+        return self.places[name]
+
+    def box_again(self, old: Place) -> Place:
+        """The same backend, started again and cold."""
+        zone, cell = self.referee.boxes[old.entry.name]
+        return self._start_backend(old.entry.name, zone, cell, replace(old.model, hangs=False), True, old)
+
+    def box_runs(self, place: Place) -> bool:
+        """It was not killed."""
+        return place.alive
+
+    def kill_box(self, place: Place) -> None:
+        """Its connections break, and it takes no new ones."""
+        place.alive = False
+        place.ground.close()
+
+    def accept_box(self, place: Place) -> None:
+        """It takes connections again, if it took none."""
+        if place.alive and not place.ground.listens:
+            self._spawn(place.box.start(""))
+
+    def reset_box(self, place: Place) -> None:
+        """Its connections break; it goes on."""
+        place.ground.break_all()
+
+    def hush_box(self, place: Place, silent: bool) -> None:
+        """No gateway reaches it any more, or all do again."""
+        self._set_trouble(("hush", place), between(self.names, [place.entry.name]), Trouble(cut=True), silent)
+
+    def lag_box(self, place: Place, ms: float) -> None:
+        """What passes between it and the gateways is late by so much; 0: no more."""
+        self._set_trouble(
+            ("lag", place), between(self.names, [place.entry.name]), Trouble(delay_s=ms / 1000), ms > 0
+        )
+
+    def part(self, seat: Seat, place: Place, apart: bool) -> None:
+        """One gateway and this backend reach each other no more, or do again."""
+        self._set_trouble((seat, place), between([seat.name], [place.entry.name]), Trouble(cut=True), apart)
+
+    # ---- quota services
+
+    def counter(self, number: int) -> Counter:
+        """The quota service of that number."""
+        return self.counters[number][0]
+
+    def start_counter(self, number: int) -> None:
+        """Starts a quota service that knows nothing yet, at the address of the one before it."""
+        ground = Ground(self.loop, self.links, "keeper", places.KEEPER, number, self.names)
+        ground.stays = True
+        if number in self.counters:
+            ground.port = self.counters[number][1].port
+        counter = Counter(ground)  # type: ignore[arg-type]
+        counter.open = True
+        self.counters[number] = counter, ground
+        self._spawn(counter.start(""))
+
+    def kill_counter(self, number: int) -> None:
+        """Its connections break, and it takes no new ones."""
+        self.counters[number][1].close()
+
+    def hush_counter(self, silent: bool) -> None:
+        """No gateway reaches a quota service any more, or all do again."""
+        self._set_trouble("keeper", between(self.names, ["keeper"]), Trouble(cut=True), silent)
--- /dev/null
+++ b/zincstile/field/gateways.py
@@ -0,0 +1,192 @@
+"""The gateways of a run: real processes, started, signalled and upgraded as the platform does it."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import random
+import signal
+import socket
+from pathlib import Path
+from typing import Any
+
+from ..standin.clients import Rude
+from ..worlds import traffic
+from . import places
+from .members import Seat
+from .programs import Program, told
+from .testbed import MS, Testbed
+
+GONE_S = 12.0  # a process that was told to end may take so long
+UPGRADE_S = 10.0  # an upgrade waits so long for its new version
+
+
+class GatewayProcesses(Testbed):
+    """Starts, stops and disturbs the gateways, as a plan's faults ask for it, and reads their logs."""
+
+    # ---- configuration
+
+    def _listening_socket(self, seat: Seat) -> socket.socket:
+        """The clients' socket, held here for all versions of a gateway."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((places.gateway(self.block, seat.number), places.CLIENTS_PORT))
+        sock.listen(1024)
+        return sock
+
+    def _write_configuration(self, seat: Seat) -> Path:
+        """Writes a gateway's configuration file as it has to be now."""
+        plan, number = self.plan, seat.number
+        seed = random.Random(f"{seat.name} {plan.seed} {seat.starts}").getrandbits(64)
+        table = traffic.configuration(
+            plan,
+            number,
+            seat.listen,
+            seat.discovery,
+            self.datagrams.peers(number),
+            seed,
+            self._known_list(seat),
+        )
+        if self.features:
+            table["features"] = self.features
+        if self.counters:
+            table["counter"] = self.counters[seat.counter][1].address(number)
+        if self._upgrades:
+            table["control"] = f"{places.gateway(self.block, number)}:{places.CONTROL_PORT + seat.starts}"
+        path = seat.folder / "config.json"
+        path.write_text(json.dumps(table), encoding="utf-8")
+        return path
+
+    def _known_list(self, seat: Seat) -> dict[str, Any]:
+        """The list that a gateway starts with."""
+        return seat.agent.whole() if self.plan.known else {}
+
+    # ---- processes
+
+    def start_gateway(self, seat: Seat) -> None:
+        """Starts it as the platform does: from nothing but its file and the last list."""
+        self._keep_counters(seat)
+        seat.starts += 1
+        seat.stopping = False
+        self.referee.started(seat.name)
+        seat.program = self._start_program(seat)
+
+    def _start_program(self, seat: Seat) -> Program:
+        env = {"RELAY_CONFIG": str(self._write_configuration(seat)), "TMPDIR": str(seat.folder / "tmp")}
+        words = ["-m", "zincstile"]
+        if seat.skew_ns:
+            words = ["-m", "zincstile.field.skewed", str(seat.skew_ns / MS)]
+        if seat.socket is not None:
+            env["RELAY_SOCKET_FD"] = str(seat.socket.fileno())
+        return Program(
+            words,
+            env,
+            seat.folder / "log",
+            self.folder,
+            seat.socket.fileno() if seat.socket is not None else None,
+        )
+
+    def _keep_counters(self, seat: Seat) -> None:
+        """Adds what the process that ends has counted to what is kept of its gateway."""
+        if seat.program is not None:
+            self._read_log(seat)
+            for name, n in seat.latest.items():
+                seat.counters[name] = seat.counters.get(name, 0) + n
+            seat.latest = {}
+
+    def running(self, seat: Seat) -> bool:
+        """A process of it is alive."""
+        return seat.program is not None and seat.program.alive
+
+    def kill(self, seat: Seat) -> None:
+        """SIGKILL."""
+        if self.running(seat):
+            self.referee.ended(seat.name)
+            seat.program.kill()
+
+    def terminate(self, seat: Seat) -> None:
+        """SIGTERM, once for each process."""
+        if self.running(seat) and not seat.stopping:
+            seat.stopping = True
+            self.referee.event(f"{seat.name} gets SIGTERM")
+            seat.program.terminate()
+
+    def pause(self, seat: Seat, ms: float) -> None:
+        """It gets no processor time for so long."""
+        self.referee.paused(seat.name, int(ms * MS))
+        seat.program.signal(signal.SIGSTOP)
+        self.after(ms, seat.program.signal, signal.SIGCONT)
+
+    def reload(self, seat: Seat) -> None:
+        """SIGHUP, with the file as it has to be now."""
+        self._write_configuration(seat)
+        seat.program.signal(signal.SIGHUP)
+
+    def move_discovery(self, seat: Seat) -> None:
+        """Its discovery listens at a new address too, which the file names from now on."""
+        self._spawn(self._move_discovery(seat))
+
+    async def _move_discovery(self, seat: Seat) -> None:
+        await seat.agent.start("")
+        seat.discovery = seat.ground.address(seat.number)
+
+    def upgrade(self, seat: Seat) -> None:
+        """The next version takes over on the same socket, unless one is doing so already."""
+        if self.running(seat) and seat.older is None and not seat.stopping:
+            self._spawn(self._upgrade(seat))
+
+    async def _upgrade(self, seat: Seat) -> None:
+        """The next version starts beside this one; once it is ready, this one gets SIGTERM."""
+        seat.starts += 1
+        seat.older, seat.program = seat.program, self._start_program(seat)
+        newer, older = seat.program, seat.older
+        text = b" ready with "
+        await self._wait_for(
+            lambda: newer.log.read_bytes().count(text) >= seat.starts or not newer.alive, UPGRADE_S
+        )
+        older.terminate()
+        await self._wait_for(lambda: not older.alive, GONE_S)
+        older.kill()
+        self._read_log(seat)
+        seat.older = None
+
+    def rude(self, seat: Seat, client: Rude) -> None:
+        """A client that keeps to no protocol connects."""
+        self._spawn(self._connect_rude(seat, client))
+
+    async def _connect_rude(self, seat: Seat, client: Rude) -> None:
+        host, port = seat.listen.split(":")
+        with contextlib.suppress(OSError):
+            await self.loop.create_connection(lambda: client, host, int(port))
+
+    # ---- logs
+
+    def _check_exits(self) -> None:
+        """Reports processes that ended without having been told to."""
+        for seat in self.seats:
+            program = seat.program
+            if program is not None and not program.alive and not program.asked_to_end:
+                program.asked_to_end = True
+                code = program.process.returncode
+                self.referee.fault(seat.name, f"the process ended by itself, exit {code}")
+                self.referee.ended(seat.name)
+
+    def _read_log(self, seat: Seat) -> None:
+        """Takes in what its processes have logged since the last time: faults, counters, state."""
+        for program in (seat.older, seat.program):
+            for line in program.news() if program is not None else ():
+                program.up = program.up or " start listening on " in line
+                if " fault " in line:
+                    self.referee.fault(seat.name, line.split(" fault ", 1)[1])
+                found = told(line, "counters")
+                if found is not None and program is seat.program:
+                    seat.latest = found
+                    self._record_figures(seat, found)
+                believed = told(line, "state")
+                if believed is not None and program is seat.program:
+                    seat.believes = believed
+                    self._record_figures(seat, believed)
+
+    def _record_figures(self, seat: Seat, found: dict[str, float]) -> None:
+        key = int(self.loop.time() - self.began_s), seat.name
+        self.series.figures.setdefault(key, {}).update(found)
--- /dev/null
+++ b/zincstile/field/members.py
@@ -0,0 +1,57 @@
+"""Who takes part in a run: a gateway's place in the tier, and a fake backend with its entry in the list."""
+
+from __future__ import annotations
+
+import socket
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from ..standin.discovery import Agent, Entry
+from ..standin.guidebox import GuideBox, Model
+from ..worlds import traffic
+from .gate import Ground
+from .programs import Program
+
+
+@dataclass(slots=True, eq=False)
+class Seat:
+    """A gateway's place in the tier, and its processes: it stays while they come and go."""
+
+    number: int
+    name: str
+    agent: Agent
+    ground: Ground
+    listen: str
+    folder: Path
+    discovery: str = ""
+    skew_ns: int = 0
+    starts: int = 0
+    moves: int = 0
+    counter: int = 0
+    stopping: bool = False
+    program: Program | None = None
+    older: Program | None = None  # serves beside the newer one
+    socket: socket.socket | None = None
+    counters: dict[str, float] = field(default_factory=dict)  # of the processes that are no more
+    latest: dict[str, float] = field(default_factory=dict)  # of the one that runs
+    believes: dict[str, float] = field(default_factory=dict)
+    memory_kb: int = 0
+    ready_s: float = 0.0
+
+    @property
+    def zone(self) -> int:
+        """Gateways go round the zones by their numbers."""
+        return self.number % len(traffic.ZONES)
+
+
+@dataclass(slots=True, eq=False)
+class Place:
+    """A fake backend, with its entry in discovery's list."""
+
+    entry: Entry
+    box: GuideBox
+    ground: Ground
+    zone: int
+    model: Model
+    number: int
+    alive: bool = True
--- a/zincstile/field/start.py
+++ b/zincstile/field/start.py
@@ -90,7 +90,7 @@
     async def waves(self, names: list[str]) -> list[StartRow]:
         """Plays them one after another, on one fleet. PlaceError, OSError."""
         self.loop = asyncio.get_running_loop()
-        self.loop.set_exception_handler(self._caught)
+        self.loop.set_exception_handler(self._on_loop_error)
         with places.block() as self.block:
             try:
                 await self._places()
@@ -99,7 +99,7 @@
                 if self.referee.breaches:
                     raise NotReadyError(self.referee.breaches[0].text)
             finally:
-                self._end()
+                self._clean_up()
         return self.rows
 
     async def _places(self) -> None:
@@ -108,7 +108,7 @@
         for seat in self.seats:
             seat.agent.asked = self.service.ask
 
-    def _known(self, seat: Seat) -> dict:
+    def _known_list(self, seat: Seat) -> dict:
         return {}
 
     # ---- the waves
--- /dev/null
+++ b/zincstile/field/summary.py
@@ -0,0 +1,90 @@
+"""What came of a run, gathered from all of its parts into one result."""
+
+from __future__ import annotations
+
+import math
+
+from ..worlds import traffic
+from .members import Seat
+from .result import BreachRow, FieldResult, GatewayRow, PlanRow, latencies
+from .testbed import Testbed
+
+
+def summary(run: Testbed) -> FieldResult:
+    """The result of a run that has ended."""
+    referee, breaches = run.referee, _breaches(run)
+    return FieldResult(
+        plan=run.name,
+        seed=run.plan.seed,
+        gateways=run.plan.gateways,
+        boxes=run.plan.boxes,
+        faults=[f"{f.kind} at {f.at_ms} for {f.for_ms}" for f in run.plan.faults],
+        seconds=round(run.lasted_s, 2),
+        ok=not breaches,
+        requests=referee.counts["asked"],
+        attempts=referee.counts["attempts"],
+        tally=_tally(run),
+        plans=_plans(run),
+        nearest={
+            "cold": round(referee.cold.nearest, 4),
+            "ceiling": round(referee.ceilings.nearest, 4),
+            "quota": round(referee.quotas.nearest, 4),
+        },
+        rows=[_gateway(run, seat) for seat in run.seats],
+        breaches=breaches,
+        latency_ms=latencies(run.front.waits_s),
+        links=dict(run.links.counts),
+        series=run.series.rows(run.names),
+        events=run.events,
+        ready_s={seat.name: round(seat.ready_s, 3) for seat in run.seats},
+    )
+
+
+def _gateway(run: Testbed, seat: Seat) -> GatewayRow:
+    """One gateway, with the counters of all its processes."""
+    names = {*seat.counters, *seat.latest}
+    return GatewayRow(
+        name=seat.name,
+        zone=traffic.ZONES[seat.zone],
+        starts=seat.starts,
+        datagrams=run.datagrams.sent[seat.number],
+        datagram_bytes=run.datagrams.bytes[seat.number],
+        counters={name: seat.counters.get(name, 0) + seat.latest.get(name, 0) for name in names},
+        memory_kb=seat.memory_kb,
+    )
+
+
+def _tally(run: Testbed) -> dict[str, int]:
+    """Requests by what became of them."""
+    tally: dict[str, int] = {}
+    for (_, kind), count in run.front.tally.items():
+        tally[kind] = tally.get(kind, 0) + count
+    return tally
+
+
+def _plans(run: Testbed) -> list[PlanRow]:
+    """Each plan's quota over all gateways, beside the bound that is stated for it."""
+    return [
+        PlanRow(
+            plan=plan,
+            worst=round(worst, 3),
+            bound=0.0 if bound == math.inf else round(bound, 3),
+            sent=round(sent, 2),
+            best=round(best, 2),
+        )
+        for plan, (worst, bound, sent, best) in sorted(run.referee.quotas.by_plan().items())
+    ]
+
+
+def _breaches(run: Testbed) -> list[BreachRow]:
+    """Broken rules, by the seconds since the load began."""
+    return [
+        BreachRow(
+            rule=breach.rule,
+            at_s=round(breach.at_ns / 1e9 - run.began_s, 3),
+            request=breach.request,
+            text=breach.text,
+            history=breach.history,
+        )
+        for breach in run.referee.breaches
+    ]
--- /dev/null
+++ b/zincstile/field/testbed.py
@@ -0,0 +1,125 @@
+"""The state of one run that all parts of it share, and the small tools that they share with it.
+
+Times that a rule allows are wider here by `SLACK_NS`, since this machine runs everything at once; bounds and
+counts are exact.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Coroutine
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+from ..links import Links, Trouble
+from ..rules.referee import Referee
+from ..standin.clients import Front, Want
+from ..standin.counter import Counter
+from ..standin.discovery import Roster
+from ..standin.guidebox import Rack
+from ..worlds import traffic
+from ..worlds.plan import Plan
+from .datagrams import Datagrams
+from .gate import Ground
+from .members import Place, Seat
+from .sight import Ears, Series
+
+MS = 1_000_000
+SLACK_NS = 1500 * MS  # of what has to be done in time, on a machine that does all at once
+LOOK_S = 0.02  # between two looks at a condition
+RACKS = 3  # that the backends stand in
+
+
+class Testbed:
+    """The state of one run, with real processes. `features`: files that every gateway is told of, by name."""
+
+    # Made when the run begins:
+    loop: asyncio.AbstractEventLoop
+    block: int  # of loopback addresses, this run's own
+    datagrams: Datagrams
+    front: Front
+    lasted_s: float
+
+    def __init__(
+        self,
+        plan: Plan,
+        folder: Path,
+        name: str = "",
+        features: dict[str, str] | None = None,
+        stated: dict[str, tuple[float, float, float]] | None = None,
+        opening: dict[str, float] | None = None,
+    ) -> None:
+        self.plan, self.folder, self.name = plan, folder, name or f"seed {plan.seed}"
+        self.features = features or {}
+        self.rng = random.Random(f"field {plan.seed}")
+        self.links = Links(random.Random(f"links {plan.seed}"))
+        self.base = Trouble(loss=plan.udp_loss, twice=plan.udp_twice)
+        figures = traffic.figures()
+        figures = replace(
+            figures,
+            answer_grace_ns=figures.answer_grace_ns + SLACK_NS,
+            drain_ns=figures.drain_ns + SLACK_NS,
+            told_at_most_ns=figures.told_at_most_ns + SLACK_NS,
+            cold_slack_ns=2 * figures.cold_slack_ns,
+        )
+        self.stated, self.opening = stated or traffic.quotas(), opening
+        self.referee = Referee(figures, lambda: (0, time.monotonic_ns()))
+        self.series = Series()
+        self.began_s = time.monotonic()
+        self.ears = Ears(self.referee, self.series, lambda: self.began_s)
+        self.roster = Roster(self.ears)
+        self.racks = [Rack(traffic.KEYED_MS / 1000) for _ in range(RACKS)]
+        self.places: dict[str, Place] = {}
+        self.boxes: list[str] = []
+        self.seats: list[Seat] = []
+        self.shares: dict[tuple[int, str], float] = {}
+        self.weights = random.Random(f"weights {plan.seed}")
+        self.drawn_to: list[dict[str, None]] = []
+        self.counters: dict[int, tuple[Counter, Ground]] = {}
+        self.events: list[tuple[float, str]] = []
+        self.names = [f"g{k}" for k in range(plan.gateways)]
+        self._backends_made = 0
+        self._tasks: dict[asyncio.Task, None] = {}
+        self._active_troubles: dict[Any, Any] = {}  # what takes away the troubles that faults laid
+        self._upgrades = any(f.kind == "upgrade" for f in plan.faults)
+        self._first_start_s = 0.0
+
+    def _on_loop_error(self, _: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """An error of the testbed itself: a run that has one proves nothing."""
+        err = context.get("exception")
+        self.referee.breach("progress", f"the field: {type(err).__name__}: {err} ({context.get('message')})")
+
+    async def _wait_for(self, condition: Callable[[], Any], seconds: float) -> bool:
+        """True once the condition holds, False where it does not within the time."""
+        until = time.monotonic() + seconds
+        while not condition():
+            if time.monotonic() > until:
+                return False
+            await asyncio.sleep(LOOK_S)
+        return True
+
+    def _spawn(self, coro: Coroutine) -> None:
+        """Runs a coroutine beside everything else; what is left of it at the end of the run is cancelled."""
+        task = self.loop.create_task(coro)
+        self._tasks[task] = None
+        task.add_done_callback(lambda done: self._tasks.pop(done, None))
+
+    def _set_trouble(self, key: Any, pairs: Any, trouble: Trouble, on: bool) -> None:
+        """Lays a trouble on ways under this key, or takes away the one that lies there."""
+        if key in self._active_troubles:
+            self._active_troubles.pop(key)()
+        if on:
+            self._active_troubles[key] = self.links.lay(pairs, trouble)
+
+    def after(self, ms: float, then: Callable[..., Any], *args: object) -> None:
+        """Calls `then` that many milliseconds from now."""
+        self.loop.call_later(ms / 1000, then, *args)
+
+    def note(self, what: str, where: str) -> None:
+        """Nothing is recorded step by step: real processes have no steps that are ours."""
+
+    def _weigh_gateways(self, want: Want, names: list[str]) -> list[float]:
+        return traffic.weigh(self, want, names)  # type: ignore[arg-type]
