Part shared/loans.py into leases, messages, records, clock and rendezvous hashing, by the field's names

Bytes on the wire and keys in the log are as before. loans.py keeps the earlier names for worlds/search and worlds/mutants_shared, with the attributes that these read, until those are renamed.

--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -20,9 +20,10 @@
 from zincstile.shared import words
 from zincstile.shared.bound import bounds, gossip, holders, opening, refused, turn_most
 from zincstile.shared.judges import EVERY, Evidence, Judges
+from zincstile.shared.lease_messages import LeaseGrant, LeaseRelease, LeaseRequest
 from zincstile.shared.levels import Levels, LevelWord
-from zincstile.shared.loans import Ask, Close, Grant, holding
 from zincstile.shared.module import SharedPolicy
+from zincstile.shared.rendezvous import choose_holders
 from zincstile.shared.settings import FAILURES, MS, SECOND, SharedSettings
 from zincstile.shared.slots import SlotAsk, SlotClose, SlotGrant, Slots
 from zincstile.worlds import mutants_shared, plan, search, shared, shared_trials, traffic
@@ -112,17 +113,17 @@
 def test_holders_are_the_same_wherever_they_are_asked_for_and_shared_out_evenly():
     row, count = tuple(range(24)), [0] * 24
     for key in range(3000):
-        held_by = holding(key, row, 4)
-        assert held_by == holding(key, row[::-1], 4) and len(set(held_by)) == 4
+        held_by = choose_holders(key, row, 4)
+        assert held_by == choose_holders(key, row[::-1], 4) and len(set(held_by)) == 4
         for one in held_by:
             count[one] += 1
     assert min(count) > 400 and max(count) < 600
 
 
 WORDS = [
-    Ask(1, 2**33 - 1, 3, 24, 23, 2**32 - 1, 5.5, 1.25, 9),
-    Grant(1, 7, 8, 2.5, 0.125, 3, 2**32 - 1),
-    Close(1, 7, 8, 1.5, 77),
+    LeaseRequest(1, 2**33 - 1, 3, 24, 23, 2**32 - 1, 5.5, 1.25, 9),
+    LeaseGrant(1, 7, 8, 2.5, 0.125, 3, 2**32 - 1),
+    LeaseRelease(1, 7, 8, 1.5, 77),
     SlotAsk(1, 2**40, 2, 3, 1, 5),
     SlotGrant(1, 7, 8, True, 9),
     SlotClose(1, 7, 8, 9),
@@ -146,7 +147,7 @@
 
 def test_units_never_grow_on_their_way():
     for units in (0.1, 1 / 3, 2.9999999, 5.0005):
-        ((_, (grant,)),) = [words.unpack(d) for d in words.pack(1, [Grant(0, 1, 2, units, units, 1, 1)])]
+        ((_, (grant,)),) = [words.unpack(d) for d in words.pack(1, [LeaseGrant(0, 1, 2, units, units, 1, 1)])]
         assert units - 0.001 < grant.units <= units
 
 
--- a/zincstile/shared/module.py
+++ b/zincstile/shared/module.py
@@ -1,6 +1,6 @@
 """The decision module with its shared state held within stated bounds.
 
-Quotas by parts and loans (`loans`), judgements on servers by witnesses (`judges`), and a stated most
+Quotas by parts and leases (`leases`), judgements on servers by witnesses (`judges`), and a stated most
 for what all gateways have out (`levels`), in place of the gossip's shares, its sum of words and the
 level's free rise. All else is `policy.Policy`'s: budget, draws, choice of server, attempts. The gossip
 goes on beside it, for ceilings and limits on attempts out.
@@ -19,8 +19,10 @@
 from ..state import Attempt, Customer, Live, Server
 from .bound import bounds
 from .judges import EVERY, Judges
+from .lease_messages import LeaseGrant, LeaseRelease, LeaseRequest
+from .lease_records import QuotaAccount
+from .leases import LeaseManager
 from .levels import Levels, LevelWord
-from .loans import Ask, Close, Grant, Loans, Purse
 from .settings import MS, SharedSettings
 from .slots import Rack, SlotAsk, SlotClose, SlotGrant, Slots
 from .words import AnyWord
@@ -67,14 +69,14 @@
         self.units_out = 0.0
         self.spread_ns = self.sweep_ns = 0
         self.again_ns = -1  # when asks are looked at, whether to send them again
-        self.paying: Purse | None = None  # of the try that is decided on just now
-        self.loans: Loans | None = None
+        self.paying: QuotaAccount | None = None  # of the try that is decided on just now
+        self.leases: LeaseManager | None = None
         self.slots = Slots(shared, settings.me, self.process, settings.longest_ns, self.draws)
         self.said_trouble = False
         self.strange = 0  # asks that don't fit what is known here
 
     def on_started(self, now: int, event: i.Started) -> None:
-        self.loans = Loans(self.shared, self.set.me, self.process, now, self.draws)
+        self.leases = LeaseManager(self.shared, self.set.me, self.process, now, self.draws)
         self.levels.life = now // LIFE_NS % 2**32  # a machine's clock goes on over its processes' starts
         super().on_started(now, event)
         self._look(now)
@@ -85,14 +87,14 @@
         elif event.token == AGAIN:
             self.again_ns = -1
             self._carry_on(now)
-            slow, self.loans.slow = list(self.loans.slow), {}
+            slow, self.leases.slow = list(self.leases.slow), {}
             self.try_held(now, slow)
         else:
             super().on_timer(now, event)
 
     def _look(self, now: int) -> None:
         """What goes by time, once a beat."""
-        self.loans.look(now)
+        self.leases.look(now)
         self.slots.look(now)
         self.tier = self.set.gateways / self.levels.look(now)
         names = [s.name for s in self.ready]
@@ -111,7 +113,7 @@
             )
         if now - self.sweep_ns >= SWEEP_NS:
             self.sweep_ns = now
-            self.loans.sweep(now, IDLE_NS)
+            self.leases.sweep(now, IDLE_NS)
         if now - self.spread_ns >= SPREAD_NS:
             self.spread_ns = now + self.draws.randrange(self.shared.beat_ns)
             wants = sum(x.arrivals for x in self.leaves)
@@ -129,19 +131,19 @@
             return
         again: dict[int, None] = {}
         for word in event.words:
-            if isinstance(word, Ask | SlotAsk):
+            if isinstance(word, LeaseRequest | SlotAsk):
                 self._asked_for(now, event, word)
             elif isinstance(word, SlotGrant):
                 if self.slots.granted(now, event.sender, event.process, word):
                     again[word.customer] = None
             elif isinstance(word, SlotClose):
                 self.slots.closed(event.sender, event.process, word)
-            elif isinstance(word, Grant):
-                purse = self.loans.granted(now, event.sender, event.process, word)
-                if purse is not None:
-                    again[purse.key] = None
-            elif isinstance(word, Close):
-                self.loans.closed(now, event.sender, event.process, word)
+            elif isinstance(word, LeaseGrant):
+                account = self.leases.granted(now, event.sender, event.process, word)
+                if account is not None:
+                    again[account.key] = None
+            elif isinstance(word, LeaseRelease):
+                self.leases.closed(now, event.sender, event.process, word)
             elif isinstance(word, LevelWord):
                 self.levels.merge(now, word)
             else:
@@ -151,7 +153,7 @@
         self.try_held(now, [k for k in again if k in self.held])
         self._carry_on(now)
 
-    def _asked_for(self, now: int, event: SharedWords, ask: Ask | SlotAsk) -> None:
+    def _asked_for(self, now: int, event: SharedWords, ask: LeaseRequest | SlotAsk) -> None:
         set_ = self.set
         if (
             ask.plan >= len(set_.plans)
@@ -168,20 +170,20 @@
             else:
                 self.slots.asked_for(now, event.sender, event.process, ask, rack)
             return
-        purse = self._purse(now, ask.customer, ask.plan, ask.spread, ask.first)
-        if purse.plan != ask.plan or len(purse.row) != ask.spread or purse.row[0] != ask.first:
+        account = self._purse(now, ask.customer, ask.plan, ask.spread, ask.first)
+        if account.plan != ask.plan or len(account.row) != ask.spread or account.row[0] != ask.first:
             self.strange += 1  # one customer with two sets: the first one holds
             return
-        self.loans.asked_for(now, event.sender, event.process, ask, purse)
+        self.leases.asked_for(now, event.sender, event.process, ask, account)
 
     def _carry_on(self, now: int) -> None:
-        if self.loans.waiting:
-            soonest = self.loans.again(now)
+        if self.leases.resendable:
+            soonest = self.leases.resend(now)
             if soonest is not None and not now < self.again_ns <= soonest:
                 self.again_ns = soonest
                 self.timer(soonest, AGAIN)
         by: dict[int, list[AnyWord]] = {}
-        for word in (*self.loans.told(), *self.slots.told()):
+        for word in (*self.leases.told(), *self.slots.told()):
             by.setdefault(word.to, []).append(word)
         if self.set.peers:
             self.acts += [SharedTell(peer, self.process, words) for peer, words in by.items()]
@@ -194,9 +196,9 @@
             found = self.quotas[plan, spread] = of_plan(self.set.plans[plan], spread, self.set.largest_units)
         return found
 
-    def _purse(self, now: int, key: int, plan: int, spread: int, first: int) -> Purse:
+    def _purse(self, now: int, key: int, plan: int, spread: int, first: int) -> QuotaAccount:
         row = tuple((first + k) % self.set.gateways for k in range(spread))
-        return self.loans.purse(now, key, plan, self._quota(plan, spread), row)
+        return self.leases.purse(now, key, plan, self._quota(plan, spread), row)
 
     def _rack(self, key: int, plan: int, spread: int, first: int) -> Rack | None:
         """None where the plan has no limit on attempts out."""
@@ -215,15 +217,15 @@
         rack = self._rack(c.key, c.plan, c.spread, ask.first % self.set.gateways)
         if rack is not None and not self.slots.may(now, rack, ask.give_up_ns):
             return Paid.SOON if self.slots.seek(now, rack) else Paid.NO
-        purse = self._purse(now, c.key, c.plan, c.spread, ask.first % self.set.gateways)
-        if self.loans.take(now, purse, ask.units):
-            self.paying = purse
+        account = self._purse(now, c.key, c.plan, c.spread, ask.first % self.set.gateways)
+        if self.leases.take(now, account, ask.units):
+            self.paying = account
             if rack is not None:
                 self.slots.take(now, rack, ask.id, ask.give_up_ns)
-            self.loans.ahead(now, purse)
+            self.leases.borrow_ahead(now, account)
             return Paid.YES
         refused = live.draw >= self.tree[0][ask.cls][ask.plan].rate  # by the budget: no word could help
-        return Paid.SOON if not refused and self.loans.seek(now, purse, ask.units) else Paid.NO
+        return Paid.SOON if not refused and self.leases.seek(now, account, ask.units) else Paid.NO
 
     def _settle(self, now: int, live: Live, inside: bool) -> None:
         super()._settle(now, live, inside)
@@ -238,26 +240,26 @@
 
     def _unpay(self, now: int, c: Customer, units: float) -> None:
         if self.paying is not None:  # decided against in the same turn
-            self.loans.untake(now, self.paying)
+            self.leases.take_back(now, self.paying)
             self.paying = None
-        elif c.key in self.loans.purses:
-            self.loans.charge(now, self.loans.purses[c.key], -units)
+        elif c.key in self.leases.purses:
+            self.leases.charge(now, self.leases.purses[c.key], -units)
 
     def _share(self, c: Customer, want: float = 0.0, mark: int = -1) -> i.Share:
         """The level that is told is what this gateway's own part holds: a hint for those that borrow."""
         found = super()._share(c, want, mark)
-        purse = self.loans.purses.get(c.key)
-        if purse is not None:
-            found.level = purse.own
+        account = self.leases.purses.get(c.key)
+        if account is not None:
+            found.level = account.own
         return found
 
     def on_peer_message(self, now: int, event: i.PeerMessage) -> None:
         event.doubts = []  # judgements come with their origin, by `Evidence`
         super().on_peer_message(now, event)
         for s in event.shares:
-            purse = self.loans.purses.get(s.customer)
-            if purse is not None and event.sender < self.set.gateways:
-                self.loans.hint(now, purse, event.sender, s.level)
+            account = self.leases.purses.get(s.customer)
+            if account is not None and event.sender < self.set.gateways:
+                self.leases.note_available(now, account, event.sender, s.level)
 
     def _covers(self, plan: i.PlanSpec) -> bool:
         """The quota holds what goes out under the ceiling, whatever fails: it is lower by more than what may
@@ -319,7 +321,7 @@
             self.level = min(self.level, self.levels.part(1.0))
 
     def sight(self) -> dict[str, float]:
-        more = self.loans.sight(self.tick_ns) if self.loans else {}
+        more = self.leases.snapshot(self.tick_ns) if self.leases else {}
         return (
             super().sight()
             | more
--- a/zincstile/shared/slots.py
+++ b/zincstile/shared/slots.py
@@ -5,7 +5,7 @@
 other holder for one; the loan lasts for the longest deadline and `held` from the ask, and is used only
 for a request whose client gives up before that. So the lender, which counts from its answer, has it
 back no sooner than it is free, without a word; a close brings it back earlier. Loans are the borrower's
-process and a number that it uses once, as in `loans`.
+process and a number that it uses once, as in `leases`.
 
 What may be out beyond a limit: at the restart of a lender, the slots that it had lent, until these end.
 Nothing else.
@@ -16,7 +16,7 @@
 import random
 from dataclasses import dataclass, field
 
-from .loans import holding
+from .rendezvous import choose_holders
 from .settings import SharedSettings
 
 MEMORY = 2  # lives after which a loan's id is forgotten
@@ -122,7 +122,7 @@
     def rack(self, key: int, plan: int, limit: int, row: tuple[int, ...]) -> Rack:
         found = self.racks.get(key)
         if found is None:
-            held_by = tuple(holding(key, row, min(limit, len(row))))
+            held_by = tuple(choose_holders(key, row, min(limit, len(row))))
             mine = 0
             if self.me in held_by:
                 mine = limit // len(held_by) + (held_by.index(self.me) < limit % len(held_by))
--- a/zincstile/shared/words.py
+++ b/zincstile/shared/words.py
@@ -1,7 +1,7 @@
 """How gateways tell each other of what they share: datagrams of 256 bytes at most. A codec, no I/O.
 
 Each begins with a byte that no other message between gateways begins with, names the sender's process,
-and has a check. Units travel in whole parts of `loans.GRAIN`.
+and has a check. Units travel in whole parts of `lease_messages.UNIT_PARTS`.
 """
 
 from __future__ import annotations
@@ -11,8 +11,8 @@
 from collections.abc import Callable, Iterable
 
 from .judges import Evidence
+from .lease_messages import UNIT_PARTS, LeaseGrant, LeaseRelease, LeaseRequest
 from .levels import LevelWord
-from .loans import GRAIN, Ask, Close, Grant
 from .slots import SlotAsk, SlotClose, SlotGrant
 
 MAGIC, LARGEST = 0xBB, 256
@@ -29,11 +29,11 @@
 AGE_NS = 10_000_000
 MOST = 2**32 - 1
 
-AnyWord = Ask | Grant | Close | SlotAsk | SlotGrant | SlotClose | Evidence | LevelWord
+AnyWord = LeaseRequest | LeaseGrant | LeaseRelease | SlotAsk | SlotGrant | SlotClose | Evidence | LevelWord
 
 
 def _units(units: float) -> int:
-    return min(MOST, max(0, int(units * GRAIN)))
+    return min(MOST, max(0, int(units * UNIT_PARTS)))
 
 
 def _aged(age_ns: int) -> int:
@@ -41,19 +41,19 @@
     return min(65535, -(-max(0, age_ns) // AGE_NS))
 
 
-def _ask(w: Ask) -> bytes:
+def _ask(w: LeaseRequest) -> bytes:
     return ASK.pack(
         w.customer, w.plan, w.spread, w.first, w.mark, _units(w.units), _units(w.least), w.heard % 2**32
     )
 
 
-def _grant(w: Grant) -> bytes:
+def _grant(w: LeaseGrant) -> bytes:
     return GRANT.pack(
         w.customer, w.mark, _units(w.units), _units(w.level), w.number % 2**32, w.process, _units(w.gain)
     )
 
 
-def _close(w: Close) -> bytes:
+def _close(w: LeaseRelease) -> bytes:
     return CLOSE.pack(w.customer, w.mark, _units(w.left), w.process)
 
 
@@ -91,9 +91,9 @@
 
 
 PACKED: dict[type, tuple[int, Callable[..., bytes]]] = {
-    Ask: (1, _ask),
-    Grant: (2, _grant),
-    Close: (3, _close),
+    LeaseRequest: (1, _ask),
+    LeaseGrant: (2, _grant),
+    LeaseRelease: (3, _close),
     Evidence: (4, _evidence),
     LevelWord: (5, _level),
     SlotAsk: (6, _slot_ask),
@@ -103,17 +103,20 @@
 READ: dict[int, tuple[struct.Struct, Callable[..., AnyWord]]] = {
     1: _of(
         ASK,
-        lambda customer, plan, spread, first, mark, units, least, heard: Ask(
-            -1, customer, plan, spread, first, mark, units / GRAIN, least / GRAIN, heard
+        lambda customer, plan, spread, first, mark, units, least, heard: LeaseRequest(
+            -1, customer, plan, spread, first, mark, units / UNIT_PARTS, least / UNIT_PARTS, heard
         ),
     ),
     2: _of(
         GRANT,
-        lambda customer, mark, units, level, number, process, gain: Grant(
-            -1, customer, mark, units / GRAIN, level / GRAIN, number, process, gain / GRAIN
+        lambda customer, mark, units, level, number, process, gain: LeaseGrant(
+            -1, customer, mark, units / UNIT_PARTS, level / UNIT_PARTS, number, process, gain / UNIT_PARTS
         ),
     ),
-    3: _of(CLOSE, lambda customer, mark, left, process: Close(-1, customer, mark, left / GRAIN, process)),
+    3: _of(
+        CLOSE,
+        lambda customer, mark, left, process: LeaseRelease(-1, customer, mark, left / UNIT_PARTS, process),
+    ),
     4: _of(
         JUDGED,
         lambda server, group, bad, zone, age, origin: Evidence(
