Merge logic that stood twice: checks of settings, refusals, readers of datagrams, runs in tests

Seen with a search for like runs of lines: four settings classes checked their fields by the same loop, keeper and shared chose the first refusal alike, the datagrams of place and start were read alike, sim shared had a copy of the loop that its neighbours share, and two tests started a gateway that ends by itself. Texts, order of checks and exit codes are as before. What is left of the search's list in these files is alike by shape alone (fields of records, options of commands).

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -408,6 +408,32 @@
             thing.close()
 
 
+def smallest():
+    """The least that a configuration has to say."""
+    return {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:1",
+        "seed": "1",
+        "settings": settings(),
+    }
+
+
+def run_to_end(path, env_over=None):
+    """A gateway that is told of this file, until it ends by itself."""
+    over = env_over or {}
+    env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")} | {"RELAY_CONFIG": str(path)}
+    return subprocess.run(
+        [sys.executable, "-m", "zincstile"],
+        cwd=ROOT,
+        env=env | over,
+        timeout=20,
+        capture_output=True,
+        text=True,
+        pass_fds=tuple(int(v) for k, v in over.items() if k == "RELAY_SOCKET_FD" and v.isdigit()),
+    )
+
+
 def play(tmp_path, text, **config):
     """One scenario against a gateway of its own, which has to live to the end without a fault."""
     tmp_path.mkdir(exist_ok=True)
--- a/tests/test_bad_configuration.py
+++ b/tests/test_bad_configuration.py
@@ -3,12 +3,9 @@
 from __future__ import annotations
 
 import json
-import os
-import subprocess
-import sys
 
 import pytest
-from scenario import ROOT, settings
+from scenario import run_to_end, smallest
 
 
 @pytest.mark.parametrize(
@@ -27,20 +24,11 @@
 )
 def test_a_bad_configuration_is_one_line_and_exit_2(tmp_path, broken, said):
     path = tmp_path / "config.json"
-    table = {
-        "name": "n0",
-        "listen": "127.0.0.1:0",
-        "discovery": "127.0.0.1:1",
-        "seed": "1",
-        "settings": settings(),
-    }
+    table = smallest()
     if broken is not None:
         path.write_text(
             json.dumps(table | broken if isinstance(broken, dict) else broken) if broken != "{" else "{"
         )
-    env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")} | {"RELAY_CONFIG": str(path)}
-    done = subprocess.run(
-        [sys.executable, "-m", "zincstile"], cwd=ROOT, env=env, capture_output=True, text=True
-    )
+    done = run_to_end(path)
     assert done.returncode == 2 and done.stdout == ""
     assert len(done.stderr.splitlines()) == 1 and said in done.stderr
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -16,7 +16,7 @@
 import threading
 import time
 
-from scenario import CUSTOMER, ROOT, Line, encode, listener, settings, where
+from scenario import CUSTOMER, ROOT, Line, encode, listener, run_to_end, settings, smallest, where
 
 VALUE = b"*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n"
 
@@ -431,28 +431,6 @@
         assert ping.makefile("rb").readline() == b"-ERR standby\r\n"
 
 
-def start(tmp_path, env_over: dict[str, str], table_over: dict | None = None) -> subprocess.CompletedProcess:
-    table = {
-        "name": "n0",
-        "listen": "127.0.0.1:0",
-        "discovery": "127.0.0.1:1",
-        "seed": "1",
-        "settings": settings(),
-    } | (table_over or {})
-    path = tmp_path / "config.json"
-    path.write_text(json.dumps(table))
-    env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")} | {"RELAY_CONFIG": str(path)}
-    return subprocess.run(
-        [sys.executable, "-m", "zincstile"],
-        cwd=ROOT,
-        env=env | env_over,
-        timeout=20,
-        capture_output=True,
-        text=True,
-        pass_fds=tuple(int(v) for k, v in env_over.items() if k == "RELAY_SOCKET_FD" and v.isdigit()),
-    )
-
-
 def test_a_bad_control_setting_or_socket_is_told_in_one_line_with_exit_2(tmp_path):
     udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     try:
@@ -462,7 +440,9 @@
             ({"RELAY_SOCKET_FD": "x"}, None, "not a descriptor"),
             ({"RELAY_SOCKET_FD": str(udp.fileno())}, None, "not a listening TCP"),
         ]:
-            done = start(tmp_path, env, table)
+            path = tmp_path / "config.json"
+            path.write_text(json.dumps(smallest() | (table or {})))
+            done = run_to_end(path, env)
             lines = done.stderr.strip().splitlines()
             assert done.returncode == 2 and len(lines) == 1 and said in lines[0], (env, table, done.stderr)
     finally:
--- a/zincstile/bounds.py
+++ b/zincstile/bounds.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from .interface import PlanSpec
@@ -74,3 +75,9 @@
         f"plan {quota.name}: {bound.failure}: up to {bound.units:.2f} units, "
         f"{100 * bound.share:.1f}% of a minute, over {100 * most:.1f}%; most of it by {bound.dominant}"
     )
+
+
+def first_refusal(quota: Quota, bounds: Iterable[Bound], endured: tuple[str, ...], most: float) -> str | None:
+    """Why the first of the endured failures costs too much; None where each is within what is allowed."""
+    found = (too_much(quota, bound, most) for bound in bounds if bound.failure in endured)
+    return next((why for why in found if why), None)
--- a/zincstile/cli/sim.py
+++ b/zincstile/cli/sim.py
@@ -5,6 +5,7 @@
 import os
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -245,6 +246,20 @@
     return 1 if broken else 0
 
 
+def _played(
+    them: Any, chosen: range, *words: Any, title: Callable[[Any], str] = lambda row: f"seed {row.seed}"
+) -> tuple[list[Any], int]:
+    """Many worlds of a kind, with their table; the rows, and how many of them broke a rule."""
+    rows = []
+    for row in them.play_all(chosen, *words):
+        rows.append(row)
+        if row.broken:
+            click.echo(f"{title(row)}: {row.broken}")
+        _progress(len(rows), len(chosen))
+    click.echo(them.table(rows))
+    return rows, sum(bool(row.broken) for row in rows)
+
+
 @command.command("shared")
 @click.option("--seeds", "span", required=True, metavar="A:B")
 @click.option("--gateways", type=click.IntRange(2, 64), default=4, show_default=True)
@@ -256,30 +271,12 @@
     exit 1 where a rule is broken."""
     from ..worlds import shared_trials as them
 
-    chosen, rows = seeds(span), list[them.Row]()
-    for row in them.play_all(chosen, gateways, 1000 * seconds, gossip, jobs):
-        rows.append(row)
-        if row.broken:
-            click.echo(f"{row.failure} seed {row.seed}: {row.broken}")
-        _progress(len(rows), len(chosen))
-    click.echo(them.table(rows))
-    broken = sum(bool(row.broken) for row in rows)
+    worlds = gateways, 1000 * seconds, gossip, jobs
+    rows, broken = _played(them, seeds(span), *worlds, title=lambda row: f"{row.failure} seed {row.seed}")
     click.echo(f"shared worlds={len(rows)} broken={broken}")
     return 1 if broken else 0
 
 
-def _played(them: Any, chosen: range, *words: Any) -> tuple[list[Any], int]:
-    """Many worlds of a kind, with their table; the rows, and how many of them broke a rule."""
-    rows = []
-    for row in them.play_all(chosen, *words):
-        rows.append(row)
-        if row.broken:
-            click.echo(f"seed {row.seed}: {row.broken}")
-        _progress(len(rows), len(chosen))
-    click.echo(them.table(rows))
-    return rows, sum(bool(row.broken) for row in rows)
-
-
 @command.command("starts")
 @click.option("--seeds", "span", required=True, metavar="A:B")
 @click.option("--gateways", type=click.IntRange(2, 64), default=8, show_default=True)
--- a/zincstile/keeper/bound.py
+++ b/zincstile/keeper/bound.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from ..bounds import Bound, Quota, too_much
+from ..bounds import Bound, Quota, first_refusal
 from .settings import FAILURES, SECOND, KeeperSettings
 
 
@@ -62,9 +62,4 @@
 
 def refused(quota: Quota, settings: KeeperSettings) -> str | None:
     """Why this quota can't be held as the settings ask; None where it can."""
-    found = (
-        too_much(quota, b, settings.most_overshoot)
-        for b in bounds(quota, settings)
-        if b.failure in settings.endured
-    )
-    return next((why for why in found if why), None)
+    return first_refusal(quota, bounds(quota, settings), settings.endured, settings.most_overshoot)
--- a/zincstile/keeper/settings.py
+++ b/zincstile/keeper/settings.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from ..checks import require_above_zero, require_known, require_share
+
 MS, SECOND = 1_000_000, 1_000_000_000
 FAILURES = ("none", "gone", "slow", "calls lost", "gateway dead", "split", "swapped")
 
@@ -27,7 +29,8 @@
     period_ns: int = 30 * SECOND  # the beats' name changes so often; names live 60 s
 
     def __post_init__(self) -> None:
-        for name in (
+        require_above_zero(
+            self,
             "epoch_ns",
             "lease_ns",
             "lease_most_ns",
@@ -37,15 +40,12 @@
             "call_ns",
             "missed",
             "period_ns",
-        ):
-            if getattr(self, name) < 1:
-                raise ValueError(f"{name}: must be above 0")
+        )
         if self.skew_ns < 0:
             raise ValueError("skew_ns: must not be negative")
         if self.ways < 2:
             raise ValueError("ways: a split has at least 2 parts")
-        if not 0 < self.most_overshoot < 1:
-            raise ValueError("most_overshoot: must be above 0 and below 1")
+        require_share(self, "most_overshoot")
         if self.heard_ns < 2 * self.beat_ns + self.late_ns:
             raise ValueError(
                 "heard_ns: must cover two beats and a late word: one lost word would part the " "gateways"
@@ -56,9 +56,7 @@
             )
         if self.epoch_ns < 2 * self.call_ns or self.epoch_ns > 20 * SECOND:
             raise ValueError("epoch_ns: must be at least twice call_ns, and 20 s at most")
-        for name in self.endured:
-            if name not in FAILURES:
-                raise ValueError(f"endured: no failure is called {name!r}; there are {', '.join(FAILURES)}")
+        require_known(self.endured, FAILURES)
 
     @property
     def quarantine_ns(self) -> int:
--- a/zincstile/place/settings.py
+++ b/zincstile/place/settings.py
@@ -5,6 +5,8 @@
 import re
 from dataclasses import dataclass, field
 
+from ..checks import require_above_zero
+
 MS, SECOND = 1_000_000, 1_000_000_000
 MOST_ZONES = 14  # what a datagram with a table holds
 UNITS = {"us": 1000, "ms": MS, "s": SECOND}
@@ -37,7 +39,8 @@
     electors: int = 9  # gateways that choose who proposes, at most
 
     def __post_init__(self) -> None:
-        for name in (
+        require_above_zero(
+            self,
             "within_ns",
             "lost_ns",
             "back_ns",
@@ -46,9 +49,7 @@
             "term_ns",
             "hold_ns",
             "electors",
-        ):
-            if getattr(self, name) < 1:
-                raise ValueError(f"{name}: must be above 0")
+        )
         if not 0 <= self.headroom < 1:
             raise ValueError("headroom: a part from 0 up to 1; at 1 no zone has room for another")
         if not 0 < self.spill <= 1 - self.headroom:
--- a/zincstile/place/words.py
+++ b/zincstile/place/words.py
@@ -5,6 +5,7 @@
 
 import math
 import struct
+from collections.abc import Callable
 
 from .. import framing
 from .settings import MOST_ZONES
@@ -61,21 +62,16 @@
 
 def unpack(data: bytes) -> Word | None:
     """None for what is damaged, or of another layout."""
-    found = framing.read(MAGIC, data)
-    if found is None:
-        return None
-    kind, body = found
-    try:
-        if kind == 1:
-            return CallWord(*CALL.unpack(body))
-        if kind == 2:
-            term, process, given = VOICE.unpack(body)
-            return Voice(term, process, bool(given))
-        if kind == 3:
-            return _table(body)
-        return _report(body) if kind == 4 else None
-    except struct.error:
-        return None
+    return framing.unpacked(MAGIC, data, READERS)
+
+
+def _call(body: bytes) -> CallWord:
+    return CallWord(*CALL.unpack(body))
+
+
+def _voice(body: bytes) -> Voice:
+    term, process, given = VOICE.unpack(body)
+    return Voice(term, process, bool(given))
 
 
 def _table(body: bytes) -> Table | None:
@@ -105,3 +101,6 @@
             )
         )
     return Report(origin, process, number, zone, demand / GRAIN, tuple(sights), said, said_number)
+
+
+READERS: dict[int, Callable[[bytes], Word | None]] = {1: _call, 2: _voice, 3: _table, 4: _report}
--- a/zincstile/shared/bound.py
+++ b/zincstile/shared/bound.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from ..bounds import Bound, Quota, too_much
+from ..bounds import Bound, Quota, first_refusal
 from .levels import MOST_FACTOR as MOST_FACTOR
 from .settings import FAILURES, SECOND, SharedSettings
 
@@ -72,12 +72,7 @@
 
 def refused(quota: Quota, settings: SharedSettings) -> str | None:
     """Why this quota can't be held as the settings ask; None where it can."""
-    found = (
-        too_much(quota, b, settings.most_overshoot)
-        for b in bounds(quota, settings)
-        if b.failure in settings.endured
-    )
-    return next((why for why in found if why), None)
+    return first_refusal(quota, bounds(quota, settings), settings.endured, settings.most_overshoot)
 
 
 # ---- the ordinary path's rule, beside it
--- a/zincstile/shared/settings.py
+++ b/zincstile/shared/settings.py
@@ -5,6 +5,8 @@
 
 from dataclasses import dataclass
 
+from ..checks import require_above_zero, require_known, require_share
+
 MS, SECOND = 1_000_000, 1_000_000_000
 FAILURES = ("none", "cut", "restart", "paused", "all")
 
@@ -33,7 +35,8 @@
     most_overshoot: float = 0.05  # of what a quota gives in any minute
 
     def __post_init__(self) -> None:
-        for name in (
+        require_above_zero(
+            self,
             "life_ns",
             "held_ns",
             "again_ns",
@@ -46,9 +49,7 @@
             "holders",
             "witnesses",
             "told_ns",
-        ):
-            if getattr(self, name) < 1:
-                raise ValueError(f"{name}: must be above 0")
+        )
         if self.life_ns < 2 * self.held_ns:
             raise ValueError("life_ns: must be at least twice held_ns: a loan would end before it is used")
         if self.gap_ns < 2 * self.beat_ns:
@@ -61,8 +62,5 @@
             raise ValueError("least_good: a part above 0, at most 1")
         if not self.most_out > 0:
             raise ValueError("most_out: must be above 0")
-        if not 0 < self.most_overshoot < 1:
-            raise ValueError("most_overshoot: must be above 0 and below 1")
-        for name in self.endured:
-            if name not in FAILURES:
-                raise ValueError(f"endured: no failure is called {name!r}; there are {', '.join(FAILURES)}")
+        require_share(self, "most_overshoot")
+        require_known(self.endured, FAILURES)
--- a/zincstile/start/settings.py
+++ b/zincstile/start/settings.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from ..checks import require_above_zero
+
 MS, SECOND = 1_000_000, 1_000_000_000
 
 
@@ -26,7 +28,8 @@
     open_ns: int = 10 * SECOND  # after so long admission is open whatever was seen
 
     def __post_init__(self) -> None:
-        for name in (
+        require_above_zero(
+            self,
             "wait_ns",
             "each_ns",
             "again_ns",
@@ -37,9 +40,7 @@
             "known_ns",
             "double_ns",
             "open_ns",
-        ):
-            if getattr(self, name) < 1:
-                raise ValueError(f"{name}: must be above 0")
+        )
         if not self.told_per_s > 0:
             raise ValueError("told_per_s: must be above 0")
         if not self.first_per_s > 0:
--- a/zincstile/start/words.py
+++ b/zincstile/start/words.py
@@ -10,6 +10,7 @@
 
 import struct
 import zlib
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from .. import framing
@@ -121,25 +122,22 @@
 
 def unpack(data: bytes) -> Word | None:
     """None for what is damaged, or of another layout."""
-    found = framing.read(MAGIC, data)
-    if found is None:
-        return None
-    kind, body = found
-    try:
-        if kind == 1:
-            return What() if not body else None
-        if kind == 2:
-            version, count, age, rank, *sums = DIGEST.unpack(body)
-            rank, open_ = rank % OPEN, rank >= OPEN
-            return Digest(version, count, age * AGE_NS, rank, tuple(sums), open_) if rank < RANKS else None
-        if kind == 3:
-            version, bits = WANT.unpack(body)
-            return Want(version, tuple(b for b in range(BUCKETS) if bits >> b & 1))
-        if kind == 4:
-            return _lines(body)
-    except struct.error:
-        return None
-    return None
+    return framing.unpacked(MAGIC, data, READERS)
+
+
+def _what(body: bytes) -> What | None:
+    return What() if not body else None
+
+
+def _digest(body: bytes) -> Digest | None:
+    version, count, age, rank, *sums = DIGEST.unpack(body)
+    rank, open_ = rank % OPEN, rank >= OPEN
+    return Digest(version, count, age * AGE_NS, rank, tuple(sums), open_) if rank < RANKS else None
+
+
+def _want(body: bytes) -> Want:
+    version, bits = WANT.unpack(body)
+    return Want(version, tuple(b for b in range(BUCKETS) if bits >> b & 1))
 
 
 def _lines(body: bytes) -> Lines | None:
@@ -154,6 +152,9 @@
     return Lines(version, number, part, parts, tuple(found)) if number < BUCKETS and part < parts else None
 
 
+READERS: dict[int, Callable[[bytes], Word | None]] = {1: _what, 2: _digest, 3: _want, 4: _lines}
+
+
 def parted(version: int, number: int, lines: list[bytes]) -> list[Lines]:
     """A bucket's lines as words that fit into a datagram each; the same parts whoever tells them."""
     parts: list[list[bytes]] = [[]]
