Docstrings on public items of cli, field, shared, place, keeper, start and virtual

Need: each module and public item says in a line what it is. Result: 35 files have the same syntax tree as before but for docstrings.

--- a/zincstile/bounds.py
+++ b/zincstile/bounds.py
@@ -55,6 +55,7 @@
 
     @property
     def units(self) -> float:
+        """The sum of the terms."""
         return sum(self.terms.values())
 
     @property
@@ -64,6 +65,7 @@
 
     @property
     def dominant(self) -> str:
+        """The name of the largest term."""
         return max(self.terms, key=self.terms.__getitem__)
 
 
--- a/zincstile/cli/commands.py
+++ b/zincstile/cli/commands.py
@@ -24,14 +24,17 @@
     """Loads a command's module when it is named, and not before."""
 
     def list_commands(self, ctx: click.Context) -> list[str]:
+        """The names of all commands, in their order."""
         return list(GROUPS)
 
     def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        """The command of that name, from its module; None where there is none."""
         if name not in GROUPS:
             return None
         return importlib.import_module(f".{GROUPS[name][0]}", __package__).command
 
     def format_commands(self, ctx: click.Context, formatter: click.HelpFormatter) -> None:
+        """Lists the commands from the table above, so that help loads none of them."""
         with formatter.section("Commands"):
             formatter.write_dl([(name, text) for name, (_, text) in GROUPS.items()])
 
--- a/zincstile/cli/demo.py
+++ b/zincstile/cli/demo.py
@@ -42,6 +42,7 @@
         return getattr(self.referee, name)
 
     def arrived(self, box: str, request: bytes, key: bytes, gateway: str, work_ns: int) -> None:
+        """An attempt has come to a backend: it counts as sent and as read whole at that moment."""
         one = self.referee.sent(gateway, box, request, time.monotonic_ns())
         if one is not None:
             self.referee.whole(request, one)
@@ -82,6 +83,7 @@
         self.console = Console()
 
     async def play(self) -> int:
+        """Starts everything, plays the load and prints the table; returns the exit code."""
         try:
             front = await self._start()
             if front is None:
--- a/zincstile/field/datagrams.py
+++ b/zincstile/field/datagrams.py
@@ -88,5 +88,6 @@
             )
 
     def close(self) -> None:
+        """Closes the socket."""
         self.loop.remove_reader(self.sock.fileno())
         self.sock.close()
--- a/zincstile/field/gate.py
+++ b/zincstile/field/gate.py
@@ -70,6 +70,7 @@
         self.closing = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Tells the inner protocol of the connection, unless the way resets it."""
         self.transport = transport  # type: ignore[assignment]
         self.gateway = self.ground.gateway_at(transport.get_extra_info("sockname")[0])
         ground, place = self.ground, self.ground.place
@@ -83,6 +84,7 @@
         self.inner.connection_made(self)  # type: ignore[arg-type]
 
     def data_received(self, data: bytes) -> None:
+        """What a gateway sent goes on to the inner protocol by its lane."""
         if self.told:
             self.inwards.push(self._hand, data)
 
@@ -91,9 +93,11 @@
             self.inner.data_received(data)
 
     def eof_received(self) -> None:
+        """Leaves the end to `connection_lost`."""
         return None
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """The inner protocol hears of it after what came before."""
         if self.told:
             self.inwards.push(self._lost, exc)
         else:
@@ -114,10 +118,12 @@
     # ---- the transport, as the stand-in's protocol sees it
 
     def write(self, data: bytes) -> None:
+        """What the inner protocol sends goes to the gateway by its lane."""
         if not self.closing:
             self.outwards.push(self.transport.write, data)
 
     def close(self) -> None:
+        """Closes the connection once what was written has passed."""
         self.closing = True
         self.outwards.push(self.transport.close)
 
@@ -130,9 +136,11 @@
         self.transport.abort()
 
     def is_closing(self) -> bool:
+        """As asyncio transports say it."""
         return self.closing or self.transport.is_closing()
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
+        """As asyncio transports say it."""
         return self.transport.get_extra_info(name, default)
 
 
@@ -185,6 +193,7 @@
 
     @property
     def listens(self) -> bool:
+        """A server takes connections here."""
         return self._server is not None and self._server.is_serving()
 
     def _changed(self, pairs: list[Pair]) -> None:
--- a/zincstile/field/places.py
+++ b/zincstile/field/places.py
@@ -88,6 +88,7 @@
             self._socks.append(filler)
 
     def close(self) -> None:
+        """Connections come up again."""
         for sock in self._socks:
             sock.close()
         self._socks.clear()
--- a/zincstile/field/programs.py
+++ b/zincstile/field/programs.py
@@ -64,13 +64,16 @@
 
     @property
     def alive(self) -> bool:
+        """The process has not ended."""
         return self.process.poll() is None
 
     def signal(self, number: int) -> None:
+        """Sends a signal, if the process is alive."""
         if self.alive:
             self.process.send_signal(number)
 
     def terminate(self) -> None:
+        """SIGTERM; its end is expected from now on."""
         self.asked_to_end = True
         self.signal(signal.SIGTERM)
 
--- a/zincstile/field/report.py
+++ b/zincstile/field/report.py
@@ -74,6 +74,7 @@
         self.names = [row.name for row in result.rows]
 
     def total(self, figure: str, names: list[str] | None = None) -> list[float]:
+        """A figure by second, summed over these gateways, or over all."""
         chosen = self.names if names is None else names
         return [sum(float(self.cells.get((s, n), {}).get(figure, 0.0)) for n in chosen) for s in self.seconds]
 
@@ -94,6 +95,7 @@
         }
 
     def by_zone(self, figure: str) -> dict[str, list[float | None]]:
+        """A figure by second, summed over the gateways of each zone."""
         return {
             zone: list(self.total(figure, [n for n in self.names if self.zones[n] == zone]))
             for zone in sorted(set(self.zones.values()))
--- a/zincstile/field/result.py
+++ b/zincstile/field/result.py
@@ -35,6 +35,8 @@
 
 
 class BreachRow(msgspec.Struct):
+    """One broken rule."""
+
     rule: str
     at_s: float
     request: str
@@ -73,6 +75,7 @@
         return sum(p.sent for p in self.plans) / best if best else 1.0
 
     def line(self) -> str:
+        """The result in one line."""
         near = max((p.worst / p.bound for p in self.plans if p.bound), default=0.0)
         said = (
             f"ok={'yes' if self.ok else 'no'} requests={self.requests} goodput={self.goodput:.3f} "
--- a/zincstile/field/sight.py
+++ b/zincstile/field/sight.py
@@ -44,6 +44,7 @@
     faults: list[tuple[float, str]] = field(default_factory=list)  # second, what
 
     def answer(self, second: int, gateway: str, kind: str) -> None:
+        """Counts one answer."""
         key = second, gateway, kind
         self.answers[key] = self.answers.get(key, 0) + 1
 
@@ -77,6 +78,7 @@
         return int(time.monotonic() - self._began_s())
 
     def asked(self, what: Any) -> None:
+        """Counts what one all-seeing store would let in of it."""
         quotas = self.referee.quotas
         before = quotas.best if quotas else 0.0
         self.referee.asked(what)
@@ -85,6 +87,7 @@
             self.series.best[second] = self.series.best.get(second, 0.0) + quotas.best - before
 
     def answered(self, request: bytes, kind: str, value: bytes) -> None:
+        """Counts the answer by its kind."""
         self.series.answer(self._second(), self.referee.cases[request].gateway, kind)
         self.referee.answered(request, kind, value)
 
@@ -141,6 +144,7 @@
         self._foreign = False  # the box tells of it
 
     def feed(self, data: bytes) -> None:
+        """Reads on; tells of each attempt as soon as its head has come, and of its end."""
         if self._foreign:
             return
         if self._commands.idle:
--- a/zincstile/held.py
+++ b/zincstile/held.py
@@ -102,5 +102,6 @@
             self._unpay(now, c, -units)
 
     def close(self, live: Live, cancel: bool) -> None:
+        """A request that is over waits for nothing any more."""
         self._let_go(live)
         super().close(live, cancel)
--- a/zincstile/keeper/accounts.py
+++ b/zincstile/keeper/accounts.py
@@ -95,6 +95,7 @@
         self._plans: dict[Quota, tuple[float, float]] = {}
 
     def account(self, key: int, quota: Quota, row: list[int], now: int) -> Account:
+        """A customer's account, made where there is none."""
         found = self.accounts.get(key)
         if found is None:
             if quota not in self._plans:
--- a/zincstile/keeper/module.py
+++ b/zincstile/keeper/module.py
@@ -71,12 +71,14 @@
         self._numbers = 0
 
     def on_started(self, now: int, event: i.Started) -> None:
+        """Builds the view and the accounts, and begins to beat."""
         super().on_started(now, event)
         self.view = View(self.keeper, self.set.me, now + self.apart_ns)
         self.accounts = Accounts(self.keeper, self.view, self.set.me)
         self._beat(now)
 
     def on_timer(self, now: int, event: i.Timer) -> None:
+        """The own heartbeat, or a timer of the base module."""
         if event.token == BEAT:
             self._beat(now)
         else:
@@ -108,6 +110,7 @@
             self._call(call.name, call.amount, call.ttl_ms, call.answered)
 
     def on_keeper_answer(self, now: int, event: KeeperAnswer) -> None:
+        """The answer to one call, which may let requests go that wait for it."""
         answered = self.calls.pop(event.number, None)
         if answered is None:
             return
@@ -120,6 +123,7 @@
             self._tell_peers(now)  # at once, where trust ends
 
     def on_keeper_word(self, now: int, event: KeeperWord) -> None:
+        """A peer's view of its quota service."""
         if 0 <= event.word.sender < self.set.gateways:
             self.view.hear(now + self.apart_ns, event.word)
 
@@ -147,6 +151,7 @@
             self.accounts.give_back(account, units)
 
     def forget(self, keys: list[int]) -> None:
+        """Their accounts go too."""
         super().forget(keys)
         for key in keys:
             self.accounts.accounts.pop(key, None)
--- a/zincstile/keeper/view.py
+++ b/zincstile/keeper/view.py
@@ -24,6 +24,8 @@
 
 
 class State(Enum):
+    """How far a gateway trusts its quota service."""
+
     TRUSTED = "trusted"
     SUSPECT = "suspect"  # a beat has no answer yet: nothing is leased, and what was said still holds
     LOST = "lost"
@@ -126,6 +128,7 @@
         return self.state in (State.TRUSTED, State.SUSPECT)
 
     def may_lease(self, now: int) -> bool:
+        """New leases may be taken."""
         return self.state is State.TRUSTED and now >= self.sound_ns
 
     # ---- peers
--- a/zincstile/place/council.py
+++ b/zincstile/place/council.py
@@ -44,6 +44,7 @@
         self._words: list[tuple[int, Word]] = []
 
     def start(self, now: int) -> None:
+        """Begins to take part in elections; the first report comes at a drawn moment."""
         self.terms = Terms(self.settings, self.me, self.gateways, self.process, now, self.rng)
         self._told_ns = now - self.rng.randrange(self.view.every_ns)  # else all report in step
 
--- a/zincstile/place/module.py
+++ b/zincstile/place/module.py
@@ -70,6 +70,7 @@
 
     @property
     def dead(self) -> float:
+        """The share of connections that failed; -1 where too few were tried."""
         return self.failed / max(LEAST_TRIES, self.all) if self.all >= ANY_TRIES else -1.0
 
 
@@ -81,6 +82,7 @@
     at_ns: int = 0
 
     def take(self, now: int, rate: float, units: float) -> bool:
+        """Takes the units, if the store holds them after filling at this rate."""
         if rate == math.inf:
             return True
         self.level = min(max(units, rate), self.level + rate * (now - self.at_ns) / SECOND)
@@ -93,6 +95,8 @@
 
 @dataclass(slots=True)
 class Counts:
+    """Attempts by where they went."""
+
     near: int = 0
     far: int = 0
     spilled: int = 0
--- a/zincstile/place/settings.py
+++ b/zincstile/place/settings.py
@@ -88,4 +88,5 @@
         return self.distances.get((one, other), self.distances.get((other, one), far))
 
     def matrix(self, zones: list[str]) -> list[list[int]]:
+        """Distances between all these zones, by their numbers."""
         return [[self.distance(a, b) for b in zones] for a in zones]
--- a/zincstile/place/states.py
+++ b/zincstile/place/states.py
@@ -22,6 +22,8 @@
 
 
 class State(IntEnum):
+    """How a zone stands. The numbers travel between gateways."""
+
     WELL = 0
     SHORT = 1
     DRAINING = 2
--- a/zincstile/place/terms.py
+++ b/zincstile/place/terms.py
@@ -120,6 +120,7 @@
     # ---- proposing
 
     def holds(self, now: int) -> bool:
+        """This gateway is the leader: enough electors gave it their voice, and its term runs."""
         mine = self.mine
         return (
             mine is not None
@@ -236,5 +237,6 @@
         return self.table
 
     def told(self) -> list[tuple[int, TermWord]]:
+        """The messages to send, and to whom, since the last time this was asked."""
         made, self.words = self.words, []
         return made
--- a/zincstile/place/view.py
+++ b/zincstile/place/view.py
@@ -51,6 +51,8 @@
 
 @dataclass(slots=True)
 class Known:
+    """The last report of a gateway, and when it came."""
+
     report: Report
     at_ns: int
 
@@ -72,6 +74,7 @@
 
     @property
     def fresh_ns(self) -> int:
+        """A report counts for so long."""
         return max(SECOND, FRESH * self.settings.beat_ns, FRESH * self.every_ns)
 
     @property
@@ -102,6 +105,7 @@
         return True
 
     def heard(self, now: int) -> set[int]:
+        """The gateways whose last report still counts."""
         return {o for o, k in self.known.items() if now - k.at_ns < self.fresh_ns}
 
     def _fresh(self, now: int) -> list[Report]:
--- a/zincstile/place/words.py
+++ b/zincstile/place/words.py
@@ -29,6 +29,7 @@
 
 
 def pack(word: Word) -> bytes:
+    """The message as one datagram."""
     if isinstance(word, CallWord):
         kind, body = 1, CALL.pack(word.term, word.process)
     elif isinstance(word, Voice):
--- a/zincstile/shared/judges.py
+++ b/zincstile/shared/judges.py
@@ -81,6 +81,7 @@
         found.at_ns, found.samples, found.dead = now, found.samples + 1, dead
 
     def hear(self, now: int, sender: int, zone: int) -> None:
+        """Another gateway was heard of, and in which zone it is."""
         self.heard[sender] = zone, now
 
     def merge(self, now: int, word: Evidence) -> bool:
--- a/zincstile/shared/levels.py
+++ b/zincstile/shared/levels.py
@@ -69,6 +69,7 @@
 
     @property
     def silence_ns(self) -> int:
+        """A gateway that was not heard of for so long counts as silent."""
         return max(SILENCE_NS, self.gateways * SLOW_NS)
 
     def merge(self, now: int, word: LevelWord) -> bool:
--- a/zincstile/shared/module.py
+++ b/zincstile/shared/module.py
@@ -76,12 +76,14 @@
         self.strange = 0  # asks that don't fit what is known here
 
     def on_started(self, now: int, event: i.Started) -> None:
+        """Builds what needs the start time, and begins to look about."""
         self.leases = LeaseManager(self.shared, self.set.me, self.process, now, self.draws)
         self.levels.life = now // LIFE_NS % 2**32  # a machine's clock goes on over its processes' starts
         super().on_started(now, event)
         self._look(now)
 
     def on_timer(self, now: int, event: i.Timer) -> None:
+        """The own timers, or one of the base module."""
         if event.token == LOOK:
             self._look(now)
         elif event.token == AGAIN:
@@ -235,6 +237,7 @@
         """Nothing here needs to be told to the peers."""
 
     def close(self, live: Live, cancel: bool) -> None:
+        """The slot of a request that is over is free again."""
         super().close(live, cancel)
         self.slots.over(live.ask.id)
 
@@ -254,6 +257,7 @@
         return found
 
     def on_peer_message(self, now: int, event: i.PeerMessage) -> None:
+        """As the base module takes it, without suspicions, which come with their origin; levels are hints."""
         event.doubts = []  # judgements come with their origin, by `Evidence`
         super().on_peer_message(now, event)
         for s in event.shares:
@@ -300,10 +304,12 @@
     # ---- budgets
 
     def launch(self, live: Live, attempt: Attempt) -> None:
+        """Counts the units that are out."""
         super().launch(live, attempt)
         self.units_out += attempt.units
 
     def settle(self, request: int, number: int) -> Attempt | None:
+        """Counts the units that are out."""
         attempt = super().settle(request, number)
         if attempt:
             self.units_out = max(0.0, self.units_out - attempt.units) if self.attempts else 0.0
@@ -321,6 +327,7 @@
             self.level = min(self.level, self.levels.part(1.0))
 
     def sight(self) -> dict[str, float]:
+        """The figures of the base module and those of the shared state."""
         more = self.leases.snapshot(self.tick_ns) if self.leases else {}
         return (
             super().sight()
--- a/zincstile/shared/slots.py
+++ b/zincstile/shared/slots.py
@@ -94,14 +94,17 @@
 
     @property
     def out(self) -> int:
+        """Slots that are lent at present."""
         return sum(g.open for g in self.lent.values())
 
     @property
     def free(self) -> int:
+        """Own slots that may be used or lent."""
         return self.mine - self.used - self.out
 
     @property
     def idle(self) -> bool:
+        """It may be forgotten."""
         return not (self.used or self.lent or self.borrowed or self.asked)
 
 
@@ -120,6 +123,7 @@
         self._marks = rng.getrandbits(31)
 
     def rack(self, key: int, plan: int, limit: int, row: tuple[int, ...]) -> Rack:
+        """A customer's slots, made where there are none."""
         found = self.racks.get(key)
         if found is None:
             held_by = tuple(choose_holders(key, row, min(limit, len(row))))
@@ -174,6 +178,7 @@
         return True
 
     def asked_for(self, now: int, sender: int, process: int, ask: SlotAsk, rack: Rack) -> None:
+        """Answers another gateway's request; a double of one is answered as the first was."""
         key = sender, process, ask.mark
         given = rack.lent.get(key)
         if given is None:
@@ -199,6 +204,7 @@
         return True
 
     def closed(self, sender: int, process: int, word: SlotClose) -> None:
+        """Takes back a slot whose borrower is done with it."""
         rack = self.racks.get(word.customer)
         given = rack.lent.get((sender, process, word.mark)) if rack and word.process == self.process else None
         if given is not None:
@@ -220,5 +226,6 @@
                 del self.racks[key]
 
     def told(self) -> list[SlotWord]:
+        """The messages to send, since the last time this was asked."""
         made, self.words = self.words, []
         return made
--- a/zincstile/start/lists.py
+++ b/zincstile/start/lists.py
@@ -46,6 +46,7 @@
 
     @property
     def count(self) -> int:
+        """Lines of the list."""
         return sum(len(b) for b in self.lines)
 
     def begin(self, now: int, version: int, rank: int, entries: Iterable[dict[str, Any]]) -> None:
@@ -68,6 +69,7 @@
             home[name] = told or b""
 
     def sums(self) -> tuple[int, ...]:
+        """A checksum for each bucket."""
         return tuple(total(b.values()) for b in self.lines)
 
     def digest(self, now: int) -> Digest | None:
@@ -184,6 +186,7 @@
     # ---- words
 
     def hear(self, now: int, sender: int, word: Word) -> None:
+        """A peer's message."""
         if isinstance(word, What):
             digest = self.book.digest(now)
             if digest is None or digest.age_ns >= self.settings.oldest_ns:
--- a/zincstile/start/opening.py
+++ b/zincstile/start/opening.py
@@ -45,6 +45,7 @@
     refused_ns: int = -1  # the last
 
     def begin(self, now: int) -> None:
+        """The time from which the pace counts."""
         self.began_ns = self.looked_ns = now
 
     def pace(self, servers: float) -> float:
--- a/zincstile/start/ready.py
+++ b/zincstile/start/ready.py
@@ -59,5 +59,6 @@
         return self.began_ns + (self.settings.lone_ns if self.right is Right.LONE else self.settings.known_ns)
 
     def ready(self, now: int) -> bool:
+        """This gateway may be told to be ready."""
         at = self.at_ns()
         return at is not None and now >= at
--- a/zincstile/start/words.py
+++ b/zincstile/start/words.py
@@ -98,10 +98,12 @@
 
 
 def bucket(name: str) -> int:
+    """The bucket of a server, by its name."""
     return zlib.crc32(name.encode()) % BUCKETS
 
 
 def pack(word: Word) -> bytes:
+    """The message as one datagram."""
     if isinstance(word, What):
         kind, body = 1, b""
     elif isinstance(word, Digest):
--- a/zincstile/virtual/base_process.py
+++ b/zincstile/virtual/base_process.py
@@ -56,6 +56,7 @@
             self.most_opened = self.opened
 
     def give_descriptor(self) -> None:
+        """One that it held is closed."""
         self.opened -= 1
 
     def pause(self, for_ns: int) -> None:
--- a/zincstile/virtual/clock.py
+++ b/zincstile/virtual/clock.py
@@ -44,6 +44,7 @@
         self.then, self.args = None, ()
 
     def cancelled(self) -> bool:
+        """It was cancelled."""
         return self.then is None
 
     def when(self) -> float:
--- a/zincstile/virtual/host.py
+++ b/zincstile/virtual/host.py
@@ -19,24 +19,31 @@
         self.lines: list[str] = []
 
     def monotonic_ns(self) -> int:
+        """Virtual time."""
         return self._process.scheduler.now_ns
 
     def unix_ns(self) -> int:
+        """Virtual time, off by what this machine's clock is wrong."""
         return self._process.scheduler.now_ns + self.unix_apart_ns
 
     def listen(self, address: Address, backlog: int) -> tcp.Listener:
+        """A listening socket."""
         return tcp.Listener(self._process, address, backlog)
 
     def readable(self, transport: Any) -> bool:
+        """Something has come on the connection that was not read."""
         return transport.waiting
 
     def ended(self, transport: Any) -> bool:
+        """The other side's end has come, read or not."""
         return transport.over
 
     def again(self) -> Config:
+        """The configuration as it stands by now, for a reload."""
         return self._config()
 
     def log(self, line: str) -> None:
+        """Keeps the line."""
         self.lines.append(line)
 
     def usage(self) -> dict[str, int]:
--- a/zincstile/virtual/loop.py
+++ b/zincstile/virtual/loop.py
@@ -34,6 +34,7 @@
     # ---- time
 
     def time(self) -> float:
+        """Virtual time in seconds."""
         return self.scheduler.now_ns / 1e9
 
     def call_soon(self, callback: Callable[..., Any], *args: Any, context: Any = None) -> Entry:
--- a/zincstile/virtual/network.py
+++ b/zincstile/virtual/network.py
@@ -95,10 +95,12 @@
     # ---- the ways
 
     def port(self) -> int:
+        """A port that nobody has had."""
         self._ports += 1
         return self._ports
 
     def descriptor(self) -> int:
+        """A descriptor number that nobody has had."""
         self._descriptors += 1
         return self._descriptors
 
--- a/zincstile/virtual/tcp.py
+++ b/zincstile/virtual/tcp.py
@@ -49,6 +49,7 @@
     # ---- asyncio's side
 
     def begin(self, protocol: Any) -> None:
+        """A protocol takes over: it hears of the connection first, and then of what comes."""
         self.protocol, self._buffered = protocol, isinstance(protocol, asyncio.BufferedProtocol)
         self.process.loop.call_soon(protocol.connection_made, self)
         self.process.loop.call_soon(self._begin_reading)
@@ -333,13 +334,16 @@
         self._endpoint = endpoint
 
     def setblocking(self, flag: bool) -> None:
+        """As sockets have it; a virtual one never blocks."""
         if flag:
             raise ValueError("a virtual socket never blocks")
 
     def take(self) -> Endpoint:
+        """The endpoint, for its transport."""
         return self._endpoint
 
     def close(self) -> None:
+        """Closes the connection without a transport."""
         self._endpoint._release()
 
 
@@ -365,6 +369,7 @@
         return self._fd
 
     def getsockname(self) -> Address:
+        """Where it listens."""
         return self.address
 
     def accept(self) -> tuple[Accepted, Address]:
