--- a/zincstile/cli/field.py
+++ b/zincstile/cli/field.py
@@ -14,6 +14,7 @@
 from ..worlds import plan as plans
 from ..worlds.plan import Plan
 from .errors import BadInputError
+from .options import SEEDS, seed_range
 
 
 @click.group("field")
@@ -93,7 +94,7 @@
 
 
 @command.command("sweep")
-@click.option("--seeds", "span", required=True, metavar="A:B", help="Seeds from A on, B not.")
+@SEEDS
 @click.option("--gateways", type=click.IntRange(2, 64), default=8, show_default=True)
 @click.option("--kind", "kinds", multiple=True, help="Only these failures; all where none is named.")
 @click.option("--zones", is_flag=True, help="Troubles of zones, with features.place unless --gossip.")
@@ -121,13 +122,12 @@
     from ..field import result as results
     from ..field import sweep as sweeps
     from ..worlds import places, shared
-    from .sim import seeds
 
     known = places.KINDS if zones else shared.FAILURES
     for kind in kinds:
         if kind not in known:
             raise BadInputError(f"--kind {kind}: no such failure; there are {', '.join(known)}")
-    chosen, began, done = seeds(span), time.monotonic(), []
+    chosen, began, done = seed_range(span), time.monotonic(), []
     try:
         files = sweeps.features(features)
         if out is not None:
--- a/zincstile/cli/sim.py
+++ b/zincstile/cli/sim.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import sys
 import time
 from collections.abc import Callable
@@ -16,6 +15,7 @@
 from ..worlds import plan as plans
 from ..worlds.plan import Plan
 from .errors import BadInputError
+from .options import JOBS, SEEDS, seed_range
 
 
 @click.group("sim")
@@ -49,14 +49,6 @@
 RULE = click.option("--rule", "rules", multiple=True, metavar="NAME", help="Look at this rule only.")
 
 
-def seeds(text: str) -> range:
-    """`A:B`, A in and B out."""
-    first, colon, last = text.partition(":")
-    if not colon or not first.isdecimal() or not last.isdecimal() or int(first) >= int(last):
-        raise BadInputError(f"--seeds {text}: not a range of seeds A:B with A below B")
-    return range(int(first), int(last))
-
-
 def _progress(done: int, of: int) -> None:
     """Now and then, beside what the command prints."""
     if done % 50 == 0:
@@ -106,14 +98,14 @@
 
 
 @command.command("sweep")
-@click.option("--seeds", "span", required=True, metavar="A:B", help="Seeds from A on, B not.")
-@click.option("--jobs", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True)
+@SEEDS
+@JOBS
 @RULE
 def sweep(span: str, jobs: int, rules: tuple[str, ...]) -> int:
     """Plays many worlds over many processes; exit 1 where any breaks a rule."""
     from ..worlds.sweep import digest_of, play_all
 
-    chosen, looked_at, began, last = seeds(span), _rules(rules), time.monotonic(), 0.0
+    chosen, looked_at, began, last = seed_range(span), _rules(rules), time.monotonic(), 0.0
     done, broken = [], []
     for result in play_all(chosen, jobs, looked_at):
         done.append(result)
@@ -175,7 +167,7 @@
     show_default=True,
     help="Seeds to try for each at most.",
 )
-@click.option("--jobs", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True)
+@JOBS
 @click.option("--only", multiple=True, help="Names of those to try.")
 @click.option("--shared", "of_shared", is_flag=True, help="Those of the shared state.")
 @click.option("--place", "of_place", is_flag=True, help="Those of starts and of the choice of zones.")
@@ -219,7 +211,7 @@
 
 @command.command("search")
 @click.option("--depth", type=click.IntRange(1, 12), default=5, show_default=True)
-@click.option("--jobs", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True)
+@JOBS
 def search(depth: int, jobs: int) -> int:
     """Loans between three gateways in every order: words delivered, lost and doubled, crashes, stops; exit 1
     where a quota is passed."""
@@ -261,49 +253,51 @@
 
 
 @command.command("shared")
-@click.option("--seeds", "span", required=True, metavar="A:B")
+@SEEDS
 @click.option("--gateways", type=click.IntRange(2, 64), default=4, show_default=True)
 @click.option("--seconds", type=click.IntRange(4, 60), default=8, show_default=True, help="Of load.")
 @click.option("--gossip", is_flag=True, help="By the gossip's shares, which state no bound, in its place.")
-@click.option("--jobs", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True)
+@JOBS
 def shared(span: str, gateways: int, seconds: int, gossip: bool, jobs: int) -> int:
     """Whole gateways while a part of them hears nothing: what goes out beyond quotas beside the stated bound;
     exit 1 where a rule is broken."""
     from ..worlds import shared_trials as them
 
     worlds = gateways, 1000 * seconds, gossip, jobs
-    rows, broken = _played(them, seeds(span), *worlds, title=lambda row: f"{row.failure} seed {row.seed}")
+    rows, broken = _played(
+        them, seed_range(span), *worlds, title=lambda row: f"{row.failure} seed {row.seed}"
+    )
     click.echo(f"shared worlds={len(rows)} broken={broken}")
     return 1 if broken else 0
 
 
 @command.command("starts")
-@click.option("--seeds", "span", required=True, metavar="A:B")
+@SEEDS
 @click.option("--gateways", type=click.IntRange(2, 64), default=8, show_default=True)
 @click.option("--plain", is_flag=True, help="As without features.start.")
-@click.option("--jobs", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True)
+@JOBS
 def starts(span: str, gateways: int, plain: bool, jobs: int) -> int:
     """Whole fleets killed and started anew with a list service that has to be asked: when all are ready,
     what the service and the boxes get; exit 1 where a rule is broken or a gateway is never ready."""
     from ..worlds import starts as them
 
-    rows, broken = _played(them, seeds(span), gateways, not plain, jobs)
+    rows, broken = _played(them, seed_range(span), gateways, not plain, jobs)
     late = sum(row.ready_s < 0 for row in rows)
     click.echo(f"starts worlds={len(rows)} broken={broken} never_ready={late}")
     return 1 if broken or late else 0
 
 
 @command.command("places")
-@click.option("--seeds", "span", required=True, metavar="A:B")
+@SEEDS
 @click.option("--gateways", type=click.IntRange(3, 64), default=9, show_default=True)
 @click.option("--plain", is_flag=True, help="As without features.place.")
-@click.option("--jobs", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True)
+@JOBS
 def places(span: str, gateways: int, plain: bool, jobs: int) -> int:
     """Whole gateways in three zones, one of which is in trouble: what is served, what crosses zones, how
     often the table changes; exit 1 where a rule is broken."""
     from ..worlds import places as them
 
-    rows, broken = _played(them, seeds(span), gateways, not plain, jobs)
+    rows, broken = _played(them, seed_range(span), gateways, not plain, jobs)
     click.echo(f"places worlds={len(rows)} broken={broken}")
     return 1 if broken else 0
 
@@ -332,7 +326,7 @@
 
 @command.command("place-search")
 @click.option("--depth", type=click.IntRange(1, 8), default=3, show_default=True)
-@click.option("--jobs", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True)
+@JOBS
 def place_search(depth: int, jobs: int) -> int:
     """Agreement on a table in every order, a few gateways; exit 1 where two hold a term at once, tables
     of one generation differ, or one is not settled on."""
@@ -386,14 +380,14 @@
 
 
 @command.command("keeper")
-@click.option("--seeds", "span", required=True, metavar="A:B")
+@SEEDS
 @click.option("--gateways", type=click.IntRange(2, 20), default=3, show_default=True)
-@click.option("--jobs", type=click.IntRange(1, 256), default=os.cpu_count() or 1, show_default=True)
+@JOBS
 def keeper(span: str, gateways: int, jobs: int) -> int:
     """Accounts against a count keeper that fails: overshoot beside its bound; exit 1 where one is passed."""
     from ..worlds import trial
 
-    chosen, passed = seeds(span), 0
+    chosen, passed = seed_range(span), 0
     click.echo(
         f"{'failure':14}{'worst units':>12}{'of its bound':>14}{'of a minute':>13}{'sent':>7}"
         f"{'calls/try':>11}"
