Virtual network: listening and the handshake have modules of their own, constants say their units

Change: tcp (Endpoint), tcp_listen (Listener, Server), tcp_connect (connect); ScheduledCall for the scheduler's entries.

--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from zincstile.virtual.base_process import OWN
+from zincstile.virtual.base_process import OWN_DESCRIPTORS
 from zincstile.virtual.clock import MS, SECOND, Scheduler, StuckError
 from zincstile.virtual.network import Network, Ways
 from zincstile.virtual.process import Process
@@ -196,16 +196,16 @@
     assert connect(net) == "up"
     net.network.lag_ns[net.b.host] = 400 * MS
     assert connect(net) == "TimeoutError"
-    assert net.a.opened == OWN + 1  # what was given up holds nothing
+    assert net.a.opened == OWN_DESCRIPTORS + 1  # what was given up holds nothing
 
 
 def test_no_descriptor_left_is_an_error_and_nothing_leaks():
     net = Net()
     net.b.loop.create_task(net.b.loop.create_server(Side, net.b.host, 80))
-    net.a.descriptors = OWN + 1
+    net.a.descriptors = OWN_DESCRIPTORS + 1
     net.run()
     assert connect(net) == "up" and connect(net) == "OSError"
-    assert net.a.most_opened == OWN + 1
+    assert net.a.most_opened == OWN_DESCRIPTORS + 1
 
 
 def test_a_cut_holds_bytes_back_until_it_is_mended():
--- a/zincstile/virtual/__init__.py
+++ b/zincstile/virtual/__init__.py
@@ -5,8 +5,8 @@
 and an end. Processes meet on a `Network` of TCP (`tcp`) and UDP (`udp`), which delays, cuts up, holds back,
 loses and breaks what they send, by draws from one random source.
 
-Imports go one way: `clock`, `network`, `base_process` (a process without its loop), `tcp` and `udp`, `loop`,
-`process`, `host`.
+Imports go one way: `clock`, `network`, `base_process` (a process without its loop), `tcp`, `tcp_listen`,
+`tcp_connect` and `udp`, `loop`, `process`, `host`.
 
 This package touches nothing outside it: no wall clock, no socket, no thread, no file. It imports the standard
 library, and of zincstile only `net.host` and `net.config`, whose place `host.VirtualHost` takes. It knows
--- a/zincstile/virtual/base_process.py
+++ b/zincstile/virtual/base_process.py
@@ -9,7 +9,7 @@
 
 from .network import Network
 
-OWN = 8  # descriptors that a Python process with a loop holds before it opens anything
+OWN_DESCRIPTORS = 8  # descriptors that a Python process with a loop holds before it opens anything
 
 
 class BaseProcess:
@@ -31,9 +31,9 @@
         self.zone, self.descriptors, self.quantum_ns = zone, descriptors, quantum_ns
         self.alive = True
         self.paused_ns = 0  # nothing of it happens before then
-        self.opened = self.most_opened = OWN
+        self.opened = self.most_opened = OWN_DESCRIPTORS
         self.endpoints: dict[Any, None] = {}  # `tcp.Endpoint`
-        self.listeners: dict[Any, None] = {}  # `tcp.Listener`
+        self.listeners: dict[Any, None] = {}  # `tcp_listen.Listener`
         self.datagrams: dict[Any, None] = {}  # `udp.Datagrams`
         self.loop = self._make_loop()
         network.processes[self.name] = self
--- a/zincstile/virtual/clock.py
+++ b/zincstile/virtual/clock.py
@@ -14,7 +14,7 @@
 from typing import Any, Protocol
 
 MICROSECOND, MS, SECOND = 1_000, 1_000_000, 1_000_000_000
-STUCK = 20_000  # steps at one instant: code that asks for itself again and again
+STUCK_STEPS = 20_000  # steps at one instant: code that asks for itself again and again
 
 
 class StuckError(RuntimeError):
@@ -29,7 +29,7 @@
     loop: asyncio.AbstractEventLoop
 
 
-class Entry:
+class ScheduledCall:
     """Something that will happen. It has what asyncio's handles have, so it may stand for one."""
 
     __slots__ = ("at_ns", "then", "args", "process")
@@ -60,17 +60,19 @@
     def __init__(self, start_ns: int = 0) -> None:
         self.now_ns = start_ns
         self.steps = 0  # things that have happened
-        self._heap: list[tuple[int, int, Entry]] = []
+        self._heap: list[tuple[int, int, ScheduledCall]] = []
         self._number = 0
         self._loop: asyncio.AbstractEventLoop | None = None  # whose code runs at present
 
     def __len__(self) -> int:
         return len(self._heap)
 
-    def at(self, at_ns: int, then: Callable[..., Any], *args: Any, process: Owner | None = None) -> Entry:
+    def at(
+        self, at_ns: int, then: Callable[..., Any], *args: Any, process: Owner | None = None
+    ) -> ScheduledCall:
         """then(*args) at that time, or now where it has passed; in that process, which may have died by
         then."""
-        entry = Entry(at_ns if at_ns > self.now_ns else self.now_ns, then, args, process)
+        entry = ScheduledCall(at_ns if at_ns > self.now_ns else self.now_ns, then, args, process)
         self._number += 1
         heapq.heappush(self._heap, (entry.at_ns, self._number, entry))
         return entry
@@ -124,8 +126,8 @@
                     return True
                 if self.now_ns != instant:
                     before, instant = self.steps, self.now_ns
-                elif self.steps - before > STUCK:
-                    raise StuckError(f"{STUCK} steps at one instant")
+                elif self.steps - before > STUCK_STEPS:
+                    raise StuckError(f"{STUCK_STEPS} steps at one instant")
         finally:
             self._loop = None
             asyncio._set_running_loop(None)
--- a/zincstile/virtual/host.py
+++ b/zincstile/virtual/host.py
@@ -6,8 +6,8 @@
 from typing import Any
 
 from ..net.config import Address, Config
-from . import tcp
 from .process import Process
+from .tcp_listen import Listener
 
 
 class VirtualHost:
@@ -26,9 +26,9 @@
         """Virtual time, off by what this machine's clock is wrong."""
         return self._process.scheduler.now_ns + self.unix_apart_ns
 
-    def listen(self, address: Address, backlog: int) -> tcp.Listener:
+    def listen(self, address: Address, backlog: int) -> Listener:
         """A listening socket."""
-        return tcp.Listener(self._process, address, backlog)
+        return Listener(self._process, address, backlog)
 
     def readable(self, transport: Any) -> bool:
         """Something has come on the connection that was not read."""
--- a/zincstile/virtual/loop.py
+++ b/zincstile/virtual/loop.py
@@ -13,9 +13,12 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from . import tcp, udp
+from . import udp
 from .base_process import BaseProcess
-from .clock import Entry
+from .clock import ScheduledCall
+from .tcp import Endpoint
+from .tcp_connect import connect
+from .tcp_listen import Accepted, Listener, Server
 
 Factory = Callable[[], asyncio.BaseProtocol]
 
@@ -26,7 +29,7 @@
     def __init__(self, process: BaseProcess) -> None:
         self.process, self.scheduler = process, process.scheduler
         self.signals: dict[int, tuple[Callable[..., Any], tuple[Any, ...]]] = {}
-        self.readers: dict[int, tuple[tcp.Listener, Callable[..., Any], tuple[Any, ...]]] = {}
+        self.readers: dict[int, tuple[Listener, Callable[..., Any], tuple[Any, ...]]] = {}
         self.faults: list[str] = []  # what nobody handled
         self.tasks: dict[asyncio.Task, None] = {}  # begun and not done
         self._handler: Callable[[asyncio.AbstractEventLoop, dict[str, Any]], Any] | None = None
@@ -37,18 +40,20 @@
         """Virtual time in seconds."""
         return self.scheduler.now_ns / 1e9
 
-    def call_soon(self, callback: Callable[..., Any], *args: Any, context: Any = None) -> Entry:
+    def call_soon(self, callback: Callable[..., Any], *args: Any, context: Any = None) -> ScheduledCall:
         return self.scheduler.at(self.scheduler.now_ns, callback, *args, process=self.process)
 
     call_soon_threadsafe = call_soon
 
-    def call_at(self, when: float, callback: Callable[..., Any], *args: Any, context: Any = None) -> Entry:
+    def call_at(
+        self, when: float, callback: Callable[..., Any], *args: Any, context: Any = None
+    ) -> ScheduledCall:
         at_ns = self.process.ready_ns(round(when * 1e9))
         return self.scheduler.at(at_ns, callback, *args, process=self.process)
 
     def call_later(
         self, delay: float, callback: Callable[..., Any], *args: Any, context: Any = None
-    ) -> Entry:
+    ) -> ScheduledCall:
         at_ns = self.process.ready_ns(self.scheduler.now_ns + round(delay * 1e9))
         return self.scheduler.at(at_ns, callback, *args, process=self.process)
 
@@ -118,7 +123,7 @@
     async def connect_accepted_socket(
         self,
         protocol_factory: Factory,
-        sock: tcp.Accepted,
+        sock: Accepted,
         **_: Any,
     ) -> tuple[asyncio.BaseTransport, asyncio.BaseProtocol]:
         return await self._begin(sock.take(), protocol_factory)
@@ -130,12 +135,12 @@
         port: int,
         **_: Any,
     ) -> tuple[asyncio.BaseTransport, asyncio.BaseProtocol]:
-        endpoint = await tcp.connect(self.process, (host, port))
+        endpoint = await connect(self.process, (host, port))
         return await self._begin(endpoint, protocol_factory)
 
     async def _begin(
         self,
-        endpoint: tcp.Endpoint,
+        endpoint: Endpoint,
         factory: Factory,
     ) -> tuple[asyncio.BaseTransport, asyncio.BaseProtocol]:
         """As asyncio's transports do: made, then read, then told; given up while that lasts, it is closed."""
@@ -151,8 +156,8 @@
 
     async def create_server(
         self, protocol_factory: Factory, host: str, port: int, *, backlog: int = 100, **_: Any
-    ) -> tcp.Server:
-        return tcp.Server(self.process, (host, port), backlog, protocol_factory)
+    ) -> Server:
+        return Server(self.process, (host, port), backlog, protocol_factory)
 
     async def create_datagram_endpoint(
         self,
--- a/zincstile/virtual/network.py
+++ b/zincstile/virtual/network.py
@@ -56,7 +56,7 @@
     def __init__(self, scheduler: Scheduler, rng: random.Random, ways: Ways | None = None) -> None:
         self.scheduler, self.rng, self.ways = scheduler, rng, ways or Ways()
         self.processes: dict[str, Located] = {}
-        self.listeners: dict[Address, Any] = {}  # `tcp.Listener`
+        self.listeners: dict[Address, Any] = {}  # `tcp_listen.Listener`
         self.listening: dict[int, Any] = {}  # the same, by descriptor
         self.bound: dict[Address, Any] = {}  # `udp.Datagrams`
         self.mute: dict[str, None] = {}  # machines that nothing reaches or leaves
--- a/zincstile/virtual/tcp.py
+++ b/zincstile/virtual/tcp.py
@@ -1,9 +1,9 @@
-"""TCP on the virtual network: listeners, connects, and endpoints that are asyncio transports at once.
+"""TCP on the virtual network: one side of a connection, which is an asyncio transport at once.
 
-An endpoint is one side of a connection: the transport that a protocol writes to, and the machine's buffer of
-what has come and is not read. Bytes leave the transport while the other side's window has room; they
-travel in pieces whose order holds, and whose end (FIN) comes last. A reset passes what is unread. As with
-real sockets, what was written counts as sent once it left the process, whether it arrives or not.
+An endpoint is the transport that a protocol writes to, and the machine's buffer of what has come and is not
+read. Bytes leave the transport while the other side's window has room; they travel in pieces whose order
+holds, and whose end (FIN) comes last. A reset passes what is unread. As with real sockets, what was written
+counts as sent once it left the process, whether it arrives or not.
 """
 
 from __future__ import annotations
@@ -16,11 +16,10 @@
 from typing import Any
 
 from .base_process import BaseProcess
-from .clock import MS, SECOND
 from .network import Address
 
-MORE = 262144  # largest read of a protocol that is not buffered, as asyncio's
-HIGH = 65536  # asyncio's usual mark of a transport's buffer
+READ_MOST_BYTES = 262144  # largest read of a protocol that is not buffered, as asyncio's
+HIGH_WATER_BYTES = 65536  # asyncio's usual high-water mark of a transport's buffer
 
 
 class Endpoint(asyncio.Transport):
@@ -38,7 +37,7 @@
         self.on_sent: Callable[[bytes], None] | None = None  # told of these, as they leave
         self.flying = 0  # bytes on their way to the other side
         self._out = bytearray()  # written by the protocol, not yet sent
-        self._high, self._low = HIGH, HIGH // 4
+        self._high, self._low = HIGH_WATER_BYTES, HIGH_WATER_BYTES // 4
         self._full = self._buffered = False
         self._last_ns = 0  # when the last piece that was sent arrives
         self._held: deque[tuple[str, bytes]] = deque()  # kept back by a network that is cut
@@ -73,9 +72,9 @@
         return self.protocol
 
     def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
-        self._high = high if high is not None else HIGH
+        self._high = high if high is not None else HIGH_WATER_BYTES
         self._low = low if low is not None else self._high // 4
-        self._mind_buffer()
+        self._check_water_marks()
 
     def get_write_buffer_size(self) -> int:
         return len(self._out)
@@ -101,7 +100,7 @@
             return
         self._out += data
         self._push()
-        self._mind_buffer()
+        self._check_water_marks()
 
     def writelines(self, list_of_data: Any) -> None:
         self.write(b"".join(list_of_data))
@@ -179,7 +178,7 @@
             self._arrive("reset", b"")
             other._arrive("reset", b"")
 
-    def _mind_buffer(self) -> None:
+    def _check_water_marks(self) -> None:
         if not self._full and len(self._out) > self._high:
             self._full = True
             self.protocol.pause_writing()
@@ -215,7 +214,7 @@
         if self._gone or not self._out or self.peer is None:
             return
         self._push()
-        self._mind_buffer()
+        self._check_water_marks()
         if not self._out:
             if self._closing:
                 self._lose(None)
@@ -305,13 +304,13 @@
         self._wake()
 
     def _read_some(self) -> None:
-        most = self.network.ways.read_bytes or MORE
+        most = self.network.ways.read_bytes or READ_MOST_BYTES
         if self._buffered:
             view = memoryview(self.protocol.get_buffer(-1))
             size = min(len(view), len(self.inbox), most)
             view[:size] = self.inbox[:size]
         else:
-            size = min(MORE, len(self.inbox), most)
+            size = min(READ_MOST_BYTES, len(self.inbox), most)
         data = b"" if self._buffered else bytes(self.inbox[:size])
         del self.inbox[:size]
         self.taken += size
@@ -323,194 +322,3 @@
             self.protocol.buffer_updated(size)
         else:
             self.protocol.data_received(data)
-
-
-class Accepted:
-    """A connection as `accept` hands it over, before a transport stands on it."""
-
-    __slots__ = ("_endpoint",)
-
-    def __init__(self, endpoint: Endpoint) -> None:
-        self._endpoint = endpoint
-
-    def setblocking(self, flag: bool) -> None:
-        """As sockets have it; a virtual one never blocks."""
-        if flag:
-            raise ValueError("a virtual socket never blocks")
-
-    def take(self) -> Endpoint:
-        """The endpoint, for its transport."""
-        return self._endpoint
-
-    def close(self) -> None:
-        """Closes the connection without a transport."""
-        self._endpoint._release()
-
-
-class Listener:
-    """A listening socket, with the machine's line of connections that nobody has taken yet."""
-
-    def __init__(self, process: BaseProcess, address: Address, backlog: int) -> None:
-        self.process, self.network = process, process.network
-        host, port = address
-        self.address = host, port or self.network.port()
-        if self.address in self.network.listeners:
-            raise OSError(errno.EADDRINUSE, os.strerror(errno.EADDRINUSE))
-        process.take_descriptor()
-        self.backlog, self.line = backlog, deque()
-        self._fd = self.network.descriptor()
-        self._call: Callable[..., Any] | None = None
-        self._args: tuple[Any, ...] = ()
-        self._waits = False
-        self.network.listeners[self.address] = self.network.listening[self._fd] = self
-        process.listeners[self] = None
-
-    def fileno(self) -> int:
-        return self._fd
-
-    def getsockname(self) -> Address:
-        """Where it listens."""
-        return self.address
-
-    def accept(self) -> tuple[Accepted, Address]:
-        while self.line:
-            endpoint = self.line[0]
-            if endpoint._reset_in:  # it went while it waited
-                self.line.popleft()
-                endpoint.process.endpoints.pop(endpoint, None)
-                continue
-            self.process.take_descriptor()
-            self.line.popleft()
-            return Accepted(endpoint), endpoint.remote
-        raise BlockingIOError(errno.EAGAIN, os.strerror(errno.EAGAIN))
-
-    def close(self) -> None:
-        """Who waits in line is reset, as the machine does."""
-        if self.process.listeners.pop(self, self) is self:
-            return
-        self.network.listeners.pop(self.address, None)
-        self.network.listening.pop(self._fd, None)
-        self.process.give_descriptor()
-        while self.line:
-            self.line.popleft().cut()
-
-    def watch(self, call: Callable[..., Any] | None, *args: Any) -> None:
-        """Calls while connections wait, as a level-triggered poll does."""
-        self._call, self._args = call, args
-        self._wake(0)
-
-    def _wake(self, after_ns: int) -> None:
-        if self._call is not None and self.line and not self._waits:
-            self._waits = True
-            process = self.process
-            at = process.ready_ns(process.scheduler.now_ns + after_ns)
-            process.scheduler.at(at, self._run, process=process)
-
-    def _run(self) -> None:
-        self._waits = False
-        if self._call is None or not self.line:
-            return
-        try:
-            self._call(*self._args)
-        finally:
-            self._wake(MS)  # where it left some: a poll would spin, which is no use here
-
-    def come(self, endpoint: Endpoint) -> None:
-        self.line.append(endpoint)
-        self._wake(0)
-
-
-class Server:
-    """What `create_server` gives: takes every connection at once and makes a protocol for it."""
-
-    def __init__(
-        self, process: BaseProcess, address: Address, backlog: int, factory: Callable[[], Any]
-    ) -> None:
-        self.process, self._factory = process, factory
-        self._listener = Listener(process, address, backlog)
-        self._listener.watch(self._take)
-
-    @property
-    def sockets(self) -> tuple[Listener, ...]:
-        return (self._listener,)
-
-    def _take(self) -> None:
-        while self._listener.line:
-            try:
-                accepted, _ = self._listener.accept()
-            except OSError:
-                return
-            accepted.take().begin(self._factory())
-
-    def close(self) -> None:
-        self._listener.close()
-
-    async def wait_closed(self) -> None:
-        return None
-
-
-async def connect(process: BaseProcess, address: Address) -> Endpoint:
-    """A connection that is up. OSError where it is refused or no descriptor is left; where the other machine
-    is silent or its line is full it never comes up, and the caller has to give up by itself."""
-    process.take_descriptor()
-    network, waiter = process.network, process.loop.create_future()
-    endpoint = Endpoint(process, (process.host, network.port()), address)
-    endpoint.label = f"{process.name}>{address[0]}:{address[1]}#{endpoint.local[1]}"
-    network.note("connect", endpoint.label)
-    _knock(endpoint, waiter)
-    try:
-        await waiter
-    except BaseException:
-        process.endpoints.pop(endpoint, None)
-        process.give_descriptor()
-        if endpoint.peer is not None:  # it came up too late
-            endpoint._send("reset", b"")
-        raise
-    return endpoint
-
-
-def _knock(endpoint: Endpoint, waiter: asyncio.Future) -> None:
-    network, process = endpoint.network, endpoint.process
-    if not process.alive or waiter.done():
-        return
-    listener = network.listeners.get(endpoint.remote)
-    target = listener.process if listener else None
-    if network.silent(process.host, endpoint.remote[0]):
-        network.scheduler.at(network.scheduler.now_ns + SECOND, _knock, endpoint, waiter)  # TCP asks again
-        return
-    way = network.way_ns(process, target) if target else network.ways.near_ns
-    network.scheduler.at(network.scheduler.now_ns + way, _knocked, endpoint, waiter)
-
-
-def _knocked(endpoint: Endpoint, waiter: asyncio.Future) -> None:
-    network, process = endpoint.network, endpoint.process
-    if not process.alive or waiter.done():
-        return
-    listener = network.listeners.get(endpoint.remote)
-    now, way = network.scheduler.now_ns, network.ways.near_ns
-    if listener is None:
-        err = ConnectionRefusedError(errno.ECONNREFUSED, os.strerror(errno.ECONNREFUSED))
-        network.scheduler.at(process.ready_ns(now + way), _fail, waiter, err, process=process)
-        return
-    if len(listener.line) >= listener.backlog:
-        network.scheduler.at(now + SECOND, _knock, endpoint, waiter)
-        return
-    other = Endpoint(listener.process, endpoint.remote, endpoint.local)
-    other.label = f"{listener.process.name}<{endpoint.label}"
-    other.peer, endpoint.peer = endpoint, other
-    if network.on_connected is not None:
-        network.on_connected(endpoint, other)
-    listener.come(other)
-    way = network.way_ns(listener.process, process)
-    other._last_ns = now + way
-    network.scheduler.at(process.ready_ns(now + way), _up, waiter, process=process)
-
-
-def _up(waiter: asyncio.Future) -> None:
-    if not waiter.done():
-        waiter.set_result(None)
-
-
-def _fail(waiter: asyncio.Future, err: Exception) -> None:
-    if not waiter.done():
-        waiter.set_exception(err)
