Testbed: fault proxy, probe and their parts by the field's names

Seen: field/gate.py and field/sight.py had house words (gate, ground, lane, hole, ears, tap). Nothing outside field/ and its test used these names.

--- a/tests/test_field.py
+++ b/tests/test_field.py
@@ -167,7 +167,7 @@
         sock = places.on_loopback(1, reuse=True)  # SOCK_STREAM
         server = await asyncio.get_running_loop().create_server(asyncio.Protocol, sock=sock)
         port = sock.getsockname()[1]
-        hole = places.Hole("127.102.9.1", port)
+        hole = places.BlackHole("127.102.9.1", port)
         with pytest.raises(TimeoutError):
             async with asyncio.timeout(0.3):
                 await asyncio.open_connection("127.102.9.1", port)
--- a/zincstile/field/emulated.py
+++ b/zincstile/field/emulated.py
@@ -13,20 +13,20 @@
 from ..standin.guidebox import GuideBox, Model
 from ..worlds import traffic
 from . import places
-from .gate import Gate, Ground
+from .fault_proxy import FaultProxy, ProxiedConnection
 from .members import Place, Seat
-from .sight import Tap
+from .probe import CommandTap
 from .testbed import MS, RACKS, Testbed
 
 MOST_SPEED_FACTOR = 1.3  # by which the cores' speed differs at most
 
 
-class _BackendGate(Gate):
+class _BackendConnection(ProxiedConnection):
     """A connection to a fake backend: what comes is also read by a tap."""
 
     def connection_made(self, transport: Any) -> None:
         super().connection_made(transport)
-        self.tap = Tap(self.ground.ears, self.gateway, self.ground.place)
+        self.tap = CommandTap(self.proxy.probe, self.gateway, self.proxy.place)
 
     def data_received(self, data: bytes) -> None:
         self.tap.feed(data)
@@ -42,7 +42,7 @@
         """With the address by which that gateway finds it, on its clock."""
         place = self.places.get(entry.name)
         seer = places.ALL if self.plan.one_address else gateway
-        return entry if place is None else replace(entry, address=place.ground.address(seer))
+        return entry if place is None else replace(entry, address=place.proxy.address(seer))
 
     def box(self, zone: int, cold: bool, cell: int | None = None, at: Place | None = None) -> Place:
         """A new backend of drawn speed and size; at another's address where one is given."""
@@ -66,19 +66,19 @@
     ) -> Place:
         """A backend begins to listen, and its invariants begin to be watched."""
         number = at.number if at else (self._backends_made - 1) % places.MOST
-        ground = Ground(self.loop, self.links, name, places.BOX, number, self.names)
-        ground.gate, ground.ears, ground.stays = _BackendGate, self.ears, True
+        proxy = FaultProxy(self.loop, self.links, name, places.BOX, number, self.names)
+        proxy.make_connection, proxy.probe, proxy.keeps_port = _BackendConnection, self.probe, True
         if at is not None:
-            ground.port = at.ground.port
+            proxy.port = at.proxy.port
         rng = random.Random(f"{name} {self.plan.seed} {self._backends_made}")
-        box = GuideBox(ground, name, model, self.racks[cell], rng, self.ears, cold)  # type: ignore[arg-type]
-        box.gateway_of = lambda gate: gate.gateway  # type: ignore[attr-defined]
+        box = GuideBox(proxy, name, model, self.racks[cell], rng, self.probe, cold)  # type: ignore[arg-type]
+        box.gateway_of = lambda connection: connection.gateway  # type: ignore[attr-defined]
         self._spawn(box.start(""))
         since = int(time.time() * 1000) if cold else 0
         entry = Entry(name, "", traffic.ZONES[zone], "std", cell, "Ready", 1.0, since)
         self.referee.boxes[name] = zone, cell
         self.referee.cold.began(name, since, box.capacity, lambda: box.warmth() >= 1)
-        self.places[name] = Place(entry, box, ground, zone, model, number)
+        self.places[name] = Place(entry, box, proxy, zone, model, number)
         return self.places[name]
 
     def box_again(self, old: Place) -> Place:
@@ -93,16 +93,16 @@
     def kill_box(self, place: Place) -> None:
         """Its connections break, and it takes no new ones."""
         place.alive = False
-        place.ground.close()
+        place.proxy.close()
 
     def accept_box(self, place: Place) -> None:
         """It takes connections again, if it took none."""
-        if place.alive and not place.ground.listens:
+        if place.alive and not place.proxy.listens:
             self._spawn(place.box.start(""))
 
     def reset_box(self, place: Place) -> None:
         """Its connections break; it goes on."""
-        place.ground.break_all()
+        place.proxy.break_all()
 
     def hush_box(self, place: Place, silent: bool) -> None:
         """No gateway reaches it any more, or all do again."""
@@ -126,13 +126,13 @@
 
     def start_counter(self, number: int) -> None:
         """Starts a quota service that knows nothing yet, at the address of the one before it."""
-        ground = Ground(self.loop, self.links, "keeper", places.KEEPER, number, self.names)
-        ground.stays = True
+        proxy = FaultProxy(self.loop, self.links, "keeper", places.KEEPER, number, self.names)
+        proxy.keeps_port = True
         if number in self.counters:
-            ground.port = self.counters[number][1].port
-        counter = Counter(ground)  # type: ignore[arg-type]
+            proxy.port = self.counters[number][1].port
+        counter = Counter(proxy)  # type: ignore[arg-type]
         counter.open = True
-        self.counters[number] = counter, ground
+        self.counters[number] = counter, proxy
         self._spawn(counter.start(""))
 
     def kill_counter(self, number: int) -> None:
--- a/zincstile/field/gate.py
+++ b/zincstile/field/fault_proxy.py
@@ -1,12 +1,12 @@
-"""Connections to the stand-ins, with what a plan laid on the way between a gateway and a place.
+"""Connections to emulated services, with the faults that a plan laid on the way there from a gateway.
 
-A stand-in is handed a `Ground` in place of its loop: what it listens with knows by the address that a
-gateway used which one it is. Between each connection and the stand-in's protocol stands a `Gate` with a
-lane for each direction: what passes keeps its order, waits while the way is cut, and comes later where
-it is slow.
+An emulator is handed a `FaultProxy` in place of its event loop: what it listens with knows by the address
+that a gateway used which one it is. Between each connection and the emulator's protocol stands a
+`ProxiedConnection` with a queue for each direction: what passes keeps its order, waits while the way is cut,
+and comes later where it is slow.
 
 Cut ways: open connections say nothing and keep what was written, as TCP does until it is sent again;
-new ones never come up (`places.Hole`). `reset`: open ones break, and new ones are closed as soon as
+new ones never come up (`places.BlackHole`). `reset`: open ones break, and new ones are closed as soon as
 they are up.
 """
 
@@ -24,7 +24,7 @@
 QUEUE = 1024  # connections that wait to be taken
 
 
-class Lane:
+class Direction:
     """One direction of one connection. `pair`: the way that it goes."""
 
     __slots__ = ("loop", "links", "pair", "_waiting", "_alarm", "_due")
@@ -59,11 +59,11 @@
             then(*args)
 
 
-class Gate(asyncio.Protocol):
-    """One connection: the system's transport on one side, a stand-in's protocol on the other."""
+class ProxiedConnection(asyncio.Protocol):
+    """One connection: the system's transport on one side, an emulator's protocol on the other."""
 
-    def __init__(self, ground: Ground, inner: asyncio.Protocol) -> None:
-        self.ground, self.inner = ground, inner
+    def __init__(self, proxy: FaultProxy, inner: asyncio.Protocol) -> None:
+        self.proxy, self.inner = proxy, inner
         self.transport: asyncio.Transport | None = None
         self.gateway = "?"
         self.told = False  # the protocol knows of the connection
@@ -72,12 +72,12 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Tells the inner protocol of the connection, unless the way resets it."""
         self.transport = transport  # type: ignore[assignment]
-        self.gateway = self.ground.gateway_at(transport.get_extra_info("sockname")[0])
-        ground, place = self.ground, self.ground.place
-        self.inwards = Lane(ground.loop, ground.links, (self.gateway, place))
-        self.outwards = Lane(ground.loop, ground.links, (place, self.gateway))
-        ground.gates[self] = None
-        if ground.links.way(*self.inwards.pair).reset:
+        self.gateway = self.proxy.gateway_at(transport.get_extra_info("sockname")[0])
+        proxy, place = self.proxy, self.proxy.place
+        self.inwards = Direction(proxy.loop, proxy.links, (self.gateway, place))
+        self.outwards = Direction(proxy.loop, proxy.links, (place, self.gateway))
+        proxy.connections[self] = None
+        if proxy.links.way(*self.inwards.pair).reset:
             self.abort()
             return
         self.told = True
@@ -101,21 +101,21 @@
         if self.told:
             self.inwards.push(self._lost, exc)
         else:
-            self.ground.gates.pop(self, None)
+            self.proxy.connections.pop(self, None)
 
     def _lost(self, exc: Exception | None) -> None:
         self.closing = True
-        self.ground.gates.pop(self, None)
+        self.proxy.connections.pop(self, None)
         self.inner.connection_lost(exc)
 
     def changed(self) -> None:
         """Something is else on the ways of this connection."""
-        if self.ground.links.way(*self.inwards.pair).reset:
+        if self.proxy.links.way(*self.inwards.pair).reset:
             self.abort()
         self.inwards.poke()
         self.outwards.poke()
 
-    # ---- the transport, as the stand-in's protocol sees it
+    # ---- the transport, as the emulator's protocol sees it
 
     def write(self, data: bytes) -> None:
         """What the inner protocol sends goes to the gateway by its lane."""
@@ -144,8 +144,8 @@
         return self.transport.get_extra_info(name, default)
 
 
-class Ground:
-    """A loop as a stand-in sees it, at one place of the field. All else is the loop's own."""
+class FaultProxy:
+    """An event loop as one emulator sees it, at one place of the testbed. All else is the loop's own."""
 
     def __init__(
         self,
@@ -158,12 +158,12 @@
     ) -> None:
         self.loop, self.links, self.place, self.kind, self.number = loop, links, place, kind, number
         self.gateways = gateways
-        self.gates: dict[Gate, None] = {}
+        self.connections: dict[ProxiedConnection, None] = {}
         self.port = 0
-        self.stays = False  # it listens at one port, also after it was closed; else each time at a new one
-        self.gate: Callable[[Ground, asyncio.Protocol], Gate] = Gate
-        self.ears: Any = None  # for gates that tell what they see
-        self._holes: dict[str, places.Hole] = {}
+        self.keeps_port = False  # listens at the same port after it was closed; else each time at a new one
+        self.make_connection: Callable[[FaultProxy, asyncio.Protocol], ProxiedConnection] = ProxiedConnection
+        self.probe: Any = None  # for connections that tell what they see
+        self._black_holes: dict[str, places.BlackHole] = {}
         self._server: asyncio.AbstractServer | None = None
         links.changed.append(self._changed)
 
@@ -184,10 +184,10 @@
         self, factory: Callable[[], asyncio.Protocol], host: str = "", port: int = 0
     ) -> asyncio.AbstractServer:
         """As the loop's, on all addresses of this place."""
-        sock = places.on_loopback(socket.SOCK_STREAM, True, self.port if self.stays else 0)
+        sock = places.on_loopback(socket.SOCK_STREAM, True, self.port if self.keeps_port else 0)
         self.port = sock.getsockname()[1]
         self._server = await self.loop.create_server(
-            lambda: self.gate(self, factory()), sock=sock, backlog=QUEUE
+            lambda: self.make_connection(self, factory()), sock=sock, backlog=QUEUE
         )
         return self._server
 
@@ -197,28 +197,29 @@
         return self._server is not None and self._server.is_serving()
 
     def _changed(self, pairs: list[Pair]) -> None:
+        """Something is else on these ways."""
         hit = {a if b == self.place else b for a, b in pairs if self.place in (a, b)}
         for name in hit:
-            self._hole(name)
+            self._black_hole(name)
         if hit:
-            for gate in [g for g in self.gates if g.gateway in hit]:
-                gate.changed()
+            for connection in [c for c in self.connections if c.gateway in hit]:
+                connection.changed()
 
-    def _hole(self, gateway: str) -> None:
+    def _black_hole(self, gateway: str) -> None:
         """New connections of that gateway never come up while the way there or back is cut."""
         if gateway not in self.gateways or not self.port:
             return
         cut = self.links.way(gateway, self.place).cut or self.links.way(self.place, gateway).cut
-        if cut and gateway not in self._holes:
+        if cut and gateway not in self._black_holes:
             host = places.seen(self.kind, self.gateways.index(gateway), self.number)
-            self._holes[gateway] = places.Hole(host, self.port)
-        elif not cut and gateway in self._holes:
-            self._holes.pop(gateway).close()
+            self._black_holes[gateway] = places.BlackHole(host, self.port)
+        elif not cut and gateway in self._black_holes:
+            self._black_holes.pop(gateway).close()
 
     def break_all(self) -> None:
         """All connections here break at once."""
-        for gate in list(self.gates):
-            gate.abort()
+        for connection in list(self.connections):
+            connection.abort()
 
     def close(self) -> None:
         """The place dies: nobody listens, and all breaks."""
@@ -226,8 +227,8 @@
             self._server.close()
             self._server = None
         self.break_all()
-        for hole in self._holes.values():
+        for hole in self._black_holes.values():
             hole.close()
-        self._holes.clear()
+        self._black_holes.clear()
         if self._changed in self.links.changed:
             self.links.changed.remove(self._changed)
--- a/zincstile/field/gateways.py
+++ b/zincstile/field/gateways.py
@@ -128,7 +128,7 @@
 
     async def _move_discovery(self, seat: Seat) -> None:
         await seat.agent.start("")
-        seat.discovery = seat.ground.address(seat.number)
+        seat.discovery = seat.proxy.address(seat.number)
 
     def upgrade(self, seat: Seat) -> None:
         """The next version takes over on the same socket, unless one is doing so already."""
--- a/zincstile/field/members.py
+++ b/zincstile/field/members.py
@@ -9,7 +9,7 @@
 from ..standin.discovery import Agent, Entry
 from ..standin.guidebox import GuideBox, Model
 from ..worlds import traffic
-from .gate import Ground
+from .fault_proxy import FaultProxy
 from .programs import Program
 
 
@@ -20,7 +20,7 @@
     number: int
     name: str
     agent: Agent
-    ground: Ground
+    proxy: FaultProxy
     listen: str
     folder: Path
     discovery: str = ""
@@ -50,7 +50,7 @@
 
     entry: Entry
     box: GuideBox
-    ground: Ground
+    proxy: FaultProxy
     zone: int
     model: Model
     number: int
--- a/zincstile/field/places.py
+++ b/zincstile/field/places.py
@@ -70,7 +70,7 @@
     return sock
 
 
-class Hole:
+class BlackHole:
     """An address whose connections never come up: a listener with a full queue, which hears no SYN. It goes
     before the listener on all addresses, as the more exact one."""
 
--- a/zincstile/field/sight.py
+++ b/zincstile/field/probe.py
@@ -1,4 +1,4 @@
-"""What the referee and the charts hear of a run with real processes.
+"""What the checkers and the charts observe of a run with real processes.
 
 Attempts are seen when their bytes reach the field's side of a connection, before anything that a plan
 laid on the way: what a gateway let out is counted when it let it out. All clocks are this machine's
@@ -34,7 +34,7 @@
 
 
 @dataclass(slots=True)
-class Series:
+class TimeSeries:
     """By second since the first request, and by gateway."""
 
     answers: dict[tuple[int, str, str], int] = field(default_factory=dict)  # second, gateway, kind
@@ -62,10 +62,10 @@
         return made
 
 
-class Ears(Witness):
-    """Hands all on to the referee, and counts by second."""
+class Probe(Witness):
+    """Hands all on to the referee, and counts by second for the charts."""
 
-    def __init__(self, referee: Referee, series: Series, began_s: Callable[[], float]) -> None:
+    def __init__(self, referee: Referee, series: TimeSeries, began_s: Callable[[], float]) -> None:
         self.referee, self.series, self._began_s = referee, series, began_s
         self.came: list[tuple[float, str, int]] = []  # when, at which box, work in ns
 
@@ -131,13 +131,13 @@
         self.referee.told(gateway, box, status, since_ms)
 
 
-class Tap:
+class CommandTap:
     """Reads the commands of one connection as they come, before the way holds them back."""
 
-    __slots__ = ("ears", "gateway", "box", "_commands", "_first_ns", "_try", "_foreign")
+    __slots__ = ("probe", "gateway", "box", "_commands", "_first_ns", "_try", "_foreign")
 
-    def __init__(self, ears: Ears, gateway: str, box: str) -> None:
-        self.ears, self.gateway, self.box = ears, gateway, box
+    def __init__(self, probe: Probe, gateway: str, box: str) -> None:
+        self.probe, self.gateway, self.box = probe, gateway, box
         self._commands = wire.Commands()
         self._first_ns = 0
         self._try: Any = None
@@ -156,7 +156,7 @@
             return
         for words in whole or [self._commands.words]:
             if self._try is None and len(words) > 2:
-                self._try = self.ears.let_out(self.gateway, self.box, words[2], self._first_ns)
+                self._try = self.probe.let_out(self.gateway, self.box, words[2], self._first_ns)
             if whole and self._try is not None:
-                self.ears.referee.whole(words[2], self._try)
+                self.probe.referee.whole(words[2], self._try)
                 self._try = None
--- a/zincstile/field/run.py
+++ b/zincstile/field/run.py
@@ -23,7 +23,7 @@
 from . import places
 from .datagrams import Datagrams
 from .emulated import EmulatedServices
-from .gate import Ground
+from .fault_proxy import FaultProxy
 from .gateways import GONE_S, GatewayProcesses
 from .members import Seat
 from .programs import Program
@@ -78,14 +78,14 @@
         """The plan's backends, one after another, so that each listens before discovery names it."""
         for k in range(self.plan.boxes):
             place = self.box(k % len(traffic.ZONES), cold=False)
-            await self._wait_for(lambda place=place: place.ground.port, READY_S)
+            await self._wait_for(lambda place=place: place.proxy.port, READY_S)
             self.boxes.append(place.entry.name)
             self.roster.put(place.entry)
 
     async def _make_seat(self, number: int, name: str) -> Seat:
         """A gateway's place: its discovery, its folder and, for upgrades, its listening socket."""
-        ground = Ground(self.loop, self.links, "discovery", places.DISCOVERY, 0, self.names)
-        agent = Agent(ground, self.roster, name, self.ears)  # type: ignore[arg-type]
+        proxy = FaultProxy(self.loop, self.links, "discovery", places.DISCOVERY, 0, self.names)
+        agent = Agent(proxy, self.roster, name, self.probe)  # type: ignore[arg-type]
         agent.seen = lambda entry: self._entry_for(entry, number)
         await agent.start("")
         folder = self.folder / name
@@ -94,10 +94,10 @@
             number=number,
             name=name,
             agent=agent,
-            ground=ground,
+            proxy=proxy,
             listen=f"{places.gateway(self.block, number)}:{places.CLIENTS_PORT}",
             folder=folder,
-            discovery=ground.address(number),
+            discovery=proxy.address(number),
         )
         if self._upgrades:
             seat.socket = self._listening_socket(seat)
@@ -108,7 +108,7 @@
         front = Front(
             self.loop,
             random.Random(f"front {self.plan.seed}"),
-            self.ears,
+            self.probe,
             {s.name: (places.gateway(self.block, s.number), places.CLIENTS_PORT) for s in self.seats},
             dead_s=(0.3, 1.5),
         )
@@ -204,9 +204,9 @@
         for seat in self.seats:
             self._clean_up_gateway(seat)
         for place in self.places.values():
-            place.ground.close()
-        for _, ground in self.counters.values():
-            ground.close()
+            place.proxy.close()
+        for _, proxy in self.counters.values():
+            proxy.close()
         if hasattr(self, "datagrams"):
             self.datagrams.close()
         if hasattr(self, "front"):
@@ -220,7 +220,7 @@
                 program.kill()
         for server in seat.agent.servers:
             server.close()
-        seat.ground.close()
+        seat.proxy.close()
         if seat.socket is not None:
             seat.socket.close()
 
--- a/zincstile/field/testbed.py
+++ b/zincstile/field/testbed.py
@@ -23,9 +23,9 @@
 from ..worlds import traffic
 from ..worlds.plan import Plan
 from .datagrams import Datagrams
-from .gate import Ground
+from .fault_proxy import FaultProxy
 from .members import Place, Seat
-from .sight import Ears, Series
+from .probe import Probe, TimeSeries
 
 MS = 1_000_000
 SLACK_NS = 1500 * MS  # of what has to be done in time, on a machine that does all at once
@@ -67,10 +67,10 @@
         )
         self.stated, self.opening = stated or traffic.quotas(), opening
         self.referee = Referee(figures, lambda: (0, time.monotonic_ns()))
-        self.series = Series()
+        self.series = TimeSeries()
         self.began_s = time.monotonic()
-        self.ears = Ears(self.referee, self.series, lambda: self.began_s)
-        self.roster = Roster(self.ears)
+        self.probe = Probe(self.referee, self.series, lambda: self.began_s)
+        self.roster = Roster(self.probe)
         self.racks = [Rack(traffic.KEYED_MS / 1000) for _ in range(RACKS)]
         self.places: dict[str, Place] = {}
         self.boxes: list[str] = []
@@ -78,7 +78,7 @@
         self.shares: dict[tuple[int, str], float] = {}
         self.weights = random.Random(f"weights {plan.seed}")
         self.drawn_to: list[dict[str, None]] = []
-        self.counters: dict[int, tuple[Counter, Ground]] = {}
+        self.counters: dict[int, tuple[Counter, FaultProxy]] = {}
         self.events: list[tuple[float, str]] = []
         self.names = [f"g{k}" for k in range(plan.gateways)]
         self._backends_made = 0
