place plan and the page of a field run: functions of one step each

Result: the page of two made-up results is the same text as before, place plan prints the same for four calls (two of them bad input, exit 2).

--- a/zincstile/cli/place.py
+++ b/zincstile/cli/place.py
@@ -7,7 +7,9 @@
 from rich.table import Table
 
 from ..net import features
+from ..net.features import ZoneRow
 from ..place.flows import ZoneView, flows
+from ..place.settings import PlaceSettings
 from ..typed_yaml import FileError
 from .errors import BadInputError
 
@@ -32,10 +34,8 @@
         features.check_place(file, settings, names)
     except FileError as err:
         raise BadInputError(str(err)) from None
-    gone = {z for word in (*lost, *drained) for z in settings.regions.get(word, (word,))}
-    dead = {z for word in lost for z in settings.regions.get(word, (word,))}
-    for word in gone - set(names):
-        raise BadInputError(f"place: no zone or region is called {word}; there are {', '.join(names)}")
+    gone = _zones_of((*lost, *drained), settings, names)
+    dead = _zones_of(lost, settings, names)
     views = [
         ZoneView(
             r.demand,
@@ -48,23 +48,39 @@
         for r in rows
     ]
     made = flows(views, settings.matrix(names), settings.headroom)
-    table = Table(title="units a second from each zone (rows) to each (columns)")
-    for head in ("zone", *names, "refused"):
-        table.add_column(head, justify="left" if head == "zone" else "right")
-    refused = 0.0
-    for row, sent in zip(rows, made, strict=True):
-        left = max(0.0, row.demand - sum(sent))
-        refused += left
-        table.add_row(
-            row.name, *(f"{x:.1f}" if x else "-" for x in sent), f"{left:.1f}" if left > 1e-6 else "-"
-        )
-    bears = [sum(m[b] for m in made) / r.room if r.room else 0.0 for b, r in enumerate(rows)]
-    table.add_row("used", *(f"{100 * x:.0f}%" for x in bears), "", style="dim")
-    console = Console()
-    console.print(table)
+    refused = sum(_left(row, sent) for row, sent in zip(rows, made, strict=True))
     total = sum(r.demand for r in rows)
+    console = Console()
+    console.print(_table(rows, made))
     console.print(
         f"{refused:.1f} of {total:.1f} units a second have no place "
         f"({100 * refused / total if total else 0:.1f}%)"
     )
     return 1 if refused > 1e-6 else 0
+
+
+def _zones_of(words: tuple[str, ...], settings: PlaceSettings, names: list[str]) -> set[str]:
+    """The zones that these words name, each by itself or by its region."""
+    found = {zone for word in words for zone in settings.regions.get(word, (word,))}
+    for word in found - set(names):
+        raise BadInputError(f"place: no zone or region is called {word}; there are {', '.join(names)}")
+    return found
+
+
+def _left(row: ZoneRow, sent: list[float]) -> float:
+    """Units a second of a zone that have no place."""
+    return max(0.0, row.demand - sum(sent))
+
+
+def _table(rows: list[ZoneRow], made: list[list[float]]) -> Table:
+    """Where each zone's traffic goes, and how much of each zone is used."""
+    table = Table(title="units a second from each zone (rows) to each (columns)")
+    for head in ("zone", *(r.name for r in rows), "refused"):
+        table.add_column(head, justify="left" if head == "zone" else "right")
+    for row, sent in zip(rows, made, strict=True):
+        left = _left(row, sent)
+        cells = (f"{x:.1f}" if x else "-" for x in sent)
+        table.add_row(row.name, *cells, f"{left:.1f}" if left > 1e-6 else "-")
+    used = [sum(sent[k] for sent in made) / row.room if row.room else 0.0 for k, row in enumerate(rows)]
+    table.add_row("used", *(f"{100 * x:.0f}%" for x in used), "", style="dim")
+    return table
--- a/zincstile/field/report.py
+++ b/zincstile/field/report.py
@@ -13,7 +13,7 @@
 from pygal.style import CleanStyle
 
 from ..typed_yaml import FileError
-from .result import FieldResult, GatewayRow
+from .result import BreachRow, FieldResult, GatewayRow
 
 STYLE = CleanStyle(title_font_size=15, legend_font_size=11, label_font_size=11, major_label_font_size=11)
 PAGE = """<!doctype html><html lang="en"><meta charset="utf-8"><title>zincstile field report</title><style>
@@ -132,6 +132,22 @@
     return found
 
 
+GATEWAY_COLUMNS = [
+    "gateway",
+    "zone",
+    "starts",
+    "ready, s",
+    "requests",
+    "served",
+    "denied",
+    "failed",
+    "datagrams",
+    "a second",
+    "CPU ms a request",
+    "MB",
+]
+
+
 def _gateway_rows(result: FieldResult) -> list[list[object]]:
     def count(row: GatewayRow, name: str) -> int:
         return int(row.counters.get(name, 0))
@@ -161,59 +177,51 @@
 
 def one(result: FieldResult) -> str:
     """What there is to say of one run."""
-    verdict = "every rule held" if result.ok else '<span class="bad">not every rule held</span>'
-    parts = [
-        f"<p>{html.escape(result.plan)}, seed {result.seed}, {result.gateways} gateways, {result.boxes} "
-        f"guide boxes, {result.seconds:.1f} s: {verdict}. {result.requests} requests, {result.attempts} "
-        f"attempts, {100 * result.goodput:.1f}% of what one all-seeing store would let in.</p>"
-    ]
-    for breach in result.breaches:
-        past = "\n".join(breach.history)
-        parts.append(
-            f"<p class=bad>{html.escape(breach.rule)} at {breach.at_s:.2f} s: "
-            f"{html.escape(breach.text)}</p><pre>{html.escape(past)}</pre>"
-        )
+    parts = [_head(result), *(_breach(breach) for breach in result.breaches)]
     if result.plans:
-        parts.append(
-            "<h2>Quotas over all gateways</h2>"
-            + table(
-                ["plan", "worst beyond a quota", "stated bound", "of it", "sent", "all-seeing store"],
-                [
-                    [p.plan, p.worst, p.bound, p.worst / p.bound if p.bound else 0.0, p.sent, p.best]
-                    for p in result.plans
-                ],
-            )
-        )
+        parts.append(_quotas(result))
     parts.append("<h2>Over time</h2>" + Charts(result).all())
     if result.events:
         parts.append("<h2>Faults</h2>" + table(["second", "what"], [[s, what] for s, what in result.events]))
-    parts.append(
-        "<h2>Gateways</h2>"
-        + table(
-            [
-                "gateway",
-                "zone",
-                "starts",
-                "ready, s",
-                "requests",
-                "served",
-                "denied",
-                "failed",
-                "datagrams",
-                "a second",
-                "CPU ms a request",
-                "MB",
-            ],
-            _gateway_rows(result),
-        )
+    parts.append("<h2>Gateways</h2>" + table(GATEWAY_COLUMNS, _gateway_rows(result)))
+    parts.append(_answers(result))
+    return "".join(parts)
+
+
+def _head(result: FieldResult) -> str:
+    verdict = "every rule held" if result.ok else '<span class="bad">not every rule held</span>'
+    return (
+        f"<p>{html.escape(result.plan)}, seed {result.seed}, {result.gateways} gateways, {result.boxes} "
+        f"guide boxes, {result.seconds:.1f} s: {verdict}. {result.requests} requests, {result.attempts} "
+        f"attempts, {100 * result.goodput:.1f}% of what one all-seeing store would let in.</p>"
+    )
+
+
+def _breach(breach: BreachRow) -> str:
+    """A broken rule, with what led to it."""
+    past = "\n".join(breach.history)
+    return (
+        f"<p class=bad>{html.escape(breach.rule)} at {breach.at_s:.2f} s: "
+        f"{html.escape(breach.text)}</p><pre>{html.escape(past)}</pre>"
     )
-    parts.append(
+
+
+def _quotas(result: FieldResult) -> str:
+    heads = ["plan", "worst beyond a quota", "stated bound", "of it", "sent", "all-seeing store"]
+    rows = [
+        [p.plan, p.worst, p.bound, p.worst / p.bound if p.bound else 0.0, p.sent, p.best]
+        for p in result.plans
+    ]
+    return "<h2>Quotas over all gateways</h2>" + table(heads, rows)
+
+
+def _answers(result: FieldResult) -> str:
+    return (
         "<h2>Answers</h2>"
         + table(["kind", "count"], [[k, n] for k, n in sorted(result.tally.items())])
         + table(["latency of the served", "ms"], [[k, v] for k, v in result.latency_ms.items()])
         + table(["datagrams between gateways", "count"], [[k, n] for k, n in result.links.items()])
     )
-    return "".join(parts)
 
 
 FIGURES: dict[str, Callable[[FieldResult], float]] = {
