The servers that decisions know are kept step by step: a tick and a change walk what is in use

Policy._tick (_fade, _sort) and Memory.follow_list walked the whole table each time. Change: a list changes what it tells. The warm and the cold ones are lists from which one is taken by its place, the last taking it; `ready` is a view of both; the named keep, of those with one name, the one that came last, as before. `touched` holds the servers with a doubt or a slowness other than 1: only these fade and are left out of `good`; what has faded (slowness within 0.001 of 1, a hundredth of the chance in a choice) leaves it. A change marks the sort as due, and it is done before any other event and before any draw. Formulae are the same; draws are as many as before, but of the warm ones in another order. Attempts out at a server are a number. What is left to a new version names the servers with something to tell. Three tests that wrote a doubt or a slowness into a server by hand do it through `touch` now, as the program does.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -127,7 +127,7 @@
 
 def test_a_new_process_starts_without_the_old_ones_record():
     g = Gateway(backends=2)
-    g.policy.servers[1].doubt[0] = 1.0
+    g.policy.touch(g.policy.servers[1]).doubt[0] = 1.0
     g.list([backend(1, started=g.now)], i.ListKind.DELTA)
     assert not g.policy.servers[1].doubt
 
@@ -293,7 +293,7 @@
     for k in range(600):
         if k % 10 == 0:
             for s in g.policy.ready[:2]:
-                s.doubt = {0: 1.0}
+                g.policy.touch(s).doubt = {0: 1.0}
             g.tick(0)
         rid, acts = g.ask(after=10 * MS)
         for where in [a.backend for a in only(acts, i.Send)]:
--- a/tests/test_wide.py
+++ b/tests/test_wide.py
@@ -293,7 +293,7 @@
 
 def test_one_late_answer_does_not_keep_a_backend_out_for_good():
     g = gateway(plans=[i.PlanSpec("p", rate=1e6, burst=1e6)])
-    g.policy.servers[1].slowness = 5.0
+    g.policy.touch(g.policy.servers[1]).slowness = 5.0
     for _ in range(40):
         g.tick(after=SECOND)
     assert g.policy.servers[1].slowness < 1.1
--- a/zincstile/inherit.py
+++ b/zincstile/inherit.py
@@ -91,6 +91,7 @@
                 "doubt": sorted(s.doubt.items()),
             }
             for s in m.servers.values()
+            if s.doubt or s.slowness != 1.0
         ],
         "heard": [[p, start, age(at)] for p, (start, at) in m.heard.items()],
         "customers": [customer(c) for c in last],
--- a/zincstile/policy.py
+++ b/zincstile/policy.py
@@ -114,7 +114,6 @@
         if event.kind is i.ListKind.FAILED and self.set.ask_for_list:
             self.acts.append(i.Watch())
         self.follow_list(now, event)
-        self._sort(now)
 
     def on_timer(self, now: int, event: i.Timer) -> None:
         number, kind = event.token // KINDS, event.token % KINDS
@@ -158,11 +157,12 @@
         """Doubts and slowness fade; of each group, the doubt that a part of the fleet does not exceed."""
         told: list[list[float]] = [[] for _ in self.usual]
         self.broken = [bad * keep ** (FADE_S / PATH_S) for bad in self.broken]
-        for s in self.ready:
+        for s in [s for s in self.touched.values() if s.members is not None]:
             s.slowness += (1 - keep) * (1 - s.slowness)  # else one late answer would tell for good
             s.doubt = {group: bad * keep for group, bad in s.doubt.items() if bad > FORGOTTEN}
             for group, bad in s.doubt.items():
                 told[group].append(bad)
+            self.drop_faded(s)
         ranks = [int(len(self.ready) * FLOOR) - len(self.ready) + len(t) for t in told]  # no doubt: first
         self.usual = [sorted(t)[k] if 0 <= k < len(t) else 0.0 for t, k in zip(told, ranks, strict=True)]
 
@@ -176,7 +176,7 @@
     def _feel(self, s: Server, group: int, bad: float, weight: float) -> None:
         """Guards against learning class by class that nobody listens there."""
         for g in range(len(self.set.classes)) if group == EVERY else (group,):
-            s.feel(g, bad, weight)
+            self.observe(s, g, bad, weight)
 
     def _doubted(self, s: Server, cls: int, plan: int) -> float:
         """Guards against backends that fail one class, or turn away one class of one plan."""
@@ -222,14 +222,13 @@
     def _sort(self, now: int) -> None:
         """A backend counts for the part of the work that it is not doubted for: guards against filling the
         rest where some jam or hang. It may harm where the doubts are wrong and capacity lies idle."""
-        warmth = [self._warmth(now, s) for s in self.ready]
+        self.promote([s for s in self.cold if self._warmth(now, s) >= 1])
+        warmth = [self._warmth(now, s) for s in self.cold]
         sent = [1e-9 + sum(x.sent for side in self.tree for x in side[g]) for g in range(len(self.unit_ns))]
-        fit = sum(w * n for s, w in zip(self.ready, warmth, strict=True)
-                  for g, n in enumerate(sent) if s.doubt.get(g, 0.0) - self.usual[g] < FAULTY)
-        self.good = max(1.0, fit / sum(sent))  # in warm ones
-        self.warm = [s for s, w in zip(self.ready, warmth, strict=True) if w >= 1]
-        self.cold = [s for s, w in zip(self.ready, warmth, strict=True) if w < 1]
-        self.parts = self._parts([w for w in warmth if w < 1])
+        lost = sum(self._warmth(now, s) * n for s in self.touched.values() if s.members is not None
+                   for g, n in enumerate(sent) if s.doubt.get(g, 0.0) - self.usual[g] >= FAULTY)
+        self.good = max(1.0, len(self.warm) + sum(warmth) - lost / sum(sent))  # in warm ones
+        self.parts = self._parts(warmth)
 
     def _parts(self, warmth: list[float]) -> list[float]:
         """Rule 4: the part of all sends that is due to each cold backend, summed up. As much of a warm one's
@@ -486,6 +485,7 @@
 
     def _choose(self, now: int, live: Live) -> Server | None:
         """One cold by a draw, its due; else the best of the warm, or a cold one less busy, to its most."""
+        self.sort_if_due(now)
         ask, best, best_score = live.ask, None, math.inf
         draw, due = self.rng.random(), self.parts[-1] if self.parts else 1.0
         spill = draw >= due and self.spare > 1
@@ -494,12 +494,12 @@
                 and self._doubted(s, ask.cls, ask.plan) < FAULTY:
             if not spill:
                 return s
-            best, best_score = s, (len(s.out) + 1) * s.slowness / self._warmth(now, s)
+            best, best_score = s, (s.out + 1) * s.slowness / self._warmth(now, s)
         pair = self.set.pair(ask.cls, ask.plan)
         few, plain = len(self.warm) <= 2 * CANDIDATES, -min(self.usual[ask.cls], self.usual[pair])
         for s in self.warm if few else self.rng.sample(self.warm, CANDIDATES):
             doubt = self._doubted(s, ask.cls, ask.plan) if s.doubt else plain
-            score = (len(s.out) + 1) * s.slowness * (1 + 2 * max(0.0, doubt - NOTABLE))
+            score = (s.out + 1) * s.slowness * (1 + 2 * max(0.0, doubt - NOTABLE))
             score *= 1 + JITTER * self.rng.random() + (NEAR if s.info.zone != self.set.zone else 0.0)
             score += DISTRUST * (doubt if doubt >= FAULTY else 0)
             if score < best_score and self._may(live, s):
@@ -556,7 +556,7 @@
             server.heard_ns = now
         timed = e.result in (Result.OK, Result.TIMEOUT)
         if timed or (e.result is Result.CANCELLED and ratio > 1):
-            server.slowness += SMOOTH * (min(ratio, SLOWEST) - server.slowness)
+            self.touch(server).slowness += SMOOTH * (min(ratio, SLOWEST) - server.slowness)
         if e.result is Result.FULL:  # that backend's word on one class and plan, not the fleet's
             self._sample(now, attempt, self.set.pair(attempt.cls, attempt.plan), 1.0, SURE)
         elif e.result is Result.CONNECT_FAILED:
--- a/zincstile/shared/module.py
+++ b/zincstile/shared/module.py
@@ -103,7 +103,7 @@
         self.judges.look(now, names)
         self.accused = self.judges.doubts(now, names, range(EVERY + 1)) if self.judges.told else {}
         for name in self.accused:
-            self.named[name].doubt.setdefault(0, MARK)
+            self.touch(self.named[name]).doubt.setdefault(0, MARK)
         if self.judges.trouble is not self.said_trouble:
             self.said_trouble = self.judges.trouble
             self.acts.append(
--- a/zincstile/state.py
+++ b/zincstile/state.py
@@ -4,15 +4,18 @@
 
 import heapq
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
-from typing import Any
+from types import MappingProxyType
+from typing import Any, Final
 
 from . import inherit
 from . import interface as i
 from .interface import Backend, ClassSpec, PlanSpec, Request
 
 LEVEL = 8  # place of the level in figures(); the times per unit follow it
+SLOWNESS_EPSILON: Final = 0.001  # so near to 1 a slowness is 1: a hundredth of the chance in a choice
+NO_DOUBT: Final[Mapping[int, float]] = MappingProxyType({})  # shared by all servers that have none
 
 
 def scatter(number: int) -> int:
@@ -35,11 +38,16 @@
 
 @dataclass(slots=True, eq=False)
 class Server:
+    """What is known of one backend. `Memory.touch` comes before any change of its doubt or slowness."""
+
     info: Backend
     slowness: float = 1.0  # latency over what the fleet takes for the like
-    doubt: dict[int, float] = field(default_factory=dict)  # class, or class and plan: how bad lately
-    out: dict[tuple[int, int], Attempt] = field(default_factory=dict)
+    doubt: dict[int, float] = field(default_factory=lambda: NO_DOUBT)  # by class, or class and plan
+    out: int = 0  # attempts that are out at it
     heard_ns: int = -(10**18)  # its last answer, or when a new connection to it was asked for
+    members: list[Server] | None = field(default=None, repr=False)  # warm or cold ones, while it is ready
+    position: int = 0  # its index there
+    namesake: Server | None = field(default=None, repr=False)  # whose place among the named it took
 
     def within(self, group: i.Group) -> int:
         """Alike for those backends that drop each other's repeats."""
@@ -50,9 +58,36 @@
         """The hash of the id that peers use."""
         return scatter(self.info.id) >> 16
 
-    def feel(self, group: int, bad: float, weight: float) -> None:
-        if bad or group in self.doubt:
-            self.doubt[group] = self.doubt.get(group, 0.0) * (1 - weight) + weight * bad
+    def join(self, members: list[Server]) -> None:
+        """Goes to the end of a list, out of the one that it is in."""
+        self.leave()
+        self.members, self.position = members, len(members)
+        members.append(self)
+
+    def leave(self) -> None:
+        """The last of its list takes its place there, so that none has to be looked for or moved up."""
+        if self.members is not None:
+            last = self.members.pop()
+            if last is not self:
+                self.members[self.position], last.position = last, self.position
+            self.members = None
+
+
+class ReadyServers(Sequence):
+    """The ready servers, warm and cold, without a list of their own."""
+
+    def __init__(self, warm: list[Server], cold: list[Server]) -> None:
+        self._warm, self._cold = warm, cold
+
+    def __len__(self) -> int:
+        return len(self._warm) + len(self._cold)
+
+    def __iter__(self) -> Iterator[Server]:
+        yield from self._warm
+        yield from self._cold
+
+    def __getitem__(self, at: Any) -> Any:
+        return (self._warm + self._cold)[at]
 
 
 @dataclass(slots=True)
@@ -185,9 +220,11 @@
         self.start_ns = self.tick_ns = self.flush_ns = self.cut_ns = self.beat_ns = 0
         self.spent_ns, self.begun = 0, False  # when ceilings were last spent, at most; a request has come
         self.servers: dict[int, Server] = {}
-        self.ready: list[Server] = []
         self.warm: list[Server] = []  # of the ready ones
-        self.cold: list[Server] = []
+        self.cold: list[Server] = []  # and those that were not warm when this was last looked at
+        self.ready = ReadyServers(self.warm, self.cold)
+        self.touched: dict[int, Server] = {}  # those that have a doubt or a slowness other than 1, by id
+        self.sort_due = False  # the list has changed since warm and cold ones were told apart
         self.parts: list[float] = []  # of all sends that are due to each of these, summed up
         self.spare = 1.0  # so many times its part each may get at most
         self.seen_rate = 0.0  # units a second that a warm one was seen to work for this gateway, at most
@@ -219,9 +256,12 @@
         self.leaves: list[Leaf] = []
 
     def handle(self, now: int, event: i.Event) -> list[i.Action]:
-        """Hands the event to the method that is named for its kind; unknown kinds are ignored."""
+        """Hands the event to the method that is named for its kind; unknown kinds are ignored. Changes of
+        the list cost one sort, before whatever comes after them."""
         self.acts = []
         kind = type(event)
+        if kind is not i.BackendList:
+            self.sort_if_due(now)
         if kind not in self.handlers:
             name = "on" + "".join("_" + c.lower() if c.isupper() else c for c in kind.__name__)
             self.handlers[kind] = getattr(self, name, None)
@@ -240,30 +280,107 @@
         self.leaves = [leaf for side in self.tree for row in side for leaf in row]
 
     def follow_list(self, now: int, event: i.BackendList) -> None:
+        """Applies a list or a change of it. The work grows with what is told, not with what is known."""
         if event.kind in (i.ListKind.FULL, i.ListKind.CACHED):
-            named = {b.id for b in event.entries}
-            self.servers = {k: s for k, s in self.servers.items() if k in named}
+            told = {b.id for b in event.entries}
+            for left_out in [s for key, s in self.servers.items() if key not in told]:
+                self._remove(left_out)
+            self.sort_due = True
         for b in event.entries:
             known = self.servers.get(b.id)
-            if known is None or b.started_ns != known.info.started_ns:  # a new process, no evidence yet
-                self.servers[b.id] = self._seen_before(Server(b))
-            else:
+            if known is not None and b.started_ns == known.info.started_ns:
                 known.info = b
-        self.servers = {k: s for k, s in self.servers.items() if s.info.mode is not i.Mode.GONE}
-        self.ready = [s for s in self.servers.values() if s.info.mode is i.Mode.READY]
-        self.named = {s.name: s for s in self.ready}
-
-    def _seen_before(self, s: Server) -> Server:
+                continue
+            if known is not None:  # a new process, no evidence yet
+                self._remove(known)
+            self._add(Server(b))
+        for b in event.entries:  # the last word on each holds
+            s = self.servers.get(b.id)
+            if s is not None:
+                self._place(s)
+                self.sort_due = True
+
+    def _add(self, s: Server) -> None:
         """With the evidence that an older process of this gateway left, if it is of the same start."""
+        self.servers[s.info.id] = s
         started_ns, slowness, doubt = self.evidence.pop(s.info.id, (-1, 1.0, {}))
         if (
             started_ns >= 0
             and bool(started_ns) == bool(s.info.started_ns)
             and abs(started_ns - s.info.started_ns) < inherit.SAME_START_S * 1e9
         ):
-            s.slowness, s.doubt = slowness, doubt
+            self.touch(s)
+            s.slowness = slowness
+            s.doubt.update(doubt)
+
+    def sort_if_due(self, now: int) -> None:
+        """Nothing is decided on a list that has changed since warm and cold ones were told apart."""
+        if self.sort_due:
+            self.sort_due = False
+            self._sort(now)
+
+    def _sort(self, now: int) -> None:
+        """Tells warm and cold ones apart; what follows from it belongs to the decisions."""
+        raise NotImplementedError
+
+    def promote(self, servers: list[Server]) -> None:
+        """Cold ones that have warmed up."""
+        for s in servers:
+            s.join(self.warm)
+
+    def _place(self, s: Server) -> None:
+        """Among the ready ones or not, by its mode. One with a known start is cold until the next sort."""
+        if s.info.mode is i.Mode.GONE:
+            self._remove(s)
+        elif s.info.mode is not i.Mode.READY:
+            self._retire(s)
+        elif s.members is None:
+            s.join(self.cold if s.info.started_ns else self.warm)
+            s.namesake = self.named.get(s.name)
+            self.named[s.name] = s
+
+    def _remove(self, s: Server) -> None:
+        self._retire(s)
+        del self.servers[s.info.id]
+        self.touched.pop(s.info.id, None)
+
+    def _retire(self, s: Server) -> None:
+        """It is ready no more."""
+        if s.members is None:
+            return
+        s.leave()
+        holder, name = self.named[s.name], s.name
+        if holder is s and s.namesake is None:
+            del self.named[name]
+        elif holder is s:
+            self.named[name] = s.namesake
+        else:
+            while holder.namesake is not s:
+                holder = holder.namesake
+            holder.namesake = s.namesake
+        s.namesake = None
+
+    def touch(self, s: Server) -> Server:
+        """Before its doubt or slowness is changed: only those touched are walked at a tick. Nothing is noted
+        of a server that is not listed any more."""
+        if s.doubt is NO_DOUBT:
+            s.doubt = {}
+            if self.servers.get(s.info.id) is s:
+                self.touched[s.info.id] = s
         return s
 
+    def drop_faded(self, s: Server) -> None:
+        """A touched server that is as any other again is touched no more."""
+        if not s.doubt and abs(s.slowness - 1) < SLOWNESS_EPSILON:
+            s.slowness, s.doubt = 1.0, NO_DOUBT
+            self.touched.pop(s.info.id, None)
+
+    def observe(self, s: Server, group: int, bad: float, weight: float) -> None:
+        """A sample of how bad attempts at a server go, of a class or of a class and plan."""
+        if bad or group in s.doubt:
+            doubt = self.touch(s).doubt
+            doubt[group] = doubt.get(group, 0.0) * (1 - weight) + weight * bad
+
     def on_inherited(self, now: int, event: i.Inherited) -> None:
         inherit.take(self, now, event.table)
 
@@ -273,7 +390,8 @@
 
     def launch(self, live: Live, attempt: Attempt) -> None:
         key = (live.ask.id, len(live.tried))
-        self.attempts[key] = attempt.server.out[key] = attempt
+        self.attempts[key] = attempt
+        attempt.server.out += 1
         live.tried.append(attempt.server)
         live.out += 1
         live.customer.open += 1
@@ -281,7 +399,7 @@
     def settle(self, request: int, number: int) -> Attempt | None:
         attempt = self.attempts.pop((request, number), None)
         if attempt:
-            attempt.server.out.pop((request, number), None)
+            attempt.server.out -= 1
         live = self.live.get(request)
         if attempt and live:
             live.out -= 1
@@ -312,7 +430,10 @@
     def sight(self) -> dict[str, float]:
         """What the module believes at present, for the log: units that it aims at for each good server (-1:
         no bound yet), units out, good servers, servers with a doubt of a half or more, customers."""
-        doubted = sum(any(bad >= 0.5 for bad in s.doubt.values()) for s in self.ready)
+        doubted = sum(
+            s.members is not None and any(bad >= 0.5 for bad in s.doubt.values())
+            for s in self.touched.values()
+        )
         level = -1.0 if self.level == math.inf else round(self.level, 3)
         return {
             "level": level,
