Pools hold what is connected: closing the oldest connection and tending cost what they close

Seen: Backends._make_room and _tend walked all backend servers, and each had a record of its own, used or not. Change: `listed` is the endpoint table as last told; a record is made at the first attempt and forgotten with its last connection. Resting connections stand in one dict in the order in which they came to rest. Withdrawals, drains, restarts and other addresses are as before: an attempt where nothing Ready is listed is MOOT, connections to another process or address are closed and never carry again. The line `ready with N backend servers` counts what is listed.

--- a/zincstile/net/backend.py
+++ b/zincstile/net/backend.py
@@ -28,9 +28,11 @@
 
     def __init__(self, turn: Turn, settings: i.Settings, buffer: memoryview) -> None:
         self.turn, self.settings, self.buffer = turn, settings, buffer
-        self.servers: dict[int, BackendServer] = {}
+        self.listed: dict[int, tuple[i.Backend, tuple[str, int]]] = {}  # the endpoint table, as last told
+        self.servers: dict[int, BackendServer] = {}  # of those listed, the ones that have a connection
         self.attempts: dict[tuple[int, int], Attempt] = {}
         self.connections: set[BackendConnection] = set()  # those on their way included
+        self.resting: dict[BackendConnection, None] = {}  # of these, in the order in which they came to rest
         self.closing = False
         self._tasks: set[asyncio.Task] = set()
         turn.carry_out[i.Send] = self._send
@@ -43,29 +45,53 @@
     # ---- the server table
 
     def update(self, entries: list[tuple[i.Backend, tuple[str, int]]], whole: bool) -> None:
+        """A list, or a change of it. What is not connected to is only noted."""
         if whole:
-            named = {b.id for b, _ in entries}
-            for server in [s for s in self.servers.values() if s.id not in named]:
-                self._forget(server)
-        for b, address in entries:
-            server = self.servers.get(b.id)
+            told = {b.id for b, _ in entries}
+            for number in [k for k in self.listed if k not in told]:
+                self._forget(number)
+        for entry in entries:
+            b, address = entry
             if b.mode is i.Mode.GONE:
-                if server is not None:
-                    self._forget(server)
+                self._forget(b.id)
                 continue
-            if server is not None and (server.address, server.started_ns) != (address, b.started_ns):
-                self._forget(server)  # another process: the old one's connections lead nowhere
-                server = None
+            self.listed[b.id] = entry
+            server = self.servers.get(b.id)
             if server is None:
-                server = self.servers[b.id] = BackendServer(b.id, address, b.started_ns, True)
+                continue
+            if (server.address, server.started_ns) != (address, b.started_ns):
+                self._retire(server)  # another process: the old one's connections lead nowhere
+                continue
             server.ready = b.mode is i.Mode.READY
             if not server.ready:
                 self._withdraw(server)
 
-    def _forget(self, server: BackendServer) -> None:
+    def _forget(self, number: int) -> None:
+        self.listed.pop(number, None)
+        server = self.servers.get(number)
+        if server is not None:
+            self._retire(server)
+
+    def _retire(self, server: BackendServer) -> None:
+        """Connections that still carry an attempt end with it."""
         server.ready = False
-        self._withdraw(server)
         del self.servers[server.id]
+        self._withdraw(server)
+
+    def _ready_server(self, number: int) -> BackendServer | None:
+        """One that may be sent to now; its record is made where there is none."""
+        server = self.servers.get(number)
+        if server is None:
+            entry = self.listed.get(number)
+            if entry is None or entry[0].mode is not i.Mode.READY:
+                return None
+            server = self.servers[number] = BackendServer(number, entry[1], entry[0].started_ns, True)
+        return server if server.ready else None
+
+    def _release(self, server: BackendServer) -> None:
+        """Forgets the record of a server without connections, on which no attempt waits either."""
+        if not server.connections and self.servers.get(server.id) is server:
+            del self.servers[server.id]
 
     def _withdraw(self, server: BackendServer) -> None:
         """Guards rule 3: what still waits for a connection is not begun once the server drains or is gone,
@@ -107,16 +133,17 @@
         by_ns: int,
         fresh: bool = False,
     ) -> None:
-        server = self.servers.get(backend)
-        if server is None or not server.ready or by_ns <= now:
+        server = self._ready_server(backend) if by_ns > now else None
+        if server is None:
             self._report(session, number, backend, Result.MOOT, 0)
             return
         attempt = Attempt(session, number, server, now, until_ns, by_ns)
         if session is not None:
             self.attempts[session.id, number] = attempt
         if fresh and server.resting:  # in place of the one that rested longest, so that they don't add up
-            server.resting.pop(0).transport.close()
+            self._end_rest(server.resting[0])
         while not fresh and (connection := server.settled(now)) is not None:
+            self._leave_rest(connection)
             if connection.quiet:
                 self._carry(connection, attempt, True)
                 return
@@ -125,6 +152,7 @@
             # Guards against running out of descriptors: it was never sent, and is nobody's fault over there.
             self.turn.log.often("full", f"{len(self.connections)} backend connections: no more for now")
             self.finish(attempt, Result.MOOT)
+            self._release(server)
             return
         self._limit(attempt, min(by_ns, now + self.turn.limits.connect_ns))
         self._connect(attempt)
@@ -179,6 +207,7 @@
         attempt.server.queued[attempt] = None
         connection = BackendConnection(self, attempt.server, attempt)
         self.connections.add(connection)
+        attempt.server.connections += 1
         task = self.turn.loop.create_task(self._open(attempt, connection))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -190,9 +219,9 @@
                 await self.turn.loop.create_connection(lambda: connection, *attempt.server.address)
         except (OSError, TimeoutError):
             if connection.transport is None:
-                self.connections.discard(connection)
                 connection.attempt = None
                 self.finish(attempt, Result.CONNECT_FAILED)
+                self._drop(connection)
 
     def connected(self, connection: BackendConnection) -> None:
         attempt, server = connection.attempt, connection.server
@@ -223,39 +252,50 @@
         connection.rested_ns = now = self.turn.now_ns()
         connection.settled_ns = now if settled else now + self.turn.limits.settled_ns
         server.resting.append(connection)
+        self.resting[connection] = None
+
+    def _leave_rest(self, connection: BackendConnection) -> None:
+        connection.server.resting.remove(connection)
+        del self.resting[connection]
+
+    def _end_rest(self, connection: BackendConnection) -> None:
+        self._leave_rest(connection)
+        connection.transport.close()
 
     def lost(self, connection: BackendConnection) -> None:
-        self.connections.discard(connection)
-        if connection in connection.server.resting:
-            connection.server.resting.remove(connection)
+        if connection in self.resting:
+            self._leave_rest(connection)
+        self._drop(connection)
+
+    def _drop(self, connection: BackendConnection) -> None:
+        if connection in self.connections:
+            self.connections.remove(connection)
+            connection.server.connections -= 1
+            self._release(connection.server)
 
     def _close_resting(self, server: BackendServer) -> None:
-        resting, server.resting = server.resting, []
-        for connection in resting:
-            connection.transport.close()
+        for connection in server.resting.copy():
+            self._end_rest(connection)
 
     def _make_room(self) -> bool:
         """Closes the connection that has rested longest at any backend server."""
-        resting = [s.resting[0] for s in self.servers.values() if s.resting]
-        if not resting:
+        oldest = next(iter(self.resting), None)
+        if oldest is None:
             return False
-        oldest = min(resting, key=lambda c: c.rested_ns)
-        oldest.server.resting.remove(oldest)
-        oldest.transport.close()
+        self._end_rest(oldest)
         return True
 
     def _tend(self, _: object) -> None:
         """Closes what has rested long, before the backend server does it beneath a request."""
         now, limits = self.turn.now_ns(), self.turn.limits
-        for server in self.servers.values():
-            while server.resting and now - server.resting[0].rested_ns > limits.idle_ns:
-                server.resting.pop(0).transport.close()
+        while (oldest := next(iter(self.resting), None)) and now - oldest.rested_ns > limits.idle_ns:
+            self._end_rest(oldest)
         self.turn.deadlines.add(now + limits.idle_ns // 8, self._tend)
 
     def shut(self) -> None:
         self.closing = True
-        for server in self.servers.values():
-            self._close_resting(server)
+        for connection in list(self.resting):
+            self._end_rest(connection)
 
     # ---- outcomes
 
--- a/zincstile/net/backend_connection.py
+++ b/zincstile/net/backend_connection.py
@@ -69,7 +69,7 @@
 
 @dataclass(slots=True, eq=False)
 class BackendServer:
-    """One line of the server table, and our connections to it."""
+    """One process that the endpoint table lists, while there is a connection to it."""
 
     id: int
     address: tuple[str, int]
@@ -77,14 +77,12 @@
     ready: bool
     resting: list[BackendConnection] = field(default_factory=list)  # the last used comes last
     queued: dict[Attempt, None] = field(default_factory=dict)  # wait for a connection of their own
+    connections: int = 0  # those on their way included
 
     def settled(self, now: int) -> BackendConnection | None:
-        """Takes the one used last of those on which nothing more can come behind their last answer. Guards
+        """The one used last of those on which nothing more can come behind their last answer. Guards
         against taking a second answer, which may come some milliseconds late, for the next request's."""
-        for k in range(len(self.resting) - 1, -1, -1):
-            if self.resting[k].settled_ns <= now:
-                return self.resting.pop(k)
-        return None
+        return next((c for c in reversed(self.resting) if c.settled_ns <= now), None)
 
 
 class BackendConnection(asyncio.BufferedProtocol):
--- a/zincstile/net/gateway.py
+++ b/zincstile/net/gateway.py
@@ -154,7 +154,7 @@
         from .control import ControlDoor, HandoverFile
         from .inherit import Heritage
 
-        self.operator = Operator(listed=self.table.reader.names)
+        self.operator = Operator(listed=self.table)
         if self.config.place:
             self.operator.zones = self.config.zones
             self.operator.table = lambda: self.turn.policy.shown(self.turn.now_ns())
@@ -295,7 +295,7 @@
             by = "told" if self.table.told else "as known before"
             if self.starter is not None:
                 by = self.starter.readiness.right.value
-            self.log.line(f"ready with {len(self.backends.servers)} backend servers, {by}")
+            self.log.line(f"ready with {len(self.backends.listed)} backend servers, {by}")
 
     def _count(self) -> None:
         self.log.line(self.counters.line(self.host))
