The endpoint table forgets what is gone; properties of what is kept step by step

Change: a name is looked up by its number; of what is gone, the numbers of the last 1,024 are kept, so that operators may still call a backend that is away for a moment; a call for one long gone is told 404, as for one never listed. The usual weight and alike ports are one object each. tests/test_incremental.py: on any sequence of lists and changes (whole ones that leave out half, several in one turn, restarts, drains, other addresses, names that several share) servers, warm, cold, named, usual, good and the pools are what a plain model works out from scratch; instructions carried out for a tick, a change, making room and tending are no more for 1,200 backends than for 60.

--- /dev/null
+++ b/tests/test_incremental.py
@@ -0,0 +1,291 @@
+"""What is kept step by step (servers of the decisions, pools, endpoint table) is what a plain model works out
+from the whole list each time; and the work for a change or a tick does not grow with the list."""
+
+from __future__ import annotations
+
+import math
+import random
+import sys
+from types import SimpleNamespace
+
+import pytest
+from conftest import MS, SECOND, Gateway, backend, settings
+from hypothesis import given
+from hypothesis import settings as effort
+from hypothesis import strategies as st
+
+from zincstile import interface as i
+from zincstile.net.backend import Backends
+from zincstile.net.backend_connection import BackendConnection
+from zincstile.net.deadlines import Deadlines
+from zincstile.net.limits import Limits
+from zincstile.net.server_table import ServerTable, TableReader, number
+from zincstile.policy import FADE_S, FAULTY, FLOOR, FORGOTTEN
+from zincstile.state import SLOWNESS_EPSILON, scatter
+
+COLD = {"cold_share": 0.25, "cold_ns": 20 * SECOND, "cold_multiple": 2.0}
+IDS = (1, 2, 3, 4, 50550, 101099, 50551)  # some have one name among the peers: 1 and two more, 2 and one
+STARTS = (0, 40 * SECOND, 85 * SECOND, 95 * SECOND, 105 * SECOND)  # the first runs are warm or unknown
+ENTRIES = st.lists(
+    st.builds(
+        backend, st.sampled_from(IDS), st.integers(0, 2), st.sampled_from(i.Mode), st.sampled_from(STARTS)
+    ),
+    max_size=8,
+)
+LISTS = st.tuples(st.sampled_from([i.ListKind.FULL, i.ListKind.DELTA, i.ListKind.DELTA]), ENTRIES)
+DOUBT = st.tuples(st.sampled_from(IDS), st.integers(0, 2), st.floats(0, 1))
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("lists"), st.lists(LISTS, min_size=1, max_size=3)),  # all in one turn
+        st.tuples(st.just("doubt"), DOUBT),
+        st.tuples(st.just("slow"), st.tuples(st.sampled_from(IDS), st.floats(0.1, 4))),
+        st.tuples(st.just("tick"), st.integers(1, 6000)),
+    ),
+    max_size=25,
+)
+
+
+class Plain:
+    """The same from the whole list, each time. What is known of one: info, slowness, doubts."""
+
+    def __init__(self):
+        self.known, self.ready = {}, []  # ids of the ready ones, in the order in which they came to be so
+        self.usual = [0.0] * 6
+
+    def apply(self, kind, entries):
+        if kind is i.ListKind.FULL:
+            self.known = {k: x for k, x in self.known.items() if k in {b.id for b in entries}}
+        for b in entries:
+            known = self.known.get(b.id)
+            if known and known[0].started_ns == b.started_ns:
+                known[0] = b
+            else:
+                self.known[b.id] = [b, 1.0, {}]
+                self.ready = [k for k in self.ready if k != b.id]
+        self.known = {k: x for k, x in self.known.items() if x[0].mode is not i.Mode.GONE}
+        ready = [k for k, x in self.known.items() if x[0].mode is i.Mode.READY]
+        self.ready = [k for k in self.ready if k in ready] + [
+            b.id for n, b in enumerate(entries) if b.id in ready and b.id not in self.ready
+            and b.id not in [c.id for c in entries[:n]]
+        ]  # fmt: skip
+
+    def fade(self, keep):
+        told = [[] for _ in self.usual]
+        for x in [self.known[k] for k in self.ready]:
+            x[1] += (1 - keep) * (1 - x[1])
+            x[2] = {g: bad * keep for g, bad in x[2].items() if bad > FORGOTTEN}
+            for g, bad in x[2].items():
+                told[g].append(bad)
+        n = len(self.ready)
+        for g, bads in enumerate(told):
+            everyone = sorted([0.0] * (n - len(bads)) + bads)
+            self.usual[g] = everyone[int(n * FLOOR)] if n else 0.0
+
+    def good(self, warmth):
+        fit = [
+            warmth(x) * sum(x[2].get(g, 0.0) - self.usual[g] < FAULTY for g in range(3)) / 3
+            for x in [self.known[k] for k in self.ready]
+        ]
+        return max(1.0, sum(fit))
+
+
+@effort(max_examples=150, deadline=None, derandomize=True, database=None)
+@given(STEPS)
+def test_the_servers_are_what_a_plain_model_works_out_from_the_whole_list(steps):
+    g, plain = Gateway(COLD, backends=0, now=100 * SECOND), Plain()
+    policy = g.policy
+    for what, about in steps:
+        if what == "lists":
+            for kind, entries in about:
+                g.list(entries, kind)
+                plain.apply(kind, entries)
+        elif what == "tick":
+            keep = math.exp(-about * MS / SECOND / FADE_S)
+            g.now += about * MS
+            policy.tick_ns = g.now - about * MS
+            g.tick(0)
+            plain.fade(keep)
+        elif about[0] in plain.known and what == "doubt":
+            where, group, bad = about
+            policy.observe(policy.servers[where], group, bad, 0.5)
+            doubts = plain.known[where][2]
+            if bad or group in doubts:
+                doubts[group] = doubts.get(group, 0.0) * 0.5 + 0.5 * bad
+        elif about[0] in plain.known:
+            policy.touch(policy.servers[about[0]]).slowness = plain.known[about[0]][1] = about[1]
+        g.feed(i.Gone(-1))  # whatever comes after a change decides by the list as it is
+        ready = [plain.known[k] for k in plain.ready]
+        assert policy.servers.keys() == plain.known.keys() and len(policy.ready) == len(ready)
+        assert {s.info.id: s.info for s in policy.ready} == {x[0].id: x[0] for x in ready}
+        assert {n: s.info.id for n, s in policy.named.items()} == {scatter(k) >> 16: k for k in plain.ready}
+        assert len(policy.parts) == len(policy.cold) and all(
+            s.started_ns for s in [c.info for c in policy.cold]
+        )
+        for s in policy.servers.values():
+            known = plain.known[s.info.id]
+            assert s.doubt == pytest.approx(known[2]) and abs(s.slowness - known[1]) <= SLOWNESS_EPSILON
+            assert s.info.id in policy.touched or (not s.doubt and s.slowness == 1.0)
+            assert (s.members is not None) == (s.info.mode is i.Mode.READY)
+            assert s.members is None or s.members[s.position] is s
+        assert all(policy.servers.get(k) is s for k, s in policy.touched.items())
+        if what in ("lists", "tick"):
+
+            def warmth(x):
+                return policy._warmth(g.now, SimpleNamespace(info=x[0]))
+
+            assert {s.info.id for s in policy.warm} == {x[0].id for x in ready if warmth(x) >= 1}
+            assert policy.usual == pytest.approx(plain.usual)
+            assert policy.good == pytest.approx(plain.good(warmth))
+    for _ in range(20):
+        g.tick(5 * SECOND)
+    assert not [s for s in policy.touched.values() if s.members is not None]  # all has faded
+
+
+# ---- the pools and the endpoint table
+
+
+class Wire:
+    """A connection's transport; the loop tells its end later."""
+
+    closed = False
+
+    def close(self):
+        self.closed = True
+
+    def is_closing(self):
+        return self.closed
+
+
+def stub_turn():
+    return SimpleNamespace(
+        limits=Limits(),
+        deadlines=Deadlines(),
+        carry_out={},
+        now_ns=lambda: 100 * SECOND,
+        wake=lambda: None,
+        post=lambda event: None,
+        counters=SimpleNamespace(tables=0),
+    )
+
+
+def rested(pools, where):
+    """A connection there that came up and rests; None where none may be opened."""
+    server = pools._ready_server(where)
+    if server is not None:
+        connection = BackendConnection(pools, server, None)
+        connection.transport = Wire()
+        pools.connections.add(connection)
+        server.connections += 1
+        pools._rest(connection, settled=True)
+        return connection
+    return None
+
+
+def address_of(b, moved):
+    return f"10.0.{moved}.{b.id % 200}", 6379
+
+
+@effort(max_examples=150, deadline=None, derandomize=True, database=None)
+@given(st.lists(st.tuples(LISTS, st.integers(0, 1), st.sampled_from(IDS)), max_size=15))
+def test_the_pools_lead_where_the_last_word_says_and_forget_the_rest(steps):
+    pools, listed, opened = Backends(stub_turn(), settings(), memoryview(bytearray(64))), {}, []
+    for (kind, entries), moved, used in steps:
+        whole = kind is i.ListKind.FULL
+        pools.update([(b, address_of(b, moved)) for b in entries], whole)
+        told = {b.id: (b, address_of(b, moved)) for b in entries}
+        listed = {k: e for k, e in (({} if whole else listed) | told).items() if e[0].mode is not i.Mode.GONE}
+        ready = {k: e for k, e in listed.items() if e[0].mode is i.Mode.READY}
+        assert pools.listed == listed
+        for connection in [c for c in opened if not c.transport.closed]:
+            server, entry = connection.server, ready.get(connection.server.id)
+            assert entry and (server.address, server.started_ns) == (entry[1], entry[0].started_ns)
+        for connection in [c for c in opened if c.transport.closed]:
+            pools.lost(connection)
+        opened = [c for c in opened if not c.transport.closed]
+        assert list(pools.resting) == opened and pools.connections == set(opened)
+        assert pools.servers == {c.server.id: c.server for c in opened}  # no record of what is not connected
+        connection = rested(pools, used)
+        assert (connection is not None) == (used in ready)
+        opened += [connection] if connection else []
+    while pools._make_room():
+        assert [c.transport.closed for c in opened] == sorted(
+            (c.transport.closed for c in opened), reverse=True
+        )
+    assert all(c.transport.closed for c in opened) and not pools.resting
+
+
+def endpoints(names, status="Ready"):
+    return [{"name": n, "address": "10.1.0.1:6379", "status": status, "since_ms": 1} for n in names]
+
+
+def endpoint_table(update=lambda entries, whole: None):
+    clock = SimpleNamespace(unix_ns=lambda: 0, monotonic_ns=lambda: 0)
+    where, first = ("10.2.0.1", 8500), lambda: None
+    return ServerTable(stub_turn(), TableReader([], [], clock), where, update, first, random.Random(1))
+
+
+def tell(table, endpoints_, kind=i.ListKind.DELTA):
+    table._take({"index": 1, "snapshot": False, "endpoints": endpoints_}, kind, table.where)
+
+
+def test_a_year_of_replaced_backends_leaves_no_trace_and_one_just_gone_may_still_be_banned():
+    table = endpoint_table()
+    for k in range(5000):
+        tell(table, endpoints([f"s-{k}"]) + endpoints([f"s-{k - 10}"], "Gone"))
+    tell(table, endpoints(["s-4999"]), i.ListKind.FULL)  # leaves out the rest
+    assert list(table.last) == [number("s-4999")] and len(table.gone) == 1024
+    assert table.maintain("s-4990", True) and not table.maintain("s-17", True)  # long gone
+    tell(table, endpoints(["s-4990"]))
+    assert table._masked(table.last[number("s-4990")])[0].mode is i.Mode.DRAINING
+
+
+# ---- work
+
+
+def steps_of(action):
+    """Instructions that the interpreter carries out for it, in this program's own code."""
+    count = 0
+
+    def trace(frame, event, _):
+        nonlocal count
+        frame.f_trace_opcodes = True
+        count += event == "opcode"
+        return trace
+
+    sys.settrace(trace)
+    try:
+        action()
+    finally:
+        sys.settrace(None)
+    return count
+
+
+def work(size):
+    """Of each kind of control work, at a gateway that knows so many backends, six of them in use."""
+    g, pools = Gateway(COLD, backends=0, now=100 * SECOND), Backends(stub_turn(), settings(), memoryview(b""))
+    table = endpoint_table(pools.update)
+    names = [f"s-{k}" for k in range(size)]
+    tell(table, endpoints(names), i.ListKind.FULL)
+    known = [b for b, _ in pools.listed.values()]
+    g.list(known)
+    for s in known[:6]:
+        g.policy.observe(g.policy.servers[s.id], 0, 1.0, 0.5)
+        rested(pools, s.id)
+    g.tick()
+
+    def change():
+        g.list([known[9]], i.ListKind.DELTA)
+        g.feed(i.Gone(-1))
+
+    return {
+        "tick": steps_of(g.tick),
+        "change": steps_of(change),
+        "change told": steps_of(lambda: tell(table, endpoints(["s-9"], "Terminating"))),
+        "room": steps_of(pools._make_room),
+        "tending": steps_of(lambda: pools._tend(None)),
+    }
+
+
+def test_the_work_for_a_tick_or_a_change_does_not_grow_with_the_list():
+    small, large = work(60), work(1200)
+    assert all(large[what] <= 1.05 * steps for what, steps in small.items()), (small, large)
--- a/zincstile/control/operator.py
+++ b/zincstile/control/operator.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Container
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -47,7 +47,7 @@
 
     standby: bool = False
     banned: set[str] = field(default_factory=set)
-    listed: Collection[str] = field(default_factory=set)  # every name that discovery gave since the start
+    listed: Container[str] = field(default_factory=set)  # names that discovery gives, or gave not long ago
     zones: Collection[str] = ()  # those that an operator may name; none where zones are not chosen in common
     table: Callable[[], str] = str  # the table of flows, in words
     version: int = 0  # of `banned`; counts on across processes, so that the newest word wins
--- a/zincstile/net/server_table.py
+++ b/zincstile/net/server_table.py
@@ -7,7 +7,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import replace
-from typing import Any
+from typing import Any, Final
 
 from .. import interface as i
 from ..start.asking import Asking
@@ -17,7 +17,9 @@
 from .json_objects import JsonObjects
 from .turn import Turn
 
+GONE_KEPT: Final = 1024  # names that were listed and are gone: so many may still be called by operators
 MODES = {"Ready": i.Mode.READY, "Terminating": i.Mode.DRAINING, "Gone": i.Mode.GONE}
+USUAL_WEIGHT: Final = 1.0  # one object for all
 Entries = list[tuple[i.Backend, Address]]
 
 
@@ -35,7 +37,7 @@
         # Unix time is put on the module's clock by one difference for good: a start must stay the same number
         # in every list, else the same process would look like a new one.
         self.apart_ns = host.monotonic_ns() - host.unix_ns()
-        self.names: dict[str, int] = {}  # every name read since the start, and its number
+        self.ports: dict[int, int] = {}  # one object for all that are alike
 
     def read(self, table: dict[str, Any]) -> tuple[int, bool, Entries]:
         entries = [self._entry(e) for e in table["endpoints"]]
@@ -45,18 +47,17 @@
         since = int(e.get("since_ms") or 0)
         started = since * 1_000_000 + self.apart_ns if since else 0
         mode = MODES[e["status"]]
-        name = str(e["name"])
-        self.names[name] = number(name)
-        where = ("", 0) if mode is i.Mode.GONE and not e.get("address") else address(e["address"])
+        weight = float(e.get("weight") or USUAL_WEIGHT)
+        host, port = ("", 0) if mode is i.Mode.GONE and not e.get("address") else address(e["address"])
         return i.Backend(
-            self.names[name],
+            number(str(e["name"])),
             self.zones.get(e.get("zone"), len(self.zones)),
             self.kinds.get(e.get("type"), len(self.kinds)),
             int(e.get("group") or 0),
             mode,
-            float(e.get("weight") or 1.0),
+            USUAL_WEIGHT if weight == USUAL_WEIGHT else weight,
             started,
-        ), where
+        ), (host, self.ports.setdefault(port, port))
 
 
 class ServerTable:
@@ -84,8 +85,12 @@
         self._old: Watch | None = None
         self._task: asyncio.Task | None = None
         self.banned: dict[int, int] = {}  # under maintenance, since: told as draining, whatever is listed
-        self.reborn: dict[int, int] = {}  # back from maintenance: started then, where discovery says earlier
-        self.last: dict[int, tuple[i.Backend, Address]] = {}  # discovery's own word, by number
+        # back from maintenance: the name, and when; started then, where discovery says earlier
+        self.reborn: dict[int, tuple[str, int]] = {}
+        self.last: dict[
+            int, tuple[i.Backend, Address]
+        ] = {}  # discovery's own word of what it lists, by number
+        self.gone: dict[int, None] = {}  # what it listed before: the last of these
         turn.carry_out[i.Watch] = lambda now, _: None  # the watch is always open, or being opened
 
     def begin(self, known: dict[str, Any], hold: bool = False) -> None:
@@ -223,14 +228,35 @@
         if where == self.where:  # an old watch may still speak after a move, and count in another way
             self.version = version
         self.turn.counters.tables += 1
-        if kind is not i.ListKind.DELTA:
-            self.last.clear()
-        for entry in entries:
-            self.last[entry[0].id] = entry
+        self._keep(kind, entries)
         if self.banned or self.reborn:
             entries = [self._masked(e) for e in entries]
         self._hand(kind, version, entries)
 
+    def _keep(self, kind: i.ListKind, entries: Entries) -> None:
+        """Remembers what is listed, and of what is gone only that it was, and not for ever."""
+        if kind is not i.ListKind.DELTA:
+            told = {b.id for b, _ in entries}
+            for left_out in [k for k in self.last if k not in told]:
+                self._forget(left_out)
+        for entry in entries:
+            if entry[0].mode is i.Mode.GONE:
+                self._forget(entry[0].id)
+            else:
+                self.last[entry[0].id] = entry
+
+    def _forget(self, number_: int) -> None:
+        self.last.pop(number_, None)
+        self.gone.pop(number_, None)
+        self.gone[number_] = None
+        if len(self.gone) > GONE_KEPT:
+            del self.gone[next(iter(self.gone))]
+
+    def __contains__(self, name: object) -> bool:
+        """Whether discovery lists a name, or did not long ago."""
+        number_ = number(str(name))
+        return number_ in self.last or number_ in self.gone
+
     def _hand(self, kind: i.ListKind, version: int, entries: Entries) -> None:
         """To the module first: what the pools withdraw by the same change is then decided on by the new list,
         and not sent to the next server that it takes out."""
@@ -244,32 +270,26 @@
             return replace(b, mode=i.Mode.DRAINING), where
         reborn = self.reborn.get(b.id)
         if reborn is not None:
-            if b.started_ns < reborn:
-                return replace(b, started_ns=reborn), where
+            if b.started_ns < reborn[1]:
+                return replace(b, started_ns=reborn[1]), where
             del self.reborn[b.id]  # discovery tells a later start: its word holds again
         return entry
 
     def back(self) -> dict[str, int]:
         """Those put back from maintenance that count as started then, and when, in Unix time."""
-        return {
-            name: self.reborn[number_] - self.reader.apart_ns
-            for name, number_ in self.reader.names.items()
-            if number_ in self.reborn
-        }
+        return {name: at - self.reader.apart_ns for name, at in self.reborn.values() if name in self}
 
     def put_back(self, back: dict[str, int]) -> None:
         """What an older process of this gateway says of them. Guards a server that is cold against a new
         process that has only discovery's word, which may be of before it was taken out."""
         for name, unix_ns in back.items():
-            self.reborn[number(name)] = unix_ns + self.reader.apart_ns
+            self.reborn[number(name)] = name, unix_ns + self.reader.apart_ns
 
     def maintain(self, name: str, banned: bool) -> bool:
         """An operator's word on a backend server, told as a change of the list where discovery listed it;
-        False where the name was never read. Guards the rule on drains: the module and the pools hear it in
+        False where the name was never listed. Guards the rule on drains: the module and the pools hear it in
         the same turn, before any further attempt is decided on."""
-        number_ = self.reader.names.get(name)
-        if number_ is None:
-            number_ = number(name)  # banned before it was listed here: by another process of this gateway
+        number_ = number(name)  # perhaps not listed here yet: another process of this gateway has told it
         since = self.banned.pop(number_, None)
         if banned:
             self.banned[number_] = since or self.turn.now_ns()
@@ -277,10 +297,10 @@
         if not banned and since is not None and (entry is None or entry[0].started_ns < since):
             # Guards against pushing over what comes back: it was restarted while out, whether or not
             # discovery told it, and is cold. Started at the call back as the module counts, it is ramped up.
-            self.reborn[number_] = self.turn.now_ns()
+            self.reborn[number_] = name, self.turn.now_ns()
         if entry is not None:
             self._hand(i.ListKind.DELTA, self.version, [self._masked(entry)])
-        return name in self.reader.names
+        return name in self
 
 
 class Watch(asyncio.BufferedProtocol):
