Endpoints of a whole list are read one by one, with their own text; a known one is kept

Seen: one gateway with 32,000 backends (a list of 3.87 MB) held 65.2 MB, 66.2 MB at most; told the whole list again, as after a watch that was lost for long, 96.7 MB at most and 81.1 MB from then on. The objects of JSON take about 20 MB until the whole list is read, and each list replaced every entry by one that says the same. Change: json's object_hook hands each object over as soon as it is read; an endpoint becomes the table's entry there and then, or the entry that is known already where it says the same. What is no endpoint, or a wrong one, stays a dict and is judged as before. Where the start beside other gateways listens to discovery's own words, they are read as before.

--- a/tests/test_incremental.py
+++ b/tests/test_incremental.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import json
 import math
 import random
 import sys
@@ -18,6 +19,7 @@
 from zincstile.net.backend import Backends
 from zincstile.net.backend_connection import BackendConnection
 from zincstile.net.deadlines import Deadlines
+from zincstile.net.json_objects import JsonObjects
 from zincstile.net.limits import Limits
 from zincstile.net.server_table import ServerTable, TableReader, number
 from zincstile.policy import FADE_S, FAULTY, FLOOR, FORGOTTEN
@@ -239,6 +241,26 @@
     assert table._masked(table.last[number("s-4990")])[0].mode is i.Mode.DRAINING
 
 
+def test_an_endpoint_is_read_with_its_own_text_and_one_that_is_known_is_kept():
+    """Whatever else stands in an object is left alone, and a wrong endpoint is told as ever."""
+    table, where = endpoint_table(), ("10.2.0.1", 8500)
+    tell(table, endpoints(["s-a", "s-b"]), i.ListKind.FULL)
+    kept = dict(table.last)
+    odd = {"note": {"name": "s-z", "status": "no such"}}
+    whole = {"index": 7, "snapshot": True, "endpoints": endpoints(["s-a", "s-c"])}
+    whole["endpoints"][0] |= odd
+    objects = JsonObjects(1 << 20, table.read_early)
+    (read,) = objects.feed(json.dumps(whole).encode())
+    assert read["endpoints"][0] is kept[number("s-a")]
+    table._take(read, i.ListKind.FULL, where)
+    assert table.last.keys() == {number("s-a"), number("s-c")}
+    assert table.last[number("s-c")] == table.reader.entry(whole["endpoints"][1])
+    (read,) = objects.feed(json.dumps({"index": 8, "snapshot": False, "endpoints": [odd["note"]]}).encode())
+    with pytest.raises(KeyError):
+        table._take(read, i.ListKind.DELTA, where)
+    assert table.last.keys() == {number("s-a"), number("s-c")}
+
+
 # ---- work
 
 
--- a/zincstile/net/json_objects.py
+++ b/zincstile/net/json_objects.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+from collections.abc import Callable
 from typing import Any
 
 # A string, which may hold brackets, or a bracket. JSON knows no line feed in a string: a line has whole ones.
@@ -12,12 +13,13 @@
 
 class JsonObjects:
     """Collects lines until the brackets of an object are closed. ValueError where what comes is none, or is
-    larger than it may be."""
+    larger than it may be. `each` is called with every object as soon as it is read, the inner ones first;
+    what it returns stands in its place."""
 
-    __slots__ = ("_most", "_parts", "_size", "_depth")
+    __slots__ = ("_most", "_each", "_parts", "_size", "_depth")
 
-    def __init__(self, most_bytes: int) -> None:
-        self._most = most_bytes
+    def __init__(self, most_bytes: int, each: Callable[[dict[str, Any]], Any] | None = None) -> None:
+        self._most, self._each = most_bytes, each
         self._parts: list[bytes] = []  # of an object that is begun and not whole
         self._size = self._depth = 0
 
@@ -30,10 +32,10 @@
         line = line.strip()
         if not self._parts and line[:1] == b"{" and line[-1:] == b"}":  # most are one a line
             try:
-                return [json.loads(line)]
+                return [json.loads(line, object_hook=self._each)]
             except ValueError:
                 pass
-        return [json.loads(text) for text in self._split(line)]
+        return [json.loads(text, object_hook=self._each) for text in self._split(line)]
 
     def _split(self, line: bytes) -> list[bytes]:
         whole: list[bytes] = []
--- a/zincstile/net/server_table.py
+++ b/zincstile/net/server_table.py
@@ -40,10 +40,10 @@
         self.ports: dict[int, int] = {}  # one object for all that are alike
 
     def read(self, table: dict[str, Any]) -> tuple[int, bool, Entries]:
-        entries = [self._entry(e) for e in table["endpoints"]]
+        entries = [e if type(e) is tuple else self.entry(e) for e in table["endpoints"]]  # a tuple is read
         return int(table["index"]), bool(table["snapshot"]), entries
 
-    def _entry(self, e: dict[str, Any]) -> tuple[i.Backend, Address]:
+    def entry(self, e: dict[str, Any]) -> tuple[i.Backend, Address]:
         since = int(e.get("since_ms") or 0)
         started = since * 1_000_000 + self.apart_ns if since else 0
         mode = MODES[e["status"]]
@@ -233,6 +233,19 @@
             entries = [self._masked(e) for e in entries]
         self._hand(kind, version, entries)
 
+    def read_early(self, e: dict[str, Any]) -> Any:
+        """An endpoint, read as soon as its own text is: of a whole list, its objects take several times the
+        memory that is kept of them, and one that says what is known takes none. What is no endpoint, or a
+        wrong one, stays as it is."""
+        if "endpoints" in e:
+            return e
+        try:
+            entry = self.reader.entry(e)
+        except (ValueError, KeyError, TypeError, AttributeError, ArithmeticError):
+            return e
+        known = self.last.get(entry[0].id)
+        return known if known == entry else entry
+
     def _keep(self, kind: i.ListKind, entries: Entries) -> None:
         """Remembers what is listed, and of what is gone only that it was, and not for ever."""
         if kind is not i.ListKind.DELTA:
@@ -327,7 +340,8 @@
         self.transport: asyncio.Transport | None = None
         self._buffer = memoryview(bytearray(table.turn.limits.read_bytes))
         self._lines = http.LineReader(table.turn.limits)
-        self._objects = JsonObjects(table.turn.limits.table_bytes)
+        each = table.read_early if table.listener is None else None  # who listens hears discovery's own words
+        self._objects = JsonObjects(table.turn.limits.table_bytes, each)
         self._why = "it ended"
         self._heard_ns = self.began_ns = self.table.turn.now_ns()
         self._deadline = None
