A sort works out the warmth of each cold server once

Seen: the list of those that have warmed up and the parts of the rest each asked for the warmth of all cold ones.

--- a/zincstile/policy.py
+++ b/zincstile/policy.py
@@ -222,8 +222,8 @@
     def _sort(self, now: int) -> None:
         """A backend counts for the part of the work that it is not doubted for: guards against filling the
         rest where some jam or hang. It may harm where the doubts are wrong and capacity lies idle."""
-        self.promote([s for s in self.cold if self._warmth(now, s) >= 1])
         warmth = [self._warmth(now, s) for s in self.cold]
+        self.promote(warmth)
         sent = [1e-9 + sum(x.sent for side in self.tree for x in side[g]) for g in range(len(self.unit_ns))]
         lost = sum(self._warmth(now, s) * n for s in self.touched.values() if s.members is not None
                    for g, n in enumerate(sent) if s.doubt.get(g, 0.0) - self.usual[g] >= FAULTY)
--- a/zincstile/state.py
+++ b/zincstile/state.py
@@ -323,10 +323,13 @@
         """Tells warm and cold ones apart; what follows from it belongs to the decisions."""
         raise NotImplementedError
 
-    def promote(self, servers: list[Server]) -> None:
-        """Cold ones that have warmed up."""
-        for s in servers:
-            s.join(self.warm)
+    def promote(self, warmth: list[float]) -> None:
+        """Cold servers that have warmed up go to the warm ones; `warmth` keeps that of the rest, in order."""
+        for k in range(len(warmth) - 1, -1, -1):
+            if warmth[k] >= 1:
+                self.cold[k].join(self.warm)
+                warmth[k] = warmth[-1]
+                warmth.pop()
 
     def _place(self, s: Server) -> None:
         """Among the ready ones or not, by its mode. One with a known start is cold until the next sort."""
