--- a/zincstile/policy.py
+++ b/zincstile/policy.py
@@ -169,11 +169,11 @@
     def _sample(self, now: int, a: Attempt, group: int, bad: float, weight: float) -> None:
         """An own attempt's end, good or bad. It is told to peers: the word of many adds up and that of
         one with a bad path is outvoted. Slowness is not told: all would herd onto whom all think quick."""
-        self._feel(a.server, group, bad, weight)
+        self._observe(a.server, group, bad, weight)
         self.broken[a.connection] += SMOOTH * (bad - self.broken[a.connection])
         self.fresh.append((now, i.Doubt(a.server.name, group, bad)))
 
-    def _feel(self, s: Server, group: int, bad: float, weight: float) -> None:
+    def _observe(self, s: Server, group: int, bad: float, weight: float) -> None:
         """Guards against learning class by class that nobody listens there."""
         for g in range(len(self.set.classes)) if group == EVERY else (group,):
             self.observe(s, g, bad, weight)
@@ -375,7 +375,7 @@
         self.silent.pop(sender, None)
         for d in event.doubts:
             if d.backend in self.named and (d.group < len(self.usual) or d.group == EVERY):
-                self._feel(self.named[d.backend], d.group, d.value, SMOOTH)
+                self._observe(self.named[d.backend], d.group, d.value, SMOOTH)
         for s in event.shares:
             c = self.customer(s.customer, s.plan, self.set.plans[s.plan].burst, now)
             self._refill(now, c)
