--- a/tests/test_incremental.py
+++ b/tests/test_incremental.py
@@ -235,17 +235,17 @@
     for k in range(5000):
         tell(table, endpoints([f"s-{k}"]) + endpoints([f"s-{k - 10}"], "Gone"))
     tell(table, endpoints(["s-4999"]), i.ListKind.FULL)  # leaves out the rest
-    assert list(table.last) == [number("s-4999")] and len(table.gone) == 1024
+    assert list(table.endpoints) == [number("s-4999")] and len(table.gone) == 1024
     assert table.maintain("s-4990", True) and not table.maintain("s-17", True)  # long gone
     tell(table, endpoints(["s-4990"]))
-    assert table._masked(table.last[number("s-4990")])[0].mode is i.Mode.DRAINING
+    assert table._masked(table.endpoints[number("s-4990")])[0].mode is i.Mode.DRAINING
 
 
 def test_an_endpoint_is_read_with_its_own_text_and_one_that_is_known_is_kept():
     """Whatever else stands in an object is left alone, and a wrong endpoint is told as ever."""
     table, where = endpoint_table(), ("10.2.0.1", 8500)
     tell(table, endpoints(["s-a", "s-b"]), i.ListKind.FULL)
-    kept = dict(table.last)
+    kept = dict(table.endpoints)
     odd = {"note": {"name": "s-z", "status": "no such"}}
     whole = {"index": 7, "snapshot": True, "endpoints": endpoints(["s-a", "s-c"])}
     whole["endpoints"][0] |= odd
@@ -253,12 +253,12 @@
     (read,) = objects.feed(json.dumps(whole).encode())
     assert read["endpoints"][0] is kept[number("s-a")]
     table._take(read, i.ListKind.FULL, where)
-    assert table.last.keys() == {number("s-a"), number("s-c")}
-    assert table.last[number("s-c")] == table.reader.entry(whole["endpoints"][1])
+    assert table.endpoints.keys() == {number("s-a"), number("s-c")}
+    assert table.endpoints[number("s-c")] == table.reader.entry(whole["endpoints"][1])
     (read,) = objects.feed(json.dumps({"index": 8, "snapshot": False, "endpoints": [odd["note"]]}).encode())
     with pytest.raises(KeyError):
         table._take(read, i.ListKind.DELTA, where)
-    assert table.last.keys() == {number("s-a"), number("s-c")}
+    assert table.endpoints.keys() == {number("s-a"), number("s-c")}
 
 
 # ---- work
--- a/zincstile/net/backend_connection.py
+++ b/zincstile/net/backend_connection.py
@@ -82,7 +82,10 @@
     def settled(self, now: int) -> BackendConnection | None:
         """The one used last of those on which nothing more can come behind their last answer. Guards
         against taking a second answer, which may come some milliseconds late, for the next request's."""
-        return next((c for c in reversed(self.resting) if c.settled_ns <= now), None)
+        for connection in reversed(self.resting):
+            if connection.settled_ns <= now:
+                return connection
+        return None
 
 
 class BackendConnection(asyncio.BufferedProtocol):
--- a/zincstile/net/server_table.py
+++ b/zincstile/net/server_table.py
@@ -87,7 +87,7 @@
         self.banned: dict[int, int] = {}  # under maintenance, since: told as draining, whatever is listed
         # back from maintenance: the name, and when; started then, where discovery says earlier
         self.reborn: dict[int, tuple[str, int]] = {}
-        self.last: dict[
+        self.endpoints: dict[
             int, tuple[i.Backend, Address]
         ] = {}  # discovery's own word of what it lists, by number
         self.gone: dict[int, None] = {}  # what it listed before: the last of these
@@ -231,7 +231,7 @@
         self._keep(kind, entries)
         if self.banned or self.reborn:
             entries = [self._masked(e) for e in entries]
-        self._hand(kind, version, entries)
+        self._dispatch(kind, version, entries)
 
     def read_early(self, e: dict[str, Any]) -> Any:
         """An endpoint, read as soon as its own text is: of a whole list, its objects take several times the
@@ -243,23 +243,23 @@
             entry = self.reader.entry(e)
         except (ValueError, KeyError, TypeError, AttributeError, ArithmeticError):
             return e
-        known = self.last.get(entry[0].id)
+        known = self.endpoints.get(entry[0].id)
         return known if known == entry else entry
 
     def _keep(self, kind: i.ListKind, entries: Entries) -> None:
         """Remembers what is listed, and of what is gone only that it was, and not for ever."""
         if kind is not i.ListKind.DELTA:
             told = {b.id for b, _ in entries}
-            for left_out in [k for k in self.last if k not in told]:
+            for left_out in [k for k in self.endpoints if k not in told]:
                 self._forget(left_out)
         for entry in entries:
             if entry[0].mode is i.Mode.GONE:
                 self._forget(entry[0].id)
             else:
-                self.last[entry[0].id] = entry
+                self.endpoints[entry[0].id] = entry
 
     def _forget(self, number_: int) -> None:
-        self.last.pop(number_, None)
+        self.endpoints.pop(number_, None)
         self.gone.pop(number_, None)
         self.gone[number_] = None
         if len(self.gone) > GONE_KEPT:
@@ -268,9 +268,9 @@
     def __contains__(self, name: object) -> bool:
         """Whether discovery lists a name, or did not long ago."""
         number_ = number(str(name))
-        return number_ in self.last or number_ in self.gone
+        return number_ in self.endpoints or number_ in self.gone
 
-    def _hand(self, kind: i.ListKind, version: int, entries: Entries) -> None:
+    def _dispatch(self, kind: i.ListKind, version: int, entries: Entries) -> None:
         """To the module first: what the pools withdraw by the same change is then decided on by the new list,
         and not sent to the next server that it takes out."""
         self.turn.post(i.BackendList(kind, version, [b for b, _ in entries]))
@@ -306,13 +306,13 @@
         since = self.banned.pop(number_, None)
         if banned:
             self.banned[number_] = since or self.turn.now_ns()
-        entry = self.last.get(number_)
+        entry = self.endpoints.get(number_)
         if not banned and since is not None and (entry is None or entry[0].started_ns < since):
             # Guards against pushing over what comes back: it was restarted while out, whether or not
             # discovery told it, and is cold. Started at the call back as the module counts, it is ramped up.
             self.reborn[number_] = name, self.turn.now_ns()
         if entry is not None:
-            self._hand(i.ListKind.DELTA, self.version, [self._masked(entry)])
+            self._dispatch(i.ListKind.DELTA, self.version, [self._masked(entry)])
         return name in self
 
 
--- a/zincstile/state.py
+++ b/zincstile/state.py
@@ -260,7 +260,7 @@
         the list cost one sort, before whatever comes after them."""
         self.acts = []
         kind = type(event)
-        if kind is not i.BackendList:
+        if self.sort_due and kind is not i.BackendList:
             self.sort_if_due(now)
         if kind not in self.handlers:
             name = "on" + "".join("_" + c.lower() if c.isupper() else c for c in kind.__name__)
