--- a/zincstile/shared/bound.py
+++ b/zincstile/shared/bound.py
@@ -1,7 +1,7 @@
 """How far all gateways together can pass a quota, whatever one failure does: derived in docs/shared.md.
 
 Every part of a quota has one owner at any time, and what is lent leaves the lender's store before the
-borrower has it: the stores and the loans in hand never hold more than the burst together, whoever hears
+borrower has it: the stores and the leases in hand never hold more than the burst together, whoever hears
 whom. What remains is not who may send, but when it is sent, and what a start can't know.
 """
 
--- a/zincstile/shared/settings.py
+++ b/zincstile/shared/settings.py
@@ -15,7 +15,7 @@
 class SharedSettings:
     """ValueError names a field that can't work."""
 
-    life_ns: int = 1500 * MS  # a loan ends so long after it was asked for
+    life_ns: int = 1500 * MS  # a lease ends so long after it was asked for
     held_ns: int = 83 * MS  # a try waits so long for an answer
     again_ns: int = 40 * MS  # an ask that is not answered is sent again after so long
     flight_ns: int = 200 * MS  # from a decision until its attempt has left, at most
