--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -25,7 +25,7 @@
 from zincstile.shared.module import SharedPolicy
 from zincstile.shared.rendezvous import choose_holders
 from zincstile.shared.settings import FAILURES, MS, SECOND, SharedSettings
-from zincstile.shared.slots import SlotAsk, SlotClose, SlotGrant, Slots
+from zincstile.shared.slots import SlotGrant, SlotManager, SlotRelease, SlotRequest
 from zincstile.worlds import mutants_shared, plan, search, shared, shared_trials, traffic
 from zincstile.worlds.plan import Plan
 
@@ -124,9 +124,9 @@
     LeaseRequest(1, 2**33 - 1, 3, 24, 23, 2**32 - 1, 5.5, 1.25, 9),
     LeaseGrant(1, 7, 8, 2.5, 0.125, 3, 2**32 - 1),
     LeaseRelease(1, 7, 8, 1.5, 77),
-    SlotAsk(1, 2**40, 2, 3, 1, 5),
+    SlotRequest(1, 2**40, 2, 3, 1, 5),
     SlotGrant(1, 7, 8, True, 9),
-    SlotClose(1, 7, 8, 9),
+    SlotRelease(1, 7, 8, 9),
     Evidence(65535, EVERY, 1.0, 199, 4, 30 * MS),
     LevelWord(9, 5, 6, 2.5, 8.0, 0),
 ]
@@ -177,7 +177,7 @@
 
     def start(me):
         process[0] += 1
-        return Slots(SET, me, process[0], longest, random.Random(process[0]))
+        return SlotManager(SET, me, process[0], longest, random.Random(process[0]))
 
     seats, words, requests, number = [start(g) for g in row], [], {}, 0
     spare, until, most = 0, 0, 0
@@ -185,19 +185,19 @@
         now += rng.randint(1, 20) * MS
         g = rng.choice(row)
         seat = seats[g]
-        rack = seat.rack(9, 0, limit, row)
-        if seat.may(now, rack, now + longest):
+        account = seat.account(9, 0, limit, row)
+        if seat.has_free(now, account, now + longest):
             number += 1
-            seat.take(now, rack, number, now + longest)
+            seat.take(now, account, number, now + longest)
             requests[number] = g, now + rng.randint(0, longest)
         else:
-            seat.seek(now, rack)
+            seat.seek(now, account)
         for one, (at, end) in list(requests.items()):
             if end <= now:
-                seats[at].over(one)
+                seats[at].release(one)
                 del requests[one]
         if rng.random() < 0.001:  # what it had lent is in use until it ends; its own requests end with it
-            spare, until = spare + rack.out, now + seat.life_ns
+            spare, until = spare + account.out, now + seat.life_ns
             requests = {k: v for k, v in requests.items() if v[0] != g}
             seats[g] = start(g)
         for k, one in enumerate(seats):
@@ -213,8 +213,8 @@
         rng.shuffle(due)
         for _, sender, by, word in due:
             to = seats[word.to]
-            if isinstance(word, SlotAsk):
-                to.asked_for(now, sender, by, word, to.rack(9, 0, limit, row))
+            if isinstance(word, SlotRequest):
+                to.asked_for(now, sender, by, word, to.account(9, 0, limit, row))
             elif isinstance(word, SlotGrant):
                 to.granted(now, sender, by, word)
             else:
--- a/zincstile/shared/module.py
+++ b/zincstile/shared/module.py
@@ -24,7 +24,7 @@
 from .leases import LeaseManager
 from .levels import Levels, LevelWord
 from .settings import MS, SharedSettings
-from .slots import Rack, SlotAsk, SlotClose, SlotGrant, Slots
+from .slots import SlotAccount, SlotGrant, SlotManager, SlotRelease, SlotRequest
 from .words import AnyWord
 
 LOOK, AGAIN = 2**62, 2**62 + 1  # timers' tokens that no request has
@@ -71,7 +71,7 @@
         self.again_ns = -1  # when asks are looked at, whether to send them again
         self.paying: QuotaAccount | None = None  # of the try that is decided on just now
         self.leases: LeaseManager | None = None
-        self.slots = Slots(shared, settings.me, self.process, settings.longest_ns, self.draws)
+        self.slots = SlotManager(shared, settings.me, self.process, settings.longest_ns, self.draws)
         self.said_trouble = False
         self.strange = 0  # asks that don't fit what is known here
 
@@ -133,12 +133,12 @@
             return
         again: dict[int, None] = {}
         for word in event.words:
-            if isinstance(word, LeaseRequest | SlotAsk):
+            if isinstance(word, LeaseRequest | SlotRequest):
                 self._asked_for(now, event, word)
             elif isinstance(word, SlotGrant):
                 if self.slots.granted(now, event.sender, event.process, word):
                     again[word.customer] = None
-            elif isinstance(word, SlotClose):
+            elif isinstance(word, SlotRelease):
                 self.slots.closed(event.sender, event.process, word)
             elif isinstance(word, LeaseGrant):
                 account = self.leases.granted(now, event.sender, event.process, word)
@@ -155,7 +155,7 @@
         self.try_held(now, [k for k in again if k in self.held])
         self._carry_on(now)
 
-    def _asked_for(self, now: int, event: SharedWords, ask: LeaseRequest | SlotAsk) -> None:
+    def _asked_for(self, now: int, event: SharedWords, ask: LeaseRequest | SlotRequest) -> None:
         set_ = self.set
         if (
             ask.plan >= len(set_.plans)
@@ -165,12 +165,12 @@
         ):
             self.strange += 1
             return
-        if isinstance(ask, SlotAsk):
-            rack = self._rack(ask.customer, ask.plan, ask.spread, ask.first)
-            if rack is None or len(rack.row) != ask.spread or rack.row[0] != ask.first:
+        if isinstance(ask, SlotRequest):
+            slots = self._slot_account(ask.customer, ask.plan, ask.spread, ask.first)
+            if slots is None or len(slots.row) != ask.spread or slots.row[0] != ask.first:
                 self.strange += 1
             else:
-                self.slots.asked_for(now, event.sender, event.process, ask, rack)
+                self.slots.asked_for(now, event.sender, event.process, ask, slots)
             return
         account = self._purse(now, ask.customer, ask.plan, ask.spread, ask.first)
         if account.plan != ask.plan or len(account.row) != ask.spread or account.row[0] != ask.first:
@@ -202,13 +202,13 @@
         row = tuple((first + k) % self.set.gateways for k in range(spread))
         return self.leases.purse(now, key, plan, self._quota(plan, spread), row)
 
-    def _rack(self, key: int, plan: int, spread: int, first: int) -> Rack | None:
+    def _slot_account(self, key: int, plan: int, spread: int, first: int) -> SlotAccount | None:
         """None where the plan has no limit on attempts out."""
         limit = self.set.plans[plan].open_limit
         if not limit:
             return None
         row = tuple((first + k) % self.set.gateways for k in range(spread))
-        return self.slots.rack(key, plan, limit, row)
+        return self.slots.account(key, plan, limit, row)
 
     def _capped(self, c: Customer, live: Live) -> bool:
         return False  # by slots, in `_pay`
@@ -216,14 +216,14 @@
     def _pay(self, now: int, live: Live, again: bool) -> Paid:
         """Units and, where the plan has a limit, a slot; the one is not taken without the other."""
         ask, c = live.ask, live.customer
-        rack = self._rack(c.key, c.plan, c.spread, ask.first % self.set.gateways)
-        if rack is not None and not self.slots.may(now, rack, ask.give_up_ns):
-            return Paid.SOON if self.slots.seek(now, rack) else Paid.NO
+        slots = self._slot_account(c.key, c.plan, c.spread, ask.first % self.set.gateways)
+        if slots is not None and not self.slots.has_free(now, slots, ask.give_up_ns):
+            return Paid.SOON if self.slots.seek(now, slots) else Paid.NO
         account = self._purse(now, c.key, c.plan, c.spread, ask.first % self.set.gateways)
         if self.leases.take(now, account, ask.units):
             self.paying = account
-            if rack is not None:
-                self.slots.take(now, rack, ask.id, ask.give_up_ns)
+            if slots is not None:
+                self.slots.take(now, slots, ask.id, ask.give_up_ns)
             self.leases.borrow_ahead(now, account)
             return Paid.YES
         refused = live.draw >= self.tree[0][ask.cls][ask.plan].rate  # by the budget: no word could help
@@ -239,7 +239,7 @@
     def close(self, live: Live, cancel: bool) -> None:
         """The slot of a request that is over is free again."""
         super().close(live, cancel)
-        self.slots.over(live.ask.id)
+        self.slots.release(live.ask.id)
 
     def _unpay(self, now: int, c: Customer, units: float) -> None:
         if self.paying is not None:  # decided against in the same turn
--- a/zincstile/shared/words.py
+++ b/zincstile/shared/words.py
@@ -13,23 +13,25 @@
 from .judges import Evidence
 from .lease_messages import UNIT_PARTS, LeaseGrant, LeaseRelease, LeaseRequest
 from .levels import LevelWord
-from .slots import SlotAsk, SlotClose, SlotGrant
+from .slots import SlotGrant, SlotRelease, SlotRequest
 
 MAGIC, LARGEST = 0xBB, 256
 HEAD = struct.Struct("<BIHB")  # magic, process, check, number of words
 KIND = struct.Struct("<B")
-ASK = struct.Struct("<QBHHIIII")  # customer, plan, spread, first, mark, units, least, heard
+REQUEST = struct.Struct("<QBHHIIII")  # customer, plan, spread, first, mark, units, least, heard
 GRANT = struct.Struct("<QIIIIII")  # customer, mark, units, level, number, the borrower's process, gain
-CLOSE = struct.Struct("<QIII")  # customer, mark, left, the lender's process
-SLOT_ASK = struct.Struct("<QBHHI")  # customer, plan, spread, first, mark
+RELEASE = struct.Struct("<QIII")  # customer, mark, left, the lender's process
+SLOT_REQUEST = struct.Struct("<QBHHI")  # customer, plan, spread, first, mark
 SLOT_GRANT = struct.Struct("<QIBI")  # customer, mark, given, the borrower's process
-SLOT_CLOSE = struct.Struct("<QII")  # customer, mark, the lender's process
+SLOT_RELEASE = struct.Struct("<QII")  # customer, mark, the lender's process
 JUDGED = struct.Struct("<HBBBHH")  # server, group, how bad, zone, age in 10 ms, origin
 LEVEL = struct.Struct("<HIIIHH")  # origin, its life, number, units out in 1/16, age in 10 ms, wants in 1/16
 AGE_NS = 10_000_000
 MOST = 2**32 - 1
 
-AnyWord = LeaseRequest | LeaseGrant | LeaseRelease | SlotAsk | SlotGrant | SlotClose | Evidence | LevelWord
+AnyWord = (
+    LeaseRequest | LeaseGrant | LeaseRelease | SlotRequest | SlotGrant | SlotRelease | Evidence | LevelWord
+)
 
 
 def _units(units: float) -> int:
@@ -41,8 +43,8 @@
     return min(65535, -(-max(0, age_ns) // AGE_NS))
 
 
-def _ask(w: LeaseRequest) -> bytes:
-    return ASK.pack(
+def _request(w: LeaseRequest) -> bytes:
+    return REQUEST.pack(
         w.customer, w.plan, w.spread, w.first, w.mark, _units(w.units), _units(w.least), w.heard % 2**32
     )
 
@@ -53,20 +55,20 @@
     )
 
 
-def _close(w: LeaseRelease) -> bytes:
-    return CLOSE.pack(w.customer, w.mark, _units(w.left), w.process)
+def _release(w: LeaseRelease) -> bytes:
+    return RELEASE.pack(w.customer, w.mark, _units(w.left), w.process)
 
 
-def _slot_ask(w: SlotAsk) -> bytes:
-    return SLOT_ASK.pack(w.customer, w.plan, w.spread, w.first, w.mark)
+def _slot_request(w: SlotRequest) -> bytes:
+    return SLOT_REQUEST.pack(w.customer, w.plan, w.spread, w.first, w.mark)
 
 
 def _slot_grant(w: SlotGrant) -> bytes:
     return SLOT_GRANT.pack(w.customer, w.mark, w.given, w.process)
 
 
-def _slot_close(w: SlotClose) -> bytes:
-    return SLOT_CLOSE.pack(w.customer, w.mark, w.process)
+def _slot_release(w: SlotRelease) -> bytes:
+    return SLOT_RELEASE.pack(w.customer, w.mark, w.process)
 
 
 def _evidence(w: Evidence) -> bytes:
@@ -91,18 +93,18 @@
 
 
 PACKED: dict[type, tuple[int, Callable[..., bytes]]] = {
-    LeaseRequest: (1, _ask),
+    LeaseRequest: (1, _request),
     LeaseGrant: (2, _grant),
-    LeaseRelease: (3, _close),
+    LeaseRelease: (3, _release),
     Evidence: (4, _evidence),
     LevelWord: (5, _level),
-    SlotAsk: (6, _slot_ask),
+    SlotRequest: (6, _slot_request),
     SlotGrant: (7, _slot_grant),
-    SlotClose: (8, _slot_close),
+    SlotRelease: (8, _slot_release),
 }
 READ: dict[int, tuple[struct.Struct, Callable[..., AnyWord]]] = {
     1: _of(
-        ASK,
+        REQUEST,
         lambda customer, plan, spread, first, mark, units, least, heard: LeaseRequest(
             -1, customer, plan, spread, first, mark, units / UNIT_PARTS, least / UNIT_PARTS, heard
         ),
@@ -114,7 +116,7 @@
         ),
     ),
     3: _of(
-        CLOSE,
+        RELEASE,
         lambda customer, mark, left, process: LeaseRelease(-1, customer, mark, left / UNIT_PARTS, process),
     ),
     4: _of(
@@ -130,12 +132,13 @@
         ),
     ),
     6: _of(
-        SLOT_ASK, lambda customer, plan, spread, first, mark: SlotAsk(-1, customer, plan, spread, first, mark)
+        SLOT_REQUEST,
+        lambda customer, plan, spread, first, mark: SlotRequest(-1, customer, plan, spread, first, mark),
     ),
     7: _of(
         SLOT_GRANT, lambda customer, mark, given, process: SlotGrant(-1, customer, mark, bool(given), process)
     ),
-    8: _of(SLOT_CLOSE, lambda customer, mark, process: SlotClose(-1, customer, mark, process)),
+    8: _of(SLOT_RELEASE, lambda customer, mark, process: SlotRelease(-1, customer, mark, process)),
 }
 
 
