--- a/zincstile/start/policy.py
+++ b/zincstile/start/policy.py
@@ -21,65 +21,66 @@
     """An event: the fleet serves with open admission, this gateway starts into it."""
 
 
+class OpeningPolicy(Policy):
+    """The decision module with the pace of a start. `opening` puts it before the module that it slows."""
+
+    start_settings: StartSettings
+
+    def __init__(self, settings: i.Settings, seed: int, *more: object) -> None:
+        super().__init__(settings, seed, *more)
+        self.opening: Opening | None = Opening(
+            self.start_settings, settings.gateways, settings.largest_units, random.Random(f"opening {seed}")
+        )
+
+    def on_started(self, now: int, event: i.Started) -> None:
+        self.opening.begin(now)
+        super().on_started(now, event)
+
+    def on_inherited(self, now: int, event: i.Inherited) -> None:
+        super().on_inherited(now, event)
+        if self.opening is not None:  # the old process of this gateway knew what the back end bears
+            self.opening.known(self.done_rate)
+
+    def _choose(self, now: int, live: Live) -> Server | None:
+        """Further attempts go by the pace too: at a start the credit for them is full everywhere."""
+        paced = self.opening
+        if paced is None:
+            return super()._choose(now, live)
+        if not paced.may(now, self.good):
+            return None
+        server = super()._choose(now, live)
+        if server is not None:
+            paced.took(live.ask.units)
+        return server
+
+    def _learn(self, now: int, e: i.Outcome, attempt: Attempt) -> None:
+        super()._learn(now, e, attempt)
+        if self.opening is not None and e.result is i.Result.OK:
+            # a cold server takes the longer without being pressed
+            took_ns = e.latency_ns * self._warmth(now, attempt.server)
+            self.opening.answered(attempt.units, took_ns <= attempt.bound_ns)
+
+    def _follow(self, now: int, span: float, ticks: float) -> None:
+        super()._follow(now, span, ticks)
+        if self.opening is not None and (self.level < math.inf or self.opening.over(now)):
+            self._open(now, "by what was seen" if self.level == math.inf else "by the budget's own bound")
+
+    def on_running(self, now: int, _: Running) -> None:
+        if self.opening is not None:
+            self._open(now, "as the fleet's is")
+
+    def _open(self, now: int, why: str) -> None:
+        after, refused = (now - self.start_ns) // 1_000_000, self.opening.refused
+        self.acts.append(
+            i.Log(f"start admission is open after {after} ms, {why}; {refused} tries turned away by the pace")
+        )
+        self.opening = None
+
+    def sight(self) -> dict[str, float]:
+        pace = -1.0 if self.opening is None else round(self.opening.pace(self.good), 2)
+        return super().sight() | {"pace": pace}
+
+
 def opening(base: type[Policy], start: StartSettings) -> type[Policy]:
     """`base` that opens by `start`."""
-
-    class Opened(base):  # type: ignore[misc, valid-type]
-        def __init__(self, settings: i.Settings, seed: int, *more: object) -> None:
-            super().__init__(settings, seed, *more)
-            self.opening: Opening | None = Opening(
-                start, settings.gateways, settings.largest_units, random.Random(f"opening {seed}")
-            )
-
-        def on_started(self, now: int, event: i.Started) -> None:
-            self.opening.begin(now)
-            super().on_started(now, event)
-
-        def on_inherited(self, now: int, event: i.Inherited) -> None:
-            super().on_inherited(now, event)
-            if self.opening is not None:  # the old process of this gateway knew what the back end bears
-                self.opening.known(self.done_rate)
-
-        def _choose(self, now: int, live: Live) -> Server | None:
-            """Further attempts go by the pace too: at a start the credit for them is full everywhere."""
-            paced = self.opening
-            if paced is None:
-                return super()._choose(now, live)
-            if not paced.may(now, self.good):
-                return None
-            server = super()._choose(now, live)
-            if server is not None:
-                paced.took(live.ask.units)
-            return server
-
-        def _learn(self, now: int, e: i.Outcome, attempt: Attempt) -> None:
-            super()._learn(now, e, attempt)
-            if self.opening is not None and e.result is i.Result.OK:
-                # a cold server takes the longer without being pressed
-                took_ns = e.latency_ns * self._warmth(now, attempt.server)
-                self.opening.answered(attempt.units, took_ns <= attempt.bound_ns)
-
-        def _follow(self, now: int, span: float, ticks: float) -> None:
-            super()._follow(now, span, ticks)
-            if self.opening is not None and (self.level < math.inf or self.opening.over(now)):
-                self._open(now, "by what was seen" if self.level == math.inf else "by the budget's own bound")
-
-        def on_running(self, now: int, _: Running) -> None:
-            if self.opening is not None:
-                self._open(now, "as the fleet's is")
-
-        def _open(self, now: int, why: str) -> None:
-            after, refused = (now - self.start_ns) // 1_000_000, self.opening.refused
-            self.acts.append(
-                i.Log(
-                    f"start admission is open after {after} ms, {why}; {refused} tries turned "
-                    "away by the pace"
-                )
-            )
-            self.opening = None
-
-        def sight(self) -> dict[str, float]:
-            pace = -1.0 if self.opening is None else round(self.opening.pace(self.good), 2)
-            return super().sight() | {"pace": pace}
-
-    return Opened
+    return type("OpenedPolicy", (OpeningPolicy, base), {"start_settings": start})
