Emulated clients send again what crossed the end of their connection

Cause: since a gateway goes on reading behind its own end and throws away what comes (a close over unread bytes would reset the connection). World.front.was_read took every byte that the gateway's process had read for a request it had read, those behind the end too, so that the emulated client reported a loss where the protocol lets it send the request once more ("if this crosses a request it has not read, the client sends that request once more on a new connection"). The program is right: what it reads before its end is sent it answers. Change: Endpoint.took_before_end counts what was read until the end was sent, not until it was decided on.

--- a/tests/test_referee.py
+++ b/tests/test_referee.py
@@ -97,6 +97,34 @@
     assert bench.broken == ["answer"]
 
 
+def test_what_crossed_the_end_of_its_connection_is_owed_nothing_and_may_be_asked_anew(bench):
+    bench.ask(b"1")
+    bench.at(1).crossed(b"1")
+    bench.ask(b"1", line=2)
+    bench.send("b1")
+    bench.at(2).answered(b"1", "failed", b"")
+    bench.ask(b"2")
+    bench.at(3).crossed(b"2")
+    bench.at(2000)
+    assert bench.broken == []
+
+
+def test_what_was_sent_on_was_read_whenever_its_connection_ended(bench):
+    bench.ask(b"1")
+    bench.send("b1", b"1")
+    bench.at(1).crossed(b"1")
+    assert bench.broken == ["answer"]
+    bench.ask(b"2")
+    bench.at(2).crossed(b"2")
+    bench.send("b1", b"2")
+    assert bench.broken == ["answer"] * 2
+    bench.ask(b"3")
+    bench.send("b1", b"3")
+    bench.referee.ended("g0")
+    bench.at(3).crossed(b"3")
+    assert bench.broken == ["answer"] * 2
+
+
 def test_a_value_has_to_be_made_for_that_request(bench):
     bench.ask(b"1")
     bench.ask(b"2", line=2)
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -23,7 +23,17 @@
         self.said = []
 
     def __getattribute__(self, name):
-        if name in ("arrived", "made", "turned_away", "foreign", "told", "answered", "void", "dropped"):
+        if name in (
+            "arrived",
+            "made",
+            "turned_away",
+            "foreign",
+            "told",
+            "answered",
+            "void",
+            "dropped",
+            "crossed",
+        ):
             return lambda *about: self.said.append((name, *about))
         return super().__getattribute__(name)
 
@@ -263,3 +273,43 @@
         server.close()
 
     play(scene)
+
+
+def test_what_crossed_a_close_goes_out_on_a_new_connection_though_another_rests():
+    async def scene():
+        notes, loop, lines = Notes(), asyncio.get_running_loop(), []
+        both_asked = asyncio.Event()
+
+        async def gateway(reader, writer):
+            parser, number = wire.Commands(), len(lines)
+            lines.append(0)
+            while data := await reader.read(4096):
+                for words in parser.feed(data):
+                    if words == [b"PING"]:
+                        writer.write(b"+PONG\r\n")
+                        continue
+                    lines[number] += 1
+                    if sum(lines) == 2:
+                        both_asked.set()
+                    if sum(lines) == 3:  # the third request: not answered
+                        writer.close()
+                        return
+                    await both_asked.wait()
+                    writer.write(b"$2\r\nok\r\n")
+
+        server = await asyncio.start_server(gateway, HOST, 0)
+        front = Front(loop, random.Random(1), notes, {"g0": server.sockets[0].getsockname()[:2]})
+        front.watch()
+        while not front.up["g0"]:
+            await asyncio.sleep(0.01)
+        want = Want(0.0, "look", "p", 7, 1.0, 1, 0, 900, True)
+        for count in (2, 1):
+            for _ in range(count):
+                front.want(want)
+            while front.open:
+                await asyncio.sleep(0.01)
+        assert front.tally == {("p", "served"): 3} and notes.names().count("crossed") == 1
+        assert sorted(lines) == [1, 1, 2] and lines[-1] == 1
+        server.close()
+
+    play(scene)
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -158,6 +158,25 @@
     assert client.got == b"" and client.log[-1] == "lost ConnectionResetError"
 
 
+def test_what_is_read_after_the_end_was_sent_was_not_read_before_it():
+    net = Net(window_bytes=100)
+    client, server = joined(net)
+    client.transport.write(b"before")
+    net.run(10)
+    assert server.transport.took_before_end(6) and not server.transport.took_before_end(7)
+    client.transport.pause_reading()
+    server.transport.write(b"x" * 150)
+    server.transport.write_eof()  # decided on, but sent only behind the rest of what was written
+    client.transport.write(b"meanwhile")
+    net.run(10)
+    assert server.got == b"beforemeanwhile" and server.transport.took_before_end(15)
+    client.transport.resume_reading()  # the rest and the end are on their way
+    client.transport.write(b"after")
+    net.run(10)
+    assert client.got == b"x" * 150 and client.log[-1] == "lost clean"
+    assert server.got == b"beforemeanwhileafter" and not server.transport.took_before_end(16)
+
+
 def test_closing_with_bytes_unread_resets_the_other_side():
     net = Net()
     client, server = joined(net)
--- a/zincstile/field/probe.py
+++ b/zincstile/field/probe.py
@@ -108,6 +108,10 @@
     def dropped(self, request: bytes) -> None:
         self.referee.dropped(request)
 
+    def crossed(self, request: bytes) -> None:
+        """Between processes it can't be told whether an attempt or the connection's end came first."""
+        self.referee.void(request)
+
     def void(self, request: bytes) -> None:
         self.referee.void(request)
 
--- a/zincstile/rules/cases.py
+++ b/zincstile/rules/cases.py
@@ -69,6 +69,8 @@
     state: str = "open"  # then `served`, `denied`, `failed`, `void` or `late`
     arrived: bool = False
     counted: bool = False  # against its quota
+    crossed: bool = False  # its connection was ended before it was read, and it was not asked anew
+    tries_before: int = 0  # attempts of the same request before it was asked anew
     tries: list[Try] = field(default_factory=list)
     history: list[tuple[int, int, str]] = field(default_factory=list)  # step, nanoseconds, what
 
--- a/zincstile/rules/referee.py
+++ b/zincstile/rules/referee.py
@@ -91,6 +91,7 @@
         if old is not None:  # sent once more, as its connection was closed before it was read
             case.tries, case.history = old.tries, old.history
             case.arrived, case.counted = old.arrived, old.counted
+            case.tries_before = len(old.tries)
         self.cases[what.id] = case
         self._note(
             case, f"asked of {what.gateway}: {what.cls} {what.plan} units={what.units:g} " f"d={what.wait_ms}"
@@ -124,6 +125,16 @@
             case.state = "void"
             self.breach("answer", f"{case.gateway} ended the connection without an answer", case)
 
+    def crossed(self, request: bytes) -> None:
+        """The connection was ended before the request was read. One that was sent on was read all the same,
+        before the end or after it, and is lost."""
+        case = self.cases[request]
+        if len(case.tries) > case.tries_before:
+            self.dropped(request)
+            return
+        case.crossed = case.gateway not in self.dead
+        self.void(request)
+
     def void(self, request: bytes) -> None:
         case = self.cases[request]
         if case.state == "open":
@@ -142,6 +153,8 @@
         one = Try(gateway, box, first_ns)
         case.tries.append(one)
         self._note(case, f"attempt {len(case.tries)} begun by {gateway} to {box}")
+        if case.crossed and case.gateway == gateway:
+            self.breach("answer", f"{gateway} sent on what it read after it had ended the connection", case)
         late = self.drains.late_ns(gateway, box, first_ns)
         if late > 0:
             self.breach("drain", f"{gateway} sent to {box} {late / 1e6:.1f} ms after the grace", case)
--- a/zincstile/standin/clients.py
+++ b/zincstile/standin/clients.py
@@ -153,6 +153,10 @@
                 return
         self._start(self._connect(request))
 
+    def send_once_more(self, request: Request) -> None:
+        """Its connection was closed before it was read: it goes out on a new one, not on one that rests."""
+        self._start(self._connect(request))
+
     async def _connect(self, request: Request) -> None:
         name = request.asked.gateway
         try:
@@ -306,13 +310,13 @@
             if front.was_read(self.transport, request.end):
                 front.witness.dropped(request.asked.id)
                 front.over(request, "dropped")
-            elif request.crossed:
-                front.witness.void(request.asked.id)
+                continue
+            front.witness.crossed(request.asked.id)
+            if request.crossed:
                 front.over(request, "unreached")
             else:
                 request.crossed = True
-                front.witness.void(request.asked.id)
-                front._send(request)
+                front.send_once_more(request)
 
 
 class Rude(asyncio.Protocol):
--- a/zincstile/standin/witness.py
+++ b/zincstile/standin/witness.py
@@ -38,6 +38,9 @@
     def dropped(self, request: bytes) -> None:
         """The gateway ended the connection after it had read the request, without an answer."""
 
+    def crossed(self, request: bytes) -> None:
+        """The gateway ended the connection before it had read the request, which may be sent once more."""
+
     def void(self, request: bytes) -> None:
         """Nothing is owed any more: the client left, the gateway died or the connection never carried it."""
 
--- a/zincstile/virtual/tcp.py
+++ b/zincstile/virtual/tcp.py
@@ -33,6 +33,7 @@
         self.protocol: Any = None
         self.inbox = bytearray()  # the machine's: come and not read
         self.taken = 0  # bytes that the process has read
+        self.taken_at_end: int | None = None  # of these, when it ended its own sending; None: not yet
         self.sent = 0  # bytes that have left the process
         self.on_sent: Callable[[bytes], None] | None = None  # told of these, as they leave
         self.flying = 0  # bytes on their way to the other side
@@ -59,6 +60,12 @@
             self._reading = True
             self._wake()
 
+    def took_before_end(self, position: int) -> bool:
+        """The process had read all bytes up to this position before it ended its own sending. What it reads
+        after that can't be answered any more."""
+        taken = self.taken if self.taken_at_end is None else self.taken_at_end
+        return taken >= position
+
     def get_extra_info(self, name: str, default: Any = None) -> Any:
         return {"sockname": self.local, "peername": self.remote, "socket": self}.get(name, default)
 
@@ -224,6 +231,7 @@
     def _send_fin(self) -> None:
         if not self._fin_sent:
             self._fin_sent = True
+            self.taken_at_end = self.taken
             self._send("end", b"")
 
     def _send(self, what: str, data: bytes) -> None:
--- a/zincstile/worlds/mutants.py
+++ b/zincstile/worlds/mutants.py
@@ -290,6 +290,17 @@
     return _swap(frontend.ClientConnection, "close_if_idle", close_if_idle)
 
 
+def _read_before_end_dropped() -> Undo:
+    """What is read between the decision to end a connection and its end is thrown away."""
+    old = frontend.ClientConnection.__dict__["_finish"]
+
+    def finish(self):
+        self._closing = True
+        self.turn.loop.call_later(0.02, old, self)
+
+    return _swap(frontend.ClientConnection, "_finish", finish)
+
+
 def _ids_leak() -> Undo:
     """The ids of requests that are over are kept."""
     return _swap(frontend.FrontDoor, "done", lambda self, session: None)
@@ -369,6 +380,7 @@
     "kept-after-timeout": Mutant(("value", "resources"), _kept_after_timeout),
     "stop-at-once": Mutant(("answer",), _stop_at_once),
     "stop-forgets": Mutant(("answer",), _stop_forgets),
+    "read-before-end-dropped": Mutant(("answer",), _read_before_end_dropped),
     "ids-leak": Mutant(("resources",), _ids_leak),
     "connections-leak": Mutant(("resources",), _connections_leak),
     "attempts-leak": Mutant(("resources",), _attempts_leak),
--- a/zincstile/worlds/world.py
+++ b/zincstile/worlds/world.py
@@ -177,7 +177,7 @@
             {s.name: (s.host, 6379) for s in self.seats},
             dead_s=(0.3, 1.5),
         )
-        self.front.was_read = lambda transport, end: transport.peer is None or transport.peer.taken >= end
+        self.front.was_read = _was_read
         weights = random.Random(f"weights {plan.seed}")
         self.shares: dict[tuple[int, str], float] = {}
         self.weights = weights
@@ -490,6 +490,11 @@
         return  # that gateway is down
 
 
+def _was_read(transport: Any, end: int) -> bool:
+    """The gateway had read the request that ends at this byte before it ended the connection."""
+    return transport.peer is None or transport.peer.took_before_end(end)
+
+
 def _other(transport: Any) -> str:
     """Whose connection this is, on the virtual network."""
     return transport.peer.process.name
