--- a/tests/test_worlds.py
+++ b/tests/test_worlds.py
@@ -125,6 +125,7 @@
     "never-rests",
     "kept-after-timeout",
     "stop-at-once",
+    "read-after-end-sent-on",
     "ids-leak",
     "connections-leak",
     "key-lost",
@@ -172,6 +173,15 @@
     assert crash.tally["served"] < calm.tally["served"]
 
 
+def test_requests_that_cross_the_end_of_their_connection_are_nobodys_fault():
+    """Each end that a gateway sends while it stops meets a request on its way."""
+    faults = [Fault("roll", 600, 500, [k]) for k in range(3)]
+    runs = [Run(Plan(seed=3, requests=60, last_ms=2000, faults=faults, crossing=c)) for c in (0.0, 1.0)]
+    calm, crossed = (run.play() for run in runs)
+    assert calm.breach is None and crossed.breach is None
+    assert crossed.tally["unreached"] >= calm.tally.get("unreached", 0) + 3
+
+
 @pytest.mark.parametrize(
     ("words", "said"),
     [
--- a/zincstile/standin/clients.py
+++ b/zincstile/standin/clients.py
@@ -124,7 +124,16 @@
         names = [self.names[(want.first + k) % len(self.names)] for k in range(want.spread)]
         up = [n for n in names if self.up[n]] or names
         weights = self.weigh(want, up)
-        name = self.rng.choices(up, weights)[0] if sum(weights) > 0 else up[0]
+        self._send(self._request(want, self.rng.choices(up, weights)[0] if sum(weights) > 0 else up[0]))
+
+    def ask_on(self, client: Client, want: Want) -> None:
+        """Asks on this very connection, whatever becomes of it."""
+        if client.usable:
+            if client in self.resting[client.gateway]:
+                self.resting[client.gateway].remove(client)
+            client.ask(self._request(want, client.gateway))
+
+    def _request(self, want: Want, name: str) -> Request:
         self._number += 1
         asked = Asked(
             b"%016x" % (self._number * 2654435761 % 2**64),
@@ -138,7 +147,7 @@
         )
         self.asked += 1
         self.open += 1
-        self._send(Request(want, asked, self.loop.time()))
+        return Request(want, asked, self.loop.time())
 
     def _send(self, request: Request) -> None:
         name = request.asked.gateway
@@ -219,6 +228,11 @@
         self.transport = transport  # type: ignore[assignment]
         self.front.lines[self.gateway][self] = None
 
+    @property
+    def usable(self) -> bool:
+        """It is up, as far as its client knows, and admitted."""
+        return not self.shut and self._pong is None and not self.transport.is_closing()
+
     def ping(self, pong: asyncio.Future) -> None:
         self._pong = pong
         self._write(wire.command(b"PING"))
--- a/zincstile/virtual/network.py
+++ b/zincstile/virtual/network.py
@@ -64,6 +64,7 @@
         self.cuts: dict[tuple[str, str], None] = {}  # machines between which nothing passes, both ways round
         self.links: Links | None = None  # what is wrong with datagrams between processes, by their names
         self.on_connected: Callable[[Any, Any], None] | None = None  # endpoints: who opened it, who took it
+        self.on_end: Callable[[Any], None] | None = None  # the endpoint whose sending ends
         self.trace: list[str] | None = None  # lines of all that happened, where it is kept
         self._digest = hashlib.blake2b(digest_size=8)
         self._lines: list[str] = []
--- a/zincstile/virtual/tcp.py
+++ b/zincstile/virtual/tcp.py
@@ -233,6 +233,8 @@
             self._fin_sent = True
             self.taken_at_end = self.taken
             self._send("end", b"")
+            if self.network.on_end is not None:
+                self.network.on_end(self)
 
     def _send(self, what: str, data: bytes) -> None:
         network, peer = self.network, self.peer
--- a/zincstile/worlds/mutants.py
+++ b/zincstile/worlds/mutants.py
@@ -301,6 +301,23 @@
     return _swap(frontend.ClientConnection, "_finish", finish)
 
 
+def _read_after_end_sent_on() -> Undo:
+    """What is read after a connection's end was sent is taken for a request like any other."""
+    old = frontend.ClientConnection.__dict__["flush"]
+
+    def buffer_updated(self, size):
+        self._read(bytes(self.door.buffer[:size]))
+
+    def flush(self):
+        if not self.ended_ns:  # nothing can be written any more
+            old(self)
+
+    return _both(
+        _swap(frontend.ClientConnection, "buffer_updated", buffer_updated),
+        _swap(frontend.ClientConnection, "flush", flush),
+    )
+
+
 def _ids_leak() -> Undo:
     """The ids of requests that are over are kept."""
     return _swap(frontend.FrontDoor, "done", lambda self, session: None)
@@ -381,6 +398,7 @@
     "stop-at-once": Mutant(("answer",), _stop_at_once),
     "stop-forgets": Mutant(("answer",), _stop_forgets),
     "read-before-end-dropped": Mutant(("answer",), _read_before_end_dropped),
+    "read-after-end-sent-on": Mutant(("answer",), _read_after_end_sent_on),
     "ids-leak": Mutant(("resources",), _ids_leak),
     "connections-leak": Mutant(("resources",), _connections_leak),
     "attempts-leak": Mutant(("resources",), _attempts_leak),
--- a/zincstile/worlds/plan.py
+++ b/zincstile/worlds/plan.py
@@ -97,6 +97,7 @@
     cancel: bool = True  # the settings let a gateway take attempts back
     keeper: bool = False  # quotas through a count keeper, with a stated bound
     plus_beyond: bool = False  # what `plus` asks beyond its quota is worth more than it costs
+    crossing: Share = 0.0  # part of the ends of clients' connections at which a request goes out on them
     sockets: Annotated[int, msgspec.Meta(ge=40, le=4096)] = 256
     greedy: Share | None = None  # part of the customers that ask for 2.5 to 6 times their quotas; none: drawn
     asked: bool = False  # discovery is one service for all, which has to be asked
@@ -176,6 +177,8 @@
         fault = _fault(rng, kind, at, plan, hearts)
         plan.faults += [fault, *_beside(rng, fault, plan)]
     plan.faults.sort(key=lambda f: (f.at_ms, f.kind))
+    # by a source of its own, so that the draws above stay what they were
+    plan.crossing = random.Random(f"crossing {seed}").choice((0.0, 0.0, 1.0))
     return plan
 
 
--- a/zincstile/worlds/world.py
+++ b/zincstile/worlds/world.py
@@ -23,7 +23,7 @@
 from ..rules.referee import Referee
 from ..shared.settings import SharedSettings
 from ..standin import wire
-from ..standin.clients import Front, Rude, Want
+from ..standin.clients import Client, Front, Rude, Want
 from ..standin.counter import Counter
 from ..standin.discovery import Agent, Entry, Roster
 from ..standin.guidebox import GuideBox, Model, Rack
@@ -184,7 +184,10 @@
         self.front.weigh = self._weigh
         self.clients.loop.call_soon(self.front.watch)
         start = self.began_ns / 1e9
-        for want in traffic.wants(plan, start):
+        wants = traffic.wants(plan, start)
+        if plan.crossing and wants:
+            self.network.on_end = Crossings(plan, self.clients, self.front, wants).ended
+        for want in wants:
             self.clients.loop.call_at(want.at_s, self.front.want, want)
         for fault in plan.faults:
             at = self.began_ns + fault.at_ms * MS
@@ -500,6 +503,21 @@
     return transport.peer.process.name
 
 
+class Crossings:
+    """Clients that ask in the very moment in which a gateway ends the connection that they ask on."""
+
+    def __init__(self, plan: Plan, clients: Process, front: Front, wants: list[Want]) -> None:
+        self._share, self._clients, self._front = plan.crossing, clients, front
+        self._wants = [replace(want, tries=0, leaves_s=0.0) for want in wants]
+        self._rng = random.Random(f"crossings {plan.seed}")
+
+    def ended(self, endpoint: Endpoint) -> None:
+        peer = endpoint.peer
+        client = peer.protocol if peer is not None and peer.process is self._clients else None
+        if isinstance(client, Client) and self._rng.random() < self._share:
+            self._clients.loop.call_soon(self._front.ask_on, client, self._rng.choice(self._wants))
+
+
 class Tap:
     """Reads what a gateway sends a guide box, as it leaves the gateway."""
 
