A connection is not ended while its last answer is still on its way out

Forced on sockets: a client that reads nothing of 24 MB, asks again, then reads, got the end in place of its second answer. Ruled out: a request that arrives behind the end is its client's to send again and stays dropped, as before. Change: _finish_when_written. Until all has left, the connection is not read (write mark 0, resume_writing); what has come by then is read and answered, and only then is the connection ended. Who takes nothing is cut after silent_ns, as before.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -217,6 +217,42 @@
         world.end()
 
 
+def stopped_under_an_answer(tmp_path, **limits):
+    """A program that is told to end, and writes an answer that no system holds whole to a client that reads
+    nothing; with the answer's length."""
+    size = 24_000_000
+    large = {"stream_bytes": 2 * size, "answer_bytes": 2 * size, "written_bytes": 2 * size}
+    world = World(tmp_path, {"limits": SHUT_AT_ONCE | large | {"drain_most_ns": NEVER} | limits})
+    world.play(READY + "send c1 look 1\nexpect a1 look 1\nsend gw TERM\nexpect gw shut")
+    world.send("a1", "ok", str(size))
+    world.play("wait gw served=1")
+    return world, len(b"$%d\r\n" % size) + size + 2
+
+
+def test_what_is_asked_while_the_last_answer_is_still_being_written_is_answered(tmp_path):
+    world, size = stopped_under_an_answer(tmp_path, silent_ns=NEVER, answer_ns=NEVER)
+    try:
+        world.play("send c1 look 2")
+        assert len(world.line("c1").file.read(size)) == size
+        world.play("""
+            expect a1 look 2
+            send a1 ok hello
+            expect c1 ok hello
+            expect c1 eof
+            close c1
+            expect gw exit 0""")
+    finally:
+        world.end()
+
+
+def test_who_takes_nothing_of_its_last_answer_does_not_keep_a_stop_waiting(tmp_path):
+    world, _ = stopped_under_an_answer(tmp_path, silent_ns=200 * MS)
+    try:
+        world.play("expect gw exit 0")
+    finally:
+        world.end()
+
+
 def test_an_attempt_that_waits_for_its_connection_at_a_stop_is_still_made(tmp_path):
     play(
         tmp_path,
--- a/zincstile/net/frontend.py
+++ b/zincstile/net/frontend.py
@@ -10,6 +10,7 @@
 from . import resp
 from .accept import Acceptor
 from .counters import Counters
+from .deadlines import Key
 from .host import Host
 from .session import Answer, Call, Kind, Session, Stream
 from .turn import Turn
@@ -104,6 +105,8 @@
         "_closing",
         "_full",
         "_paused",
+        "_ending",
+        "_cut_at",
         "_drained",
         "rested_ns",
         "begun_ns",
@@ -118,6 +121,8 @@
         self._waiting: deque[Session | bytes] = deque()  # in the order of the commands; bytes: answered here
         self._out: list[bytes] = []
         self._dirty = self._closing = self._full = self._paused = False
+        self._ending = False  # to be ended as soon as what was written has left; nothing is read until then
+        self._cut_at: Key | None = None  # the deadline of `_await_end`
         self.rested_ns = 0
         self.begun_ns = 0  # when the command that is not whole yet began
         self.ended_ns = 0  # when its end was sent
@@ -152,6 +157,8 @@
     def resume_writing(self) -> None:
         self._full = False
         self._throttle()
+        if self._ending:
+            self._mark()
         if self._waiting and isinstance(self._waiting[0], Session) and type(self._waiting[0].reply) is Stream:
             self._mark()  # a value that is passed on goes on
 
@@ -174,7 +181,7 @@
     @property
     def kind(self) -> str:
         """In a word of the log."""
-        if self._closing:
+        if self._closing or self._ending:
             return "ending"
         if self._waiting:
             return "asking"
@@ -322,12 +329,29 @@
             return
         if not waiting:
             self.rested_ns = self.turn.now_ns()
-            if self._closing or self.door.closing or self.door.standby:
-                self._finish()
+            if self._closing or self.door.closing or self.door.standby or self._ending:
+                self._finish_when_written()
                 return
         if self._paused:
             self._throttle()
 
+    def _finish_when_written(self) -> None:
+        """Ends the connection, but not while an answer is still on its way out of the process: until then it
+        is not read, and what the client has asked meanwhile is answered first. Guards what was read before
+        the end was sent."""
+        if self._closing:
+            self._finish()
+        elif self.transport.get_write_buffer_size():
+            self._ending = True
+            self.transport.set_write_buffer_limits(high=0)  # `resume_writing` once all has left
+            self._await_end(None)
+        elif self._ending and self.turn.readable(self.transport):
+            self._ending = False  # the answer to what has come brings it here again
+            self.turn.deadlines.drop(self._cut_at)
+            self.transport.set_write_buffer_limits(high=self.turn.limits.written_bytes)
+        else:
+            self._finish()
+
     def _finish(self) -> None:
         """The one way in which a connection is ended from here: no command is read any more, all that is
         owed is written, the client reads the end, and what still comes is thrown away until it ends in its
@@ -335,7 +359,7 @@
         which may overtake it; and a request that came behind the end is nobody's but its client's, which
         sends it elsewhere."""
         if not self.transport.is_closing():
-            self._closing = True
+            self._closing, self._ending = True, False
             self.ended_ns = self.turn.now_ns()
             self.transport.write_eof()
             if self._paused:
@@ -349,11 +373,12 @@
         if self.transport.is_closing():
             return
         limits, size = self.turn.limits, self.transport.get_write_buffer_size()
-        if left is not None and size >= left:
+        if left is not None and size >= left and not self._waiting:
             self.transport.abort()
             return
         wait = limits.silent_ns if size else limits.drained_ns
-        self.turn.deadlines.add(self.turn.now_ns() + wait, self._await_end, size)
+        self.turn.deadlines.drop(self._cut_at)
+        self._cut_at = self.turn.deadlines.add(self.turn.now_ns() + wait, self._await_end, size)
         self.turn.wake()
 
     def tend(self, now: int) -> None:
@@ -382,10 +407,10 @@
             self.counters.standby_closed += closed and self.door.standby
 
     def close_if_idle(self) -> bool:
-        if not self.idle or self.transport.is_closing() or self.turn.readable(self.transport):
+        if not self.idle or self._ending or self.transport.is_closing() or self.turn.readable(self.transport):
             return False  # guards against closing beneath a request that has come but is not read yet
-        self._finish()
-        return True
+        self._finish_when_written()
+        return self._closing
 
     @property
     def lingers(self) -> bool:
