A line of the endpoint table may take an eighth of the memory: 32,000 endpoints fit

Seen: 32,000 entries that tell a start are 4.6 MB in one line; LineReader refused it ("too long a line of the body"), so that a gateway of the target's size never had a list, and asked for it again and again. Fault: limits.table_bytes was 4 MiB whatever memory a process may have. Change: Limits.for_gateway takes an eighth of limits.memory_mb where that is more (8 MiB at 64 MB); a value given by name goes before, as for every limit.

--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -49,6 +49,36 @@
         world.end()
 
 
+def test_a_whole_list_of_32000_endpoints_in_one_line_is_taken(tmp_path):
+    """4.6 MB, as discovery writes them: more than the 4 MiB that a line could have at any memory before."""
+    entries = [
+        {
+            "name": f"s-{number:08x}",
+            "address": f"127.0.{number >> 8}.{number & 255}:6379",
+            "zone": "abcde"[number % 5],
+            "type": f"m{number % 920}",
+            "group": number % 64,
+            "status": "Ready",
+            "weight": 1.0,
+            "since_ms": 1_790_000_000_000 + number,
+        }
+        for number in range(32_000)
+    ]
+    table = json.dumps({"index": 1, "snapshot": True, "endpoints": entries}) + "\n"
+    assert len(table) > 4 << 20
+    world = World(tmp_path, {"limits": {"memory_mb": 64}})
+    try:
+        line = world.line("d1")
+        world.play("expect d1 asked")
+        line.sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        for start in range(0, len(table), 65_536):
+            line.sock.sendall(chunk(table[start : start + 65_536]).encode())
+        world.play("expect gw ready with 32000 backend servers, told\nwait gw tables=1")
+        assert world.counters()["faults"] == 0
+    finally:
+        world.end()
+
+
 def test_a_list_that_stops_half_way_is_no_list(tmp_path):
     """The last list stands; what was cut counts for nothing, and the watch is opened anew."""
     play(
--- a/zincstile/net/limits.py
+++ b/zincstile/net/limits.py
@@ -24,7 +24,7 @@
     id_bytes: int = 64
     drained_bytes: int = 1 << 20  # thrown away after a client's last answer before the connection is reset
     header_lines: int = 64
-    table_bytes: int = 4 << 20  # one line of the server table
+    table_bytes: int = 4 << 20  # one line of the endpoint table, at least; more by the memory
     datagram_bytes: int = 256
     # counts
     sessions: int = 20000
@@ -97,7 +97,8 @@
         operators: bool = False,
     ) -> Limits:
         """Splits the descriptors: a reserve for what is neither client nor backend, and three to two. Where
-        memory is short, large values and unread answers get less of it. operators: their door is open, and
+        memory is short, large values and unread answers get less of it; where there is more, a line of the
+        endpoint table may take an eighth of it. operators: their door is open, and
         its callers are counted in the reserve. ask_within_ns, above 0 where
         discovery has to be asked: then it is one service for all gateways, which is asked the more seldom the
         more there are, and left the time to answer. What is given by name goes before."""
@@ -121,6 +122,7 @@
                 "reserved": reserve,
                 "answer_bytes": min(usual.answer_bytes, memory_mb << 14),
                 "written_bytes": min(usual.written_bytes, memory_mb << 11),
+                "table_bytes": max(usual.table_bytes, memory_mb << 17),  # an eighth of the memory
                 "sessions": max(1, max_open),
                 "connect_ns": connect_ns,
                 "idle_ns": idle_close_ns * 2 // 3,
