Lists from peers: a bucket may take more than 255 datagrams

Seen: with 32,000 endpoints a bucket of the list takes some 334 datagrams; `words.pack` raised struct.error, so that a gateway that was asked for its list told nothing (features.start, off unless named). Fault: LINES held a part's number and the number of parts in a byte each. Change: two bytes each, as a kind of datagram of its own (5), so that a gateway of the version before takes neither for the other: it drops what it does not know and asks discovery, as without lists from peers. Result: tests/test_start.py, 40,000 lines told whole: struct.error before, passes; all 20 tests of starts passed. At 60 datagrams a second a list of 32,000 would still take some three minutes to come from peers.

--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -142,6 +142,21 @@
     assert words.line(entries(1)[0] | {"name": "x" * 300}) is None
 
 
+def test_a_list_whose_buckets_take_more_than_255_datagrams_is_told_whole():
+    buckets = {number: [] for number in range(words.BUCKETS)}
+    for entry in entries(40_000):
+        buckets[words.bucket(entry["name"])].append(words.line(entry))
+    told = set()
+    for number, lines in buckets.items():
+        parts = words.parted(9, number, lines)
+        assert len(parts) > 255
+        for part in parts:
+            data = words.pack(part)
+            assert len(data) <= 256 and words.unpack(data) == part
+            told.update(part.lines)
+    assert told == {line for lines in buckets.values() for line in lines}
+
+
 @pytest.mark.parametrize("gateways", [1, 8, 200, 1000])
 def test_no_fleet_sends_more_at_its_start_than_is_stated_whatever_is_asked(gateways):
     """Every gateway is asked far more than it may send; every answer comes in time, after a twentieth of a
--- a/zincstile/start/words.py
+++ b/zincstile/start/words.py
@@ -18,7 +18,7 @@
 MAGIC = 0xBC
 BUCKETS = 32
 DIGEST = struct.Struct(f"<QHIB{BUCKETS}I")  # version, lines, age in 10 ms, rank, sums of the buckets
-LINES = struct.Struct("<QBBB")  # version, bucket, part, parts
+LINES = struct.Struct("<QBHH")  # version, bucket, part, parts
 WANT = struct.Struct("<QI")  # version, buckets that are wanted, a bit each
 AGE_NS = 10_000_000
 AGE_MOST = 2**32 - 1
@@ -115,7 +115,7 @@
     elif isinstance(word, Want):
         kind, body = 3, WANT.pack(word.version % 2**64, sum(1 << b for b in word.buckets))
     else:
-        kind = 4
+        kind = 5  # 4 held the part and their number in a byte each, too few for buckets of 32,000 lines
         body = LINES.pack(word.version % 2**64, word.bucket, word.part, word.parts) + b"".join(
             bytes([len(x)]) + x for x in word.lines
         )
@@ -154,7 +154,7 @@
     return Lines(version, number, part, parts, tuple(found)) if number < BUCKETS and part < parts else None
 
 
-READERS: dict[int, Callable[[bytes], Word | None]] = {1: _what, 2: _digest, 3: _want, 4: _lines}
+READERS: dict[int, Callable[[bytes], Word | None]] = {1: _what, 2: _digest, 3: _want, 5: _lines}
 
 
 def parted(version: int, number: int, lines: list[bytes]) -> list[Lines]:
