The list in the configuration file is told once by a start, and a reload does not read it

Seen: one gateway whose file has a known list of 32,000 backends held 61.6 MB, 72.3 MB at most (46.3 without a known list): the configuration kept the list as JSON as long as the process lives (Config.known). A SIGHUP read it all again: 69.7 MB at most once that was mended, though a reload takes nothing of it. Change: the list leaves the configuration as it is handed to the endpoint table; a reload drops each endpoint of the file as soon as its text is read.

--- a/tests/test_incremental.py
+++ b/tests/test_incremental.py
@@ -7,6 +7,7 @@
 import math
 import random
 import sys
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
@@ -16,14 +17,18 @@
 from hypothesis import strategies as st
 
 from zincstile import interface as i
+from zincstile.net import config
 from zincstile.net.backend import Backends
 from zincstile.net.backend_connection import BackendConnection
 from zincstile.net.deadlines import Deadlines
+from zincstile.net.gateway import Gateway as GatewayProcess
 from zincstile.net.json_objects import JsonObjects
 from zincstile.net.limits import Limits
 from zincstile.net.server_table import ServerTable, TableReader, number
 from zincstile.policy import FADE_S, FAULTY, FLOOR, FORGOTTEN
 from zincstile.state import SLOWNESS_EPSILON, scatter
+from zincstile.worlds import traffic
+from zincstile.worlds.plan import Plan
 
 COLD = {"cold_share": 0.25, "cold_ns": 20 * SECOND, "cold_multiple": 2.0}
 IDS = (1, 2, 3, 4, 50550, 101099, 50551)  # some have one name among the peers: 1 and two more, 2 and one
@@ -261,6 +266,21 @@
     assert table.endpoints.keys() == {number("s-a"), number("s-c")}
 
 
+def test_the_list_in_the_file_is_told_once_by_a_start_and_read_by_no_reload(tmp_path):
+    """As JSON it takes more memory than all that is made of it."""
+    table = traffic.configuration(
+        Plan(seed=1, gateways=1), 0, "127.0.0.1:1", "127.0.0.1:2", ["127.0.0.1:3"], 1, {}
+    )
+    path, told = tmp_path / "config.json", []
+    path.write_text(json.dumps(table | {"known": {"index": 1, "endpoints": endpoints(["s-a", "s-b"])}}))
+    started, again = (read({"RELAY_CONFIG": str(path)}) for read in (config.load, config.again))
+    assert again.known == {"index": 1, "endpoints": [None, None]}
+    assert replace(again, known=started.known) == started
+    gateway = SimpleNamespace(config=started, starter=None, table=SimpleNamespace(begin=told.append))
+    assert GatewayProcess._begin_table(gateway) and not started.known
+    assert [known["endpoints"] for known in told] == [endpoints(["s-a", "s-b"])]
+
+
 # ---- work
 
 
--- a/zincstile/net/config.py
+++ b/zincstile/net/config.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+from collections.abc import Callable
 from dataclasses import dataclass, fields
 from typing import Any
 
@@ -49,16 +50,25 @@
 
 def again(env: dict[str, str] | os._Environ[str]) -> Config:
     """The same file as it is by now. What the start was told besides it is older, so the file goes before."""
-    return load({"RELAY_CONFIG": env.get("RELAY_CONFIG", "")})
+    return load({"RELAY_CONFIG": env.get("RELAY_CONFIG", "")}, each=_without_endpoint)
 
 
-def load(env: dict[str, str] | os._Environ[str]) -> Config:
+def _without_endpoint(e: dict[str, Any]) -> dict[str, Any] | None:
+    """An object of the file; None for one of the known list, which only a start needs. That list is the most
+    of a large fleet's file."""
+    return None if "address" in e and "status" in e else e
+
+
+def load(
+    env: dict[str, str] | os._Environ[str], each: Callable[[dict[str, Any]], Any] | None = None
+) -> Config:
+    """`each`: what becomes of each object of the file as soon as it is read."""
     path = env.get("RELAY_CONFIG")
     if not path:
         raise ConfigError("RELAY_CONFIG is not set")
     try:
         with open(path, encoding="utf-8") as text:
-            table = json.load(text)
+            table = json.load(text, object_hook=each)
     except OSError as err:
         raise ConfigError(f"{path}: {err.strerror}") from None
     except (ValueError, RecursionError):
--- a/zincstile/net/gateway.py
+++ b/zincstile/net/gateway.py
@@ -264,15 +264,12 @@
         if self.config.peer_listen:
             await self.peers.open(self.config.peer_listen)
         self.turn.post(i.Started())
-        if self.starter is None:
-            self.table.begin(self.config.known)
-        else:
-            self.starter.begin(self.config.known)
+        known = self._begin_table()
         self.door.listen(self.config.listen, self.config.socket_fd)
         if self.control is not None:
             self.control.open(self.config.control)
             self.handover.watch()
-        if self.starter is None and self.config.known.get("endpoints"):
+        if self.starter is None and known:
             # discovery may be down: then the known list must do
             self.turn.deadlines.add(self.turn.now_ns() + self.config.limits.table_first_ns, self._ready)
         self.turn.wake()
@@ -287,6 +284,13 @@
         self._count()
         self.log.line("end")
 
+    def _begin_table(self) -> bool:
+        """With the list that the start was given; False where there is none. It is not kept as JSON, which
+        takes more memory than all that is made of it."""
+        known, self.config.known = self.config.known, {}
+        (self.table if self.starter is None else self.starter).begin(known)
+        return bool(known.get("endpoints"))
+
     def _ready(self, _: object = None) -> None:
         if not self.door.ready:
             self.door.take()
