--- a/zincstile/net/frontend.py
+++ b/zincstile/net/frontend.py
@@ -106,7 +106,7 @@
         "_full",
         "_paused",
         "_ending",
-        "_cut_at",
+        "_stall_deadline",
         "_drained",
         "rested_ns",
         "begun_ns",
@@ -122,7 +122,7 @@
         self._out: list[bytes] = []
         self._dirty = self._closing = self._full = self._paused = False
         self._ending = False  # to be ended as soon as what was written has left; nothing is read until then
-        self._cut_at: Key | None = None  # the deadline of `_await_end`
+        self._stall_deadline: Key | None = None  # the deadline of `_abort_if_stalled`
         self.rested_ns = 0
         self.begun_ns = 0  # when the command that is not whole yet began
         self.ended_ns = 0  # when its end was sent
@@ -158,9 +158,9 @@
         self._full = False
         self._throttle()
         if self._ending:
-            self._mark()
+            self._schedule_flush()
         if self._waiting and isinstance(self._waiting[0], Session) and type(self._waiting[0].reply) is Stream:
-            self._mark()  # a value that is passed on goes on
+            self._schedule_flush()  # a value that is passed on goes on
 
     def eof_received(self) -> None:
         return None  # the client is gone: the transport closes itself
@@ -265,9 +265,9 @@
             self._waiting.append(data)
         else:
             self._out.append(data)
-        self._mark()
+        self._schedule_flush()
 
-    def _mark(self) -> None:
+    def _schedule_flush(self) -> None:
         if not self._dirty:
             self._dirty = True
             self.turn.write_later(self)
@@ -283,7 +283,7 @@
             session.reply = resp.busy(answer.retry_ms)
         else:
             session.reply = resp.error("failed")
-        self._mark()
+        self._schedule_flush()
 
     def gone(self) -> bool:
         """Guards against sending on what a client left behind: its end may have come with the request, or lie
@@ -294,7 +294,7 @@
 
     def poke(self) -> None:
         """A value that is passed on has more, or its end."""
-        self._mark()
+        self._schedule_flush()
 
     def flush(self) -> None:
         """Writes once what can be answered by now, in the order of the commands. A value that is passed on
@@ -344,10 +344,10 @@
         elif self.transport.get_write_buffer_size():
             self._ending = True
             self.transport.set_write_buffer_limits(high=0)  # `resume_writing` once all has left
-            self._await_end(None)
+            self._abort_if_stalled(None)
         elif self._ending and self.turn.readable(self.transport):
             self._ending = False  # the answer to what has come brings it here again
-            self.turn.deadlines.drop(self._cut_at)
+            self.turn.deadlines.drop(self._stall_deadline)
             self.transport.set_write_buffer_limits(high=self.turn.limits.written_bytes)
         else:
             self._finish()
@@ -365,9 +365,9 @@
             if self._paused:
                 self._paused = False
                 self.transport.resume_reading()
-            self._await_end(None)
+            self._abort_if_stalled(None)
 
-    def _await_end(self, left: int | None) -> None:
+    def _abort_if_stalled(self, left: int | None) -> None:
         """Cuts the connection where the client does not end it. left: bytes that it had not taken yet when
         last looked at; one that goes on taking them is not cut."""
         if self.transport.is_closing():
@@ -377,8 +377,10 @@
             self.transport.abort()
             return
         wait = limits.silent_ns if size else limits.drained_ns
-        self.turn.deadlines.drop(self._cut_at)
-        self._cut_at = self.turn.deadlines.add(self.turn.now_ns() + wait, self._await_end, size)
+        self.turn.deadlines.drop(self._stall_deadline)
+        self._stall_deadline = self.turn.deadlines.add(
+            self.turn.now_ns() + wait, self._abort_if_stalled, size
+        )
         self.turn.wake()
 
     def tend(self, now: int) -> None:
