Subsets: a deterministic part of the endpoints of each service, off unless a file names it

Types that the settings do not name have the number of their name: they were all one kind before, so that 920 services could not be told apart. Budgets are shared out among the gateways that use an endpoint (tier, levels.part).

--- /dev/null
+++ b/tests/test_subset.py
@@ -0,0 +1,450 @@
+"""Subsets of endpoints: properties against a plain model, and the hard cases."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter, defaultdict
+
+import pytest
+from conftest import MS, SECOND, backend, settings
+from hypothesis import given
+from hypothesis import settings as limits
+from hypothesis import strategies as st
+
+from zincstile import interface as i
+from zincstile.net import config, features
+from zincstile.policy import COLD_LEAST, COLD_USE, Policy
+from zincstile.subset.fleet import Fleet, zone_of
+from zincstile.subset.module import subsetting
+from zincstile.subset.placement import first_rank, ring_key, slice_size, stable_hash
+from zincstile.subset.settings import Layout, Reach, ServiceBy, SubsetSettings
+from zincstile.typed_yaml import FileError
+from zincstile.worlds import traffic
+from zincstile.worlds.plan import Plan, draw
+from zincstile.worlds.world import Run
+
+ZONES = ["a", "b", "c"]
+READY, DRAINING, GONE = i.Mode.READY, i.Mode.DRAINING, i.Mode.GONE
+DELTA, FULL = i.ListKind.DELTA, i.ListKind.FULL
+SAFE = [i.ClassSpec("look", SECOND, 4 * SECOND, i.Effect.SAFE, 1.0)]
+
+
+def gateway(me=0, gateways=12, zone=0, classes=None, zones=ZONES, **subset):
+    """A decision module with a subset, in which no class is bound to a group unless given."""
+    given_ = settings(me=me, gateways=gateways, zone=zone, classes=classes or SAFE)
+    policy = subsetting(Policy, SubsetSettings(**subset), zones, [])(given_, 1)
+    policy.handle(10 * SECOND, i.Started())
+    return policy
+
+
+def feed(policy, entries, kind=DELTA, now=10 * SECOND):
+    return policy.handle(now, i.BackendList(kind, 1, entries))
+
+
+def ready(policy):
+    return {s.info.id for s in policy.ready}
+
+
+def many(count, first=1, zone=None, mode=READY, started=0):
+    return [backend(n, n % 3 if zone is None else zone, mode, started) for n in range(first, first + count)]
+
+
+def tick(policy, now):
+    return policy.handle(now, i.Timer(2))
+
+
+def fail(policy, numbers, now, bad=1.0):
+    """What these endpoints' attempts leave as doubt, told by the module's own rule."""
+    for number in numbers:
+        policy._observe(policy.servers[number], 255, bad, 1.0)
+    return tick(policy, now)
+
+
+# ---- placement
+
+
+@given(st.integers(1, 300), st.integers(1, 400), st.integers(1, 30), st.integers(1, 8), st.integers(0, 10**6))
+def test_each_endpoint_is_taken_by_an_even_part_of_the_gateways(gateways, total, least, holders, offset):
+    size = slice_size(total, least, holders, gateways)
+    assert size >= min(least, total)
+    taken = Counter()
+    for me in range(gateways):
+        first = first_rank(me, gateways, total, offset)
+        taken.update((first + k) % total for k in range(size))
+    even = gateways * size / total
+    assert {taken[k] for k in range(total)} <= {math.floor(even), math.ceil(even)}
+    if holders >= 4:
+        assert max(taken.values()) <= 1.25 * even and min(taken.values()) >= 0.75 * even
+
+
+@given(st.integers(1, 60), st.integers(1, 200), st.integers(1, 20), st.data())
+def test_a_change_of_one_endpoint_exchanges_at_most_one_other_of_a_slice(gateways, total, least, data):
+    keys = sorted(ring_key(7, n) for n in range(total))
+    gone = data.draw(st.sampled_from(keys))
+    for me in range(gateways):
+        slices = []
+        for ring in (keys, [k for k in keys if k != gone]):
+            size = slice_size(len(ring), least, 4, gateways) if ring else 0
+            first = first_rank(me, gateways, len(ring), 5) if ring else 0
+            slices.append({ring[(first + k) % len(ring)] for k in range(size)})
+        before, after = slices
+        assert len(before - after - {gone}) <= 1 + (len(before) > len(after))
+        assert len(after - before) <= 1 + (gone in before)
+
+
+# ---- the table and the module against a plain model
+
+ENTRY = st.builds(
+    lambda number, zone, kind, cell, mode, started: i.Backend(number, zone, kind, cell, mode, 1.0, started),
+    st.integers(1, 40),
+    st.integers(0, 3),
+    st.integers(0, 2),
+    st.integers(0, 3),
+    st.sampled_from([READY, READY, READY, DRAINING, GONE]),
+    st.sampled_from([0, 5 * SECOND]),
+)
+LISTS = st.lists(st.tuples(st.sampled_from([DELTA, DELTA, FULL]), st.lists(ENTRY, max_size=30)), max_size=8)
+
+
+def plain_members(table, me, gateways, tiers, least, most):
+    """All of it from scratch, for service by type, without trouble."""
+    rings = defaultdict(list)
+    for b in table.values():
+        if b.mode is READY:
+            rings[b.kind, b.zone].append(b.id)
+    found = set()
+    for service in {s for s, _ in rings}:
+        tier = next(t for t in tiers if any((service, z) in rings for z in t))
+        inside = [z for z in tier if (service, z) in rings]
+        scale = min(most, max(1, len([z for z in tier if z < 3]) / len(inside)))
+        for zone in inside:
+            ring = sorted(rings[service, zone], key=lambda n: ring_key(service, n))
+            fleet = Fleet(SubsetSettings(reach=Reach.ZONE), me, gateways, 0, ZONES)
+            seat = fleet.seat(zone) if tiers[0] == (0,) else fleet.everybody
+            size = min(len(ring), max(least, math.ceil(4 * len(ring) / seat.sharing)))
+            offset = stable_hash(service, fleet.name(zone)) % seat.count
+            first = first_rank(me, seat.count, len(ring), offset)
+            found |= {ring[(first + k) % len(ring)] for k in range(min(len(ring), math.ceil(size * scale)))}
+    return found
+
+
+@limits(max_examples=200, deadline=None)
+@given(LISTS, st.integers(1, 9), st.sampled_from([Reach.ALL, Reach.ZONE]), st.data())
+def test_subset_and_table_are_what_a_plain_model_makes_of_any_lists(lists, gateways, reach, data):
+    me = data.draw(st.integers(0, gateways - 1))
+    policy = gateway(me, gateways, service_by=ServiceBy.TYPE, reach=reach, least=2)
+    tiers = [(0,), (0, 1, 2, 3)] if reach is Reach.ZONE else [(0, 1, 2, 3)]
+    table = {}
+    for kind, entries in lists:
+        feed(policy, entries, kind)
+        table = {} if kind is FULL else table
+        for b in entries:
+            table[b.id] = b
+        table = {n: b for n, b in table.items() if b.mode is not GONE}
+        assert policy.table.endpoints == table
+        assert {
+            place: [k & (2**64 - 1) for k in ring.keys] for place, ring in policy.table.rings.items()
+        } == _rings(table)
+        assert ready(policy) == plain_members(table, me, gateways, tiers, 2, 3)
+        assert all(s.info == table[n] for n, s in policy.servers.items())
+
+
+def _rings(table):
+    rings = defaultdict(list)
+    for b in table.values():
+        if b.mode is READY:
+            rings[b.kind, b.zone].append(b.id)
+    return {p: sorted(r, key=lambda n: ring_key(p[0], n)) for p, r in rings.items()}
+
+
+# ---- cold endpoints
+
+
+@limits(max_examples=40, deadline=None)
+@given(st.integers(2, 24), st.integers(4, 60), st.integers(2, 10), st.integers(0, 59), st.floats(1, 1000))
+def test_a_cold_endpoint_gets_no_more_by_all_than_its_share_of_a_warm_one(gateways, total, least, cold, rate):
+    """Rule 4 by the sum over whole fleets: against the work of the busiest warm endpoint by the same
+    gateways, and before any was seen against one first rate for all gateways together."""
+    now, cold, seen, first, warm = 10 * SECOND, 1 + cold % total, 0.0, 0.0, Counter()
+    for me in range(gateways):
+        given_ = settings(me=me, gateways=gateways, cold_share=0.2, cold_ns=30 * SECOND, cold_multiple=2.0)
+        policy = subsetting(Policy, SubsetSettings(least=least), [], [])(given_, 1)
+        policy.handle(now, i.Started())
+        feed(policy, [backend(n, started=now if n == cold else 0) for n in range(1, total + 1)])
+        policy.leaves[0].arrivals = rate / gateways
+        sending = sum(x.arrivals * x.rate for x in policy.leaves)
+        policy._sort(now)
+        first += policy.parts[0] * policy.spare * sending if policy.parts else 0.0
+        policy.done_rate = rate / gateways
+        policy._sort(now)
+        seen += policy.parts[0] * policy.spare * sending if policy.parts else 0.0
+        warm.update({s.info.id: policy.done_rate / policy.good for s in policy.warm})
+    multiple = 0.2 * COLD_USE * 2.0
+    assert first <= multiple * 4.0 / COLD_LEAST * 1.000001
+    assert seen <= multiple * max(1.25 * max(warm.values()), 4.0 / COLD_LEAST) * 1.000001
+
+
+# ---- hard cases
+
+
+def test_a_slice_whose_every_member_fails_is_widened_within_its_bound_and_shrinks_back_once():
+    """Handling: `Widening.look` on a tick; without it the gateway knows nobody else."""
+    policy = gateway(gateways=60, least=4, least_good=2, most=3, back_ns=2 * SECOND, zones=[])
+    feed(policy, many(60, zone=0))
+    usual, now = ready(policy), 11 * SECOND
+    assert len(usual) == 4
+    fail(policy, usual, now)
+    wider = ready(policy)
+    assert len(wider) == 8 and usual < wider and policy.sight()["widened"] == 1
+    for _ in range(4):
+        now += SECOND
+        fail(policy, ready(policy), now)
+    assert len(ready(policy)) == 12  # its bound, though all of them fail
+    sizes = []
+    for _ in range(60):  # doubts fade by and by
+        now += SECOND
+        tick(policy, now)
+        sizes.append(len(ready(policy)))
+    assert ready(policy) == usual and sizes == sorted(sizes, reverse=True)
+    assert sizes.count(12) >= 15  # until they were good for `back`
+    fail(policy, usual, now)
+    assert policy.selection.widenings[0, 0].wait_ns == 4 * SECOND  # relapsed: it waits longer
+
+
+@pytest.mark.parametrize("mode", [DRAINING, GONE])
+def test_members_that_drain_or_go_are_replaced_at_once_and_come_back_to_their_places(mode):
+    """Handling: only ready endpoints stand in a ring."""
+    policy = gateway(gateways=60, least=4, zones=[])
+    feed(policy, many(60, zone=0))
+    usual = ready(policy)
+    feed(policy, [backend(n, mode=mode) for n in usual])
+    assert len(ready(policy)) == 4 and not ready(policy) & usual
+    assert usual <= set(policy.servers) if mode is DRAINING else not usual & set(policy.servers)
+    feed(policy, [backend(n) for n in usual])
+    assert ready(policy) == usual == set(policy.servers)
+
+
+def test_gateways_with_tables_of_different_age_differ_by_the_changes_they_have_not_heard():
+    """Handling: places depend on numbers alone, and each change exchanges one endpoint at most."""
+    late, early = Counter(), Counter()
+    for me in range(40):
+        policy = gateway(me, 40, least=5, zones=[])
+        feed(policy, many(100, zone=0))
+        old = ready(policy)
+        late.update(old)
+        feed(policy, [backend(101), backend(102), backend(7, mode=DRAINING)])
+        early.update(ready(policy) if me % 2 else old)
+        assert len(ready(policy) ^ old) <= 2 * 3
+    assert set(late) == set(range(1, 101)) and set(late.values()) == {4}
+    assert all(early[n] >= 2 for n in range(1, 101) if n != 7)
+
+
+def test_an_endpoint_back_under_its_name_is_the_same_member_and_new_to_the_module_if_it_was_restarted():
+    """Handling: rings by name alone; evidence only for the same start (`_seen_before`)."""
+    policy = gateway(gateways=60, least=4, zones=[])
+    feed(policy, many(60, zone=0, started=SECOND))
+    usual = ready(policy)
+    one = min(usual)
+    policy.touch(policy.servers[one]).slowness = 3.0
+    feed(policy, [backend(one, mode=GONE, started=SECOND)])
+    feed(policy, [backend(one, started=SECOND)])
+    assert ready(policy) == usual and policy.servers[one].slowness == 3.0  # undone by the next change
+    feed(policy, [backend(one, mode=GONE, started=SECOND)])
+    feed(policy, [backend(one, started=9 * SECOND)])
+    assert ready(policy) == usual and policy.servers[one].slowness == 1.0
+
+
+def test_an_attempt_out_at_an_endpoint_that_leaves_the_subset_is_learned_from_and_remembered():
+    """Handling: `left` keeps what was learned of it; the attempt goes on and is no other's."""
+    policy = gateway(me=30, gateways=600, least=4, zones=[])
+    feed(policy, many(60, zone=0))
+    actions = policy.handle(10 * SECOND, i.Request(1, 0, 0, 7, 14 * SECOND, 1.0, 1, 0))
+    sent = next(a for a in actions if isinstance(a, i.Send)).backend
+    others = [b for b in many(60, zone=0) if b.id in ready(policy) - {sent}]
+    for more in range(61, 300):  # until the ring has shifted it out
+        feed(policy, [backend(more)])
+        if sent not in ready(policy):
+            break
+    assert sent not in policy.servers and not [a for a in policy.acts if isinstance(a, i.Cancel)]
+    policy.handle(10 * SECOND + MS, i.Outcome(1, 0, sent, i.Result.ERROR, MS, True))
+    assert not policy.attempts
+    feed(policy, [backend(n, mode=GONE) for n in range(61, more + 1)])
+    assert sent in ready(policy) and policy.servers[sent].doubt and not policy.servers[sent].out
+    assert {b.id for b in others} < ready(policy)
+
+
+@pytest.mark.parametrize("reach", [Reach.ALL, Reach.ZONE])
+def test_a_zone_lost_is_made_good_by_the_others_and_taken_back(reach):
+    """Handling: `scale` for zones in reach without endpoints; further tiers where none in reach has any."""
+    policy = gateway(gateways=90, least=4, reach=reach)
+    feed(policy, many(180))
+    usual = ready(policy)
+    zones = Counter(n % 3 for n in usual)
+    assert zones == ({0: 4, 1: 4, 2: 4} if reach is Reach.ALL else {0: 8})
+    feed(policy, many(180)[2::3], FULL)
+    assert Counter(n % 3 for n in ready(policy)) == {0: 12} if reach is Reach.ALL else ready(policy) == usual
+    feed(policy, [b for b in many(180) if b.zone != 0], FULL)
+    assert Counter(n % 3 for n in ready(policy)) == {1: 6, 2: 6}
+    feed(policy, many(180), FULL)
+    assert ready(policy) == usual
+
+
+def test_a_zone_that_nobody_called_lost_and_whose_endpoints_all_fail_is_helped_by_others():
+    """Handling: `Widening.beyond` and the next tier."""
+    policy = gateway(gateways=90, least=4, reach=Reach.ZONE, back_ns=SECOND)
+    feed(policy, many(180))
+    usual, now = ready(policy), 10 * SECOND
+    for _ in range(6):
+        now += SECOND
+        fail(policy, [n for n in ready(policy) if n % 3 == 0], now)
+    assert {n % 3 for n in ready(policy)} == {0, 1, 2} and usual < ready(policy)
+    for _ in range(60):
+        now += SECOND
+        tick(policy, now)
+    assert ready(policy) == usual
+
+
+def test_a_service_replaced_whole_never_leaves_a_slice_short_and_moves_no_other_service():
+    """Handling: changes of one service choose anew for that alone."""
+    policy = gateway(gateways=30, least=4, service_by=ServiceBy.TYPE, zones=[])
+    feed(policy, [i.Backend(n, 0, n % 2, 0, READY, 1.0, 0) for n in range(1, 121)])
+    other = {n for n in ready(policy) if n % 2 == 0}
+    for n in range(1, 121, 2):
+        now = 10 * SECOND + n * 250 * MS
+        feed(policy, [i.Backend(n, 0, 1, 0, DRAINING, 1.0, 0), i.Backend(n + 1000, 0, 1, 0, READY, 1.0, now)])
+        assert len(ready(policy) - other) >= 8 and other <= ready(policy)
+        feed(policy, [i.Backend(n, 0, 1, 0, GONE, 1.0, 0)])
+    assert min(ready(policy) - other) > 1000
+    assert policy.moved <= 3 * 60 and set(policy.servers) == ready(policy)
+
+
+def test_a_service_of_one_endpoint_is_used_by_all_and_stays_used_in_trouble():
+    """Handling: slices and what is needed of them are bounded by the ring."""
+    for me in range(5):
+        policy = gateway(me, 5, service_by=ServiceBy.TYPE, reach=Reach.ZONE, zone=me % 3)
+        feed(policy, [*many(30), i.Backend(99, 2, 9, 0, READY, 1.0, 0)])
+        assert 99 in ready(policy)
+        fail(policy, [99], 11 * SECOND)
+        assert 99 in ready(policy)
+        feed(policy, [i.Backend(99, 2, 9, 0, DRAINING, 1.0, 0)])
+        tick(policy, 12 * SECOND)
+        assert 99 not in ready(policy) and policy.sight()["widened"] == 0
+
+
+@pytest.mark.parametrize(("gateways", "total", "size"), [(3, 30, 30), (8, 100, 50), (200, 6, 3), (200, 2, 2)])
+def test_more_gateways_than_endpoints_and_fewer(gateways, total, size):
+    """Handling: `slice_size` grows where few gateways have to carry many endpoints."""
+    taken = Counter()
+    for me in range(gateways):
+        policy = gateway(me, gateways, zones=[])
+        feed(policy, many(total, zone=0))
+        assert len(ready(policy)) == size
+        taken.update(ready(policy))
+    assert len(taken) == total and max(taken.values()) <= 1.25 * gateways * size / total
+
+
+@pytest.mark.parametrize("group", [i.Group.ZONE, i.Group.CELL])
+def test_a_key_that_may_repeat_in_one_group_only_has_a_second_endpoint_there(group):
+    """Handling: `Ring.partner`, and at least a pair for each zone, where a class is bound to such a group."""
+    put = i.ClassSpec("put", SECOND, 4 * SECOND, i.Effect.KEYED, 2.0, group=group, window_ns=500 * MS)
+    for me in range(20):
+        policy = gateway(me, 20, classes=[put], least=1, least_good=1, holders=1)
+        listed = {n: backend(n, n % 3, cell=n // 2 % 30) for n in range(1, 121)}
+        feed(policy, list(listed.values()))
+        assert len(ready(policy)) < 60
+        sent = policy.handle(10 * SECOND, i.Request(1, 0, 0, 7, 14 * SECOND, 1.0, 1, 0))
+        first = next(a for a in sent if isinstance(a, i.Send)).backend
+        again = policy.handle(10 * SECOND + MS, i.Outcome(1, 0, first, i.Result.ERROR, MS, False))
+        second = next(a for a in again if isinstance(a, i.Send)).backend
+        one, other = listed[first], listed[second]
+        assert first != second
+        assert one.zone == other.zone if group is i.Group.ZONE else one.cell == other.cell
+
+
+def test_a_change_undone_by_the_next_in_the_same_turn_leaves_all_as_it_was():
+    """Handling: `left`; what the first change shifted out comes back with what was learned of it."""
+    policy = gateway(gateways=60, least=4, zones=[])
+    feed(policy, many(60, zone=0))
+    usual = ready(policy)
+    for n in usual:
+        policy.touch(policy.servers[n]).slowness = 2.0
+    feed(
+        policy,
+        [backend(n, mode=DRAINING) for n in range(1, 61) if n not in usual] + [backend(n) for n in (61, 62)],
+    )
+    feed(policy, many(60, zone=0) + [backend(n, mode=GONE) for n in (61, 62)])
+    assert ready(policy) == usual == set(policy.servers)
+    assert {policy.servers[n].slowness for n in usual} == {2.0}
+
+
+def test_a_whole_list_that_leaves_out_half_is_followed_and_its_evidence_kept():
+    """Handling: `EndpointTable.replace` takes what is not listed out of the rings."""
+    policy = gateway(gateways=60, least=4, zones=[])
+    feed(policy, many(60, zone=0), FULL)
+    usual = ready(policy)
+    for n in usual:
+        policy.touch(policy.servers[n]).slowness = 2.0
+    feed(policy, many(30, first=31, zone=0), FULL)
+    assert len(ready(policy)) == 4 and min(ready(policy)) > 30 and policy.table.ready == 30
+    feed(policy, many(60, zone=0), FULL)
+    assert ready(policy) == usual and {policy.servers[n].slowness for n in usual} == {2.0}
+
+
+def test_budgets_are_shared_out_among_those_that_use_an_endpoint():
+    """Else pressure is seen with fewer attempts out for each endpoint, the smaller the subset."""
+    policy = gateway(gateways=60, least=4, zones=[])
+    assert policy.tier == 60
+    feed(policy, many(60, zone=0))
+    assert policy.concentration == 15.0 and policy.tier == 4.0
+
+
+# ---- files, and whole gateways
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("subset: {service_by: name}", "service_by"),
+        ("subset: {service_by: type, least: 0}", "least: must be above 0"),
+        ("subset: {service_by: type, least_good: 9}", "least_good: at most least"),
+        ("subset: {service_by: none, reach: region}", "no regions are given"),
+        ("subset: {service_by: none, regions: {x: [q]}}", "no zone is called q"),
+        ("subset: {service_by: none, regions: {x: [a], y: [a]}}", "zone a is in x and in y"),
+        ("subset: {service_by: none, layout: blocks}", "puts gateway 0 of 6 in zone a"),
+        ("subset: {}", "service_by"),
+    ],
+)
+def test_a_bad_file_is_one_line(text, said, tmp_path):
+    path = tmp_path / "subset.yaml"
+    path.write_text(text)
+    with pytest.raises(FileError, match=said) as err:
+        features.check_subset(str(path), features.subset(str(path)), ZONES, settings(gateways=6, zone=1))
+    assert len(str(err.value).splitlines()) == 1
+
+
+def test_the_file_under_deploy_is_read_where_it_is_named():
+    table = traffic.configuration(Plan(seed=1), 0, "127.0.0.1:1", "127.0.0.1:2", ["127.0.0.1:3"] * 3, 5, {})
+    assert config.read(table, {}).subset is None
+    table["features"] = {"subset": "deploy/subset.yaml"}
+    assert config.read(table, {}).subset.service_by is ServiceBy.TYPE
+
+
+@pytest.mark.parametrize("layout", [Layout.BLOCKS, Layout.INTERLEAVED])
+def test_with_a_known_layout_each_zone_is_even_over_its_own_gateways(layout):
+    taken = Counter()
+    for me in range(30):
+        zone = zone_of(layout, me, 30, 3)
+        policy = gateway(me, 30, zone, layout=layout, reach=Reach.ZONE)
+        feed(policy, many(75))
+        assert {n % 3 for n in ready(policy)} == {zone}
+        taken.update(ready(policy))
+    assert len(taken) == 75 and set(taken.values()) == {4}
+
+
+@pytest.mark.parametrize("seed", range(40, 46))
+def test_whole_gateways_with_subsets_break_no_rule(seed):
+    plan = draw(seed)
+    plan.subset = True
+    run = Run(plan)
+    result = run.play()
+    assert result.breach is None, result.breach
--- a/zincstile/net/config.py
+++ b/zincstile/net/config.py
@@ -36,6 +36,7 @@
     keeper: Any = None  # keeper.settings.KeeperSettings, where quotas are held through the count keeper
     start: Any = None  # start.settings.StartSettings, where gateways start beside each other by a file
     place: Any = None  # place.settings.PlaceSettings, where zones are chosen in common
+    subset: Any = None  # subset.settings.SubsetSettings, where a gateway uses a part of the endpoints
     shared: Any = None  # shared.settings.SharedSettings, where state is shared within stated bounds
     socket_fd: int | None = None  # the clients' listening socket, inherited ($RELAY_SOCKET_FD)
     control: Address | None = None  # the operators' door ($RELAY_CONTROL)
@@ -124,6 +125,7 @@
         shared=_shared(t, decoded),
         start=_start(t, decoded),
         place=_place(t, decoded),
+        subset=_subset(t, decoded),
         socket_fd=_descriptor(env.get("RELAY_SOCKET_FD")),
         control=_control(t, env),
     )
@@ -218,6 +220,22 @@
     return found
 
 
+def _subset(t: dict[str, Any], settings: Settings) -> Any:
+    """Off unless `features.subset` names a file. ConfigError where that can't be used."""
+    path = _feature(t, "subset")
+    if not path:
+        return None
+    from . import features
+
+    try:
+        found = features.subset(str(path))
+        zones = [str(z) for z in t["settings"].get("zones") or []]
+        features.check_subset(str(path), found, zones, settings)
+    except features.FileError as err:
+        raise ConfigError(str(err)) from None
+    return found
+
+
 def _keeper(t: dict[str, Any], settings: Settings) -> Any:
     """Off unless `features.keeper` names a file. ConfigError where that can't be used, or a plan not held."""
     path = _feature(t, "keeper")
--- a/zincstile/net/features.py
+++ b/zincstile/net/features.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Literal
 
 import msgspec
 
@@ -14,10 +14,12 @@
 
 if TYPE_CHECKING:  # a start loads what its own files need: each feature's modules are some 10 ms of its CPU
     from ..bounds import Quota
+    from ..interface import Settings
     from ..keeper.settings import KeeperSettings
     from ..place.settings import PlaceSettings
     from ..shared.settings import SharedSettings
     from ..start.settings import StartSettings
+    from ..subset.settings import SubsetSettings
 
 MS = 1_000_000
 
@@ -137,6 +139,26 @@
     zones: list[ZoneRow] = []
 
 
+class SubsetRow(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
+    """`SubsetSettings`; what is left out has its usual value."""
+
+    service_by: Literal["type", "group", "none"]
+    reach: Literal["zone", "region", "all"] = "all"
+    layout: Literal["unknown", "interleaved", "blocks"] = "unknown"
+    regions: dict[str, list[str]] = {}
+    least: int | None = None
+    holders: int | None = None
+    least_good: int | None = None
+    most: int | None = None
+    back_ms: int | None = None
+
+
+class SubsetFile(msgspec.Struct, forbid_unknown_fields=True):
+    """deploy/subset.yaml."""
+
+    subset: SubsetRow
+
+
 class KeeperFile(msgspec.Struct, forbid_unknown_fields=True):
     """deploy/keeper.yaml. A gateway takes the quotas of its own settings; `plans` are for `bound`."""
 
@@ -244,6 +266,44 @@
                 )
 
 
+def subset(path: str) -> SubsetSettings:
+    """FileError where the file can't be used."""
+    from ..subset.settings import Layout, Reach, ServiceBy, SubsetSettings
+
+    row = load(path, SubsetFile).subset
+    regions = {name: tuple(zones) for name, zones in row.regions.items()}
+    numbers = {k: getattr(row, k) for k in ("least", "holders", "least_good", "most")}
+    given = {k: v for k, v in numbers.items() if v is not None}
+    if row.back_ms is not None:
+        given["back_ns"] = row.back_ms * MS
+    try:
+        return SubsetSettings(
+            ServiceBy(row.service_by), Reach(row.reach), regions, Layout(row.layout), **given
+        )
+    except ValueError as err:
+        raise FileError(f"{path}: {err}") from None
+
+
+def check_subset(path: str, subset: SubsetSettings, zones: list[str], settings: Settings) -> None:
+    """FileError where the file doesn't fit what the gateway is told of zones and of its own one."""
+    from ..subset.fleet import zone_of
+    from ..subset.settings import Layout
+
+    for region, names in subset.regions.items():
+        for name in names:
+            if name not in zones:
+                raise FileError(
+                    f"{path}: regions: {region}: no zone is called {name}; there are {', '.join(zones)}"
+                )
+    if subset.layout is not Layout.UNKNOWN and zones:
+        told = zone_of(subset.layout, settings.me, settings.gateways, len(zones))
+        if told != settings.zone:
+            raise FileError(
+                f"{path}: layout: {subset.layout.value} puts gateway {settings.me} of {settings.gateways} in "
+                f"zone {zones[told]}, and its settings in another"
+            )
+
+
 def _check(path: str, settings: Any, quotas: list[Quota], refused: Callable[..., str | None]) -> None:
     for quota in quotas:
         why = refused(quota, settings)
--- a/zincstile/net/gateway.py
+++ b/zincstile/net/gateway.py
@@ -74,6 +74,10 @@
             from ..start.policy import opening
 
             kind = opening(kind, config.start)
+        if config.subset:
+            from ..subset.module import subsetting
+
+            kind = subsetting(kind, config.subset, config.zones, [name_number(k) for k in config.kinds])
         return kind(config.settings, config.seed, *more)
 
     def _keep(self, buffer: memoryview) -> Any:
--- a/zincstile/net/server_table.py
+++ b/zincstile/net/server_table.py
@@ -43,6 +43,11 @@
         entries = [e if type(e) is tuple else self.entry(e) for e in table["endpoints"]]  # a tuple is read
         return int(table["index"]), bool(table["snapshot"]), entries
 
+    def _kind(self, e: dict[str, Any]) -> int:
+        """A type that the settings don't name has the number of its name: else all such were one."""
+        known = self.kinds.get(e.get("type"))
+        return number(str(e.get("type") or "")) if known is None else known
+
     def entry(self, e: dict[str, Any]) -> tuple[i.Backend, Address]:
         since = int(e.get("since_ms") or 0)
         started = since * 1_000_000 + self.apart_ns if since else 0
@@ -52,7 +57,7 @@
         return i.Backend(
             number(str(e["name"])),
             self.zones.get(e.get("zone"), len(self.zones)),
-            self.kinds.get(e.get("type"), len(self.kinds)),
+            self._kind(e),
             int(e.get("group") or 0),
             mode,
             USUAL_WEIGHT if weight == USUAL_WEIGHT else weight,
--- a/zincstile/shared/module.py
+++ b/zincstile/shared/module.py
@@ -56,6 +56,8 @@
 class SharedPolicy(HeldPolicy):
     """`shared` has the times and sizes."""
 
+    concentration = 1.0  # endpoints of the whole table for each one that this gateway uses
+
     def __init__(self, settings: i.Settings, seed: int, shared: SharedSettings) -> None:
         super().__init__(settings, seed)
         self.shared, self.held_ns = shared, shared.held_ns
@@ -317,14 +319,16 @@
 
     def _choose(self, now: int, live: Live) -> Server | None:
         """No attempt beyond this gateway's part of what all may have out."""
-        if self.units_out + live.ask.units > max(self.levels.part(len(self.ready)), self.set.largest_units):
+        if self.units_out + live.ask.units > max(
+            self.levels.part(len(self.ready) * self.concentration), self.set.largest_units
+        ):
             return None
         return super()._choose(now, live)
 
     def _follow(self, now: int, span: float, ticks: float) -> None:
         super()._follow(now, span, ticks)
         if self.level < math.inf:
-            self.level = min(self.level, self.levels.part(1.0))
+            self.level = min(self.level, self.levels.part(self.concentration))
 
     def sight(self) -> dict[str, float]:
         """The figures of the base module and those of the shared state."""
--- /dev/null
+++ b/zincstile/subset/__init__.py
@@ -0,0 +1,1 @@
+"""Deterministic subsetting: which endpoints of each service one gateway uses. No I/O, no clock."""
--- a/zincstile/worlds/plan.py
+++ b/zincstile/worlds/plan.py
@@ -105,6 +105,7 @@
     share: bool = False  # quotas by parts and loans, with a stated bound
     start: bool = False  # gateways start beside each other: lists from peers, a pace at first
     place: bool = False  # zones are chosen in common
+    subset: bool = False  # each gateway uses a part of the endpoints
     anchored: bool = True  # requests and their deadlines gather at the instants of faults
     known: bool = True  # gateways start with the last list that their machines had; else with none
     one_address: bool = False  # boxes have one address for all gateways, which are known by their requests
--- a/zincstile/worlds/world.py
+++ b/zincstile/worlds/world.py
@@ -29,6 +29,7 @@
 from ..standin.guidebox import GuideBox, Model, Rack
 from ..standin.listservice import ListService, Manners
 from ..start.settings import StartSettings
+from ..subset.settings import SubsetSettings
 from ..virtual.clock import MS, SECOND, Scheduler, StuckError
 from ..virtual.host import VirtualHost
 from ..virtual.network import Network, Ways
@@ -126,6 +127,7 @@
         self.shared = SharedSettings() if plan.share else None
         self.start = StartSettings(peers=True) if plan.start else None
         self.place_settings = PlaceSettings() if plan.place else None
+        self.subset = SubsetSettings(least=2, holders=2) if plan.subset else None
         self.manners = Manners(plan.lists_per_s or 1e6)
         quotas = Quotas(traffic.stated_bounds(plan, self.keeper), LATE_NS) if self.keeper else None
         if self.shared:
@@ -253,6 +255,7 @@
         read."""
         found = config.read(self.table(seat), {})
         found.shared, found.start, found.place = self.shared, self.start, self.place_settings
+        found.subset = self.subset
         if self.keeper is not None:
             found.keeper, found.counter = self.keeper, (f"10.2.0.{seat.counter + 1}", 6400)
         return found
