--- a/zincstile/subset/fleet.py
+++ b/zincstile/subset/fleet.py
@@ -11,8 +11,7 @@
     """This gateway among those that take endpoints of one zone."""
 
     index: int
-    count: int  # places on the ring; more than `sharing` where nobody knows who shares it
-    sharing: int  # gateways that take endpoints of the zone
+    count: int
 
 
 class Fleet:
@@ -25,7 +24,7 @@
         self.tiers = [tuple(map(self._number, tier)) for tier in settings.tiers(name, zones)]
         if len(zones) not in self.tiers[-1]:  # endpoints whose zone nobody named are in reach of all
             self.tiers[-1] += (len(zones),)
-        self.everybody = Seat(me, gateways, gateways)
+        self.everybody = Seat(me, gateways)
         self._seats: dict[int, Seat] = {z: self._seat(z, name) for z in self.tiers[0]}
 
     def _number(self, zone: str) -> int:
@@ -43,13 +42,10 @@
         reaching = self.settings.tiers(self.name(zone), self.zones)[0]
         if len(reaching) >= len(self.zones):
             return self.everybody
-        if self.settings.layout is Layout.UNKNOWN:
-            sharing = max(1, self.gateways * len(reaching) // len(self.zones))
-            return Seat(self.me, self.gateways, sharing)
-        sharing_ones = [g for g in range(self.gateways) if self.zones[self.zone_of(g)] in reaching]
-        if self.me not in sharing_ones:
+        sharing = [g for g in range(self.gateways) if self.zones[self.zone_of(g)] in reaching]
+        if self.me not in sharing:
             return self.everybody
-        return Seat(sharing_ones.index(self.me), len(sharing_ones), len(sharing_ones))
+        return Seat(sharing.index(self.me), len(sharing))
 
     def zone_of(self, gateway: int) -> int:
         """By the layout that the settings tell."""
--- a/zincstile/subset/placement.py
+++ b/zincstile/subset/placement.py
@@ -18,6 +18,7 @@
 ID_BITS: Final = 64
 ID_MASK: Final = (1 << ID_BITS) - 1
 HASH_BYTES: Final = 6
+STRIDES: Final = 400  # candidates that are compared
 
 
 def stable_hash(*parts: object) -> int:
@@ -31,15 +32,23 @@
     return stable_hash(service, endpoint) << ID_BITS | endpoint & ID_MASK
 
 
+def largest_quotient(part: int, whole: int) -> int:
+    """Of the continued fraction of `part / whole`: the smaller, the more evenly its multiples spread."""
+    largest = 0
+    while part:
+        largest = max(largest, whole // part)
+        part, whole = whole % part, part
+    return largest
+
+
 @lru_cache(maxsize=64)
 def stride(count: int) -> int:
-    """Coprime to `count`, as near to the golden ratio's part of it as there is one."""
+    """Coprime to `count` and near the golden ratio's part of it; of those the one whose multiples spread most
+    evenly, so that also a block of consecutive indices has no large gaps."""
     wanted = round(count * GOLDEN)
-    for apart in range(count):
-        for candidate in (wanted - apart, wanted + apart):
-            if 0 < candidate <= count and math.gcd(candidate, count) == 1:
-                return candidate
-    return 1
+    near = range(max(1, wanted - STRIDES // 2), min(count, wanted + STRIDES // 2) + 1)
+    coprime = [candidate for candidate in near if math.gcd(candidate, count) == 1]
+    return min(coprime, key=lambda c: (largest_quotient(c, count), abs(c - wanted)))
 
 
 def slice_size(total: int, least: int, holders: int, gateways: int) -> int:
--- a/zincstile/subset/selection.py
+++ b/zincstile/subset/selection.py
@@ -73,7 +73,7 @@
         """`scale`: how much larger it is than usual, for zones in reach without an endpoint."""
         ring, seat = self.table.rings[service, zone], self.fleet.seat(zone)
         total = len(ring)
-        usual = slice_size(total, self.least, self.settings.holders, seat.sharing)
+        usual = slice_size(total, self.least, self.settings.holders, seat.count)
         size = min(total, math.ceil(usual * scale))
         state = self.widenings.get((service, zone))
         bound = max(0, min(total, usual * self.settings.most) - size)
--- a/zincstile/subset/settings.py
+++ b/zincstile/subset/settings.py
@@ -62,6 +62,11 @@
                 if zone in seen:
                     raise ValueError(f"regions: zone {zone} is in {seen[zone]} and in {region}")
                 seen[zone] = region
+        if self.reach is not Reach.ALL and self.layout is Layout.UNKNOWN:
+            raise ValueError(
+                f"reach: {self.reach.value}, and layout is unknown: who shares a zone has to be known, "
+                "else some would be used by nobody"
+            )
         if self.reach is Reach.REGION and not self.regions:
             raise ValueError("reach: region, and no regions are given")
 
