--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -13,6 +13,8 @@
 
 from zincstile import interface as i
 from zincstile.net import config, features
+from zincstile.net.host import HOST
+from zincstile.net.server_table import TableReader, number
 from zincstile.policy import COLD_LEAST, COLD_USE, Policy
 from zincstile.subset.fleet import Fleet, zone_of
 from zincstile.subset.module import subsetting
@@ -418,6 +420,22 @@
     assert policy.concentration == 15.0 and policy.tier == 4.0
 
 
+def test_types_that_the_settings_do_not_name_are_told_apart():
+    """Else 920 services would be one. A known type is the same service at a gateway that does not name it."""
+    listed = [
+        {"name": f"s{n}", "address": "h:1", "zone": "a", "type": t, "status": "Ready"}
+        for n, t in enumerate("xyzx")
+    ]
+    found = []
+    for named in (["x"], []):
+        _, _, entries = TableReader(["a"], named, HOST).read(
+            {"index": 1, "snapshot": True, "endpoints": listed}
+        )
+        policy = subsetting(Policy, SubsetSettings(ServiceBy.TYPE), ["a"], [number(t) for t in named])
+        found.append([policy(settings(), 1).service_of(b) for b, _ in entries])
+    assert found[0] == found[1] and len(set(found[0])) == 3 and found[0][0] == found[0][3]
+
+
 # ---- files, and whole gateways
 
 
