--- a/zincstile/cli/commands.py
+++ b/zincstile/cli/commands.py
@@ -16,6 +16,7 @@
     "bound": ("bound", "How far quotas held through a count keeper can be passed, failure by failure."),
     "field": ("field", "Several real processes, and faults between them: run, sweep, report."),
     "place": ("place", "Zones and regions: where traffic goes when a zone is lost."),
+    "scale": ("scale", "How cost grows with the size of the fleet: sizes, and slopes by dimension."),
     "demo": ("demo", "Three real gateways and all they speak with, on loopback, for a short load."),
 }
 
