Scale: slopes of real and hollow gateways, one dimension at a time

Need: what a gateway costs was known at four sizes of one dimension, by hand. Change: scale slopes measures memory, processor time, control traffic, delays until a change is in force and time to ready, over six dimensions, five sizes each, in a shuffled order, for one or several trees. A real gateway is the program itself; hollow ones run the same whole program on a thread each, without clients, and the system counts each thread. Discovery, backends and peers are emulated, one socket for any number of them. A table change counts as in force once a second PING behind it is answered; a configuration, once the new discovery is asked.

--- a/zincstile/cli/scale.py
+++ b/zincstile/cli/scale.py
@@ -5,7 +5,8 @@
 import click
 
 from ..typed_yaml import FileError
-from .commands import Told
+from .errors import BadInputError
+from .scale_slopes import command as slopes
 
 TARGET = "deploy/scale/target.yaml"
 
@@ -40,11 +41,11 @@
     try:
         found = topology.load(path)
     except FileError as err:
-        raise Told(str(err)) from None
+        raise BadInputError(str(err)) from None
     try:
         return topology.with_sizes(topology.scaled(found, topology.parse_factor(factor)), **given)
     except topology.TopologyError as err:
-        raise Told(f"{path}: {err}") from None
+        raise BadInputError(f"{path}: {err}") from None
 
 
 @command.command("topology")
@@ -56,3 +57,6 @@
 
     click.echo(tables.topology(fleet(path, factor, given)), nl=False)
     return 0
+
+
+command.add_command(slopes)
--- a/zincstile/scale/records.py
+++ b/zincstile/scale/records.py
@@ -34,7 +34,7 @@
 class Figure(enum.Enum):
     """What is measured of one gateway. Shares are of one core; seconds unless the name says otherwise."""
 
-    MEMORY_BYTES = "memory_bytes"  # resident and its own, after settling
+    MEMORY_BYTES = "memory_bytes"  # resident after settling (VmRSS); hollow: growth of it by each gateway
     CPU_REST_SHARE = "cpu_rest_share"  # no changes, no requests
     CPU_SHARE = "cpu_share"  # with the activity of the dimension
     CPU_PER_CHANGE_S = "cpu_per_change_s"  # above the share at rest, for each change
@@ -44,10 +44,13 @@
     BYTES_OUT_PER_S = "bytes_out_per_s"  # the same, sent
     DATAGRAMS_IN_PER_S = "datagrams_in_per_s"
     DATAGRAMS_OUT_PER_S = "datagrams_out_per_s"
-    IN_FORCE_P50_S = "in_force_p50_s"  # from a change being sent until the gateway acts by it
+    # From a change being sent until the gateway acts by it. Table: until a second PING behind it is answered,
+    # which can't be before the turn that decides on it. Configuration: until the new discovery is asked.
+    IN_FORCE_P50_S = "in_force_p50_s"
     IN_FORCE_P99_S = "in_force_p99_s"
     IN_FORCE_LAST_S = "in_force_last_s"
     READY_S = "ready_s"  # from the start of the process until it takes clients
+    LIST_BYTES = "list_bytes"  # the whole list, as told at the start
 
 
 class Machine(msgspec.Struct, frozen=True):
@@ -85,7 +88,8 @@
     seed: int  # of the shuffled order
     held: dict[str, dict[str, float]]  # by dimension: the sizes of the others
     samples: list[Sample]
-    complete: bool = True  # False: interrupted, these are the samples until then
+    complete: bool = True  # False: interrupted, or some points failed
+    failures: list[str] = []  # points that gave no sample, and why
     features: dict[str, str] = {}  # name of each switched-on feature: its file, relative to the tree
 
     def chosen(self, dimension: Dimension, kind: Kind, program: str) -> list[Sample]:
