--- a/zincstile/cli/scale_slopes.py
+++ b/zincstile/cli/scale_slopes.py
@@ -54,10 +54,17 @@
         raise BadInputError(str(err)) from None
     began, interrupted = time.monotonic(), False
     signal.signal(signal.SIGINT, signal.default_int_handler)
+
+    def measured(done: int, of: int) -> None:
+        records.write(result, out)  # what was measured stays, however this ends
+        progress(done, of)
+
     try:
-        slopes.run(settings, result, progress)
+        slopes.run(settings, result, measured)
     except KeyboardInterrupt:
         interrupted = True
+    except FileError as err:
+        raise BadInputError(str(err)) from None
     try:
         records.write(result, out)
         if charts is not None:
--- a/zincstile/scale/emulators.py
+++ b/zincstile/scale/emulators.py
@@ -158,12 +158,19 @@
         found = [self._changes.get(k) for k in range(index + 1, self.table.index + 1)]
         return None if index <= 0 or None in found else found  # type: ignore[return-value]
 
-    def change(self) -> None:
-        """Makes the next change and tells all watches of it."""
+    def change(self, spread_s: float, told: Callable[[int], None]) -> None:
+        """Makes the next change and tells each gateway of it, one after the other within `spread_s`: those
+        that share a process would hold each other up. `told` hears the gateway when its line is written."""
         line = self.table.delta(self.table.next_change())
         self._changes[self.table.index] = line
         for watch in list(self.watches):
+            wait_s = spread_s * watch.gateway / len(self.traffic)
+            self.loop.call_later(wait_s, self._tell, watch, line, told)
+
+    def _tell(self, watch: WatchConnection, line: bytes, told: Callable[[int], None]) -> None:
+        if watch in self.watches:  # else it is told when its gateway asks again
             watch.tell(line)
+            told(watch.gateway)
 
 
 class WatchConnection(asyncio.Protocol):
--- a/zincstile/scale/point.py
+++ b/zincstile/scale/point.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import math
 import random
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass, field
@@ -27,7 +28,11 @@
 LONGEST_S: Final = 5.0  # of a window that waits for events which come seldom
 EVENTS: Final = 4  # so many are waited for, if `LONGEST_S` allows
 PRELOAD_PER_S: Final = 250.0  # datagrams that tell of all tenants before anything is measured
+SPREAD: Final = 0.4  # of the time between two changes, in which all hollow gateways are told of one
 RETOLD_S: Final = 10.0  # peers tell of each tenant so often: a gateway forgets one after 15 s
+INTAKE_PER_S: Final = (
+    48.0  # datagrams that a gateway's peers may send it: four fifths of the platform's bound
+)
 MESSAGES_PER_S: Final = 24.0  # words of peers where their number is not what is varied
 LEAST_SERVED: Final = 0.8  # of the requests: else their cost is that of rejections
 HIGHEST_US, DIGITS = 60_000_000, 3  # of the histogram of delays
@@ -146,7 +151,7 @@
     # ---- windows
 
     async def _measure(self) -> None:
-        dimension, sizes = self.point.dimension, self.point.sizes
+        dimension = self.point.dimension
         await self._preload()
         await asyncio.sleep(SETTLE_S)
         rest = await self._window(0.0, lambda: None)
@@ -163,7 +168,7 @@
             if window.events:
                 self._set(per_event, max(0.0, window.cpu_s - rest.share * window.seconds) / window.events)
         if dimension in (Dimension.BACKENDS, Dimension.TABLE_CHANGES_PER_S):
-            await self._changes_in_force(sizes[Dimension.TABLE_CHANGES_PER_S])
+            await self._changes_in_force()
         self._delays()
         await self._check()
 
@@ -205,7 +210,10 @@
     async def _changes(self) -> tuple[Window, Figure]:
         """Replacements in the endpoint table, each change in a message of its own."""
         rate = self.point.sizes[Dimension.TABLE_CHANGES_PER_S]
-        return await self._window(rate, self.discovery.change), Figure.CPU_PER_CHANGE_S
+        return await self._window(rate, self._change), Figure.CPU_PER_CHANGE_S
+
+    def _change(self, told: Callable[[int], None] = lambda gateway: None) -> None:
+        self.discovery.change(SPREAD / self.point.sizes[Dimension.TABLE_CHANGES_PER_S], told)
 
     async def _requests(self) -> tuple[Window, Figure]:
         """Requests of this gateway's tenants."""
@@ -224,10 +232,11 @@
 
     async def _messages(self) -> tuple[Window, Figure]:
         """Words of peers on this gateway's tenants."""
-        rate = MESSAGES_PER_S
+        count, rate = 1, MESSAGES_PER_S
         if self.point.dimension is Dimension.TENANTS:
-            rate = len(self.tenants) / SHARES_IN_DATAGRAM / RETOLD_S
-        words = self._words()
+            count = math.ceil(len(self.tenants) / RETOLD_S / INTAKE_PER_S)
+            rate = len(self.tenants) / count / RETOLD_S
+        words = self._words(count)
         return await self._window(rate, lambda: next(words)), Figure.CPU_PER_MESSAGE_S
 
     async def _reloads(self) -> tuple[Window, Figure]:
@@ -258,10 +267,9 @@
             raise load.UnreachableError(f"{len(pending)} gateways did not follow their configurations")
         return window, Figure.CPU_PER_CHANGE_S
 
-    def _words(self) -> Iterator[None]:
-        """Endless: each step, one peer tells of some tenants, in turn."""
-        size = SHARES_IN_DATAGRAM
-        groups = [self.tenants[k : k + size] for k in range(0, len(self.tenants), size)]
+    def _words(self, count: int) -> Iterator[None]:
+        """Endless: each step, one peer tells of the next `count` tenants."""
+        groups = [self.tenants[k : k + count] for k in range(0, len(self.tenants), count)]
         others = [n for n in range(self.gateways) if n >= self.count] or [self.gateways - 1]
         plan = plan_number(self.fleet)
         total = 0.0
@@ -274,26 +282,26 @@
         """Where tenants are varied: peers tell of all of them, so that the gateway remembers them."""
         if self.point.dimension is not Dimension.TENANTS:
             return
-        words = self._words()
+        words = self._words(SHARES_IN_DATAGRAM)
         for _ in range(0, len(self.tenants), SHARES_IN_DATAGRAM):
             next(words)
             await asyncio.sleep(1 / PRELOAD_PER_S)
 
     # ---- in force
 
-    async def _changes_in_force(self, rate: float) -> None:
+    async def _changes_in_force(self) -> None:
         """Changes at the same rate again, and how long each takes until it is acted by."""
+        rate = self.point.sizes[Dimension.TABLE_CHANGES_PER_S]
         tasks: list[asyncio.Task[None]] = []
 
         async def behind(clients: load.Clients) -> None:
             sent_s = self.loop.time()
             self.delays.append(await clients.behind() - sent_s)
 
-        def change() -> None:
-            self.discovery.change()
-            tasks.extend(self.loop.create_task(behind(clients)) for clients in self.clients)
+        def told(gateway: int) -> None:
+            tasks.append(self.loop.create_task(behind(self.clients[gateway])))
 
-        await self._window(rate, change)
+        await self._window(rate, lambda: self._change(told))
         for task in tasks:
             await task
 
--- a/zincstile/scale/slopes.py
+++ b/zincstile/scale/slopes.py
@@ -154,17 +154,17 @@
 def describe(settings: Settings) -> SlopeResult:
     """The result before anything is measured."""
     return SlopeResult(
-        {p.label: commit(p.tree) for p in settings.programs},
-        machine(),
-        time.time(),
-        settings.seed,
-        {
+        commits={p.label: commit(p.tree) for p in settings.programs},
+        machine=machine(),
+        started_unix_s=time.time(),
+        seed=settings.seed,
+        held={
             d.value: {other.value: size for other, size in settings.held.items() if other is not d}
             for d in settings.dimensions
         },
-        [],
-        False,
-        {(f.program + ":" if f.program else "") + f.name: f.path for f in settings.features},
+        samples=[],
+        complete=False,
+        features={(f.program + ":" if f.program else "") + f.name: f.path for f in settings.features},
     )
 
 
@@ -176,11 +176,11 @@
         for point, found in _measured(chosen, min(settings.jobs, len(chosen)), Path(folder)):
             if isinstance(found, Sample):
                 result.samples.append(found)
+                result.samples.sort(key=lambda s: s.order)
             else:
                 name = f"{point.dimension.value}={point.size:g} {point.kind.value} {point.program}"
                 result.failures.append(f"{name} repeat {point.repeat}: {found}")
             told(len(result.samples) + len(result.failures), len(chosen))
-    result.samples.sort(key=lambda s: s.order)
     result.complete = not result.failures
 
 
