Scale: a zone's backends gone at one stroke, beside load, over the number of backends

Need: 6,400 changes at one stroke have to be in force within 8 s in one gateway, and nothing measured it.

--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -186,7 +186,15 @@
     sizes |= {Dimension.BACKENDS: [10.0, 20.0], Dimension.TENANTS: [40.0]}
     held = slopes.HELD | {Dimension.BACKENDS: 10.0, Dimension.GATEWAYS: 6.0, Dimension.TENANTS: 20.0}
     chosen = slopes.Settings(
-        FLEET, list(Dimension), sizes, [slopes.this_tree()], held=held, repeats=1, jobs=3, window_s=0.4
+        FLEET,
+        list(Dimension),
+        sizes,
+        [slopes.this_tree()],
+        held=held,
+        repeats=1,
+        jobs=3,
+        window_s=0.4,
+        stroke=True,
     )
     result, told = slopes.describe(chosen), []
     slopes.run(chosen, result, lambda done, of: told.append((done, of)))
@@ -206,6 +214,9 @@
             assert (sample.figure(Figure.READY_S) is not None) == (kind is Kind.REAL)
     ten, twenty = result.chosen(Dimension.BACKENDS, Kind.HOLLOW, "this")
     assert ten.figure(Figure.LIST_BYTES) < twenty.figure(Figure.LIST_BYTES)
+    for sample in result.samples:  # each line of the stroke is counted by the gateway too
+        struck = sample.dimension is Dimension.BACKENDS and sample.kind is Kind.REAL
+        assert (sample.figure(Figure.STROKE_IN_FORCE_S) is not None) == struck
 
 
 FORCED = {Dimension.BACKENDS, Dimension.TABLE_CHANGES_PER_S, Dimension.CONFIG_CHANGES_PER_S}
--- a/zincstile/cli/scale_slopes.py
+++ b/zincstile/cli/scale_slopes.py
@@ -37,6 +37,7 @@
     "--jobs", type=click.IntRange(1, 64), default=3, show_default=True, help="Points beside each other."
 )
 @click.option("--window", type=click.FloatRange(0.2, 60), default=3.0, show_default=True, help="Seconds.")
+@click.option("--stroke", is_flag=True, help="Also, over backends: a zone lost at one stroke; takes minutes.")
 @click.option("--out", required=True, type=click.Path(dir_okay=False), help="The samples, as JSON.")
 @click.option("--charts", type=click.Path(file_okay=False), help="Write charts into this folder.")
 def command(path: str, out: str, charts: str | None, **words) -> int:
@@ -90,6 +91,7 @@
     seed: int,
     jobs: int,
     window: float,
+    stroke: bool,
 ):
     """The command's words as settings. FileError, or BadInputError, where they can't be used."""
     from ..scale import slopes, topology
@@ -122,6 +124,7 @@
         seed,
         jobs,
         window,
+        stroke,
     )
 
 
--- a/zincstile/scale/emulators.py
+++ b/zincstile/scale/emulators.py
@@ -110,6 +110,15 @@
             yield entry
             yield self._add(int(name[1:4]), int(time.time() * 1000))
 
+    def lose(self, count: int) -> Iterator[bytes]:
+        """Lines of a watch by which up to `count` backends of the first zone are gone."""
+        lost = [e for e in self.entries.values() if e.zone == self.zones[0]][:count]
+        for entry in lost:
+            del self.entries[entry.name]
+            entry.status = "Gone"
+            self.index += 1
+            yield self.delta(entry)
+
     def whole(self) -> bytes:
         """The whole list as one line of a watch."""
         return self._line(True, list(self.entries.values()))
@@ -167,6 +176,13 @@
             wait_s = spread_s * watch.gateway / len(self.traffic)
             self.loop.call_later(wait_s, self._tell, watch, line, told)
 
+    def lose_zone(self, count: int) -> None:
+        """Tells all watches at once that so many backends are gone, each in a message of its own."""
+        for line in self.table.lose(count):
+            self._changes[self.table.index] = line
+            for watch in self.watches:
+                watch.tell(line)
+
     def _tell(self, watch: WatchConnection, line: bytes, told: Callable[[int], None]) -> None:
         if watch in self.watches:  # else it is told when its gateway asks again
             watch.tell(line)
--- a/zincstile/scale/slopes.py
+++ b/zincstile/scale/slopes.py
@@ -84,6 +84,7 @@
     seed: int = 1
     jobs: int = 3
     window_s: float = 3.0
+    stroke: bool = False  # also, over backends: a zone lost at one stroke
 
 
 def program(text: str) -> Program:
@@ -146,6 +147,7 @@
                     min(hollow, int(sizes[Dimension.GATEWAYS])),
                     settings.window_s,
                     settings.seed,
+                    settings.stroke,
                 )
             )
     return found
