--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -239,7 +239,8 @@
     result, _ = small
     records.write(result, tmp_path / "r.json")
     assert records.read(tmp_path / "r.json") == result
-    assert "memory MB" in tables.samples(result, Dimension.BACKENDS, "this")
+    table = tables.samples(result, Dimension.BACKENDS, "this")
+    assert "hollow" in table and "…" not in table  # no figure is cut short
     assert tables.laws(result, "this") == ""  # too few sizes to carry a fit
     written = charts.draw(result, tmp_path / "charts")
     assert tmp_path / "charts" / "backends-memory_bytes.svg" in written
--- a/zincstile/scale/tables.py
+++ b/zincstile/scale/tables.py
@@ -15,6 +15,7 @@
 from .topology import Topology
 
 WIDTH: Final = 110
+WIDE: Final = 210  # of tables with all figures
 HEADINGS: Final = {
     Figure.MEMORY_BYTES: "memory MB",
     Figure.CPU_REST_SHARE: "rest % core",
@@ -102,7 +103,7 @@
             repeats = list(alike)
             cells = [_median(repeats, figure) for figure in figures]
             table.add_row(kind.value, f"{size:g}", str(len(repeats)), *cells)
-    return text(table, width=180)
+    return text(table, width=WIDE)
 
 
 def laws(result: SlopeResult, program: str) -> str:
@@ -121,7 +122,7 @@
                     law = found.law.value + (f" (^{found.exponent:.2f})" if found.exponent != 1 else "")
                     row = (dimension.value, figure.value, kind.value, law, *slopes, span, str(found.samples))
                     table.add_row(*row)
-    return text(table, width=180) if table.rows else ""
+    return text(table, width=WIDE) if table.rows else ""
 
 
 def _law(found: list[Sample], figure: Figure) -> fits.Fit | None:
