Scale: capacity tables worked out from slopes, page and command

scale capacity SLOPES TOPOLOGY prints, for each role and bad moment of the target, state, messages by kind, memory and processor time with 95% intervals against the budgets, the mechanism by name or missing, and the standard answers with their figures. What was not measured says so; what lies past the measured sizes says from where to where.

--- a/zincstile/cli/scale.py
+++ b/zincstile/cli/scale.py
@@ -6,6 +6,7 @@
 
 from ..typed_yaml import FileError
 from .errors import BadInputError
+from .scale_capacity import command as capacity
 from .scale_slopes import command as slopes
 
 TARGET = "deploy/scale/target.yaml"
@@ -60,3 +61,4 @@
 
 
 command.add_command(slopes)
+command.add_command(capacity)
--- /dev/null
+++ b/zincstile/scale/capacity_load.py
@@ -0,0 +1,158 @@
+"""What one gateway and the relay of the busiest tenant carry at a topology's sizes. No I/O, no clock.
+
+The messages between gateways follow the decision module: a beat and what changed to the peers that are told
+directly, an ask and its answer for each request of a tenant whose set is wide. Requests and sets of tenants
+are those of the topology; each gateway of a set gets the same part of the tenant's requests.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from dataclasses import dataclass
+from typing import Final
+
+from .. import policy
+from ..policy import ASK_NS, ASKS, BEAT_NS, DIRECT, SECOND, TOLD
+from . import capacity_messages as messages
+from .topology import Topology
+
+PEER_IN_PER_S: Final = 60.0  # datagrams that a gateway takes, as its settings say (`domain.peer_intake`)
+ASK_WAIT_S: Final = ASKS * ASK_NS / SECOND  # until a request whose relay is silent is decided on alone
+
+
+@dataclass(frozen=True, slots=True)
+class Flow:
+    """Messages of one kind, each way, of the mean gateway."""
+
+    name: str
+    per_s: float
+    size_bytes: float
+    mechanism: str
+
+    @property
+    def bytes_per_s(self) -> float:
+        return self.per_s * self.size_bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Of the mean gateway."""
+
+    topology: Topology
+    tenants: float
+    requests_per_s: float
+    wide_tenants: int  # of the fleet: their quota is asked of a relay
+    wide_per_s: float  # requests of such tenants
+    neighbours: float  # peers that are told directly
+    beats: Flow
+    tells: Flow  # what changed, to neighbours
+    relay_tells: Flow  # the same, to relays
+    asks: Flow  # answers are as many and as large
+
+    @property
+    def datagrams_per_s(self) -> float:
+        """In, and as many out."""
+        return self.beats.per_s + self.tells.per_s + self.relay_tells.per_s + 2 * self.asks.per_s
+
+
+def load(topology: Topology) -> Load:
+    """The mean gateway's load at the topology's sizes."""
+    sets, weights = topology.tenant_sets(), _weights(topology)
+    requests = topology.requests_of_gateway()
+    narrow: Counter[int] = Counter()  # by the size of the set: part of all requests
+    for size, weight in zip(sets, weights, strict=True):
+        if size <= DIRECT + 1:
+            narrow[size] += weight
+    wide = [(size, weight) for size, weight in zip(sets, weights, strict=True) if size > DIRECT + 1]
+    wide_per_s = requests * sum(weight for _, weight in wide)
+    flushes = _flushes_per_s(requests, topology.gateways)
+    neighbours = _neighbours(topology, Counter(size for size in sets if size <= DIRECT + 1))
+    return Load(
+        topology=topology,
+        tenants=topology.tenants_of_gateway(),
+        requests_per_s=requests,
+        wide_tenants=len(wide),
+        wide_per_s=wide_per_s,
+        neighbours=neighbours,
+        beats=Flow(
+            "beats to neighbours",
+            neighbours * SECOND / BEAT_NS,
+            messages.tell_bytes(0, doubts=TOLD),
+            "policy.Policy._flush",
+        ),
+        tells=_tells(requests, narrow, flushes),
+        relay_tells=_relay_tells(topology, wide, flushes),
+        asks=Flow(
+            "asks of relays",
+            wide_per_s,
+            messages.tell_bytes(1, figures=True, doubts=TOLD),
+            "policy.Policy._ask",
+        ),
+    )
+
+
+def hottest_per_s(topology: Topology) -> float:
+    """Requests a second of the busiest tenant, at all gateways of its set."""
+    return topology.requests_per_s * _weights(topology)[0]
+
+
+def hot_relays(topology: Topology) -> int:
+    """Wide tenants whose relay would be asked more often than a gateway takes datagrams."""
+    return sum(
+        size > DIRECT + 1 and topology.requests_per_s * weight > PEER_IN_PER_S
+        for size, weight in zip(topology.tenant_sets(), _weights(topology), strict=True)
+    )
+
+
+def spanning_tenants(topology: Topology) -> float:
+    """Tenants with gateways in two regions, where the gateways are numbered region by region and a set is a
+    row of numbers that begins anywhere."""
+    if len(topology.regions) < 2:
+        return 0.0
+    borders = len(topology.regions)
+    return sum(min(1.0, borders * (size - 1) / topology.gateways) for size in topology.tenant_sets())
+
+
+def _weights(topology: Topology) -> list[float]:
+    """Part of all requests, by the tenant's rank."""
+    found = [1 / rank**topology.tenants.zipf for rank in range(1, topology.tenants.count + 1)]
+    whole = math.fsum(found)
+    return [weight / whole for weight in found]
+
+
+def _flushes_per_s(requests: float, gateways: int) -> float:
+    """How often changes are told: a period after the last time, where a request has come by then."""
+    told = min(DIRECT, gateways - 1)
+    period_s = told / max(1.0, policy.INTAKE * PEER_IN_PER_S)
+    return 1 / (period_s + 1 / requests)
+
+
+def _neighbours(topology: Topology, narrow: Counter[int]) -> float:
+    """Peers that share a narrow tenant with a gateway. A set is a row, so that they stand close by on both
+    sides."""
+    found = 0.0
+    for distance in range(1, DIRECT + 1):
+        shared = sum(count * max(0, size - distance) for size, count in narrow.items()) / topology.gateways
+        found += 2 * -math.expm1(-shared)
+    return min(found, topology.gateways - 1.0)
+
+
+def _tells(requests: float, narrow: Counter[int], flushes: float) -> Flow:
+    """At each flush, one message to each neighbour that shares a tenant whose request came since the last."""
+    told = shares = 0.0
+    for distance in range(1, DIRECT + 1):
+        rate = requests * sum(w * max(0, size - distance) / size for size, w in narrow.items())
+        told += 2 * flushes * -math.expm1(-rate / flushes)
+        shares += 2 * rate
+    size = messages.tell_bytes(shares / told) if told else 0.0
+    return Flow("changes to neighbours", told, size, "policy.Policy._flush")
+
+
+def _relay_tells(topology: Topology, wide: list[tuple[int, float]], flushes: float) -> Flow:
+    """At each flush, one message for each wide tenant whose attempts out have changed."""
+    told = 0.0
+    for size, weight in wide:
+        rate = topology.requests_per_s * weight / size  # at a gateway of its set
+        told += size / topology.gateways * flushes * -math.expm1(-rate / flushes)
+    return Flow("changes to relays", told, messages.tell_bytes(1), "policy.Policy._flush")
--- /dev/null
+++ b/zincstile/scale/capacity_messages.py
@@ -0,0 +1,120 @@
+"""Bytes of control messages, by the program's own packers on values of the usual form. No I/O, no clock.
+
+Payloads only: what IP, UDP, TCP and chunked framing add is left out, as it differs from path to path.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+import struct
+from functools import cache
+from typing import Final
+
+from .. import interface as i
+from .. import wire
+from ..place import words as place_words
+from ..place.view import Report, Sight
+from ..start import words as list_words
+from ..state import LEVEL
+
+CLASSES: Final = 3  # request classes in a gateway's settings, as in the sites under deploy/
+WATCH_LINE_BYTES: Final = 1  # discovery's empty line while nothing changes
+
+ENTRY: Final = {
+    "name": "s-5be2a07c",
+    "address": "10.1.0.18:6379",
+    "zone": "zone-03",
+    "type": "m2",
+    "group": 3,
+    "status": "Ready",
+    "weight": 1.0,
+    "since_ms": 1764651600000,
+}
+ROUTE: Final = {
+    "name": "r-9c41d2e0",
+    "tenant": "00000000b4d65521",
+    "class": "lookup",
+    "host": "api.example.net",
+    "prefix": "/v2/accounts/",
+    "service": "svc-0417",
+    "weight": 1.0,
+}
+
+
+def _json(value: object) -> int:
+    return len(json.dumps(value, separators=(",", ":")))
+
+
+def entry_bytes() -> int:
+    """An entry of the endpoint table, as discovery writes it."""
+    return _json(ENTRY)
+
+
+def route_bytes() -> int:
+    """An entry of a table of routes, written in the same way. The program has no such table."""
+    return _json(ROUTE)
+
+
+def list_bytes(entries: int) -> int:
+    """A whole list, one line."""
+    return _json({"index": 4_100_000, "snapshot": True, "endpoints": []}) + entries * (entry_bytes() + 1)
+
+
+def change_bytes() -> int:
+    """A line of the watch that tells one change."""
+    return _json({"index": 4_100_000, "snapshot": False, "endpoints": [ENTRY]}) + 1
+
+
+def tell_bytes(shares: float, figures: bool = False, doubts: int = 0) -> float:
+    """Bytes of a message between gateways with so many shares, on average; `figures` go with asks and their
+    answers, `doubts` are the last samples of backends."""
+    low = math.floor(shares)
+    part = shares - low
+    return (1 - part) * _tell(low, figures, doubts) + part * _tell(low + 1, figures, doubts)
+
+
+@cache
+def _tell(shares: int, figures: bool, doubts: int) -> int:
+    told = i.Tell(
+        peer=1,
+        start=2**31,
+        shares=[i.Share(2**32 + k, 1, 1234.5, 17.5, 1, 2.0, 77) for k in range(shares)],
+        figures=[1.0] * (LEVEL + 1 + CLASSES) if figures else [],
+        doubts=[i.Doubt(4711, 1, 0.5)] * doubts,
+    )
+    return sum(len(message) for message in wire.pack_tell(told))
+
+
+def report_bytes(zones: int) -> int:
+    """A gateway's report on the zones (features.place)."""
+    sights = tuple(Sight(100, 90.0, 0.1, 40.0) for _ in range(zones))
+    return len(place_words.pack(Report(1, 2**31, 7, 0, 80.0, sights, 0, 0)))
+
+
+def bucket_lines(entries: int) -> list[list_words.Lines]:
+    """Lists from peers (features.start): a mean bucket of a list of so many entries, as datagrams."""
+    count = -(-entries // list_words.BUCKETS)
+    lines = [list_words.line(ENTRY | {"name": f"s-{k:08x}"}) for k in range(count)]
+    return list_words.parted(41, 0, [line for line in lines if line is not None])
+
+
+def can_be_told(parts: list[list_words.Lines]) -> bool:
+    """Whether the format of lists from peers has room for the numbers of these datagrams."""
+    try:
+        list_words.pack(parts[-1])
+    except struct.error:
+        return False
+    return True
+
+
+def most_parts() -> int:
+    """Datagrams of one bucket that the format of lists from peers can count."""
+    low, high = 1, 1 << 16
+    while low < high:  # the largest count that packs
+        middle = (low + high + 1) // 2
+        if can_be_told([list_words.Lines(41, 0, middle - 1, middle, (b"x",))]):
+            low = middle
+        else:
+            high = middle - 1
+    return low
--- a/zincstile/scale/fits.py
+++ b/zincstile/scale/fits.py
@@ -96,6 +96,15 @@
         margin = self.quantile * math.sqrt(variance)
         return Estimate(value, value - margin, value + margin, self.extrapolated(size))
 
+    def growth(self, start: float, size: float) -> Estimate:
+        """How much the mean differs between two sizes. A logarithmic law has no value at 0: from there it is
+        counted from the smallest size that was measured."""
+        if self.law is Law.LOGARITHMIC and start <= 0:
+            start = self.smallest
+        way = self.basis(size) - self.basis(start)
+        value, ends = self.slope * way, sorted((self.slope_low * way, self.slope_high * way))
+        return Estimate(value, ends[0], ends[1], self.extrapolated(size))
+
     def extrapolated(self, size: float) -> Extrapolation | None:
         """From where to where, if the size lies outside the measured ones."""
         if self.smallest <= size <= self.largest:
