Scale: hollow gateways held against real ones; the load checked on the decision module

The messages that the capacity tables count are worked out from the topology. A test now plays the decision module at the target's load (sets of 4, 5 and 40 gateways, a seeded draw, no clock): messages and bytes agree within 15%. The asks of a relay to itself are no longer counted.

A table compares hollow with real gateways at the sizes that both played. A rollout's last change is worked out from the work that is left, in place of a law measured with a small table; rows on tenants' memory.

--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import heapq
 import importlib
+import itertools
 import math
+import random
 import re
 from pathlib import Path
 
@@ -12,11 +15,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from zincstile import interface as i
 from zincstile import wire
 from zincstile.cli.commands import run
 from zincstile.net.http import HttpError, LineReader
 from zincstile.net.limits import Limits
+from zincstile.policy import Policy
 from zincstile.scale import (
+    agreement,
     capacity_answers,
     capacity_costs,
     capacity_gateway,
@@ -261,6 +267,21 @@
     assert amount.lacking == ("the table's growth",) and "with a table of 320" in amount.basis
 
 
+def test_hollow_gateways_are_held_against_real_ones_at_common_sizes(fleet):
+    both = slopes()
+    both.samples += [s for s in slopes(kind=Kind.HOLLOW, scale=1.1).samples if s.size != 32000]
+    found = {(a.dimension, a.figure): a for a in agreement.agreements(both, "before")}
+    table = found[Dimension.BACKENDS, Figure.MEMORY_BYTES]
+    assert (
+        table.ratio == pytest.approx(1.1) and table.holds and (table.smallest, table.largest) == (320, 10000)
+    )
+    assert found[Dimension.GATEWAYS, Figure.CPU_REST_SHARE].ratio is None  # neither grows
+    both.samples = slopes().samples + slopes(kind=Kind.HOLLOW, scale=1.2).samples
+    apart = {a.figure: a for a in agreement.agreements(both, "before") if a.dimension is Dimension.BACKENDS}
+    assert not any(a.holds for a in apart.values())
+    assert "| **no** |" in capacity_page.tables([Measured(both, "before")], fleet)
+
+
 # ---- the load and the messages
 
 
@@ -286,6 +307,63 @@
     assert (found.wide_tenants == 0) == (max(made.tenant_sets()) <= 5)
 
 
+def sent(fleet, seconds=10.0):
+    """Messages and bytes a second that one gateway's decision module sends at the fleet's load, by kind."""
+    rng, queue, numbers, found = random.Random(1), [], itertools.count(), {"asks": [0, 0], "others": [0, 0]}
+    classes = [i.ClassSpec(f"c{k}", 2 * 10**8, 10**9, i.Effect.SAFE, 1.0) for k in range(3)]
+    plan = i.PlanSpec("p", rate=1e5, burst=1e5, open_limit=1000)
+    gateway = Policy(
+        i.Settings(0, fleet.gateways, classes, [plan], peers=True, peer_in_per_s=capacity_load.PEER_IN_PER_S),
+        1,
+    )
+    tenants, reached = [], 0.0
+    for rank, size in enumerate(fleet.tenant_sets(), 1):  # as many of each size as a gateway has on average
+        reached += size / fleet.gateways
+        if reached >= len(tenants) + 0.5:
+            first = -rng.randrange(size) % fleet.gateways
+            tenants.append((rng.getrandbits(33), size, first, rank**-fleet.tenants.zipf))
+
+    def put(at_ns, event):
+        heapq.heappush(queue, (at_ns, next(numbers), event))
+
+    put(0, i.Started())
+    backends = [i.Backend(k, 0, 0, 0, i.Mode.READY, 1.0, 0) for k in range(1, 101)]
+    put(1, i.BackendList(i.ListKind.FULL, 1, backends))
+    at_s, drawn = 0.0, 0
+    while (at_s := at_s + rng.expovariate(fleet.requests_of_gateway())) < 1.5 * seconds:
+        key, size, first, _ = rng.choices(tenants, [t[3] for t in tenants])[0]
+        at_ns, drawn = int(at_s * 1e9), drawn + 1
+        put(at_ns, i.Request(drawn, rng.randrange(3), 0, key, at_ns + 10**9, 1.0, size, first))
+    while queue and queue[0][0] < 1.5e9 * seconds:
+        now, _, event = heapq.heappop(queue)
+        for action in gateway.handle(now, event):
+            if isinstance(action, i.SetTimer):
+                put(max(now, action.at_ns), i.Timer(action.token))
+            elif isinstance(action, i.Send):
+                done = i.Outcome(action.request, 0, action.backend, i.Result.OK, 5 * 10**6, True)
+                put(now + 5 * 10**6, done)
+            elif isinstance(action, i.Tell):
+                asked = [s for s in action.shares if s.want > 0]
+                for s in asked:
+                    answer = i.Share(s.customer, 0, 0.0, 1e4, 0, s.want, s.mark, True)
+                    put(now + 10**6, i.PeerMessage(action.peer, 1, [answer]))
+                if now >= 0.5e9 * seconds:
+                    datagrams, kind = wire.pack_tell(action), found["asks" if asked else "others"]
+                    kind[0] += len(datagrams) / seconds
+                    kind[1] += sum(map(len, datagrams)) / seconds
+    return found
+
+
+@pytest.mark.parametrize("size", [4, 5, 40])
+def test_the_load_is_what_the_decision_module_sends(fleet, size):
+    made = msgspec.structs.replace(fleet, tenants=topology.Tenants(64_000, 0.5, size, size))
+    load, found = capacity_load.load(made), sent(made)
+    others = [load.beats, load.tells, load.relay_tells]
+    assert found["asks"] == pytest.approx([load.asks.per_s, load.asks.bytes_per_s], rel=0.15)
+    want = [sum(flow.per_s for flow in others), sum(flow.bytes_per_s for flow in others)]
+    assert found["others"] == pytest.approx(want, rel=0.15)
+
+
 def test_sizes_of_messages_are_the_packers(fleet):
     head, share = wire.HEAD.size, wire.SHARE.size
     assert capacity_messages.tell_bytes(0) == head
--- a/zincstile/scale/capacity_costs.py
+++ b/zincstile/scale/capacity_costs.py
@@ -36,6 +36,11 @@
     return measured.growth(over, figure, start, topology.backends).times(1 / (topology.backends - start))
 
 
+def tenant_bytes(measured: Measured, load: Load) -> Amount:
+    """Memory of one tenant, on average from none to those of a gateway."""
+    return measured.growth(Dimension.TENANTS, Figure.MEMORY_BYTES, 0, load.tenants).times(1 / load.tenants)
+
+
 def change_cost(measured: Measured, topology: Topology) -> Amount:
     """Processor time of one table change at the topology's table; at the table that was held, where it was
     measured over the changes alone."""
--- a/zincstile/scale/capacity_load.py
+++ b/zincstile/scale/capacity_load.py
@@ -66,6 +66,9 @@
             narrow[size] += weight
     wide = [(size, weight) for size, weight in zip(sets, weights, strict=True) if size > DIRECT + 1]
     wide_per_s = requests * sum(weight for _, weight in wide)
+    asks_per_s = requests * sum(
+        weight * (size - 1) / size for size, weight in wide
+    )  # one is the relay itself
     flushes = _flushes_per_s(requests, topology.gateways)
     neighbours = _neighbours(topology, Counter(size for size in sets if size <= DIRECT + 1))
     return Load(
@@ -85,7 +88,7 @@
         relay_tells=_relay_tells(topology, wide, flushes),
         asks=Flow(
             "asks of relays",
-            wide_per_s,
+            asks_per_s,
             messages.tell_bytes(1, figures=True, doubts=TOLD),
             "policy.Policy._ask",
         ),
@@ -154,5 +157,5 @@
     told = 0.0
     for size, weight in wide:
         rate = topology.requests_per_s * weight / size  # at a gateway of its set
-        told += size / topology.gateways * flushes * -math.expm1(-rate / flushes)
+        told += (size - 1) / topology.gateways * flushes * -math.expm1(-rate / flushes)
     return Flow("changes to relays", told, messages.tell_bytes(1), "policy.Policy._flush")
--- a/zincstile/scale/capacity_moments.py
+++ b/zincstile/scale/capacity_moments.py
@@ -9,7 +9,7 @@
 from ..policy import DIRECT
 from ..start import lists
 from . import capacity_load, capacity_messages
-from .capacity import Measured, Row, Section, Unit, exact, missing, row
+from .capacity import Amount, Measured, Row, Section, Unit, exact, missing, row
 from .capacity_costs import change_cost
 from .capacity_gateway import FOLLOW, MINUTE_S, WATCH
 from .records import Dimension, Figure
@@ -125,11 +125,11 @@
             budgets.control_bytes_per_s,
         ),
         row(
-            "the last change of a rollout in force",
-            "one gateway, with the table that was held",
+            "the last change of a rollout in force, at the least",
+            "what is left of the processor time once the burst has come, on a whole core",
             Unit.SECONDS,
-            lambda: measured.predict(Dimension.TABLE_CHANGES_PER_S, Figure.IN_FORCE_LAST_S, burst),
-            WATCH,
+            lambda: _left_over(change_cost(measured, topology).times(CHANGES_OF_REPLACEMENT * largest)),
+            FOLLOW,
             budgets.in_force_s,
         ),
     ]
@@ -264,3 +264,9 @@
         )
     )
     return rows
+
+
+def _left_over(work: Amount) -> Amount:
+    """Of work that comes evenly over a rollout."""
+    late = (max(0.0, seconds - ROLLOUT_S) for seconds in (work.value, work.low, work.high))
+    return Amount(*late, work.basis, work.lacking)
--- a/zincstile/scale/capacity_page.py
+++ b/zincstile/scale/capacity_page.py
@@ -6,6 +6,7 @@
 from itertools import zip_longest
 from typing import Final
 
+from .agreement import TOLERANCE, agreements
 from .capacity import NOT_IN_PROGRAM, Amount, Measured, NotMeasuredError, Row, Section, Unit, Verdict, digits
 from .capacity_answers import answers
 from .capacity_gateway import delays, memory, messages, processor, routes
@@ -47,7 +48,7 @@
 
 def tables(programs: Sequence[Measured], topology: Topology) -> str:
     """The page's tables; programs stand side by side, in their order."""
-    parts = [_sources(programs), _fits(programs)]
+    parts = [_sources(programs), _fits(programs), _agreements(programs)]
     for same in zip(*(sections(p, topology) for p in programs), strict=True):
         parts.append(f"### {same[0].title}\n\n" + _section(programs, same))
     return "\n\n".join(parts) + "\n"
@@ -134,6 +135,32 @@
     return [[*words, *at_ends, *slope, sizes, f"{found.samples}"]]
 
 
+def _agreements(programs: Sequence[Measured]) -> str:
+    """Hollow gateways against real ones, by growth over the sizes that both played, or by their means."""
+    rows = []
+    for measured in programs:
+        for found in agreements(measured.result, measured.program):
+            unit, by = _unit(found.figure), "growth" if found.grows else "mean"
+            ratio = NONE if found.ratio is None else digits(found.ratio)
+            sizes = f"{digits(found.smallest)} to {digits(found.largest)}"
+            words = [found.dimension.value, found.figure.value, measured.program, by]
+            values = [written(found.real.value, unit), written(found.hollow.value, unit)]
+            rows.append([*words, *values, ratio, "yes" if found.holds else "**no**", sizes])
+    heads = [
+        "over",
+        "figure",
+        "program",
+        "by",
+        "real",
+        "hollow",
+        "ratio",
+        f"within {100 * TOLERANCE:.0f}%",
+        "sizes",
+    ]
+    title = "### Hollow gateways against real ones\n\n"
+    return title + (_table(heads, rows) if rows else "Not measured: no figure at enough sizes by both kinds.")
+
+
 def _per(found: Fit) -> str:
     """What the slope is multiplied by."""
     if found.law is Law.LOGARITHMIC:
--- a/zincstile/scale/capacity_roles.py
+++ b/zincstile/scale/capacity_roles.py
@@ -9,7 +9,7 @@
 from ..net.limits import Limits
 from . import capacity_load, capacity_messages
 from .capacity import NOT_IN_PROGRAM, Measured, Row, Unit, exact, missing, row
-from .capacity_costs import entry_bytes, message_cost, targets
+from .capacity_costs import entry_bytes, message_cost, targets, tenant_bytes
 from .capacity_gateway import WATCH, WATCH_LINE_S
 from .capacity_load import Load
 from .topology import Topology
@@ -82,6 +82,17 @@
             "start/words.Lines",
             line,
         ),
+        *(
+            Row(
+                name,
+                "discovery is the platform's",
+                unit,
+                None,
+                needed=False,
+                lacks="not a part of the program",
+            )
+            for name, unit in (("memory", Unit.BYTES), ("processor time", Unit.CORE))
+        ),
     ]
 
 
@@ -137,6 +148,13 @@
             exact(size),
             "state.Customer.peers",
         ),
+        row(
+            "memory of a tenant, as a gateway holds it",
+            "mean growth over the tenants of one gateway",
+            Unit.BYTES,
+            lambda: tenant_bytes(measured, load),
+            "state.Customer",
+        ),
     ]
 
 
