Fits: a constant law keeps the interval of the growth that its samples leave open

A constant law gave growth of 0 with no interval, so that a sum of capacity looked surer than its samples are. Its slope's interval is now that of the line, 0 in it.

--- a/tests/test_fits.py
+++ b/tests/test_fits.py
@@ -65,9 +65,20 @@
     assert fit(points) == fit(noisy(LAWS[Law.LINEAR], 20.0, 0.01))
 
 
+@pytest.mark.parametrize("law", [Law.LINEAR, Law.LOGARITHMIC, Law.POWER])
+def test_growth_is_the_difference_of_two_predictions(law):
+    found = fit(noisy(LAWS[law], 10.0, 3.0))
+    grown = found.growth(1000, 64000)
+    assert grown.value == pytest.approx(found.predict(64000).value - found.predict(1000).value)
+    assert grown.low < grown.value < grown.high and grown.extrapolation == (32000, 64000)
+    assert found.growth(0, 1000).value >= 0  # a logarithm begins at the smallest that was measured
+
+
 def test_noise_alone_is_no_growth():
     flat = fit(noisy(LAWS[Law.CONSTANT], 21.5, 0.0))
     assert flat.law is Law.CONSTANT and flat.slope == 0
+    grown = flat.growth(320, 32000)  # none is shown, and some can't be ruled out
+    assert grown.value == 0 and 0.1 < grown.high < 1 and -1 < grown.low < -0.1
     assert flat.predict(2e6).value == pytest.approx(21.5, rel=0.01)
     assert fit([(x, 0.0) for x in SIZES] * 2).predict(100).value == 0
 
--- a/zincstile/scale/capacity_page.py
+++ b/zincstile/scale/capacity_page.py
@@ -126,13 +126,11 @@
         return [[dimension.value, figure.value, measured.program, *[NONE] * 7, str(err)]] if told else []
     unit, smallest, largest = _unit(figure), found.smallest, found.largest
     at_ends = [written(found.predict(size).value, unit) for size in (smallest, largest)]
+    slope = NONE if found.law is Law.CONSTANT else f"{written(found.slope, unit)} × {_per(found)}"
     interval = f"{written(found.slope_low, unit)} to {written(found.slope_high, unit)}"
-    slope = [f"{written(found.slope, unit)} × {_per(found)}", interval]
-    if found.law is Law.CONSTANT:
-        slope = [NONE, NONE]
     sizes = f"{digits(smallest)} to {digits(largest)}"
     words = [dimension.value, figure.value, measured.program, kind.value, found.law.value]
-    return [[*words, *at_ends, *slope, sizes, f"{found.samples}"]]
+    return [[*words, *at_ends, slope, interval, sizes, f"{found.samples}"]]
 
 
 def _agreements(programs: Sequence[Measured]) -> str:
--- a/zincstile/scale/fits.py
+++ b/zincstile/scale/fits.py
@@ -66,7 +66,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Fit:
-    """A law with its slope, the 95% interval of the slope, and the range that carries it."""
+    """A law with its slope, the 95% interval of the slope, and the range that carries it. The interval of a
+    constant law is that of the line, 0 in it: growth that the samples leave open."""
 
     law: Law
     intercept: float
@@ -101,7 +102,8 @@
         counted from the smallest size that was measured."""
         if self.law is Law.LOGARITHMIC and start <= 0:
             start = self.smallest
-        way = self.basis(size) - self.basis(start)
+        basis = _basis(Law.LINEAR if self.law is Law.CONSTANT else self.law, self.exponent)
+        way = basis(size) - basis(start)
         value, ends = self.slope * way, sorted((self.slope_low * way, self.slope_high * way))
         return Estimate(value, ends[0], ends[1], self.extrapolated(size))
 
@@ -116,8 +118,8 @@
     """The law that the samples show. FitError where they are too few or not numbers."""
     samples = _checked(points)
     weights = _weights(samples)
-    candidates = [_constant(samples, weights), _straight(samples, weights, Law.LINEAR)]
-    candidates.append(_straight(samples, weights, Law.LOGARITHMIC))
+    line = _straight(samples, weights, Law.LINEAR)
+    candidates = [_constant(samples, weights, line.fit), line, _straight(samples, weights, Law.LOGARITHMIC)]
     powers = [_straight(samples, weights, Law.POWER, exponent) for exponent in EXPONENTS]
     candidates.append(min(powers, key=lambda c: c.criterion))
     enough = [c for c in candidates if c.fit.slope > 0 or c.fit.law is not Law.POWER]
@@ -188,7 +190,7 @@
     return samples * math.log(relative) + 2 * count + 2 * count * (count + 1) / spare
 
 
-def _constant(samples: Sequence[Point], weights: Sequence[float]) -> _Candidate:
+def _constant(samples: Sequence[Point], weights: Sequence[float], line: Fit) -> _Candidate:
     total = math.fsum(weights)
     mean = math.fsum(w * p.value for w, p in zip(weights, samples, strict=True)) / total
     residual = math.fsum(w * (p.value - mean) ** 2 for w, p in zip(weights, samples, strict=True))
@@ -197,8 +199,8 @@
         law=Law.CONSTANT,
         intercept=mean,
         slope=0.0,
-        slope_low=0.0,
-        slope_high=0.0,
+        slope_low=min(0.0, line.slope_low),
+        slope_high=max(0.0, line.slope_high),
         exponent=1.0,
         smallest=samples[0].size,
         largest=samples[-1].size,
