--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -437,6 +437,19 @@
     assert row.verdict is verdict and row.missing is missing
 
 
+def test_a_feature_counts_for_its_program_alone(fleet, at_target):
+    result = slopes()
+    result.features = {"after:subset": "deploy/subset.yaml", "start": "deploy/start.yaml"}
+    before, after = Measured(result, "before"), Measured(slopes("after"), "after")
+    after.result.features = result.features
+    assert before.features == {"start": "deploy/start.yaml"} and "subset" in after.features
+    entry = "subsetting, all zones: endpoints of a gateway"
+    assert rows(capacity_answers.answers(before, fleet, at_target))[entry].missing
+    assert not rows(capacity_answers.answers(after, fleet, at_target))[entry].missing
+    text = capacity_page.tables([before, after], fleet)
+    assert f"| {entry} | before |" in text and f"| {entry} | after |" in text
+
+
 def test_margins_of_a_sum_add_up_as_squares():
     found = total([Amount(10, 7, 13, ("a",)), Amount(20, 16, 24, ("b",)), exact(5)])
     assert (found.value, found.low, found.high, found.basis) == (35, 30, 40, ("a", "b"))
--- a/zincstile/scale/capacity.py
+++ b/zincstile/scale/capacity.py
@@ -129,6 +129,16 @@
     result: SlopeResult
     program: str
 
+    @property
+    def features(self) -> dict[str, str]:
+        """Files of the features that were on for this program; `LABEL:NAME` is on for that label alone."""
+        found = {}
+        for name, path in sorted(self.result.features.items()):
+            label, colon, feature = name.rpartition(":")
+            if not colon or label == self.program:
+                found[feature] = path
+        return found
+
     def fit(self, dimension: Dimension, figure: Figure) -> tuple[Fit, Kind]:
         """NotMeasuredError where there are no samples, or too few."""
         for kind in (Kind.REAL, Kind.HOLLOW):
--- a/zincstile/scale/capacity_answers.py
+++ b/zincstile/scale/capacity_answers.py
@@ -50,7 +50,7 @@
 
 def _subsetting(measured: Measured, topology: Topology, load: Load) -> list[Row]:
     """Carried where the program was measured with the feature on."""
-    on = "subset" if "subset" in measured.result.features else ""
+    on = "subset" if "subset" in measured.features else ""
     rows = []
     for where, count in _reaches(topology):
         size = subset_size(topology, count)
--- a/zincstile/scale/capacity_page.py
+++ b/zincstile/scale/capacity_page.py
@@ -14,7 +14,7 @@
 from .capacity_moments import moments
 from .capacity_roles import control_machines, list_service, operators, relays
 from .fits import Fit, Law
-from .records import Dimension, Figure
+from .records import Dimension, Figure, SlopeResult
 from .topology import Topology
 
 BEGIN: Final = "<!-- scale capacity: begin -->"
@@ -92,7 +92,7 @@
     for measured in programs:
         result = measured.result
         machine = f"{result.machine.cores} cores, {written(result.machine.memory_bytes, Unit.BYTES)}"
-        features = ", ".join(f"{name}: {path}" for name, path in sorted(result.features.items()))
+        features = ", ".join(f"{name}: {path}" for name, path in measured.features.items())
         mine = sum(s.program == measured.program for s in result.samples)
         rows.append(
             [
@@ -100,13 +100,18 @@
                 result.commits.get(measured.program, NONE),
                 features or NONE,
                 f"{machine}, Python {result.machine.python}",
-                f"{mine:,}" + ("" if result.complete else ", **interrupted**"),
+                f"{mine:,}" + ("" if result.complete else _lost(result)),
             ]
         )
     heads = ["program", "commit", "features", "machine", "samples"]
     return "### Measured programs\n\n" + _table(heads, rows)
 
 
+def _lost(result: SlopeResult) -> str:
+    """Why a run is not complete."""
+    return f", **{len(result.failures)} points failed**" if result.failures else ", **interrupted**"
+
+
 def _fits(programs: Sequence[Measured]) -> str:
     rows = []
     for dimension in Dimension:
