--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -147,6 +147,12 @@
     assert run([*words, "--program", "after", "--program", "before"]) == 0
     lines = [x for x in capsys.readouterr().out.splitlines() if x.startswith("| endpoint table |")]
     assert [x.split(" | ")[1] for x in lines] == ["after", "before"]
+    both = slopes("zeta")  # measured in a shuffled order; told in the order of the commits
+    both.samples = slopes("alpha", scale=0.5).samples + both.samples
+    both.commits["alpha"] = "4567def"
+    assert run(["scale", "capacity", written(tmp_path, both, "both.json"), str(TARGET)]) == 0
+    lines = [x for x in capsys.readouterr().out.splitlines() if x.startswith("| endpoint table |")]
+    assert [x.split(" | ")[1] for x in lines] == ["zeta", "alpha"]
     assert run([*words, "--program", "never"]) == 2
     assert "--program never: there are before, after" in capsys.readouterr().err
 
--- a/zincstile/cli/scale_capacity.py
+++ b/zincstile/cli/scale_capacity.py
@@ -55,7 +55,8 @@
     found: dict[str, Measured] = {}
     for label, path in files:
         result = _read(path, label)
-        for name in dict.fromkeys(s.program for s in result.samples):
+        measured = {s.program for s in result.samples}
+        for name in [*(n for n in result.commits if n in measured), *sorted(measured - set(result.commits))]:
             if name in found:
                 raise FileError(f"{path}: program {name} is there already: --also LABEL={path}")
             found[name] = Measured(result, name)
