Capacity: subsets by zone, and as large as keeps the load even

A gateway may take endpoints from all zones, its region or its own zone; a slice is larger than the least where fewer than four gateways would keep an endpoint. Memory stands with scoped subscription: a subset of what is used alone leaves the whole list in memory.

--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -438,6 +438,8 @@
     every = capacity_answers.subset_size(fleet, len(fleet.zones))
     assert fleet.services.count <= every <= fleet.backends
     assert capacity_answers.subset_size(fleet, 1) <= every
+    few = topology.with_sizes(fleet, gateways=5)  # each endpoint is kept by four of them
+    assert capacity_answers.subset_size(few, 5) >= 4 / 5 * fleet.backends
     lone = topology.with_sizes(fleet, backends=920)
     assert capacity_answers.subset_size(lone, 5) == 920
 
--- a/zincstile/scale/capacity_answers.py
+++ b/zincstile/scale/capacity_answers.py
@@ -19,7 +19,9 @@
 from .capacity_load import Load
 from .topology import Topology
 
-SUBSET_LEAST: Final = 3  # endpoints that a gateway keeps of each service in each zone in reach
+SUBSET_LEAST: Final = 3  # endpoints that a gateway keeps of each service in each zone in reach, at least
+SUBSET_HOLDERS: Final = 4  # gateways that keep each endpoint, at least: with fewer the load is uneven
+SUBSETTING: Final = "subset/selection.Selection"
 CHOICES: Final = 2  # d of the power of d choices, as it is usually told
 SAMPLE_AGE_S: Final = 1.0  # an answer's word on load is of use for so long, about
 
@@ -28,7 +30,7 @@
     """All of them, in the order in which the operators' letter names them."""
     return [
         *_subsetting(measured, topology, load),
-        *_scoped(topology),
+        *_scoped(measured, topology),
         *_trees(topology),
         *_deltas(measured, topology),
         *_sharding(topology, load),
@@ -38,66 +40,70 @@
 
 
 def subset_size(topology: Topology, zones: int) -> int:
-    """Endpoints of one gateway: the least number of each service in each of so many zones, or all."""
+    """Endpoints of one gateway that takes them from so many zones: of each service in each of these zones the
+    least number, or more where each would be kept by too few gateways, or all there are."""
     per_zone = len(topology.zones)
+    sharing = topology.gateways * zones // per_zone  # gateways that take endpoints from a zone
     found = 0
     for size in topology.service_sizes():
         whole, more = divmod(size, per_zone)  # the first `more` zones have one besides
-        held = [min(SUBSET_LEAST, whole + (zone < more)) for zone in range(per_zone)]
-        found += sum(held[:zones])
+        rings = [whole + (zone < more) for zone in range(zones)]
+        found += sum(min(n, max(SUBSET_LEAST, -(-SUBSET_HOLDERS * n // sharing))) for n in rings)
     return found
 
 
 def _subsetting(measured: Measured, topology: Topology, load: Load) -> list[Row]:
     """Carried where the program was measured with the feature on."""
-    on = "subset" if "subset" in measured.features else ""
+    on = SUBSETTING if "subset" in measured.features else ""
     rows = []
     for where, count in _reaches(topology):
         size = subset_size(topology, count)
-        how = f"{SUBSET_LEAST} of each of {topology.services.count:,} services in {count} zones, or all"
+        how = (
+            f"{SUBSET_LEAST} of each of {topology.services.count:,} services in {count} zones, or all; "
+            f"more where fewer than {SUBSET_HOLDERS} gateways would keep one"
+        )
         rows += [
             Row(f"subsetting, {where}: endpoints of a gateway", how, Unit.COUNT, exact(size), on),
-            row(
-                f"subsetting, {where}: memory for them",
-                f"{size:,} entries",
-                Unit.BYTES,
-                partial(_entries, measured, topology, size),
-                on,
-                topology.budgets.memory_mb * MEGABYTE,
-            ),
             _kept_row(f"subsetting, {where}", load, size, on),
         ]
     return [*rows, _kept_row("without", load, topology.backends, "net/backend.Backends")]
 
 
 def _reaches(topology: Topology) -> list[tuple[str, int]]:
-    """Zones that a gateway may take endpoints from: all, or those of the smallest region."""
+    """Zones that a gateway may take endpoints from: all, those of the smallest region, or its own."""
     region = min(len(region.zones) for region in topology.regions)
-    return [("all zones", len(topology.zones)), ("its region", region)]
+    return [("all zones", len(topology.zones)), ("its region", region), ("its zone", 1)]
 
 
-def _scoped(topology: Topology) -> list[Row]:
-    budget, rows = topology.budgets.control_bytes_per_s, []
+def _scoped(measured: Measured, topology: Topology) -> list[Row]:
+    budgets, rows = topology.budgets, []
     for where, count in _reaches(topology):
         size = subset_size(topology, count)
-        rows.append(
+        rows += [
+            row(
+                f"scoped subscription, {where}: memory for its endpoints",
+                f"{size:,} entries",
+                Unit.BYTES,
+                partial(_entries, measured, topology, size),
+                budget=budgets.memory_mb * MEGABYTE,
+            ),
             missing(
                 f"scoped subscription, {where}: list of a start, over its minute",
                 f"{size:,} × {capacity_messages.entry_bytes()} bytes",
                 Unit.BYTES_PER_S,
                 capacity_messages.list_bytes(size) / MINUTE_S,
-                budget,
-            )
-        )
+                budgets.control_bytes_per_s,
+            ),
+        ]
     lost = topology.backends // len(topology.zones)
     held = subset_size(topology, len(topology.zones)) / len(topology.zones)
     rows.append(
         missing(
-            "scoped subscription: a zone lost, over its minute",
+            "scoped subscription, all zones: a zone lost, over its minute",
             f"{held:,.0f} of {lost:,} changes concern a gateway",
             Unit.BYTES_PER_S,
             held * capacity_messages.change_bytes() / MINUTE_S,
-            budget,
+            budgets.control_bytes_per_s,
         )
     )
     return rows
