--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -57,6 +57,7 @@
         Figure.CPU_REST_SHARE: lambda n: 0.003 + 6e-6 * n,
         Figure.CPU_PER_CHANGE_S: lambda n: 1e-4 + 1e-6 * n,
         Figure.READY_S: lambda n: 0.3,
+        Figure.STROKE_IN_FORCE_S: lambda n: 2e-7 * n**2,
     },
     Dimension.GATEWAYS: {
         Figure.MEMORY_BYTES: lambda n: 21e6 + 100 * n,
@@ -262,6 +263,9 @@
     assert lost["processor time of one gateway, one change at a time"].amount.value == pytest.approx(
         6400 * one
     )
+    measured_one = lost["the last change in force"]
+    assert measured_one.amount.value == pytest.approx(2e-7 * 32000**2)
+    assert measured_one.amount.basis == ("real, worse than linear over backends",) and measured_one.missing
     burst = rows(capacity_moments.rollout(measured, fleet))["the same, over its minute"]
     assert burst.amount.value == pytest.approx(3 * fleet.service_sizes()[0] * one / 60)
 
--- a/zincstile/scale/capacity_moments.py
+++ b/zincstile/scale/capacity_moments.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from functools import partial
 from typing import Final
 
 from ..net.limits import Limits
@@ -44,6 +45,20 @@
     lost, budgets = topology.backends // len(topology.zones), topology.budgets
     told = lost * capacity_messages.change_bytes()
     return [
+        *(
+            row(
+                entry,
+                "measured at one gateway beside load, a fifth of its table",
+                unit,
+                partial(measured.predict, Dimension.BACKENDS, figure, topology.backends),
+                FOLLOW,
+                budget,
+            )
+            for entry, unit, figure, budget in (
+                ("the last change in force", Unit.SECONDS, Figure.STROKE_IN_FORCE_S, budgets.in_force_s),
+                ("requests served meanwhile", Unit.SHARE, Figure.STROKE_SERVED_SHARE, None),
+            )
+        ),
         row(
             "processor time of one gateway, one change at a time",
             f"{lost:,} changes; also the least time until the last is in force",
