--- /dev/null
+++ b/zincstile/scale/day.py
@@ -0,0 +1,430 @@
+"""One scale run: real gateways in a crowd of hollow ones, all watching one emulated discovery, through the
+moments of a plan.
+
+Everything is started by this process and ended by it, however the run ends.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import math
+import os
+import random
+import resource
+import signal
+import time
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Final
+
+from ..field import places
+from ..field.sight import Series
+from ..field.testbed import SLACK_NS
+from ..rules.quotas import Quotas
+from ..rules.referee import Referee
+from ..worlds import traffic
+from ..worlds.plan import Plan
+from . import day_load, estimate, judge
+from .configuration import GatewaySpec
+from .crowd import GatewayProcess, place_of, write_configuration
+from .members import Member, name_of
+from .moments import Happenings
+from .outcome import DayResult
+from .plan import DayPlan, text
+from .records import Kind
+from .surroundings import DayBackends, DayDiscovery, DayEars, DayTable, PeerRelay
+from .topology import Topology
+from .verdicts import ColdBudgets
+
+READY_S: Final = 120.0  # until all gateways have the table
+SETTLE_S: Final = 3.0  # then, before the day begins
+STEP_S: Final = 0.05  # between two looks at a condition
+LOOK_S: Final = 0.5  # between two looks at what is due and at processes that ended
+ANSWERED_S: Final = 10.0  # at the end, until all requests are answered
+GONE_S: Final = 12.0  # a process that was told to end may take so long
+FORGET_S: Final = 60.0  # after its deadline a request is forgotten
+
+Progress = Callable[[float, float, str], None]
+
+
+class NotReadyError(RuntimeError):
+    """The gateways did not start; one line with what their logs say."""
+
+
+class Day:
+    """The state of one run. `cut`: hollow gateways whose watches are told nothing once the day has begun, a
+    deliberate fault."""
+
+    def __init__(
+        self,
+        fleet: Topology,
+        plan: DayPlan,
+        folder: Path,
+        result: DayResult,
+        told: Progress = lambda at_s, of_s, what: None,
+        cut: frozenset[int] = frozenset(),
+    ) -> None:
+        self.fleet, self.plan, self.folder, self.result = fleet, plan, folder, result
+        self._progress, self._cut = told, cut
+        self.members: list[Member] = []
+        self.processes: list[GatewayProcess] = []
+        self.faults: list[str] = []
+        self.spans: list[tuple[str, float, float]] = []
+        self.began_s = 0.0  # of the day, unix
+        self._moments_open: dict[str, float] = {}
+        self._used: tuple[float, float] = (0.0, 0.0)  # seconds of all cores at the day's begin: busy, all
+
+    async def play(self) -> None:
+        """Fills the result, also where it is stopped. NotReadyError or OSError where it can't begin."""
+        self.loop = asyncio.get_running_loop()
+        _raise_descriptor_limit()
+        with contextlib.ExitStack() as stack:
+            count = -(-self.fleet.gateways // places.MOST)
+            self.blocks = [stack.enter_context(places.block()) for _ in range(count)]
+            try:
+                await self._build()
+                await self._start()
+                await self._play_day()
+                self.result.complete = True
+            finally:
+                self._judge()
+                self._end_all()
+
+    # ---- start
+
+    async def _build(self) -> None:
+        fleet, plan = self.fleet, self.plan
+        cold_window_s = traffic.settings(Plan(seed=1, gateways=1), 0)["obligations"]["fall_ns"] / 1e9
+        self.cold = ColdBudgets(cold_window_s)
+        self.referee = Referee(_figures(), lambda: (0, time.monotonic_ns()))
+        self.referee.quotas = Quotas(traffic.quotas())
+        ears = DayEars(self.referee, Series(), time.monotonic, cold=self.cold, clock=time.time)
+        self.discovery = DayDiscovery(self.loop, fleet.gateways, time.time)
+        self.backends = DayBackends(self.loop, fleet, ears, plan.seed, time.time)
+        self.relay = PeerRelay(self.loop, self.discovery.traffic)
+        self.ears = ears
+        await self.discovery.start()
+        await self.backends.start()
+        self.discovery.table = DayTable(fleet, self.backends.port)
+        for entry in self.discovery.table.entries.values():
+            self.backends.add(entry, cold=False)
+        self.discovery.written = self._written
+        self.discovery.asked = self._asked
+        self._make_gateways()
+        addresses = {m.name: m.listen for m in self.members}
+        self.front = day_load.DayFront(
+            self.loop, random.Random(f"front {plan.seed}"), ears, addresses, dead_s=(0.3, 1.5)
+        )
+        self.front.loaded = [m.name for m in self.members if m.loaded]
+        loaded = frozenset(self.front.loaded)
+        self.front.weigh = lambda want, names: [float(name in loaded) for name in names]
+        self.happenings = Happenings(
+            self.discovery, self.backends, self.processes, self._stop, self._begin, plan.seed
+        )
+
+    def _make_gateways(self) -> None:
+        """Every gateway's configuration, and which process it belongs to."""
+        real = self.plan.real.loaded + self.plan.real.unloaded
+        hollow: dict[str, list[Member]] = {zone: [] for zone in self.fleet.zones}
+        for number in range(self.fleet.gateways):
+            host = place_of(self.blocks, number)
+            self.relay.add(host, places.PEERS_PORT)
+        for number in range(self.fleet.gateways):
+            member = self._member(number, Kind.REAL if number < real else Kind.HOLLOW)
+            self.members.append(member)
+            if member.kind is Kind.REAL:
+                self._add_process(Kind.REAL, [member])
+            else:
+                hollow[member.zone].append(member)
+        size = estimate.hollow_of_process(self.fleet)
+        for members in hollow.values():
+            for first in range(0, len(members), size):
+                self._add_process(Kind.HOLLOW, members[first : first + size])
+
+    def _add_process(self, kind: Kind, members: list[Member]) -> None:
+        folder = self.folder / f"{kind.value}-{members[0].number}"
+        self.processes.append(GatewayProcess(kind, members, folder))
+
+    def _member(self, number: int, kind: Kind) -> Member:
+        zone = self.fleet.zones[number % len(self.fleet.zones)]
+        host = place_of(self.blocks, number)
+        own = f"{host}:{places.PEERS_PORT}"
+        spec = GatewaySpec(
+            number,
+            f"{host}:{places.CLIENTS_PORT}",
+            own,
+            self.discovery.address(number, 0),
+            self.relay.addresses(self.fleet.gateways, number, own),
+        )
+        settings = traffic.settings(Plan(seed=1, gateways=self.fleet.gateways), number)
+        settings |= {"zones": self.fleet.zones, "zone": number % len(self.fleet.zones)}
+        path = self.folder / f"g{number}.json"
+        write_configuration(self.fleet, spec, settings, path)
+        loaded = kind is Kind.REAL and number < self.plan.real.loaded
+        return Member(number, kind, zone, (host, places.CLIENTS_PORT), path, loaded)
+
+    async def _start(self) -> None:
+        """Until every gateway has the table."""
+        for process in self.processes:
+            self._begin(process)
+        until_s = self.loop.time() + READY_S
+        while not all(member.ready for member in self.members):
+            await asyncio.sleep(STEP_S)
+            self._read_logs()
+            ready = sum(member.ready for member in self.members)
+            self._progress(0.0, self.plan.lasts_s, f"{ready} of {len(self.members)} gateways ready")
+            ended = next((p for p in self.processes if not p.alive), None)
+            if ended is not None or self.loop.time() > until_s:
+                one = ended or next(p for p in self.processes if not all(m.ready for m in p.members))
+                tail = (one.log.read_text(errors="replace").strip().splitlines() or [""])[-1]
+                raise NotReadyError(f"{one.members[0].name} ({one.kind.value}) did not start: {tail[:200]}")
+        self.front.watch()
+        await asyncio.sleep(SETTLE_S)
+
+    # ---- the day
+
+    async def _play_day(self) -> None:
+        """Load, churn and moments beside each other, and the samples."""
+        self.began_s, began = time.time(), self.loop.time()
+        self._used = _machine_seconds()
+        self.discovery.cut |= self._cut
+        for process in self.processes:
+            process.sample(self.began_s, self._control_bytes())
+        tasks = [
+            self.loop.create_task(one)
+            for one in (
+                day_load.ask(self.front, self.fleet, self.plan),
+                self.happenings.churn(self.plan.churn.replacements_per_s),
+                self._sample(),
+                *(self._moment(number) for number in range(len(self.plan.moments))),
+            )
+        ]
+        # No change is made in the last seconds, so that all are due before the end.
+        quiet_s = self.plan.lasts_s - self.fleet.budgets.in_force_s - self.plan.sample_s
+        try:
+            while (at_s := self.loop.time() - began) < self.plan.lasts_s:
+                if at_s >= quiet_s:
+                    tasks[1].cancel()
+                self._look()
+                self._progress(at_s, self.plan.lasts_s, ", ".join(self._moments_open) or "churn")
+                _raise_of([task for task in tasks if task.done() and not task.cancelled()])
+                await asyncio.sleep(LOOK_S)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        await self._finish()
+
+    async def _moment(self, number: int) -> None:
+        moment = self.plan.moments[number]
+        await asyncio.sleep(moment.at_s)
+        name = f"{number}: {text(moment)}"
+        began_s = self._moments_open[name] = time.time()
+        try:
+            await self.happenings.play(moment)
+        finally:
+            del self._moments_open[name]
+            self.spans.append((name, began_s, time.time()))
+
+    async def _sample(self) -> None:
+        """Each process in turn, spread over the time between two samples of one."""
+        pause_s = self.plan.sample_s / len(self.processes)
+        while True:
+            for process in self.processes:
+                process.sample(time.time(), self._control_bytes())
+                process.ask_counters()
+                await asyncio.sleep(pause_s)
+
+    def _control_bytes(self) -> list[int]:
+        return [one.bytes_in + one.bytes_out for one in self.discovery.traffic]
+
+    def _look(self) -> None:
+        """Reads the logs, and looks at what is due and who ended."""
+        self._read_logs()
+        now = time.monotonic_ns()
+        self.referee.watch(now)
+        self.ears.came.clear()
+        referee = self.referee
+        old = now - int(FORGET_S * 1e9)
+        for request in [r for r, c in referee.cases.items() if c.due_ns < old and c.state != "open"]:
+            del referee.cases[request]
+            referee._made.pop(request, None)
+        held = sum(p.program.memory_kb() for p in self.processes if p.alive) * 1024 + _own_bytes()
+        self.result.measured_bytes = max(self.result.measured_bytes, held)
+        for process in self.processes:
+            if not process.alive and not process.program.asked_to_end:
+                process.program.asked_to_end = True
+                code = process.program.process.returncode
+                self.faults.append(f"{process.members[0].name}: the process ended by itself, exit {code}")
+                self._gone(process)
+
+    def _read_logs(self) -> None:
+        for process in self.processes:
+            process.read(self.discovery.told)
+
+    async def _finish(self) -> None:
+        """No more is asked: all that was is answered, and every gateway says once more what it acts by."""
+        until_s = self.loop.time() + ANSWERED_S
+        while (self.front.open or self.front.coming) and self.loop.time() < until_s:
+            await asyncio.sleep(STEP_S)
+        if self.front.open:
+            self.referee.breach("answer", f"{self.front.open} requests were never answered")
+        asked_s = time.time()
+        for process in self.processes:
+            process.ask_counters()
+        until_s = self.loop.time() + ANSWERED_S
+        while not all(_said(member, asked_s) for member in self.members) and self.loop.time() < until_s:
+            await asyncio.sleep(STEP_S)
+            self._look()
+
+    # ---- processes
+
+    def _begin(self, process: GatewayProcess) -> None:
+        for member in process.members:
+            if member.loaded:
+                self.referee.started(member.name)
+        process.start()
+
+    async def _stop(self, process: GatewayProcess, at_once: bool) -> None:
+        """Ends a process and waits until it has ended."""
+        if at_once:
+            for member in process.members:
+                if member.loaded:
+                    self.referee.ended(member.name)
+            process.program.kill()
+        else:
+            process.program.terminate()
+            until_s = self.loop.time() + GONE_S
+            while process.alive:
+                await asyncio.sleep(STEP_S)
+                if self.loop.time() > until_s:
+                    self.faults.append(
+                        f"{process.members[0].name} did not end within {GONE_S:g} s of SIGTERM"
+                    )
+                    process.program.kill()
+        self._gone(process)
+
+    def _gone(self, process: GatewayProcess) -> None:
+        process.ended(time.time(), self.discovery.told)
+        for member in process.members:
+            self.discovery.restarted(member.number)
+
+    # ---- what the checkers hear of discovery
+
+    def _written(self, gateway: int, entry) -> None:
+        if self.members[gateway].loaded:
+            self.ears.told(name_of(gateway), entry.name, entry.status, entry.since_ms)
+
+    def _asked(self, gateway: int, place: int) -> None:
+        """A watch begins: the gateway has been told the whole list, or what it lacked of it."""
+        if self.members and self.members[gateway].loaded:
+            for entry in self.discovery.table.entries.values():
+                self._written(gateway, entry)
+
+    # ---- end
+
+    def _judge(self) -> None:
+        """From what was seen until now."""
+        result = self.result
+        if not self.began_s:
+            return
+        self._read_logs()
+        now_s = time.time()
+        result.seconds = round(now_s - self.began_s, 1)
+        busy, of = (after - before for after, before in zip(_machine_seconds(), self._used, strict=True))
+        result.machine_share = round(busy / of, 3) if of else 0.0
+        open_spans = [(name, began_s, now_s) for name, began_s in self._moments_open.items()]
+        changes = self.discovery.changes
+        evidence = judge.Evidence(
+            budgets=self.fleet.budgets,
+            members=self.members,
+            changes=changes,
+            end_s=now_s,
+            cold=self.cold,
+            breaches=self.referee.breaches,
+            attempts=self.referee.counts["attempts"],
+            ceiling_nearest=self.referee.ceilings.nearest,
+            quota_over=_quota_over(self.referee.quotas),
+            faults=self.faults + [fault for p in self.processes for fault in p.faults],
+            spans=self.spans + open_spans,
+        )
+        seen = judge.gateways(evidence)
+        result.verdicts = judge.verdicts(evidence, seen)
+        result.delays = judge.delay_rows(evidence)
+        result.gateways = [one.row() for one in seen]
+        result.changes = len(changes)
+        result.attempts, result.cold_calls = evidence.attempts, self.cold.calls
+        for (_, kind), count in self.front.tally.items():
+            result.requests[kind] = result.requests.get(kind, 0) + count
+
+    def _end_all(self) -> None:
+        """Whatever came: nothing that was started here is left."""
+        for process in self.processes:
+            if process.program is not None:
+                process.program.kill()
+        if hasattr(self, "front"):
+            self.front.close()
+        if hasattr(self, "relay"):
+            self.relay.close()
+
+
+def _said(member: Member, since_s: float) -> bool:
+    """It has told what it acts by since then; or it is down, or has been told nothing yet."""
+    life = member.life
+    return life is None or not life.seen or life.seen[-1].at_s >= since_s
+
+
+def _raise_of(done: list[asyncio.Task]) -> None:
+    """The error of a part of the run: one that has it proves nothing."""
+    for task in done:
+        task.result()
+
+
+def _quota_over(quotas: Quotas) -> dict[str, float]:
+    found = quotas.by_plan()
+    return {plan: round(worst, 2) for plan, (worst, bound, _, _) in found.items() if bound == math.inf}
+
+
+def _figures():
+    """The rules' figures, with the slack of a machine that runs everything at once."""
+    figures = traffic.figures()
+    return replace(
+        figures,
+        answer_grace_ns=figures.answer_grace_ns + SLACK_NS,
+        drain_ns=figures.drain_ns + SLACK_NS,
+        told_at_most_ns=figures.told_at_most_ns + SLACK_NS,
+        cold_slack_ns=2 * figures.cold_slack_ns,
+    )
+
+
+def _raise_descriptor_limit() -> None:
+    """As far as the system lets this process."""
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+
+
+def _own_bytes() -> int:
+    return int(Path("/proc/self/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
+def _machine_seconds() -> tuple[float, float]:
+    """Of all cores since the machine's start: busy, and in all."""
+    words = [int(word) for word in Path("/proc/stat").read_text().splitlines()[0].split()[1:9]]
+    return sum(words) - words[3] - words[4], sum(words)
+
+
+def play(day: Day) -> bool:
+    """Plays it; False where SIGINT stopped it half way. All that was started has ended."""
+
+    async def main() -> None:
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGINT, task.cancel)
+        await day.play()
+
+    try:
+        asyncio.run(main())
+    except asyncio.CancelledError:
+        return False
+    return True
--- /dev/null
+++ b/zincstile/scale/day_load.py
@@ -0,0 +1,96 @@
+"""Clients of the loaded real gateways of a scale run: tenants, their sets, requests at a steady rate."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Iterator
+from typing import Final, NamedTuple
+
+from ..standin.clients import Front, Want
+from ..worlds import traffic
+from .plan import DayPlan
+from .topology import Topology
+
+TICK_S: Final = 0.02  # requests that fall due within one go out together
+
+
+class Customer(NamedTuple):
+    """One tenant of the loaded gateways."""
+
+    key: int
+    plan: str
+    spread: int  # gateways in its set, hollow ones among them
+    first: int  # number of the first, a loaded one
+    weight: float
+
+
+def customers(fleet: Topology, plan: DayPlan) -> list[Customer]:
+    """Tenants drawn evenly from all ranks of the fleet; all plans in turn, and the one that has a ceiling is
+    the plan of the tenant that asks most."""
+    rng, sets = random.Random(f"customers {plan.seed}"), fleet.tenant_sets()
+    count = min(plan.tenants, len(sets))
+    plans = sorted(traffic.PLANS, key=lambda name: not traffic.PLANS[name][4])
+    found = []
+    for k in range(count):
+        rank = k * len(sets) // count
+        weight = 1 / (k + 1) ** fleet.tenants.zipf
+        name = plans[k % len(plans)]
+        found.append(Customer(rng.getrandbits(33), name, sets[rank], rng.randrange(plan.real.loaded), weight))
+    return found
+
+
+class DayFront(Front):
+    """Clients that know all gateways by number and come to the loaded ones only."""
+
+    loaded: list[str]
+
+    def watch(self) -> None:
+        for name in self.loaded:
+            self._start(self._admit(name, 0.0))
+
+    def close(self) -> None:
+        """Ends all connections and attempts to connect."""
+        for task in list(self._tasks):
+            task.cancel()
+        for clients in self.lines.values():
+            for client in list(clients):
+                client.transport.abort()
+
+
+def wants(fleet: Topology, plan: DayPlan) -> Iterator[Want]:
+    """Endless requests of one unit each, whose cost in a backend is the same for all classes."""
+    rng = random.Random(f"wants {plan.seed}")
+    rows = customers(fleet, plan)
+    weights = [row.weight for row in rows]
+    names, shares = list(traffic.CLASSES), [c[5] for c in traffic.CLASSES.values()]
+    while True:
+        row = rng.choices(rows, weights)[0]
+        cls = rng.choices(names, shares)[0]
+        _, deadline_ms, effect, _, _, _ = traffic.CLASSES[cls]
+        yield Want(
+            at_s=0.0,
+            cls=cls,
+            plan=row.plan,
+            customer=row.key,
+            units=1.0,
+            spread=row.spread,
+            first=row.first,
+            wait_ms=int(deadline_ms * rng.uniform(0.5, 1.0)),
+            repeats=effect == "free",
+            key=b"%016x" % rng.getrandbits(64) if effect == "guarded" else b"",
+            tries=1,
+            again_s=0.2,
+        )
+
+
+async def ask(front: DayFront, fleet: Topology, plan: DayPlan) -> None:
+    """Requests at the rate of the loaded gateways in such a fleet, for ever."""
+    loop = asyncio.get_running_loop()
+    per_s = fleet.requests_of_gateway() * plan.real.loaded
+    drawn, began_s, asked = wants(fleet, plan), loop.time(), 0
+    while True:
+        await asyncio.sleep(TICK_S)
+        while asked < (loop.time() - began_s) * per_s:
+            front.want(next(drawn))
+            asked += 1
--- /dev/null
+++ b/zincstile/scale/moments.py
@@ -0,0 +1,124 @@
+"""What the moments of a day, and its churn, do to the backends and gateways of a run."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from typing import Final
+
+from ..standin.discovery import Entry
+from .crowd import GatewayProcess
+from .plan import GatewaysRestarted, Moment, Rollout, ZoneLost
+from .surroundings import DayBackends, DayDiscovery
+
+CHURN_DRAIN_S: Final = 2.0  # of a backend that is replaced on an ordinary day
+
+
+class Happenings:
+    """Plays moments and churn. `stop` and `start` end and start a process of gateways and wait until it has
+    ended, or was started."""
+
+    def __init__(
+        self,
+        discovery: DayDiscovery,
+        backends: DayBackends,
+        processes: list[GatewayProcess],
+        stop: Callable[[GatewayProcess, bool], Awaitable[None]],
+        start: Callable[[GatewayProcess], None],
+        seed: int,
+    ) -> None:
+        self.discovery, self.backends, self.processes = discovery, backends, processes
+        self._stop, self._start = stop, start
+        self._rng = random.Random(f"churn {seed}")
+        self._lost: dict[str, None] = {}  # zones that are away
+        self._leaving: dict[str, None] = {}  # backends that are being replaced
+
+    async def play(self, moment: Moment) -> None:
+        """One moment, from now on."""
+        if isinstance(moment, Rollout):
+            await self._roll_out(moment)
+        elif isinstance(moment, ZoneLost):
+            await self._lose_zone(moment)
+        elif isinstance(moment, GatewaysRestarted):
+            await asyncio.gather(*(self._restart(process) for process in self._gateways(moment.zone)))
+
+    async def churn(self, replacements_per_s: float) -> None:
+        """Replaces backends drawn at random, for ever."""
+        async with asyncio.TaskGroup() as tasks:
+            while replacements_per_s:
+                await asyncio.sleep(1 / replacements_per_s)
+                entries = [e for e in self._entries() if self._free(e)]
+                if entries:
+                    tasks.create_task(self._replace(self._rng.choice(entries), CHURN_DRAIN_S))
+
+    def _entries(self) -> list[Entry]:
+        return list(self.discovery.table.entries.values())
+
+    def _free(self, entry: Entry) -> bool:
+        return entry.name not in self._leaving and entry.zone not in self._lost
+
+    def _gateways(self, zone: str) -> list[GatewayProcess]:
+        return [process for process in self.processes if process.zone == zone]
+
+    # ---- backends
+
+    async def _replace(self, entry: Entry, drain_s: float) -> None:
+        """One backend drains and goes; another starts in its place, cold."""
+        self._leaving[entry.name] = None
+        self.discovery.put(replace(entry, status="Terminating"))
+        await asyncio.sleep(drain_s)
+        del self._leaving[entry.name]
+        if entry.zone in self._lost or entry.name not in self.discovery.table.entries:
+            return  # its zone was lost meanwhile
+        self.discovery.put(replace(entry, status="Gone"))
+        self.backends.kill(entry)
+        newer = self.discovery.table.replacement(entry, int(time.time() * 1000))
+        self.backends.add(newer, cold=True)
+        self.discovery.put(newer)
+
+    async def _roll_out(self, moment: Rollout) -> None:
+        head = f"s{moment.service:03d}-"
+        old = [e for e in self._entries() if e.name.startswith(head) and self._free(e)]
+        async with asyncio.TaskGroup() as tasks:
+            for entry in old:
+                if self._free(entry):
+                    tasks.create_task(self._replace(entry, moment.drain_s))
+                await asyncio.sleep(moment.over_s / len(old))
+
+    async def _lose_zone(self, moment: ZoneLost) -> None:
+        """Everything there dies at once; discovery tells it later, and in the end all is back."""
+        self._lost[moment.zone] = None
+        gone = [e for e in self._entries() if e.zone == moment.zone]
+        for entry in gone:
+            self.backends.kill(entry)
+        processes = self._gateways(moment.zone)
+        await asyncio.gather(*(self._stop(process, True) for process in processes))
+        began_s = asyncio.get_running_loop().time()
+        await asyncio.sleep(moment.noticed_s)
+        await self._put_all([replace(e, status="Gone") for e in gone], moment.over_s)
+        await asyncio.sleep(began_s + moment.for_s - asyncio.get_running_loop().time())
+        for process in processes:
+            self._start(process)
+        since_ms = int(time.time() * 1000)
+        back = [replace(e, status="Ready", since_ms=since_ms) for e in gone]
+        for entry in back:
+            self.backends.add(entry, cold=True)
+        await self._put_all(back, moment.over_s)
+        del self._lost[moment.zone]
+
+    async def _put_all(self, entries: list[Entry], over_s: float) -> None:
+        """One change after the other, evenly over that time."""
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        for number, entry in enumerate(entries):
+            await asyncio.sleep(max(0.0, began_s + number * over_s / len(entries) - loop.time()))
+            self.discovery.put(entry)
+
+    # ---- gateways
+
+    async def _restart(self, process: GatewayProcess) -> None:
+        await self._stop(process, False)
+        self._start(process)
--- /dev/null
+++ b/zincstile/scale/surroundings.py
@@ -0,0 +1,241 @@
+"""Emulated surroundings of a scale run: discovery whose every line is known by gateway, backends that warm up
+and are watched by checkers, and the way of datagrams between gateways.
+
+All of a kind stand behind one socket, each at a loopback address of its own. Control traffic is counted by
+gateway: payload bytes of watches and datagrams.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any, Final
+
+from ..field.places import on_loopback
+from ..field.sight import Ears, Tap
+from ..standin.discovery import Entry
+from ..standin.guidebox import GuideBox, Model, Rack
+from ..standin.guidebox import Line as BackendLine
+from ..worlds import traffic
+from .emulators import (
+    BACKENDS_NETWORK,
+    Discovery,
+    EndpointTable,
+    FakePeers,
+    Traffic,
+    WatchConnection,
+    address,
+)
+from .topology import Topology
+from .verdicts import Change, ColdBudgets
+
+CALL_S: Final = 0.02  # work of one call on a warm core, on average
+CORES: Final = 2
+QUEUE: Final = 24  # calls that wait at a backend; more are turned away
+INDEX_HEAD: Final = b'{"index":'
+
+
+class DayTable(EndpointTable):
+    """Discovery's list, changed entry by entry as the run says."""
+
+    def put(self, entry: Entry) -> None:
+        """An entry is new or has changed; `Gone` takes it off the list."""
+        self.index += 1
+        if entry.status == "Gone":
+            self.entries.pop(entry.name, None)
+        else:
+            self.entries[entry.name] = entry
+
+    def replacement(self, old: Entry, since_ms: int) -> Entry:
+        """The entry that takes over from one that goes: its zone and rack, a new name and address."""
+        number = self._made
+        self._made += 1
+        return replace(
+            old,
+            name=f"{old.name.partition('-')[0]}-{number:06x}",
+            address=f"{address(BACKENDS_NETWORK, number)}:{self.port}",
+            status="Ready",
+            since_ms=since_ms,
+        )
+
+
+class DayWatch(WatchConnection):
+    """One watch of a gateway; what it is told is kept by the index that it leads to."""
+
+    def tell(self, line: bytes) -> None:
+        discovery: DayDiscovery = self.discovery  # type: ignore[assignment]
+        if self.gateway in discovery.cut or self.transport.is_closing():
+            return
+        super().tell(line)
+        if line.startswith(INDEX_HEAD):
+            index = int(line[len(INDEX_HEAD) : line.index(b",")])
+            discovery.told[self.gateway].append(index)
+
+
+class DayDiscovery(Discovery):
+    """The list service of a run."""
+
+    table: DayTable
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, gateways: int, clock: Callable[[], float]) -> None:
+        super().__init__(loop, gateways)
+        self._clock = clock
+        self.changes: list[Change] = []
+        self.told: list[list[int]] = [[] for _ in range(gateways)]  # by gateway: index of each line so far
+        self.cut: set[int] = set()  # gateways whose watches are told nothing any more
+        self.written: Callable[[int, Entry], None] = lambda gateway, entry: None
+
+    async def start(self) -> None:
+        sock = on_loopback(socket.SOCK_STREAM)
+        self.port = sock.getsockname()[1]
+        await self.loop.create_server(lambda: DayWatch(self), sock=sock, backlog=1024)
+
+    def put(self, entry: Entry) -> None:
+        """Makes one change and tells all watches of it."""
+        self.table.put(entry)
+        line = self.table.delta(entry)
+        self._changes[self.table.index] = line
+        self.changes.append(Change(self.table.index, self._clock()))
+        for watch in list(self.watches):
+            watch.tell(line)
+            self.written(watch.gateway, entry)
+
+    def restarted(self, gateway: int) -> None:
+        """A process of that gateway has ended: the next one is told everything anew."""
+        for watch in [w for w in self.watches if w.gateway == gateway]:
+            self.watches.pop(watch)
+            watch.transport.abort()
+        self.told[gateway] = []
+
+
+class PeerRelay(FakePeers):
+    """Passes datagrams on between gateways, each of which knows the others by their addresses here."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, traffic: list[Traffic]) -> None:
+        super().__init__(loop, traffic, 0)
+        self.gateways: list[tuple[str, int]] = []  # where each gateway hears its peers, by number
+
+    def add(self, host: str, port: int) -> None:
+        """The next gateway."""
+        self.places[host, port] = len(self.gateways)
+        self.gateways.append((host, port))
+
+    def _answer(self, sender: tuple[str, int], peer: int, data: bytes) -> None:
+        if peer < len(self.gateways):
+            self.send(self.gateways[peer], self.places[sender], data)
+
+
+class DayEars(Ears):
+    """Hears backends and clients for the checkers of the rules and for the budgets of cold backends."""
+
+    def __init__(self, *words: Any, cold: ColdBudgets, clock: Callable[[], float]) -> None:
+        super().__init__(*words)
+        self.cold, self._clock = cold, clock
+
+    def arrived(self, box: str, request: bytes, key: bytes, gateway: str, work_ns: int) -> None:
+        self.cold.take(box, self._clock())
+        super().arrived(box, request, key, gateway, work_ns)
+
+
+class DayBackends:
+    """All backends of a run. An address where none runs breaks each connection at once."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        fleet: Topology,
+        ears: DayEars,
+        seed: int,
+        clock: Callable[[], float],
+    ) -> None:
+        self.loop, self.fleet, self.ears, self._clock = loop, fleet, ears, clock
+        self.port = 0
+        self.by_address: dict[str, GuideBox] = {}
+        self.connections = 0
+        self._rng = random.Random(f"backends {seed}")
+        self._racks: dict[int, Rack] = {}
+        self._settings = traffic.settings(traffic.Plan(seed=1, gateways=1), 0)["obligations"]
+
+    async def start(self) -> None:
+        """Listens on all addresses of the loopback interface."""
+        sock = on_loopback(socket.SOCK_STREAM)
+        self.port = sock.getsockname()[1]
+        await self.loop.create_server(lambda: BackendConnection(self), sock=sock, backlog=1024)
+
+    def add(self, entry: Entry, cold: bool) -> None:
+        """A backend starts."""
+        model = Model(
+            cores=CORES,
+            places=QUEUE,
+            work_ns=dict.fromkeys(traffic.CLASSES, int(CALL_S * 1e9)),
+            cold_share=self._settings["start_capacity"],
+            warm_s=self._settings["warm_up_ns"] / 1e9,
+        )
+        rack = self._racks.setdefault(entry.group, Rack(traffic.KEYED_MS / 1000))
+        box = GuideBox(self.loop, entry.name, model, rack, self._rng, self.ears, cold)
+        self.by_address[_host(entry)] = box
+        referee = self.ears.referee
+        referee.boxes[entry.name] = self.fleet.zones.index(entry.zone), entry.group
+        if cold:
+            self.ears.cold.began(entry.name, self.budget(self._clock()))
+            referee.cold.began(entry.name, entry.since_ms, box.capacity, lambda: box.warmth() >= 1)
+
+    def budget(self, began_s: float) -> Callable[[float], float | None]:
+        """Calls that a backend started then bears in a window of the settings, by its age."""
+        settings = self._settings
+        warm_s, window_s = settings["warm_up_ns"] / 1e9, settings["fall_ns"] / 1e9
+        cold_share, factor = settings["start_capacity"], settings["overload_factor"]
+
+        def calls(at_s: float) -> float | None:
+            age = at_s - began_s
+            if age >= warm_s:
+                return None
+            share = cold_share + (1 - cold_share) * age / warm_s
+            return factor * share * CORES * window_s / CALL_S
+
+        return calls
+
+    @property
+    def window_s(self) -> float:
+        """Over which the budget of a cold backend holds."""
+        return self._settings["fall_ns"] / 1e9
+
+    def kill(self, entry: Entry) -> None:
+        """A backend ends: its connections break, and it takes no new ones."""
+        box = self.by_address.pop(_host(entry), None)
+        for line in list(box.lines) if box is not None else ():
+            line.transport.abort()
+
+
+def _host(entry: Entry) -> str:
+    return entry.address.rpartition(":")[0]
+
+
+class BackendConnection(asyncio.Protocol):
+    """One connection of a gateway to one backend, which a tap of the checkers reads too."""
+
+    def __init__(self, backends: DayBackends) -> None:
+        self.backends = backends
+        self._line: BackendLine | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        box = self.backends.by_address.get(transport.get_extra_info("sockname")[0])
+        if box is None:
+            transport.abort()  # type: ignore[attr-defined]
+            return
+        self.backends.connections += 1
+        self._line = BackendLine(box)
+        self._tap = Tap(self.backends.ears, "?", box.name)
+        self._line.connection_made(transport)
+
+    def data_received(self, data: bytes) -> None:
+        if self._line is not None:
+            self._tap.feed(data)
+            self._line.data_received(data)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self._line is not None:
+            self._line.connection_lost(exc)
