Scale run: traffic by kind, the machine's share by moment, features by name

Seen at 66 gateways and 1,000 backends: bytes of loaded gateways were over budget, and it could not be told whether by watches or by datagrams; delays could not be held against what the machine had left.

--- a/zincstile/cli/scale_run.py
+++ b/zincstile/cli/scale_run.py
@@ -21,20 +21,33 @@
 @click.argument("path", metavar="[TOPOLOGY]", default=TARGET, type=click.Path())
 @click.option("--plan", "plan_path", default=PLAN, show_default=True, type=click.Path(), help="The day.")
 @sizes
+@click.option(
+    "--feature",
+    "features",
+    multiple=True,
+    metavar="NAME=FILE",
+    help="A file under deploy/ that every gateway is told of.",
+)
 @click.option("--out", type=click.Path(dir_okay=False), help="Write the result as JSON.")
 @click.option("--keep", type=click.Path(file_okay=False), help="Keep configurations and logs in this folder.")
 def command(
-    path: str, plan_path: str, factor: str, out: str | None, keep: str | None, **given: float | None
+    path: str,
+    plan_path: str,
+    factor: str,
+    features: tuple[str, ...],
+    out: str | None,
+    keep: str | None,
+    **given: float | None,
 ) -> int:
     """Plays the moments of a plan and judges what was seen.
 
     Exit 1 where a verdict broke. Interrupted, it ends all that it started, keeps what it measured and exits
     with 130."""
-    from ..scale import day, outcome, report
+    from ..scale import day, outcome, report, slopes
 
     chosen = fleet(path, factor, given)
     try:
-        plan, result = prepare(chosen, path, plan_path, factor)
+        plan, result = prepare(chosen, path, plan_path, factor, features)
         if out is not None:
             outcome.write(result, out)  # a path that can't be written is told now
     except FileError as err:
@@ -43,7 +56,9 @@
         folder = Path(keep or scratch).resolve()
         try:
             folder.mkdir(parents=True, exist_ok=True)
-            finished = day.play(day.Day(chosen, plan, folder, result, progress))
+            files = {name: str(slopes.ROOT / file) for name, file in result.features.items()}
+            one = day.Day(chosen, plan, folder, result, progress, features=files)
+            finished = day.play(one)
         except (day.NotReadyError, OSError) as err:
             raise BadInputError(f"{plan_path}: can't be played here: {err}") from None
     result.notes += [note for note in [report.loaded_beside_unloaded(result)] if note]
@@ -58,13 +73,15 @@
     return 0 if result.ok else 1
 
 
-def prepare(chosen, path: str, plan_path: str, factor: str):
+def prepare(chosen, path: str, plan_path: str, factor: str, features: tuple[str, ...] = ()):
     """The plan, and the result before anything is measured. FileError; BadInputError where it doesn't fit the
     machine."""
     from ..scale import estimate, outcome, slopes
     from ..scale import plan as plans
 
     plan = plans.load(plan_path, chosen)
+    tree = slopes.this_tree()
+    named = [slopes.feature(word, [tree]) for word in features]
     needed = estimate.estimate(chosen, plan)
     why = estimate.refused(needed)
     if why is not None:
@@ -85,6 +102,8 @@
         plan=plan_path,
         moments=[plans.text(moment) for moment in plan.moments],
         estimated_bytes=needed.memory_bytes,
+        estimated_rest_cores=round(needed.rest_cores, 2),
+        features={one.name: one.path for one in named},
         processes=needed.processes,
     )
     return plan, result
--- a/zincstile/scale/day.py
+++ b/zincstile/scale/day.py
@@ -29,6 +29,7 @@
 from . import day_load, estimate, judge
 from .configuration import GatewaySpec
 from .crowd import GatewayProcess, place_of, write_configuration
+from .emulators import Traffic
 from .members import Member, name_of
 from .moments import Happenings
 from .outcome import DayResult
@@ -55,7 +56,7 @@
 
 class Day:
     """The state of one run. `cut`: hollow gateways whose watches are told nothing once the day has begun, a
-    deliberate fault."""
+    deliberate fault. `features`: files that every gateway is told of, by name."""
 
     def __init__(
         self,
@@ -65,16 +66,17 @@
         result: DayResult,
         told: Progress = lambda at_s, of_s, what: None,
         cut: frozenset[int] = frozenset(),
+        features: dict[str, str] | None = None,
     ) -> None:
         self.fleet, self.plan, self.folder, self.result = fleet, plan, folder, result
-        self._progress, self._cut = told, cut
+        self._progress, self._cut, self._features = told, cut, features or {}
         self.members: list[Member] = []
         self.processes: list[GatewayProcess] = []
         self.faults: list[str] = []
         self.spans: list[tuple[str, float, float]] = []
         self.began_s = 0.0  # of the day, unix
         self._moments_open: dict[str, float] = {}
-        self._used: tuple[float, float] = (0.0, 0.0)  # seconds of all cores at the day's begin: busy, all
+        self._machine: list[tuple[float, float, float]] = []  # when; seconds of all cores: busy, in all
 
     async def play(self) -> None:
         """Fills the result, also where it is stopped. NotReadyError or OSError where it can't begin."""
@@ -103,7 +105,7 @@
         ears = DayEars(self.referee, Series(), time.monotonic, cold=self.cold, clock=time.time)
         self.discovery = DayDiscovery(self.loop, fleet.gateways, time.time)
         self.backends = DayBackends(self.loop, fleet, ears, plan.seed, time.time)
-        self.relay = PeerRelay(self.loop, self.discovery.traffic)
+        self.relay = PeerRelay(self.loop, [Traffic() for _ in range(fleet.gateways)])
         self.ears = ears
         await self.discovery.start()
         await self.backends.start()
@@ -157,6 +159,7 @@
             own,
             self.discovery.address(number, 0),
             self.relay.addresses(self.fleet.gateways, number, own),
+            self._features,
         )
         settings = traffic.settings(Plan(seed=1, gateways=self.fleet.gateways), number)
         settings |= {"zones": self.fleet.zones, "zone": number % len(self.fleet.zones)}
@@ -188,7 +191,7 @@
     async def _play_day(self) -> None:
         """Load, churn and moments beside each other, and the samples."""
         self.began_s, began = time.time(), self.loop.time()
-        self._used = _machine_seconds()
+        self._machine.append(_machine_seconds())
         self.discovery.cut |= self._cut
         for process in self.processes:
             process.sample(self.began_s, self._control_bytes())
@@ -238,11 +241,15 @@
                 await asyncio.sleep(pause_s)
 
     def _control_bytes(self) -> list[int]:
-        return [one.bytes_in + one.bytes_out for one in self.discovery.traffic]
+        return [
+            watched.bytes_in + watched.bytes_out + relayed.bytes_in + relayed.bytes_out
+            for watched, relayed in zip(self.discovery.traffic, self.relay.traffic, strict=True)
+        ]
 
     def _look(self) -> None:
         """Reads the logs, and looks at what is due and who ended."""
         self._read_logs()
+        self._machine.append(_machine_seconds())
         now = time.monotonic_ns()
         self.referee.watch(now)
         self.ears.came.clear()
@@ -333,8 +340,8 @@
         self._read_logs()
         now_s = time.time()
         result.seconds = round(now_s - self.began_s, 1)
-        busy, of = (after - before for after, before in zip(_machine_seconds(), self._used, strict=True))
-        result.machine_share = round(busy / of, 3) if of else 0.0
+        self._machine.append(_machine_seconds())
+        result.machine_share = judge.machine_share(self._machine, self.began_s, now_s)
         open_spans = [(name, began_s, now_s) for name, began_s in self._moments_open.items()]
         changes = self.discovery.changes
         evidence = judge.Evidence(
@@ -349,11 +356,18 @@
             quota_over=_quota_over(self.referee.quotas),
             faults=self.faults + [fault for p in self.processes for fault in p.faults],
             spans=self.spans + open_spans,
+            machine=self._machine,
         )
         seen = judge.gateways(evidence)
         result.verdicts = judge.verdicts(evidence, seen)
         result.delays = judge.delay_rows(evidence)
         result.gateways = [one.row() for one in seen]
+        for row, watched, relayed in zip(
+            result.gateways, self.discovery.traffic, self.relay.traffic, strict=True
+        ):
+            row.watch_bytes = watched.bytes_in + watched.bytes_out
+            row.peer_bytes = relayed.bytes_in + relayed.bytes_out
+            row.datagrams = relayed.datagrams_in + relayed.datagrams_out
         result.changes = len(changes)
         result.attempts, result.cold_calls = evidence.attempts, self.cold.calls
         for (_, kind), count in self.front.tally.items():
@@ -409,10 +423,10 @@
     return int(Path("/proc/self/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE")
 
 
-def _machine_seconds() -> tuple[float, float]:
-    """Of all cores since the machine's start: busy, and in all."""
+def _machine_seconds() -> tuple[float, float, float]:
+    """When, and seconds of all cores since the machine's start: busy, and in all."""
     words = [int(word) for word in Path("/proc/stat").read_text().splitlines()[0].split()[1:9]]
-    return sum(words) - words[3] - words[4], sum(words)
+    return time.time(), sum(words) - words[3] - words[4], sum(words)
 
 
 def play(day: Day) -> bool:
--- a/zincstile/scale/judge.py
+++ b/zincstile/scale/judge.py
@@ -36,6 +36,7 @@
     )  # by plan without a bound: the most units beyond
     faults: list[str] = field(default_factory=list)
     spans: list[tuple[str, float, float]] = field(default_factory=list)  # moments: name, begin, end
+    machine: list[tuple[float, float, float]] = field(default_factory=list)  # when; cores' seconds: busy, all
 
 
 @dataclass
@@ -277,9 +278,26 @@
         round(delays[-1] if delays else 0.0, 3),
         found.late,
         found.never,
+        _share_of_span(evidence, name),
     )
 
 
+def _share_of_span(evidence: Evidence, name: str) -> float:
+    """Of the machine, during a moment and the time that its changes have; over the whole day for churn."""
+    for span, began_s, ended_s in evidence.spans:
+        if span == name:
+            return machine_share(evidence.machine, began_s, ended_s + evidence.budgets.in_force_s)
+    return machine_share(evidence.machine, 0.0, evidence.end_s)
+
+
+def machine_share(samples: list[tuple[float, float, float]], began_s: float, ended_s: float) -> float:
+    """What all cores were busy for between two times, by whatever ran; 0 where it was not sampled."""
+    inside = [sample for sample in samples if began_s <= sample[0] <= ended_s]
+    if len(inside) < 2 or inside[-1][2] <= inside[0][2]:
+        return 0.0
+    return round((inside[-1][1] - inside[0][1]) / (inside[-1][2] - inside[0][2]), 3)
+
+
 def percentile(ordered: list[float], share: float) -> float:
     """The least value that this share of all does not exceed; 0 of none."""
     return ordered[max(0, ceil(share * len(ordered)) - 1)] if ordered else 0.0
--- a/zincstile/scale/outcome.py
+++ b/zincstile/scale/outcome.py
@@ -48,6 +48,7 @@
     last_s: float
     late: int
     never: int
+    machine_share: float  # of all cores, meanwhile and until its changes were due
 
 
 class GatewayRow(msgspec.Struct):
@@ -67,6 +68,9 @@
     bytes_per_s: float
     memory_bytes: float
     window_s: float  # the longest that was looked at
+    watch_bytes: int = 0  # of discovery, in and out, since its first start
+    peer_bytes: int = 0  # of datagrams between gateways, in and out
+    datagrams: int = 0
 
 
 class DayResult(msgspec.Struct):
@@ -81,6 +85,8 @@
     plan: str
     moments: list[str]
     estimated_bytes: float
+    estimated_rest_cores: float  # that all gateways take at rest
+    features: dict[str, str]
     processes: int
     seconds: float = 0.0  # of the day, as far as it was played
     complete: bool = False  # False: stopped half way
--- a/zincstile/scale/report.py
+++ b/zincstile/scale/report.py
@@ -48,11 +48,19 @@
 
 def _delays(result: DayResult) -> str:
     table = Table(title="until in force, seconds (upper bounds)")
-    for name in ("moment", "given by", "changes", "p50", "p99", "last", "late", "never"):
+    for name in ("moment", "given by", "changes", "p50", "p99", "last", "late", "never", "machine"):
         table.add_column(name, justify="left" if name in ("moment", "given by") else "right")
     for row in result.delays:
         figures = (f"{value:.2f}" for value in (row.p50_s, row.p99_s, row.last_s))
-        table.add_row(row.moment, row.kind.value, str(row.changes), *figures, str(row.late), str(row.never))
+        table.add_row(
+            row.moment,
+            row.kind.value,
+            str(row.changes),
+            *figures,
+            str(row.late),
+            str(row.never),
+            f"{100 * row.machine_share:.0f}%",
+        )
     return tables.text(table, WIDTH)
 
 
