Scale run: stated bounds of quotas are judged where gateways share state

Seen: the quota verdict rested on ceilings alone, also with features.shared, which states a bound for each quota. The bound of the widest set, restarts among its failures, now goes to the checker.

--- a/zincstile/scale/day.py
+++ b/zincstile/scale/day.py
@@ -22,10 +22,11 @@
 from ..field import places
 from ..field.sight import Series
 from ..field.testbed import SLACK_NS
+from ..net import features as feature_files
 from ..rules.quotas import Quotas
 from ..rules.referee import Referee
-from ..worlds import traffic
-from ..worlds.plan import Plan
+from ..worlds import shared, traffic
+from ..worlds.plan import Fault, Plan
 from . import day_load, estimate, judge
 from .configuration import GatewaySpec
 from .crowd import GatewayProcess, place_of, write_configuration
@@ -101,7 +102,7 @@
         cold_window_s = traffic.settings(Plan(seed=1, gateways=1), 0)["obligations"]["fall_ns"] / 1e9
         self.cold = ColdBudgets(cold_window_s)
         self.referee = Referee(_figures(), lambda: (0, time.monotonic_ns()))
-        self.referee.quotas = Quotas(traffic.quotas())
+        self.referee.quotas = _quotas(fleet, self._features)
         ears = DayEars(self.referee, Series(), time.monotonic, cold=self.cold, clock=time.time)
         self.discovery = DayDiscovery(self.loop, fleet.gateways, time.time)
         self.backends = DayBackends(self.loop, fleet, ears, plan.seed, time.time)
@@ -281,6 +282,7 @@
         asked_s = time.time()
         for process in self.processes:
             process.ask_counters()
+        self.faults += [f"{m.name} was started and does not listen" for m in self.members if m.life is None]
         until_s = self.loop.time() + ANSWERED_S
         while not all(_said(member, asked_s) for member in self.members) and self.loop.time() < until_s:
             await asyncio.sleep(STEP_S)
@@ -311,6 +313,9 @@
                         f"{process.members[0].name} did not end within {GONE_S:g} s of SIGTERM"
                     )
                     process.program.kill()
+            code = process.program.process.returncode
+            if code and code != -signal.SIGKILL:
+                self.faults.append(f"{process.members[0].name}: exit {code} after SIGTERM")
         self._gone(process)
 
     def _gone(self, process: GatewayProcess) -> None:
@@ -352,7 +357,7 @@
             cold=self.cold,
             breaches=self.referee.breaches,
             attempts=self.referee.counts["attempts"],
-            ceiling_nearest=self.referee.ceilings.nearest,
+            bound_nearest=max(self.referee.ceilings.nearest, self.referee.quotas.nearest),
             quota_over=_quota_over(self.referee.quotas),
             faults=self.faults + [fault for p in self.processes for fault in p.faults],
             spans=self.spans + open_spans,
@@ -396,6 +401,15 @@
         task.result()
 
 
+def _quotas(fleet: Topology, features: dict[str, str]) -> Quotas:
+    """Every customer's store; with the bound that gateways state for the widest set, if they share state."""
+    if "shared" not in features:
+        return Quotas(traffic.quotas())
+    widest = Plan(seed=1, gateways=fleet.tenant_sets()[0], faults=[Fault(kind="roll", at_ms=0)])
+    stated, opening = shared.stated(widest, feature_files.shared(features["shared"])[0])
+    return Quotas(stated, 0, opening, time.monotonic_ns())
+
+
 def _quota_over(quotas: Quotas) -> dict[str, float]:
     found = quotas.by_plan()
     return {plan: round(worst, 2) for plan, (worst, bound, _, _) in found.items() if bound == math.inf}
--- a/zincstile/scale/judge.py
+++ b/zincstile/scale/judge.py
@@ -30,7 +30,7 @@
     cold: ColdBudgets
     breaches: list[Breach] = field(default_factory=list)
     attempts: int = 0
-    ceiling_nearest: float = 0.0
+    bound_nearest: float = 0.0  # to a ceiling or a stated bound of a quota; 1: at it
     quota_over: dict[str, float] = field(
         default_factory=dict
     )  # by plan without a bound: the most units beyond
@@ -205,10 +205,10 @@
         Check.QUOTA,
         [Kind.REAL],
         not broken if evidence.attempts else None,
-        round(evidence.ceiling_nearest, 4),
+        round(evidence.bound_nearest, 4),
         1.0,
-        f"ceilings of plans that state one, as a share of it at most; {len(broken)} broken. Units beyond the "
-        f"quota of plans without a stated bound, not judged: {free or 'none'}",
+        f"ceilings and stated bounds of quotas: {len(broken)} broken; the figure is the nearest. Units "
+        f"beyond quotas without a stated bound, not judged: {free or 'none'}",
         [f"{b.rule}: {b.text}" for b in broken[:NAMED]],
     )
 
