--- a/tests/test_scale_run.py
+++ b/tests/test_scale_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 import signal
 import subprocess
@@ -22,7 +23,8 @@
 
 ROOT = Path(__file__).parent.parent
 TARGET = ROOT / "deploy" / "scale" / "target.yaml"
-GATEWAYS, CUT = 8, 6  # real ones are 0 and 1; the watch of a hollow one is cut off
+GATEWAYS = 8  # 0 and 1 are real
+CUT, AGAIN = 6, 4  # hollow ones: the watch of one is cut off, that of the other falls silent
 
 FLEET = """
 regions: [{name: region-1, zones: [zone-01, zone-02]}]
@@ -64,6 +66,44 @@
     return tmp_path
 
 
+class Mute:
+    """A connection whose bytes are lost on their way."""
+
+    def __init__(self, transport):
+        self.transport = transport
+
+    def write(self, data):
+        pass
+
+    def __getattr__(self, name):
+        return getattr(self.transport, name)
+
+
+class SmallDay(day.Day):
+    """A day in which the watch of one gateway, back from its restart, falls silent, so that it opens another
+    beside it. Lines that were written to the first are lost."""
+
+    async def _play_day(self):
+        self.muted = self.loop.create_task(self.mute())
+        await super()._play_day()
+
+    async def mute(self):
+        member = self.members[AGAIN]
+        while not (member.starts == 2 and member.ready):
+            await asyncio.sleep(0.02)
+        for watch in [w for w in self.discovery.watches if w.gateway == AGAIN]:
+            watch.transport = Mute(watch.transport)
+        for entry in list(self.discovery.table.entries.values())[:2]:
+            self.discovery.put(entry)
+
+    async def _finish(self):
+        async with asyncio.timeout(60):
+            await self.muted
+            while self.discovery.asks[AGAIN] < 2:
+                await asyncio.sleep(0.02)
+        await super()._finish()
+
+
 @pytest.fixture(scope="module")
 def played(tmp_path_factory):
     """A small day. One hollow gateway's watch is cut off; memory and bytes have budgets that all exceed."""
@@ -72,7 +112,7 @@
     (folder / "day.yaml").write_text(DAY)
     fleet = topology.load(folder / "fleet.yaml")
     chosen, result = prepare(fleet, "fleet.yaml", str(folder / "day.yaml"), "1")
-    one = day.Day(fleet, chosen, folder, result, cut=frozenset({CUT}))
+    one = SmallDay(fleet, chosen, folder, result, cut=frozenset({CUT}))
     assert day.play(one)
     return one, result
 
@@ -92,6 +132,14 @@
     assert result.complete and not result.ok and result.changes > 3 * 8 + 2 * 10
 
 
+def test_after_a_second_watch_what_a_gateway_acts_by_is_still_known(played):
+    one, result = played
+    assert one.discovery.asks[AGAIN] > 1
+    life = one.members[AGAIN].lives[-1]
+    assert life.seen[-1].index == one.discovery.changes[-1].index
+    assert next(row for row in result.gateways if row.name == f"g{AGAIN}").never == 0
+
+
 def test_moments_reach_both_kinds_of_gateways_and_budgets_exceeded_are_named(played):
     one, result = played
     assert len(one.processes) == 4 and all(row.starts == 2 for row in result.gateways)
--- a/zincstile/scale/crowd.py
+++ b/zincstile/scale/crowd.py
@@ -61,9 +61,9 @@
             member.ready, member.thread, member.counters = False, 0, {}
         self.program = Program(words, env, self.log, self.folder)
 
-    def ended(self, at_s: float, told: list[list[int]]) -> None:
+    def ended(self, at_s: float, told: list[list[int]], asks: list[int]) -> None:
         """Its process is no more: what it logged last is taken in, and its gateways can't be reached."""
-        self.read(told)
+        self.read(told, asks)
         for member in self.members:
             if member.life is not None:
                 member.life.down_s = at_s
@@ -75,14 +75,15 @@
 
     # ---- what is said of it
 
-    def read(self, told: list[list[int]]) -> None:
+    def read(self, told: list[list[int]], asks: list[int]) -> None:
         """Takes in what was logged since the last time. `told`: by gateway, the index that each line of its
-        watch led to, so that a count of lines taken is what the gateway acts by."""
+        watch led to, so that a count of lines taken is what the gateway acts by; not after it asked for
+        another watch, as lines of the first may have been taken or not."""
         while self.program is not None and (lines := self.program.news()):
             for line in lines:
-                self._take(line, told)
+                self._take(line, told, asks)
 
-    def _take(self, line: str, told: list[list[int]]) -> None:
+    def _take(self, line: str, told: list[list[int]], asks: list[int]) -> None:
         parts = line.split(" ", 3)
         if len(parts) < 4:
             return
@@ -101,7 +102,8 @@
         elif word == "fault":
             self.faults.append(f"{name}: {rest[:160]}")
         elif word == "counters":
-            self._counted(member, float(time), json.loads(rest), told[member.number])
+            exact = told[member.number] if asks[member.number] == 1 else []
+            self._counted(member, float(time), json.loads(rest), exact)
 
     def _counted(self, member: Member, at_s: float, counters: dict[str, Any], told: list[int]) -> None:
         member.counters = counters
--- a/zincstile/scale/day.py
+++ b/zincstile/scale/day.py
@@ -20,6 +20,7 @@
 from typing import Final
 
 from ..field import places
+from ..field.result import BreachRow
 from ..field.sight import Series
 from ..field.testbed import SLACK_NS
 from ..net import features as feature_files
@@ -27,7 +28,7 @@
 from ..rules.referee import Referee
 from ..worlds import shared, traffic
 from ..worlds.plan import Fault, Plan
-from . import day_load, estimate, judge
+from . import day_load, estimate, judge, load
 from .configuration import GatewaySpec
 from .crowd import GatewayProcess, place_of, write_configuration
 from .emulators import Traffic
@@ -38,7 +39,7 @@
 from .records import Kind
 from .surroundings import DayBackends, DayDiscovery, DayEars, DayTable, PeerRelay
 from .topology import Topology
-from .verdicts import ColdBudgets
+from .verdicts import ColdBudgets, Life, Seen
 
 READY_S: Final = 120.0  # until all gateways have the table
 SETTLE_S: Final = 3.0  # then, before the day begins
@@ -46,6 +47,8 @@
 LOOK_S: Final = 0.5  # between two looks at what is due and at processes that ended
 ANSWERED_S: Final = 10.0  # at the end, until all requests are answered
 GONE_S: Final = 12.0  # a process that was told to end may take so long
+BREACHES: Final = 5  # whose histories are kept
+LOG_ROUNDING_S: Final = 0.001  # of the times in the gateways' logs
 FORGET_S: Final = 60.0  # after its deadline a request is forgotten
 
 Progress = Callable[[float, float, str], None]
@@ -77,6 +80,7 @@
         self.spans: list[tuple[str, float, float]] = []
         self.began_s = 0.0  # of the day, unix
         self._moments_open: dict[str, float] = {}
+        self._probes: dict[int, asyncio.Task] = {}  # by gateway
         self._machine: list[tuple[float, float, float]] = []  # when; seconds of all cores: busy, in all
 
     async def play(self) -> None:
@@ -192,6 +196,7 @@
     async def _play_day(self) -> None:
         """Load, churn and moments beside each other, and the samples."""
         self.began_s, began = time.time(), self.loop.time()
+        self._began_monotonic_s = time.monotonic()
         self._machine.append(_machine_seconds())
         self.discovery.cut |= self._cut
         for process in self.processes:
@@ -239,8 +244,28 @@
             for process in self.processes:
                 process.sample(time.time(), self._control_bytes())
                 process.ask_counters()
+                for member in process.members:
+                    if self.discovery.asks[member.number] > 1:
+                        self._probe(member)
                 await asyncio.sleep(pause_s)
 
+    def _probe(self, member: Member) -> None:
+        """Asks a gateway by PINGs what it acts by, where its count of lines can't tell: once the second one
+        is answered, it acted by all that was passed on to it before the first."""
+        index, life = self.discovery.passed_on(member.number), member.life
+        if index is None or life is None or member.number in self._probes:
+            return
+        task = self.loop.create_task(self._behind(member, life, index))
+        self._probes[member.number] = task
+        task.add_done_callback(lambda _: self._probes.pop(member.number))
+
+    async def _behind(self, member: Member, life: Life, index: int) -> None:
+        clients = load.Clients(*member.listen)
+        with contextlib.suppress(load.UnreachableError):
+            await clients.behind()
+            life.seen.append(Seen(time.time(), index))
+        clients.close()
+
     def _control_bytes(self) -> list[int]:
         return [
             watched.bytes_in + watched.bytes_out + relayed.bytes_in + relayed.bytes_out
@@ -270,7 +295,7 @@
 
     def _read_logs(self) -> None:
         for process in self.processes:
-            process.read(self.discovery.told)
+            process.read(self.discovery.told, self.discovery.asks)
 
     async def _finish(self) -> None:
         """No more is asked: all that was is answered, and every gateway says once more what it acts by."""
@@ -279,7 +304,7 @@
             await asyncio.sleep(STEP_S)
         if self.front.open:
             self.referee.breach("answer", f"{self.front.open} requests were never answered")
-        asked_s = time.time()
+        asked_s = time.time() - LOG_ROUNDING_S
         for process in self.processes:
             process.ask_counters()
         self.faults += [f"{m.name} was started and does not listen" for m in self.members if m.life is None]
@@ -287,6 +312,9 @@
         while not all(_said(member, asked_s) for member in self.members) and self.loop.time() < until_s:
             await asyncio.sleep(STEP_S)
             self._look()
+            for member in self.members:
+                if self.discovery.asks[member.number] > 1 and not _said(member, asked_s):
+                    self._probe(member)
 
     # ---- processes
 
@@ -319,7 +347,7 @@
         self._gone(process)
 
     def _gone(self, process: GatewayProcess) -> None:
-        process.ended(time.time(), self.discovery.told)
+        process.ended(time.time(), self.discovery.told, self.discovery.asks)
         for member in process.members:
             self.discovery.restarted(member.number)
 
@@ -375,6 +403,10 @@
             row.datagrams = relayed.datagrams_in + relayed.datagrams_out
         result.changes = len(changes)
         result.attempts, result.cold_calls = evidence.attempts, self.cold.calls
+        result.breaches = [
+            BreachRow(b.rule, round(b.at_ns / 1e9 - self._began_monotonic_s, 3), b.request, b.text, b.history)
+            for b in self.referee.breaches[:BREACHES]
+        ]
         for (_, kind), count in self.front.tally.items():
             result.requests[kind] = result.requests.get(kind, 0) + count
 
--- a/zincstile/scale/outcome.py
+++ b/zincstile/scale/outcome.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ..field.result import BreachRow
 from ..typed_yaml import FileError
 from .records import Kind, Machine
 
@@ -99,6 +100,7 @@
     verdicts: list[Verdict] = []
     delays: list[DelayRow] = []
     gateways: list[GatewayRow] = []
+    breaches: list[BreachRow] = []  # the first rules that broke, with what led there
     notes: list[str] = []
 
     @property
--- a/zincstile/scale/surroundings.py
+++ b/zincstile/scale/surroundings.py
@@ -65,6 +65,10 @@
 class DayWatch(WatchConnection):
     """One watch of a gateway; what it is told is kept by the index that it leads to."""
 
+    def data_received(self, data: bytes) -> None:
+        self.discovery.asks[self.gateway] += b"\r\n\r\n" in data  # type: ignore[attr-defined]
+        super().data_received(data)
+
     def tell(self, line: bytes) -> None:
         discovery: DayDiscovery = self.discovery  # type: ignore[assignment]
         if self.gateway in discovery.cut or self.transport.is_closing():
@@ -84,7 +88,9 @@
         super().__init__(loop, gateways)
         self._clock = clock
         self.changes: list[Change] = []
-        self.told: list[list[int]] = [[] for _ in range(gateways)]  # by gateway: index of each line so far
+        # Of each gateway's present process:
+        self.told: list[list[int]] = [[] for _ in range(gateways)]  # the index that each line led to
+        self.asks = [0] * gateways  # watches asked for
         self.cut: set[int] = set()  # gateways whose watches are told nothing any more
         self.written: Callable[[int, Entry], None] = lambda gateway, entry: None
 
@@ -108,7 +114,14 @@
         for watch in [w for w in self.watches if w.gateway == gateway]:
             self.watches.pop(watch)
             watch.transport.abort()
-        self.told[gateway] = []
+        self.told[gateway], self.asks[gateway] = [], 0
+
+    def passed_on(self, gateway: int) -> int | None:
+        """The index that it was told last; None while a part of that waits here to be sent."""
+        watches = [w for w in self.watches if w.gateway == gateway]
+        if not self.told[gateway] or any(w.transport.get_write_buffer_size() for w in watches):
+            return None
+        return self.told[gateway][-1]
 
 
 class PeerRelay(FakePeers):
