Scale run: the driver tells its own lag beside late answers

Seen: at 88 gateways 67 answers of loaded gateways came late. The histories show attempt and answer of many requests at one instant, 2.57 s apart, on a machine with a load of 29 on 8 cores. Ruled out: one long callback (asyncio's debug mode: 0.6 s at most, the burst of requests that had fallen due meanwhile). So it is the driver that got no core. Change: the driver measures its lag; broken rules seen meanwhile are told as such, and stay broken. Requests that it is too late for are left out, in place of a burst.

--- a/zincstile/scale/day.py
+++ b/zincstile/scale/day.py
@@ -47,6 +47,7 @@
 LOOK_S: Final = 0.5  # between two looks at what is due and at processes that ended
 ANSWERED_S: Final = 10.0  # at the end, until all requests are answered
 GONE_S: Final = 12.0  # a process that was told to end may take so long
+STALL_S: Final = 0.1  # by which this process may be late without being told
 BREACHES: Final = 5  # whose histories are kept
 LOG_ROUNDING_S: Final = 0.001  # of the times in the gateways' logs
 FORGET_S: Final = 60.0  # after its deadline a request is forgotten
@@ -80,6 +81,7 @@
         self.spans: list[tuple[str, float, float]] = []
         self.began_s = 0.0  # of the day, unix
         self._moments_open: dict[str, float] = {}
+        self._stalls: list[tuple[int, int]] = []  # monotonic nanoseconds: from, to
         self._probes: dict[int, asyncio.Task] = {}  # by gateway
         self._machine: list[tuple[float, float, float]] = []  # when; seconds of all cores: busy, in all
 
@@ -207,6 +209,7 @@
                 day_load.ask(self.front, self.fleet, self.plan),
                 self.happenings.churn(self.plan.churn.replacements_per_s),
                 self._sample(),
+                self._watch_itself(),
                 *(self._moment(number) for number in range(len(self.plan.moments))),
             )
         ]
@@ -266,6 +269,17 @@
             life.seen.append(Seen(time.time(), index))
         clients.close()
 
+    async def _watch_itself(self) -> None:
+        """Notes when this process stood still: what clients and backends saw then was late by its fault."""
+        while True:
+            due_s = self.loop.time() + STEP_S
+            await asyncio.sleep(STEP_S)
+            lag_s = self.loop.time() - due_s
+            self.result.driver_lag_s = max(self.result.driver_lag_s, round(lag_s, 3))
+            if lag_s > STALL_S:
+                now = time.monotonic_ns()
+                self._stalls.append((now - int(lag_s * 1e9), now))
+
     def _control_bytes(self) -> list[int]:
         return [
             watched.bytes_in + watched.bytes_out + relayed.bytes_in + relayed.bytes_out
@@ -390,6 +404,7 @@
             faults=self.faults + [fault for p in self.processes for fault in p.faults],
             spans=self.spans + open_spans,
             machine=self._machine,
+            stalls=self._stalls,
         )
         seen = judge.gateways(evidence)
         result.verdicts = judge.verdicts(evidence, seen)
--- a/zincstile/scale/day_load.py
+++ b/zincstile/scale/day_load.py
@@ -12,6 +12,7 @@
 from .plan import DayPlan
 from .topology import Topology
 
+CAUGHT_UP_S: Final = 0.1
 TICK_S: Final = 0.02  # requests that fall due within one go out together
 
 
@@ -85,12 +86,15 @@
 
 
 async def ask(front: DayFront, fleet: Topology, plan: DayPlan) -> None:
-    """Requests at the rate of the loaded gateways in such a fleet, for ever."""
+    """Requests at the rate of the loaded gateways in such a fleet, for ever. What this process is too late
+    for is left out, so that its own lag makes no burst."""
     loop = asyncio.get_running_loop()
     per_s = fleet.requests_of_gateway() * plan.real.loaded
     drawn, began_s, asked = wants(fleet, plan), loop.time(), 0
     while True:
         await asyncio.sleep(TICK_S)
-        while asked < (loop.time() - began_s) * per_s:
+        due = int((loop.time() - began_s) * per_s)
+        asked = max(asked, due - max(1, int(CAUGHT_UP_S * per_s)))
+        while asked < due:
             front.want(next(drawn))
             asked += 1
--- a/zincstile/scale/judge.py
+++ b/zincstile/scale/judge.py
@@ -15,6 +15,7 @@
 from .verdicts import Change, ColdBudgets, Delays, Peak, in_force, peak
 
 NAMED: Final = 5  # of the worst
+STALL_AFTER_NS: Final = 1_000_000_000
 BOTH: Final = [Kind.REAL, Kind.HOLLOW]
 CHURN: Final = "churn"
 
@@ -36,6 +37,7 @@
     )  # by plan without a bound: the most units beyond
     faults: list[str] = field(default_factory=list)
     spans: list[tuple[str, float, float]] = field(default_factory=list)  # moments: name, begin, end
+    stalls: list[tuple[int, int]] = field(default_factory=list)  # of the driver: from, to, in ns as breaches
     machine: list[tuple[float, float, float]] = field(default_factory=list)  # when; cores' seconds: busy, all
 
 
@@ -219,17 +221,24 @@
     for breach in broken:
         counts[breach.rule] = counts.get(breach.rule, 0) + 1
     names = ", ".join(f"{rule} {count}" for rule, count in sorted(counts.items()))
+    stalled = sum(_stalled(breach, evidence.stalls) for breach in broken)
+    beside = f"; {stalled} of these as the driver itself stood still" if stalled else ""
     return Verdict(
         Check.RULES,
         [Kind.REAL],
         not broken if evidence.attempts else None,
         len(broken),
         0.0,
-        f"rules broken over {evidence.attempts} attempts: {names or 'none'}",
+        f"rules broken over {evidence.attempts} attempts: {names or 'none'}{beside}",
         [f"{b.rule} of request {b.request}: {b.text}" for b in broken[:NAMED]],
     )
 
 
+def _stalled(breach: Breach, stalls: list[tuple[int, int]]) -> bool:
+    """It was seen while the driver stood still, or within a second after."""
+    return any(from_ns <= breach.at_ns <= to_ns + STALL_AFTER_NS for from_ns, to_ns in stalls)
+
+
 def _processes(evidence: Evidence) -> Verdict:
     bad = [
         f"{m.name}: {m.counters['messages_bad']} bad messages, {m.counters['faults']} faults"
--- a/zincstile/scale/outcome.py
+++ b/zincstile/scale/outcome.py
@@ -93,6 +93,7 @@
     complete: bool = False  # False: stopped half way
     measured_bytes: float = 0.0  # the most that all processes held at once
     machine_share: float = 0.0  # of its cores in use over the day, by whatever ran on it
+    driver_lag_s: float = 0.0  # the longest that the driving process itself stood still
     changes: int = 0
     requests: dict[str, int] = {}  # by what became of them; of the loaded real gateways
     attempts: int = 0
--- a/zincstile/scale/report.py
+++ b/zincstile/scale/report.py
@@ -25,7 +25,7 @@
     sizes = " ".join(f"{name}={size:g}" for name, size in result.sizes.items())
     return (
         f"scale run {sizes} processes={result.processes} changes={result.changes} "
-        f"seconds={result.seconds:.0f} "
+        f"seconds={result.seconds:.0f} driver_lag_s={result.driver_lag_s:.2f} "
         f"memory_gb={result.measured_bytes / 1e9:.2f} machine={100 * result.machine_share:.0f}% "
         f"complete={'yes' if result.complete else 'no'} broken={broken}"
     )
