--- a/zincstile/scale/day.py
+++ b/zincstile/scale/day.py
@@ -344,22 +344,24 @@
             for member in process.members:
                 if member.loaded:
                     self.referee.ended(member.name)
-            process.program.kill()
+            process.program.asked_to_end = True
+            process.program.signal(signal.SIGKILL)
         else:
             process.program.terminate()
-            until_s = self.loop.time() + GONE_S
-            while process.alive:
-                await asyncio.sleep(STEP_S)
-                if self.loop.time() > until_s:
-                    self.faults.append(
-                        f"{process.members[0].name} did not end within {GONE_S:g} s of SIGTERM"
-                    )
-                    process.program.kill()
-            code = process.program.process.returncode
-            if code and code != -signal.SIGKILL:
-                self.faults.append(f"{process.members[0].name}: exit {code} after SIGTERM")
+        await self._until_ended(process)
         self._gone(process)
 
+    async def _until_ended(self, process: GatewayProcess) -> None:
+        until_s = self.loop.time() + GONE_S
+        while process.alive:
+            await asyncio.sleep(STEP_S)
+            if self.loop.time() > until_s:
+                self.faults.append(f"{process.members[0].name} did not end within {GONE_S:g} s")
+                process.program.kill()
+        code = process.program.process.returncode
+        if code and code != -signal.SIGKILL:
+            self.faults.append(f"{process.members[0].name}: exit {code} after SIGTERM")
+
     def _gone(self, process: GatewayProcess) -> None:
         process.ended(time.time(), self.discovery.told, self.discovery.asks)
         for member in process.members:
