--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -400,16 +400,16 @@
     assert (
         capacity_messages.tell_bytes(1, True, 8) == head + share + 12 * wire.FIGURE.size + 8 * wire.DOUBT.size
     )
-    assert capacity_messages.most_parts() == 255
+    assert capacity_messages.most_parts() == 65_535
 
 
 def test_a_list_is_over_exactly_where_the_gateway_would_refuse_it(fleet):
-    for backends in (29_000, 32_000):
+    for backends in (32_000, 64_000):
         made = topology.with_sizes(fleet, backends=backends)
         found = rows(capacity_roles.list_service(made))
         line = found["a whole list, against the longest line that a gateway reads"]
         parts = found["lists from peers: datagrams of a bucket, against what their format counts"]
-        reader = LineReader(Limits())
+        reader = LineReader(Limits(table_bytes=Limits.table_line_bytes(int(fleet.budgets.memory_mb))))
         reader.feed(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % line.amount.value)
         refused = False
         try:
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -58,8 +58,8 @@
 
 def fail(policy, numbers, now, bad=1.0):
     """What these endpoints' attempts leave as doubt, told by the module's own rule."""
-    for number in numbers:
-        policy._observe(policy.servers[number], 255, bad, 1.0)
+    for endpoint in numbers:
+        policy._observe(policy.servers[endpoint], 255, bad, 1.0)
     return tick(policy, now)
 
 
--- a/zincstile/net/limits.py
+++ b/zincstile/net/limits.py
@@ -122,7 +122,7 @@
                 "reserved": reserve,
                 "answer_bytes": min(usual.answer_bytes, memory_mb << 14),
                 "written_bytes": min(usual.written_bytes, memory_mb << 11),
-                "table_bytes": max(usual.table_bytes, memory_mb << 17),  # an eighth of the memory
+                "table_bytes": cls.table_line_bytes(memory_mb),
                 "sessions": max(1, max_open),
                 "connect_ns": connect_ns,
                 "idle_ns": idle_close_ns * 2 // 3,
@@ -134,6 +134,11 @@
             }
         )
 
+    @classmethod
+    def table_line_bytes(cls, memory_mb: int) -> int:
+        """The longest line of the endpoint table: an eighth of the memory, and 4 MiB at least."""
+        return max(cls().table_bytes, memory_mb << 17)
+
     def shared(self) -> Limits:
         """Of two processes of one gateway during an upgrade, whose descriptors count together: half of what
         the reserve of the second leaves. What each connection may hold is the same, so that the memory for
--- a/zincstile/scale/capacity_roles.py
+++ b/zincstile/scale/capacity_roles.py
@@ -58,7 +58,8 @@
 
 def list_service(topology: Topology) -> list[Row]:
     """Where discovery has to be asked; an agent on each gateway's machine costs nothing of it."""
-    whole, limits = capacity_messages.list_bytes(topology.backends), Limits()
+    whole = capacity_messages.list_bytes(topology.backends)
+    most = Limits.table_line_bytes(int(topology.budgets.memory_mb))
     line, parts = capacity_messages.most_parts(), capacity_messages.bucket_lines(topology.backends)
     watches = topology.gateways / WATCH_LINE_S * capacity_messages.WATCH_LINE_BYTES
     changes = topology.table_changes_per_s() * capacity_messages.change_bytes() * topology.gateways
@@ -71,8 +72,8 @@
             f"{topology.backends:,} × {capacity_messages.entry_bytes()} bytes, a start told of each backend",
             Unit.BYTES,
             exact(whole),
-            "net/limits.Limits.table_bytes",
-            limits.table_bytes,
+            "net/limits.Limits.table_line_bytes",
+            most,
         ),
         Row(
             "lists from peers: datagrams of a bucket, against what their format counts",
--- a/zincstile/scale/day.py
+++ b/zincstile/scale/day.py
@@ -20,8 +20,8 @@
 from typing import Final
 
 from ..field import places
+from ..field.probe import TimeSeries
 from ..field.result import BreachRow
-from ..field.sight import Series
 from ..field.testbed import SLACK_NS
 from ..net import features as feature_files
 from ..rules.quotas import Quotas
@@ -109,7 +109,7 @@
         self.cold = ColdBudgets(cold_window_s)
         self.referee = Referee(_figures(), lambda: (0, time.monotonic_ns()))
         self.referee.quotas = _quotas(fleet, self._features)
-        ears = DayEars(self.referee, Series(), time.monotonic, cold=self.cold, clock=time.time)
+        ears = DayEars(self.referee, TimeSeries(), time.monotonic, cold=self.cold, clock=time.time)
         self.discovery = DayDiscovery(self.loop, fleet.gateways, time.time)
         self.backends = DayBackends(self.loop, fleet, ears, plan.seed, time.time)
         self.relay = PeerRelay(self.loop, [Traffic() for _ in range(fleet.gateways)])
--- a/zincstile/scale/surroundings.py
+++ b/zincstile/scale/surroundings.py
@@ -15,7 +15,7 @@
 from typing import Any, Final
 
 from ..field.places import on_loopback
-from ..field.sight import Ears, Tap
+from ..field.probe import CommandTap, Probe
 from ..standin.discovery import Entry
 from ..standin.guidebox import GuideBox, Model, Rack
 from ..standin.guidebox import Line as BackendLine
@@ -141,7 +141,7 @@
             self.send(self.gateways[peer], self.places[sender], data)
 
 
-class DayEars(Ears):
+class DayEars(Probe):
     """Hears backends and clients for the checkers of the rules and for the budgets of cold backends."""
 
     def __init__(self, *words: Any, cold: ColdBudgets, clock: Callable[[], float]) -> None:
@@ -241,7 +241,7 @@
             return
         self.backends.connections += 1
         self._line = BackendLine(box)
-        self._tap = Tap(self.backends.ears, "?", box.name)
+        self._tap = CommandTap(self.backends.ears, "?", box.name)
         self._line.connection_made(transport)
 
     def data_received(self, data: bytes) -> None:
