Test on sockets that clients that left are sent on from no place of waiting

The standing test counts a client that closes as gone: no attempt, first or further, may begin more than 0.1 s later. Forced on sockets so far were the dial of a first attempt and commands not read yet; a request that waits for a relay's word was forced in the module only.

tests/test_leavers.py forces the rest by events, in bursts of 20: at a relay's word (granted after the close, or in one turn, both orders), at a further attempt's dial, as a repeat becomes due, as a second copy would. Held is more than 0.1 s: none begins at all. No fault found.

--- /dev/null
+++ b/tests/test_leavers.py
@@ -0,0 +1,221 @@
+"""A client that has gone is not sent on, wherever its request waits: bursts of leavers on real sockets.
+
+Terms of the standing test: no attempt, first or further, begins later than 0.1 s after the close. Held here
+is more, that none begins at all once the end of its client lies there; docs/crossings.md tells the rows.
+"""
+
+from __future__ import annotations
+
+import itertools
+import socket
+import time
+
+import pytest
+from scenario import HOME, PATIENCE, World, call, encode, settings, where
+from test_crossings import LONG_DIAL, NEVER
+from test_scenarios import READY, play
+
+from zincstile import interface as i
+from zincstile import wire
+from zincstile.state import scatter
+
+BURST = range(1, 21)
+GATEWAYS = 7  # a set of so many is wide: its relay is asked
+UNITS = 2.0  # of plan `small`, whose stores never hold so much: nothing goes out but by a grant
+GONE = ("left", "denied")
+
+
+def each(line: str) -> str:
+    return "".join(line.format(k) + "\n" for k in BURST)
+
+
+class Relays:
+    """The other gateways of a wide set, which answer when told to."""
+
+    def __init__(self) -> None:
+        self.sockets = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(GATEWAYS - 1)]
+        for sock in self.sockets:
+            sock.bind((HOME, 0))
+            sock.setblocking(False)
+
+    def asks(self) -> list[tuple[socket.socket, i.Share]]:
+        """What has been asked since, and of whom."""
+        found = []
+        for sock in self.sockets:
+            try:
+                while True:
+                    message = wire.unpack_tell(0, sock.recv(4096))
+                    found += [(sock, share) for share in message.shares if share.want > 0]
+            except BlockingIOError:
+                pass
+        return found
+
+    def asked_by(self, customers: set[int]) -> list[tuple[socket.socket, i.Share]]:
+        """One ask of each of them."""
+        found, end = {}, time.monotonic() + PATIENCE
+        while len(found) < len(customers):
+            assert time.monotonic() < end, "no relay was asked"
+            found |= {share.customer: (sock, share) for sock, share in self.asks()}
+        return list(found.values())
+
+    def grant(self, world: World, sock: socket.socket, ask: i.Share) -> None:
+        share = i.Share(ask.customer, ask.plan, 0.0, 0.0, 0, ask.want, ask.mark, True)
+        for message in wire.pack_tell(i.Tell(0, 5, [share])):
+            sock.sendto(message, world.peer_address)
+
+
+@pytest.fixture
+def relayed(tmp_path):
+    relays = Relays()
+    peers = [f"{HOME}:1", *map(where, relays.sockets)]
+    world = World(tmp_path, {"peers": peers, "settings": {"balancers": GATEWAYS}})
+    world.play(READY)
+    yield world, relays
+    world.end()
+    for sock in relays.sockets:
+        sock.close()
+
+
+def customers(burst: int, count: int) -> list[int]:
+    """Some of whom this gateway, the first of the set, is not the relay itself."""
+    numbers = itertools.count(100 * burst)
+    return list(itertools.islice((n for n in numbers if scatter(n) % GATEWAYS), count))
+
+
+def ask(world: World, client: str, customer: int) -> None:
+    """A request that its gateway may only send on by a relay's grant."""
+    words = call("look", customer, "t=small", f"units={UNITS:g}", f"spread={GATEWAYS}")
+    words[1] = f"{customer:016x}"
+    world.line(client).sock.sendall(encode(words))
+
+
+def test_a_request_is_sent_on_once_its_relay_grants_it(relayed):
+    """The other side of the next test: a grant counts, for who stays. Asked again where it came too late."""
+    world, relays = relayed
+    for customer in customers(1, 100):
+        before = world.counters()
+        ask(world, "c1", customer)
+        relays.grant(world, *relays.asked_by({customer})[0])
+        if settled(world, before, ("attempts", "denied"), 1)["attempts"]:
+            break
+        world.play("expect c1 -BUSY*")
+    assert world.line("a1").message()[2] == b"%016x" % customer
+
+
+@pytest.mark.parametrize("order", ["gone, then granted", "granted behind its end", "granted before its end"])
+def test_a_burst_of_clients_that_leave_while_a_relay_is_asked_is_not_sent_on(relayed, order):
+    """All wait in the module for the relay's word, and leave; then each is granted, or both come in one turn.
+    A burst that the module gave up waiting for in between proves nothing, and is asked again."""
+    world, relays = relayed
+    for burst in range(1, 100):
+        before = world.counters()
+        chosen = customers(burst, len(BURST))
+        clients = [f"c{customer}" for customer in chosen]
+        for client, customer in zip(clients, chosen, strict=True):
+            ask(world, client, customer)
+        asked = relays.asked_by(set(chosen))
+        steps = [
+            lambda clients=clients: [world.close(client) for client in clients],
+            lambda asked=asked: [relays.grant(world, *one) for one in asked],
+        ]
+        if order == "gone, then granted":
+            steps[0]()
+            settled(world, before, GONE, len(BURST))
+            steps[1]()
+        else:
+            world.play("send gw STOP\nexpect gw stopped")
+            for step in steps if order == "granted behind its end" else reversed(steps):
+                step()
+            world.play("send gw CONT")
+        found = settled(world, before, GONE, len(BURST))
+        settled(world, before, ("messages_in",), len(BURST))
+        assert world.counters()["attempts"] == 0
+        if found["left"] - before["left"] == len(BURST):
+            return
+    raise AssertionError("no burst left while its relay was asked")
+
+
+def settled(world: World, before: dict[str, int], names: tuple[str, ...], count: int) -> dict[str, int]:
+    """The counters once these have grown by so much together."""
+    end = time.monotonic() + PATIENCE
+    while sum((found := world.counters())[name] - before[name] for name in names) < count:
+        assert time.monotonic() < end, found
+    return found
+
+
+# ---- a further attempt
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+def test_a_burst_of_clients_that_leave_while_further_attempts_wait_is_not_sent_on(tmp_path, cancel):
+    """The first attempts are withdrawn from a server that drains, and the further ones wait for connections
+    to the next, which come up once the clients have left."""
+    classes = [c | {"aim_ns": NEVER, "deadline_ns": NEVER} for c in settings()["classes"]]
+    limits = LONG_DIAL | {"cancel": cancel}
+    play(
+        tmp_path,
+        READY
+        + "fill a\nfill b\n"
+        + each("send c{0} look {0} d=900000")
+        + f"wait gw connects={len(BURST)}\n"
+        + f"send d1 change a=Terminating b=Ready\nwait gw connects={2 * len(BURST)}\n"
+        + each("close c{0}")
+        + f"""
+        wait gw left={len(BURST)}
+        free b
+        open b1
+        wait gw attempts=0
+        send gw TERM
+        expect gw exit 0
+        expect b1 end""",
+        settings={"limits": limits, "classes": classes, "balancers": 1},
+    )
+
+
+@pytest.mark.parametrize("order", [0, 1])
+def test_a_further_attempt_that_becomes_due_as_its_client_ends_is_not_made(tmp_path, order):
+    """In one turn: the attempt before breaks, its client ends, and a connection rests at the next server."""
+    both = ["reset a1", "close c1"]
+    play(
+        tmp_path,
+        READY
+        + f"""
+        send c1 look 1
+        expect a1 look 1
+        send d1 change a=Terminating b=Ready
+        wait gw tables=2
+        send c2 look 2
+        expect b1 look 2
+        send b1 ok hello
+        expect c2 ok hello
+        send gw STOP
+        expect gw stopped
+        {both[order]}
+        {both[1 - order]}
+        send gw CONT
+        wait gw left=1
+        send c2 look 3
+        expect b1 look 3
+        send b1 ok still
+        expect c2 ok still
+        wait gw attempts=3""",
+    )
+
+
+def test_no_second_copy_is_made_for_a_client_that_has_left(tmp_path):
+    """Who asked later, and stayed, gets one: its time came after that of the one that left."""
+    play(
+        tmp_path,
+        READY
+        + """
+        send c1 look 1
+        expect a1 look 1
+        send c2 look 2
+        expect a2 look 2
+        send d1 change b=Ready
+        wait gw tables=2
+        close c1
+        wait gw left=1
+        expect b1 look 2
+        wait gw attempts=3""",
+    )
