No wait before a call to discovery is longer than what counts as told allows

Seen: after calls that failed, a gateway of 200 that has to ask discovery heeded a change 9.3 and 9.7 s after it could be reached, one whose watch fell silent 11.8 s after its last word, and one that got 503 with Retry-After: 30 not within 20 s, also where the list is pushed. By the standing test it counts as told after 6 s, whatever is allowed after a failed, refused or given-up call; a drain would have been broken.

Cause: Asking.failed draws from a span of 50 ms for each gateway, doubled up to the settings' 10 s, and adds Retry-After as it is; a silent watch that is given up waits for such a span besides its 2.6 s of silence. Ruled out: the dial (1 s at most), the watch beside a silent one (pushed lists: two tries fit into 6 s, tested).

Change: no wait is longer than 4.5 s, which leaves a dial that never comes up and an answer; silence counts as waited for (1.9 s left), spent patience leaves 1 s. What is cut off a span's end is made up for at its begin, after the first failure: 200 gateways call 48 times a second then (40 before, all 200 in 6 s are 33).

--- a/zincstile/net/limits.py
+++ b/zincstile/net/limits.py
@@ -59,6 +59,7 @@
     table_first_ask_ns: int = 1  # the first watch is opened within this, where a list is known
     table_again_ns: int = 50 * MS  # a lost watch is opened again within this, then twice, four times it
     table_again_most_ns: int = SECOND  # and within this at most
+    table_longest_ns: int = 4500 * MS  # no wait is longer: with a dial and an answer it is told within 6 s
     backoff_ns: int = 50 * MS
     backoff_most_ns: int = SECOND
     drain_quiet_ns: int = 450 * MS  # after SIGTERM, connections are kept until no call came for this
--- a/zincstile/net/server_table.py
+++ b/zincstile/net/server_table.py
@@ -84,7 +84,13 @@
         self.closed = False
         limits = turn.limits
         self.listener: Any = None  # hears discovery's own words too (`net/start`)
-        self.asking = Asking(rng, limits.table_again_ns, limits.table_again_most_ns, limits.table_patience_ns)
+        self.asking = Asking(
+            rng,
+            limits.table_again_ns,
+            limits.table_again_most_ns,
+            limits.table_patience_ns,
+            limits.table_longest_ns,
+        )
         self._looks: dict[asyncio.Task, None] = {}
         self._watch: Watch | None = None  # the last that was opened; an older one stands until it speaks
         self._old: Watch | None = None
@@ -169,7 +175,7 @@
         moment it returns counts at once: a call has to be out then. Where discovery is one service that each
         call costs work, it is given up first."""
         if self.turn.limits.table_patience_ns or watch is not self._watch or watch.where != self.where:
-            watch.give_up("silent")
+            watch.give_up("silent", watch.unheard_ns())
             return
         self.turn.log.often("watch", "silent: another is opened beside it; the last list stands")
         self.open(None)
@@ -196,9 +202,16 @@
         if self.asking.silent(self.turn.now_ns() - watch.began_ns):
             watch.wait_on()
         else:
-            watch.give_up("silent for all of the patience")
+            watch.give_up("silent for all of the patience", self.turn.now_ns() - watch.began_ns)
 
-    def lost(self, where: Address, why: str, watch: Watch | None = None, retry_after_ns: int = 0) -> None:
+    def lost(
+        self,
+        where: Address,
+        why: str,
+        watch: Watch | None = None,
+        retry_after_ns: int = 0,
+        unheard_ns: int = 0,
+    ) -> None:
         """Tries again, each time later, at a moment drawn from all of the wait. Guards against gateways that
         lost their watches, or were killed, at one stroke: asked in step, discovery turns all of them away,
         and asked again by each of them once a second, it never comes to answer."""
@@ -209,7 +222,7 @@
         if watch is not None:  # else the one that stands is heard on, though the next did not come up
             self._watch = None
         self.turn.log.often("watch", f"lost: {why}; the last list stands")
-        wait = self.asking.failed(retry_after_ns)
+        wait = self.asking.failed(retry_after_ns, unheard_ns)
         self.turn.deadlines.add(self.turn.now_ns() + wait, self.open, where)
         self.turn.wake()
 
@@ -338,6 +351,7 @@
         "_spoke",
         "_retry_ns",
         "_first_ns",
+        "_given_up_after_ns",
     )
 
     def __init__(self, table: ServerTable, where: Address) -> None:
@@ -351,7 +365,7 @@
         self._heard_ns = self.began_ns = self.table.turn.now_ns()
         self._deadline = None
         self._spoke = False
-        self._first_ns = self._retry_ns = 0
+        self._first_ns = self._retry_ns = self._given_up_after_ns = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
@@ -381,10 +395,14 @@
             self._heard_ns = self.table.turn.now_ns()
             self._await(None)
 
-    def give_up(self, why: str) -> None:
+    def unheard_ns(self) -> int:
+        """How long it has said nothing."""
+        return self.table.turn.now_ns() - self._heard_ns
+
+    def give_up(self, why: str, unheard_ns: int = 0) -> None:
         """Unless it has spoken meanwhile, and is heard as ever."""
         if why == "silent" or not self._spoke:
-            self._why = why
+            self._why, self._given_up_after_ns = why, unheard_ns
             self.transport.abort()
 
     def took_ns(self) -> int:
@@ -425,4 +443,4 @@
 
     def connection_lost(self, err: Exception | None) -> None:
         self.table.turn.deadlines.drop(self._deadline)
-        self.table.lost(self.where, self._why, self, self._retry_ns)
+        self.table.lost(self.where, self._why, self, self._retry_ns, self._given_up_after_ns)
