Subsets: a cold endpoint left alone is not taken to do what all others did

Ruled out: the subset's sum (the property over fleets holds), widening (one endpoint was left at all).

--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -201,6 +201,17 @@
     assert seen <= multiple * max(1.25 * max(warm.values()), 4.0 / COLD_LEAST) * 1.000001
 
 
+def test_a_cold_endpoint_left_alone_is_not_taken_to_do_what_all_did():
+    """Handling: `SubsetPolicy._parts`. Seen on seed 4174, where all others drained."""
+    policy = gateway(gateways=3, zones=[])
+    feed(policy, many(12, zone=0))
+    policy.done_rate = 24.0
+    policy._sort(10 * SECOND)
+    feed(policy, [*many(12, zone=0, mode=DRAINING), backend(13, started=10 * SECOND)])
+    policy._sort(10 * SECOND)
+    assert policy.seen_rate == 2.0 and policy.done_rate == 24.0
+
+
 # ---- hard cases
 
 
@@ -480,7 +491,7 @@
     assert len(taken) == 75 and set(taken.values()) == {4}
 
 
-@pytest.mark.parametrize("seed", range(40, 46))
+@pytest.mark.parametrize("seed", [*range(40, 46), 4174])
 def test_whole_gateways_with_subsets_break_no_rule(seed):
     plan = draw(seed)
     plan.subset = True
