--- a/zincstile/scale/configuration.py
+++ b/zincstile/scale/configuration.py
@@ -13,7 +13,7 @@
 CLASS: Final = "sheet-read"  # of all emulated requests
 QUOTA_PER_S: Final = 1000.0  # of a tenant: above what any emulated tenant asks for
 SOCKETS: Final = 1024
-LIST_LIMIT_BYTES: Final = 64 << 20  # by default 4 MiB, which a list of some 32,000 backends passes
+LIST_LIMIT_BYTES: Final = 64 << 20  # for programs that bound it at 4 MiB: a list of 32,000 is longer
 
 
 @dataclass(frozen=True)
