Subsets: the ordinary path's memory of who did the work serves cold endpoints, written once

Seen: the same fault was mended twice, in SubsetPolicy._parts and by Memory.doers on the ordinary path. Change: the subset's own handling goes; its test plays a tick, by which the ordinary path remembers how many were good.

--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -202,9 +202,10 @@
 
 
 def test_a_cold_endpoint_left_alone_is_not_taken_to_do_what_all_did():
-    """Handling: `SubsetPolicy._parts`. Seen on seed 4174, where all others drained."""
+    """Handling: `Memory.doers`. Seen on seed 4174, where all others drained."""
     policy = gateway(gateways=3, zones=[])
     feed(policy, many(12, zone=0))
+    tick(policy, 10 * SECOND)
     policy.done_rate = 24.0
     policy._sort(10 * SECOND)
     feed(policy, [*many(12, zone=0, mode=DRAINING), backend(13, started=10 * SECOND)])
--- a/zincstile/subset/module.py
+++ b/zincstile/subset/module.py
@@ -13,7 +13,7 @@
 
 from .. import interface as i
 from ..interface import Backend, Effect, Group, ListKind, Mode
-from ..policy import ARRIVAL_S, FADE_S, FAULTY, FORGOTTEN, Policy
+from ..policy import FADE_S, FAULTY, FORGOTTEN, Policy
 from ..state import NO_DOUBT, Server
 from .fleet import Fleet
 from .selection import Selection
@@ -51,7 +51,6 @@
         self.left: dict[int, tuple[int, Server]] = {}  # since when, and the evidence; the oldest first
         self.moved = 0  # endpoints that came in or left, since the start
         self._now = 0
-        self.good_lately = 0.0  # most endpoints that were good, fading as the memory of work done does
 
     def service_of(self, entry: Backend) -> int:
         """The service of an endpoint, by the field that the settings name."""
@@ -131,21 +130,9 @@
             server.doubt = {g: bad * fade for g, bad in server.doubt.items() if bad * fade > FORGOTTEN}
             self.touched[s.info.id] = server
 
-    def _parts(self, warmth: list[float]) -> list[float]:
-        """The work of the last second was done by those that were good then. Guards a cold endpoint that is
-        left alone when the others of a small subset drain at once: it has not shown what all of them did."""
-        self.good_lately = max(self.good, self.good_lately)
-        done = self.done_rate
-        self.done_rate = done * self.good / self.good_lately
-        try:
-            return super()._parts(warmth)
-        finally:
-            self.done_rate = done
-
     # ---- trouble
 
     def _tick(self, now: int) -> None:
-        self.good_lately *= math.exp(-(now - self.tick_ns) / SECOND / ARRIVAL_S)
         super()._tick(now)
         suspects = [number for number, s in self.touched.items() if s.doubt]
         services = self.selection.look(now, suspects, self._health)
