Test of restarted processes holds their calls to one out at a time

Change: in its place the bound that the program keeps at any speed: a call is given up after table_answer_ns at the earliest, so that each makes at most one call more for each such time that the slowest took.

--- a/tests/test_throng.py
+++ b/tests/test_throng.py
@@ -9,6 +9,7 @@
 
 from zincstile import interface as i
 from zincstile.field import start
+from zincstile.net.limits import SECOND, Limits
 from zincstile.standin.listservice import Manners
 from zincstile.worlds import plan
 from zincstile.worlds.plan import Plan
@@ -53,3 +54,4 @@
     drawn = Plan(seed=5, gateways=RESTARTED, boxes=24, requests=0)
     _, again = start.play(drawn, tmp_path, Manners(1000.0), ["all", "all"], 2 * READY_S)
     assert again.ready == RESTARTED and 0 <= again.most_s <= READY_S  # 99 in 100
+    assert again.calls_each <= 1 + again.most_s * SECOND / Limits().table_answer_ns  # one is out at a time
