Scale: workers end with their driver by its own end, not by the end of a thread of it

Cause: workers asked the system to be killed at their parent's death (PR_SET_PDEATHSIG), which comes when the thread ends that started them. Those that took the place of others are started by a thread of the pool, which ends before the workers do; one that waits for work holds the lock of the pool's queue. Change: a thread of each worker waits for the driver's end (its sentinel) and ends the worker; gateways end with the worker as before.

--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -301,3 +301,26 @@
             if str(folder) in os.readlink(process / "cwd"):
                 found.append(process.name)
     return found
+
+
+POOL = """
+import multiprocessing, time
+from zincstile.scale import slopes
+
+def task(number):
+    time.sleep(0.05 * (number % 3))
+
+if __name__ == "__main__":
+    for _ in range(3):
+        context = multiprocessing.get_context("spawn")
+        with context.Pool(3, slopes._as_worker, maxtasksperchild=2) as pool:
+            list(pool.imap_unordered(task, range(9)))
+"""
+
+
+def test_workers_that_others_took_the_place_of_do_not_keep_the_driver_from_its_end(tmp_path):
+    """They are started by a thread of the pool, which ends before them."""
+    script = tmp_path / "pool.py"
+    script.write_text(POOL)
+    done = subprocess.run([sys.executable, script], env=os.environ | {"PYTHONPATH": ROOT}, timeout=60)
+    assert done.returncode == 0
--- a/zincstile/scale/slopes.py
+++ b/zincstile/scale/slopes.py
@@ -7,12 +7,14 @@
 from __future__ import annotations
 
 import multiprocessing
+import multiprocessing.connection
 import os
 import platform
 import random
 import signal
 import subprocess
 import tempfile
+import threading
 import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
@@ -20,7 +22,7 @@
 from pathlib import Path
 from typing import Final
 
-from ..field.programs import LIBC, PR_SET_PDEATHSIG, ROOT
+from ..field.programs import ROOT
 from ..typed_yaml import FileError
 from .point import Point, measure
 from .records import Dimension, Kind, Machine, Sample, SlopeResult
@@ -197,7 +199,14 @@
     """Run in each worker: it ends with the process that drives, however that ends, and its gateways with it.
     A terminal's SIGINT, which goes to the whole group, is left to the one that drives."""
     signal.signal(signal.SIGINT, signal.SIG_IGN)
-    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL, 0, 0, 0)
+    threading.Thread(target=_end_with_parent, daemon=True).start()
+
+
+def _end_with_parent() -> None:
+    """Not by the system's signal at a parent's death: that comes when the *thread* ends that started this
+    process, which the pool's own threads do before the workers, one of which holds the pool's lock."""
+    multiprocessing.connection.wait([multiprocessing.parent_process().sentinel])
+    os.kill(os.getpid(), signal.SIGKILL)
 
 
 def _one(folder: Path, point: Point) -> tuple[Point, Sample | str]:
