Results of measurements are read and written in one place

Seen: field/result, scale/records and scale/outcome each held the same reading and writing of JSON records. Change: typed_json does it; a field run's result is indented like the others, and a spoilt one is told by its place.

--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -17,7 +17,7 @@
 # from the layers below; parts of one layer do not know each other.
 LAYERS = (
     ("checks", "interface", "links", "typed_yaml", "framing"),
-    ("inherit", "bounds", "wire"),
+    ("inherit", "bounds", "typed_json", "wire"),
     ("state",),
     ("policy",),
     ("held", "adapter"),
--- a/zincstile/field/result.py
+++ b/zincstile/field/result.py
@@ -7,7 +7,7 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
-from ..typed_yaml import FileError
+from .. import typed_json
 
 HIGHEST_US, DIGITS = 60_000_000, 3  # of the histogram of latencies
 
@@ -99,19 +99,11 @@
     }
 
 
-def write(result: FieldResult, path: Path) -> None:
-    """FileError where it can't be written."""
-    try:
-        path.write_bytes(msgspec.json.encode(result))
-    except OSError as err:
-        raise FileError(f"{path}: {err.strerror}") from None
+def write(result: FieldResult, path: str | Path) -> None:
+    """The result as JSON. FileError where the file can't be written."""
+    typed_json.write(result, path)
 
 
 def read(path: str | Path) -> FieldResult:
-    """FileError names the file and the reason."""
-    try:
-        return msgspec.json.decode(Path(path).read_bytes(), type=FieldResult)
-    except OSError as err:
-        raise FileError(f"{path}: {err.strerror}") from None
-    except (msgspec.DecodeError, UnicodeDecodeError) as err:
-        raise FileError(f"{path}: not a result of a field run: {err}") from None
+    """A result of `write`. FileError names file, place and reason."""
+    return typed_json.read(path, FieldResult, "a field run")
--- a/zincstile/scale/outcome.py
+++ b/zincstile/scale/outcome.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
+from .. import typed_json
 from ..field.result import BreachRow
-from ..typed_yaml import FileError
 from .records import Kind, Machine
 
 
@@ -112,17 +112,9 @@
 
 def write(result: DayResult, path: str | Path) -> None:
     """The result as JSON. FileError where the file can't be written."""
-    try:
-        Path(path).write_bytes(msgspec.json.format(msgspec.json.encode(result), indent=1) + b"\n")
-    except OSError as err:
-        raise FileError(f"{path}: {err.strerror}") from None
+    typed_json.write(result, path)
 
 
 def read(path: str | Path) -> DayResult:
     """A result of `write`. FileError names file, place and reason."""
-    try:
-        return msgspec.json.decode(Path(path).read_bytes(), type=DayResult)
-    except OSError as err:
-        raise FileError(f"{path}: {err.strerror}") from None
-    except (msgspec.DecodeError, UnicodeDecodeError) as err:
-        raise FileError(f"{path}: not a result of scale run: {err}") from None
+    return typed_json.read(path, DayResult, "scale run")
--- a/zincstile/scale/records.py
+++ b/zincstile/scale/records.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from ..typed_yaml import FileError
+from .. import typed_json
 
 
 class Dimension(enum.Enum):
@@ -104,20 +104,9 @@
 
 def write(result: SlopeResult, path: str | Path) -> None:
     """The result as JSON. FileError where the file can't be written."""
-    try:
-        Path(path).write_bytes(msgspec.json.format(msgspec.json.encode(result), indent=1) + b"\n")
-    except OSError as err:
-        raise FileError(f"{path}: {err.strerror}") from None
+    typed_json.write(result, path)
 
 
 def read(path: str | Path) -> SlopeResult:
     """A result of `write`. FileError names file, place and reason."""
-    try:
-        return msgspec.json.decode(Path(path).read_bytes(), type=SlopeResult)
-    except OSError as err:
-        raise FileError(f"{path}: {err.strerror}") from None
-    except msgspec.ValidationError as err:
-        reason, _, place = str(err).partition(" - at `")
-        raise FileError(f"{path}: {place.rstrip('`') or '$'}: {reason}") from None
-    except (msgspec.DecodeError, UnicodeDecodeError) as err:
-        raise FileError(f"{path}: not JSON: {err}") from None
+    return typed_json.read(path, SlopeResult, "scale slopes")
