One check before each send, repeat, close and yes to PING; a ring of events; reasons counted

Need: whether a rule was about to be broken could only be seen from outside, and logs did not tell why a connection was closed, a request refused or sent again.

The guard keeps its own record on the session (which attempts may have run), so that a faulty decision shows. Reasons of closes, refusals and retries are enums with counters. A fault no longer looks for its session by any field called id. policy.py gives the split of the budget to budget_split.py; the reader of commands has a file of its own.

Tests: test_rules expects the refusal with its reason now (stricter); three stubs of the event loop have a trace.

--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -19,6 +19,7 @@
     ("checks", "interface", "links", "typed_yaml", "framing"),
     ("inherit", "bounds", "typed_json", "wire"),
     ("state",),
+    ("budget_split",),
     ("policy",),
     ("held", "adapter"),
     ("keeper", "shared", "place", "start", "subset", "control"),
--- a/tests/test_incremental.py
+++ b/tests/test_incremental.py
@@ -25,6 +25,7 @@
 from zincstile.net.json_objects import JsonObjects
 from zincstile.net.limits import Limits
 from zincstile.net.server_table import ServerTable, TableReader, number
+from zincstile.net.trace import Trace
 from zincstile.policy import FADE_S, FAULTY, FLOOR, FORGOTTEN
 from zincstile.state import SLOWNESS_EPSILON, scatter
 from zincstile.worlds import traffic
@@ -168,6 +169,7 @@
         limits=Limits(),
         deadlines=Deadlines(),
         carry_out={},
+        trace=Trace(),
         now_ns=lambda: 100 * SECOND,
         wake=lambda: None,
         post=lambda event: None,
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -14,6 +14,7 @@
 from zincstile.net.deadlines import Deadlines
 from zincstile.net.limits import SECOND, Limits
 from zincstile.net.server_table import ServerTable
+from zincstile.net.trace import Trace
 
 
 class Host:
@@ -35,6 +36,7 @@
         wake=lambda: None,
         post=posted.append,
         carry_out={},
+        trace=Trace(),
         log=SimpleNamespace(often=lambda *words: None),
         counters=SimpleNamespace(tables=0, watches=0),
     )
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -54,7 +54,9 @@
         first = sends(acts)[0]
         acts = g.outcome(rid, 0, first, result)
         assert sends(acts) == [3 - first], result
-        assert finals(g.outcome(rid, 1, 3 - first, result)) == [i.Refuse(rid, 400 * MS)]
+        assert finals(g.outcome(rid, 1, 3 - first, result)) == [
+            i.Refuse(rid, 400 * MS, i.RefusedFor.NO_RETRY)
+        ]
 
 
 def test_unsafe_never_has_two_attempts_out():
--- a/tests/test_server_table.py
+++ b/tests/test_server_table.py
@@ -9,6 +9,7 @@
 from zincstile.net.deadlines import Deadlines
 from zincstile.net.limits import MS, SECOND, Limits
 from zincstile.net.server_table import ServerTable, Watch
+from zincstile.net.trace import Trace
 
 WITHIN = 10 * SECOND
 KNOWN = {
@@ -36,6 +37,7 @@
         wake=lambda: None,
         post=lambda event: None,
         carry_out={},
+        trace=Trace(),
         log=SimpleNamespace(often=lambda *words: None),
         counters=SimpleNamespace(tables=0, watches=0),
     )
--- a/zincstile/interface.py
+++ b/zincstile/interface.py
@@ -317,10 +317,21 @@
     by_ns: int = 0  # above 0: written whole by then, or never; a repeat later would run twice
 
 
+class RefusedFor(Enum):
+    """Why the module refuses a request."""
+
+    QUOTA = "beyond the quota, and not worth what it costs"
+    CEILING = "beyond the ceiling"
+    BUDGET = "the draw for the budget was lost"
+    NO_SERVER = "no backend can take it"
+    NO_RETRY = "its attempts never ran, and no further one is allowed"
+
+
 @dataclass(slots=True)
 class Refuse:
     request: int
     retry_in_ns: int
+    why: RefusedFor = RefusedFor.NO_SERVER
 
 
 @dataclass(slots=True)
--- a/zincstile/net/backend.py
+++ b/zincstile/net/backend.py
@@ -13,7 +13,9 @@
 from ..wire import FIELD_NAMES
 from . import resp
 from .backend_connection import Attempt, BackendConnection, BackendServer
+from .reasons import RetryReason
 from .session import Answer, Call, Kind, Session, Stream
+from .trace import Step
 from .turn import Turn
 
 Result = i.Result
@@ -21,6 +23,16 @@
 BUSY = b"BUSY"
 DENIALS = (BUSY, b"ERR failed")  # error lines after which the connection serves on
 COUNTERS = {r: r.name.lower() for r in Result}
+RETRIES = {
+    Result.CONNECT_FAILED: RetryReason.CONNECT,
+    Result.FULL: RetryReason.FULL,
+    Result.MOOT: RetryReason.MOOT,
+    Result.ERROR: RetryReason.ERROR,
+    Result.RESET: RetryReason.BROKEN,
+    Result.STALE: RetryReason.BROKEN,
+    Result.TIMEOUT: RetryReason.TIMEOUT,
+    Result.SPOILT: RetryReason.SPOILT,
+}  # by how the attempt before ended
 
 
 class Backends:
@@ -62,7 +74,7 @@
             if (server.address, server.started_ns) != (address, b.started_ns):
                 self._retire(server)  # another process: the old one's connections lead nowhere
                 continue
-            server.ready = b.mode is i.Mode.READY
+            server.ready, server.backend = b.mode is i.Mode.READY, b
             if not server.ready:
                 self._withdraw(server)
 
@@ -85,7 +97,9 @@
             entry = self.listed.get(number)
             if entry is None or entry[0].mode is not i.Mode.READY:
                 return None
-            server = self.servers[number] = BackendServer(number, entry[1], entry[0].started_ns, True)
+            listed, address = entry
+            server = BackendServer(number, address, listed.started_ns, ready=True, backend=listed)
+            self.servers[number] = server
         return server if server.ready else None
 
     def _release(self, server: BackendServer) -> None:
@@ -112,6 +126,8 @@
             # answered, in the very turn in which a further attempt was decided on.
             self._report(session, number, action.backend, Result.MOOT, 0)
             return
+        if number:
+            self.turn.counters.retried(self._retry_reason(session))
         until_ns = min(action.until_ns, session.give_up_ns)
         self._launch(
             now,
@@ -123,6 +139,13 @@
             action.fresh,
         )
 
+    def _retry_reason(self, session: Session) -> RetryReason:
+        """Of a further attempt, which has its number already."""
+        before = (session.id, session.attempts - 2)
+        if before in self.attempts or session.last_result is None:
+            return RetryReason.HEDGE
+        return RETRIES.get(session.last_result, RetryReason.HEDGE)
+
     def _launch(
         self,
         now: int,
@@ -158,6 +181,15 @@
         self._connect(attempt)
 
     def _carry(self, connection: BackendConnection, attempt: Attempt, kept: bool = False) -> None:
+        """The one place at which an attempt's first byte is written."""
+        now, session = self.turn.now_ns(), attempt.session
+        if not self.turn.guard.may_send(now, attempt):
+            self.finish(attempt, Result.MOOT)
+            self._rest(connection, settled=True)
+            return
+        if session is not None:
+            session.carried.append(attempt)
+            self.turn.trace.note(now, Step.SENT, session.call.id, attempt.server.address)
         connection.carry(attempt, kept)
         self._limit(attempt, attempt.until_ns if connection.whole else attempt.by_ns)
 
@@ -465,6 +497,8 @@
         self.turn.deadlines.drop(attempt.deadline)
         attempt.deadline = None
         attempt.server.queued.pop(attempt, None)
+        if result is Result.FULL:
+            attempt.may_have_run = False
         connection, attempt.connection = attempt.connection, None
         if connection is not None and connection.attempt is attempt:
             connection.drop()
@@ -486,6 +520,8 @@
         if session is None:
             self.turn.post(i.Probed(backend, result, latency, figures))
             return
+        session.last_result = result
+        self.turn.trace.note(self.turn.now_ns(), Step.OUTCOME, session.call.id, result)
         name = COUNTERS[result]
         setattr(self.turn.counters, name, getattr(self.turn.counters, name) + 1)
         self.turn.post(i.Outcome(session.id, number, backend, result, latency, session.over, 0, 0.0, figures))
--- a/zincstile/net/backend_connection.py
+++ b/zincstile/net/backend_connection.py
@@ -54,6 +54,7 @@
         "deadline",
         "connection",
         "begun",
+        "may_have_run",
     )
 
     def __init__(
@@ -65,6 +66,7 @@
         self.deadline: Key | None = None
         self.connection: BackendConnection | None = None
         self.begun = False  # its first byte may be on its way
+        self.may_have_run = False  # its last byte is written, and it was not turned away
 
 
 @dataclass(slots=True, eq=False)
@@ -78,6 +80,7 @@
     resting: list[BackendConnection] = field(default_factory=list)  # the last used comes last
     queued: dict[Attempt, None] = field(default_factory=dict)  # wait for a connection of their own
     connections: int = 0  # those on their way included
+    backend: i.Backend | None = None  # as it is listed
 
     def settled(self, now: int) -> BackendConnection | None:
         """The one used last of those on which nothing more can come behind their last answer. Guards
@@ -142,6 +145,7 @@
         self.attempt, attempt.connection, attempt.begun = attempt, self, True
         self._half = self._decided = False
         self.transport.write(self.pools.encode(attempt))
+        attempt.may_have_run = not self._unwritten
 
     @property
     def whole(self) -> bool:
@@ -160,6 +164,7 @@
     def resume_writing(self) -> None:
         self._unwritten = False
         if self.attempt is not None:
+            self.attempt.may_have_run = True
             self.pools.written(self.attempt)
 
     def get_buffer(self, sizehint: int) -> memoryview:
--- a/zincstile/net/counters.py
+++ b/zincstile/net/counters.py
@@ -5,9 +5,18 @@
 import json
 
 from .host import HOST, Host
+from .reasons import CloseReason, RefusalReason, RetryReason
+
+BY_REASON = tuple(
+    f"{act}_{reason.value}"
+    for act, reasons in (("close", CloseReason), ("refuse", RefusalReason), ("retry", RetryReason))
+    for reason in reasons
+)
 
 
 class Counters:
+    """All of one process, by name; whole numbers."""
+
     __slots__ = (
         "clients",
         "requests",
@@ -47,12 +56,33 @@
         "standby_closed",
         "streamed",
         "streams_cut",
+        "violated_send",  # invariants (`invariants.Invariant`): each is nought, always
+        "violated_repeat",
+        "violated_close",
+        "violated_start",
+        *BY_REASON,
     )
 
     def __init__(self) -> None:
         for name in self.__slots__:
             setattr(self, name, 0)
 
+    def closed(self, reason: CloseReason) -> None:
+        """A client's connection has ended."""
+        self._add(f"close_{reason.value}")
+
+    def refused(self, reason: RefusalReason) -> None:
+        """A request is answered -BUSY."""
+        self._add(f"refuse_{reason.value}")
+
+    def retried(self, reason: RetryReason) -> None:
+        """A request has a further attempt."""
+        self._add(f"retry_{reason.value}")
+
+    def _add(self, name: str) -> None:
+        setattr(self, name, getattr(self, name) + 1)
+
     def line(self, host: Host = HOST) -> str:
+        """All of them, and what the process used, as a line of the log."""
         counts = {name: getattr(self, name) for name in self.__slots__}
         return "counters " + json.dumps(counts | host.usage())
--- a/zincstile/net/frontend.py
+++ b/zincstile/net/frontend.py
@@ -9,87 +9,18 @@
 from .. import interface as i
 from . import resp
 from .accept import Acceptor
+from .call_reader import CallError, CallReader
 from .counters import Counters
 from .deadlines import Key
 from .host import Host
-from .session import Answer, Call, Kind, Session, Stream
+from .reasons import CloseReason, RefusalReason
+from .session import Answer, Kind, Session, Stream
+from .trace import Step
 from .turn import Turn
 
-READ, WRITE = b"CALL.GET", b"CALL.POST"
 SERVED, DENIED = Kind.SERVED, Kind.DENIED
 
 
-class CallError(ValueError):
-    """A command that is no call; the text is for the client."""
-
-
-class CallReader:
-    """Reads a client's command: what it asks of the module, and what is passed on."""
-
-    __slots__ = ("classes", "plans", "margin_ns", "gateways", "largest_units", "id_bytes")
-
-    def __init__(self, settings: i.Settings, margin_ns: int, id_bytes: int) -> None:
-        self.gateways, self.largest_units = settings.gateways, settings.largest_units
-        self.id_bytes = id_bytes
-        self.classes = {c.name.encode(): (k, c) for k, c in enumerate(settings.classes)}
-        self.plans = {p.name.encode(): k for k, p in enumerate(settings.plans)}
-        self.margin_ns = margin_ns
-
-    def read(self, words: list[bytes], number: int, now: int) -> tuple[Call, i.Request]:
-        verb = words[0].upper()
-        if verb != READ and verb != WRITE:
-            raise CallError("unknown command")
-        if not 4 <= len(words) <= (4 if verb == READ else 5):
-            raise CallError("wrong number of words")
-        fields = words[3].split(b",")
-        given: dict[bytes, bytes] = {}
-        wait_at = -1
-        for at, field in enumerate(fields):
-            name, equals, value = field.partition(b"=")
-            if not equals or name in given:
-                raise CallError("malformed list of names and values")
-            if name == b"d":
-                wait_at = at
-            given[name] = value
-        try:
-            cls, spec = self.classes[given[b"c"]]
-            plan = self.plans[given[b"t"]]
-            digits = (given[b"d"], given[b"spread"], given[b"first"])
-            if not all(d.isdigit() for d in digits):  # int() would take signs, blanks and underlines too
-                raise ValueError
-            wait_ms, spread, first = (int(d) for d in digits)
-            units, customer = float(given[b"units"]), int(words[1], 16)
-        except KeyError as err:
-            raise CallError(f"missing or unknown: {err.args[0]!r}") from None
-        except ValueError:
-            raise CallError("a value that is no number") from None
-        if (
-            len(words[1]) != 16
-            or not words[1].isalnum()
-            or customer >= 2**33
-            or not 0 < len(words[2]) <= self.id_bytes
-        ):
-            raise CallError("no such customer or id")
-        # Guards the customer's quota too: what a stranger says under its name would be remembered.
-        if not (
-            0 < wait_ms <= 3_600_000
-            and 0 < units <= self.largest_units
-            and 0 < spread <= self.gateways
-            and first < self.gateways
-        ):
-            raise CallError("a value out of range")
-        if (spec.effect is i.Effect.SAFE) != (verb == READ):
-            raise CallError("the wrong command for this class")
-        if spec.effect is i.Effect.KEYED and not given.get(b"k"):
-            raise CallError("no key")
-        wait_ns = wait_ms * 1_000_000
-        give_up = now + wait_ns - min(self.margin_ns, wait_ns // 2)
-        call = Call(verb == READ, words[1], words[2], fields, wait_at, words[4] if len(words) > 4 else None)
-        return call, i.Request(
-            number, cls, plan, customer, give_up, units, spread, first, given.get(b"r") == b"1"
-        )
-
-
 class ClientConnection(asyncio.BufferedProtocol):
     """One client. Its commands are answered in order; it is read no further while too much is unanswered."""
 
@@ -112,6 +43,7 @@
         "begun_ns",
         "ended_ns",
         "asked",
+        "_close_reason",
     )
 
     def __init__(self, door: FrontDoor) -> None:
@@ -128,6 +60,7 @@
         self.ended_ns = 0  # when its end was sent
         self.asked = 0  # whole commands that were none to turn away
         self._drained = 0  # bytes thrown away since the last answer was written
+        self._close_reason: CloseReason | None = None  # why it is ended from here, once it is
 
     # ---- asyncio
 
@@ -147,7 +80,7 @@
             return
         self._drained += size
         if self._drained > self.turn.limits.drained_bytes:
-            self.transport.abort()
+            self._abort(CloseReason.FLOOD)
 
     def pause_writing(self) -> None:
         """Guards the memory against clients that ask and do not read their answers."""
@@ -167,6 +100,9 @@
 
     def connection_lost(self, err: Exception | None) -> None:
         self._closing = True
+        reason = self._close_reason or CloseReason.CLIENT
+        self.counters.closed(reason)
+        self.turn.trace.note(self.turn.now_ns(), Step.CLOSED, id(self), reason)
         self.door.left(self)
         waiting, self._waiting = self._waiting, deque()
         for session in waiting:
@@ -198,13 +134,14 @@
         if self._parser.error:  # nothing after it can be understood
             self.counters.malformed += 1
             self.turn.log.often("malformed", f"command: {self._parser.error}")
-            self._give_up("Protocol error: " + self._parser.error)
+            self._give_up("Protocol error: " + self._parser.error, CloseReason.MALFORMED)
         self._throttle()
 
-    def _give_up(self, why: str) -> None:
+    def _give_up(self, why: str, reason: CloseReason) -> None:
         """The last answer. What comes after it is thrown away: closing with bytes unread would reset the
         connection, and the client could lose the line that tells why."""
         self._closing = True
+        self._close_reason = self._close_reason or reason
         self._reply(resp.error(why))
         if self._waiting:  # what it asked before is still answered; till then it is read no further
             self._paused = True
@@ -236,12 +173,15 @@
             self._reply(resp.error(str(err)))
             return
         self.asked += 1
-        if len(turn.sessions) >= turn.limits.sessions or not self.door.ready or self.door.over:
+        refusal = self.door.refusal()
+        if refusal is not None:
             self.counters.denied += 1
+            self.counters.refused(refusal)
             self._reply(resp.busy(0))
             return
         self.door.heard_ns = now
-        session = Session(number, call, self, request.give_up_ns)
+        spec = self.door.reader.specs[request.cls]
+        session = Session(number, call, self, request.give_up_ns, spec)
         self._waiting.append(session)
         self.door.open[call.id] = session
         turn.take(session, request)
@@ -289,7 +229,7 @@
         """Guards against sending on what a client left behind: its end may have come with the request, or lie
         behind what is not read yet."""
         if not self.transport.is_closing() and self.turn.ended(self.transport):
-            self.transport.abort()
+            self._abort(CloseReason.CLIENT)
         return self.transport.is_closing()
 
     def poke(self) -> None:
@@ -325,20 +265,21 @@
                 self.transport.write(out[0] if len(out) == 1 else b"".join(out))
         if cut:
             self._closing = True
-            self.transport.abort()
+            self._abort(CloseReason.CUT)
             return
         if not waiting:
             self.rested_ns = self.turn.now_ns()
             if self._closing or self.door.closing or self.door.standby or self._ending:
-                self._finish_when_written()
+                self._finish_when_written(CloseReason.STOP if self.door.closing else CloseReason.STANDBY)
                 return
         if self._paused:
             self._throttle()
 
-    def _finish_when_written(self) -> None:
+    def _finish_when_written(self, reason: CloseReason) -> None:
         """Ends the connection, but not while an answer is still on its way out of the process: until then it
         is not read, and what the client has asked meanwhile is answered first. Guards what was read before
         the end was sent."""
+        self._close_reason = self._close_reason or reason
         if self._closing:
             self._finish()
         elif self.transport.get_write_buffer_size():
@@ -346,7 +287,7 @@
             self.transport.set_write_buffer_limits(high=0)  # `resume_writing` once all has left
             self._abort_if_stalled(None)
         elif self._ending and self.turn.readable(self.transport):
-            self._ending = False  # the answer to what has come brings it here again
+            self._ending, self._close_reason = False, None  # the answer to what has come brings it here again
             self.turn.deadlines.drop(self._stall_deadline)
             self.transport.set_write_buffer_limits(high=self.turn.limits.written_bytes)
         else:
@@ -358,7 +299,7 @@
         turn, or has had a while to. Guards what was written last: a close over bytes unread would be a reset,
         which may overtake it; and a request that came behind the end is nobody's but its client's, which
         sends it elsewhere."""
-        if not self.transport.is_closing():
+        if not self.transport.is_closing() and self._may_close():
             self._closing, self._ending = True, False
             self.ended_ns = self.turn.now_ns()
             self.transport.write_eof()
@@ -367,6 +308,18 @@
                 self.transport.resume_reading()
             self._abort_if_stalled(None)
 
+    def _may_close(self) -> bool:
+        """Nothing is owed on it."""
+        owed = sum(isinstance(x, Session) and not x.over for x in self._waiting)
+        return self.turn.guard.may_close(self.turn.now_ns(), owed, f"connection {id(self)}")
+
+    def _abort(self, reason: CloseReason) -> None:
+        """Closed at once, whatever is on its way. Only a client that left, or has to see that a value is cut,
+        frees this gateway of what it owes there."""
+        if reason in (CloseReason.CLIENT, CloseReason.CUT) or self._may_close():
+            self._close_reason = self._close_reason or reason
+            self.transport.abort()
+
     def _abort_if_stalled(self, left: int | None) -> None:
         """Cuts the connection where the client does not end it. left: bytes that it had not taken yet when
         last looked at; one that goes on taking them is not cut."""
@@ -374,7 +327,7 @@
             return
         limits, size = self.turn.limits, self.transport.get_write_buffer_size()
         if left is not None and size >= left and not self._waiting:
-            self.transport.abort()
+            self._abort(CloseReason.STALLED)
             return
         wait = limits.silent_ns if size else limits.drained_ns
         self.turn.deadlines.drop(self._stall_deadline)
@@ -397,7 +350,7 @@
                 or not self.asked
                 and now - self.rested_ns > limits.silent_ns
             ):
-                self._give_up("a command that does not end")
+                self._give_up("a command that does not end", CloseReason.INCOMPLETE)
         elif now - self.rested_ns > (
             limits.standby_rest_ns
             if self.door.standby
@@ -405,13 +358,15 @@
             if self.asked
             else limits.silent_ns
         ):
-            closed = self.close_if_idle()
+            reason = CloseReason.IDLE if self.asked else CloseReason.SILENT
+            closed = self.close_if_idle(CloseReason.STANDBY if self.door.standby else reason)
             self.counters.standby_closed += closed and self.door.standby
 
-    def close_if_idle(self) -> bool:
+    def close_if_idle(self, reason: CloseReason) -> bool:
+        """Ended, unless something is owed on it or has come. True: its end is sent."""
         if not self.idle or self._ending or self.transport.is_closing() or self.turn.readable(self.transport):
             return False  # guards against closing beneath a request that has come but is not read yet
-        self._finish_when_written()
+        self._finish_when_written(reason)
         return self._closing
 
     @property
@@ -422,7 +377,7 @@
     def give_way(self) -> bool:
         """Closed at once, as its descriptor is wanted. It has rested for a while, or its end was sent a while
         ago: what was written to it has arrived."""
-        if not self.lingers and not self.close_if_idle():
+        if not self.lingers and not self.close_if_idle(CloseReason.ROOM):
             return False
         self.transport.close()
         return True
@@ -471,6 +426,15 @@
     def counters(self) -> Counters:
         return self.turn.counters
 
+    def refusal(self) -> RefusalReason | None:
+        """Why no request is taken at present."""
+        if not self.ready:
+            return RefusalReason.NOT_READY
+        if self.over:
+            return RefusalReason.OVER
+        full = len(self.turn.sessions) >= self.turn.limits.sessions
+        return RefusalReason.SESSIONS if full else None
+
     def take(self) -> None:
         """Ready: connections are taken from now on, also from a queue shared with an old process."""
         self.ready = True
@@ -559,20 +523,20 @@
         are served."""
         self.standby = standby
         if standby:
-            self.counters.standby_closed += self.close_idle()
+            self.counters.standby_closed += self.close_idle(CloseReason.STANDBY)
 
     def fit(self) -> None:
         """The limits have become narrower: connections that rest are closed as where new ones need room."""
         while len(self.clients) > self.turn.limits.frontend_connections and self._make_room():
             pass
 
-    def close_idle(self) -> int:
+    def close_idle(self, reason: CloseReason = CloseReason.STOP) -> int:
         """All that rest; how many. Spared for a moment are those that came last and have not asked: what they
         came for is on its way."""
         now, least = self.turn.now_ns(), self.turn.limits.newcomer_ns
         return sum(
             [
-                client.close_if_idle()
+                client.close_if_idle(reason)
                 for client in list(self.clients)
                 if client.asked or now - client.rested_ns > least
             ]
--- a/zincstile/net/gateway.py
+++ b/zincstile/net/gateway.py
@@ -21,6 +21,7 @@
 from .server_table import ServerTable, TableReader
 from .server_table import number as name_number
 from .session import FAILED
+from .trace import Step
 from .turn import Turn
 
 
@@ -296,7 +297,8 @@
         return bool(known.get("endpoints"))
 
     def _ready(self, _: object = None) -> None:
-        if not self.door.ready:
+        if not self.door.ready and self._may_be_ready():
+            self.turn.trace.note(self.turn.now_ns(), Step.STATE, "ready")
             self.door.take()
             if self.handover is not None:
                 self.handover.say_ready()
@@ -305,6 +307,12 @@
                 by = self.starter.readiness.right.value
             self.log.line(f"ready with {len(self.backends.listed)} backend servers, {by}")
 
+    def _may_be_ready(self) -> bool:
+        """A list is here: discovery's, peers', or the one known before."""
+        return self.turn.guard.may_be_ready(
+            self.turn.now_ns(), len(self.backends.listed), self.table.told or self.starter is not None
+        )
+
     def _count(self) -> None:
         self.log.line(self.counters.line(self.host))
         self.log.line("state " + json.dumps(self.turn.policy.sight()))
@@ -330,6 +338,7 @@
         if self._stopping:
             return
         self._stopping = True
+        self.turn.trace.note(self.turn.now_ns(), Step.STATE, "stop")
         self.log.line(f"stop with {len(self.turn.sessions)} sessions")
         now, limits = self.turn.now_ns(), self.config.limits
         self._stop_ns = self.door.heard_ns = now
@@ -383,6 +392,7 @@
 
     def _end(self, _: object) -> None:
         if not self.ended.done():
+            self.turn.guard.may_end(self.turn.now_ns(), len(self.turn.sessions))
             if self.heritage is not None:
                 self.heritage.end()
             self.ended.set_result(None)
--- a/zincstile/net/server_table.py
+++ b/zincstile/net/server_table.py
@@ -15,6 +15,7 @@
 from .config import Address, ConfigError, address
 from .host import Host
 from .json_objects import JsonObjects
+from .trace import Step
 from .turn import Turn
 
 GONE_KEPT: Final = 1024  # names that were listed and are gone: so many may still be called by operators
@@ -246,6 +247,7 @@
         if where == self.where:  # an old watch may still speak after a move, and count in another way
             self.version = version
         self.turn.counters.tables += 1
+        self.turn.trace.note(self.turn.now_ns(), Step.STATE, "list", (kind, version, len(entries)))
         self._keep(kind, entries)
         if self.banned or self.reborn:
             entries = [self._masked(e) for e in entries]
@@ -320,6 +322,7 @@
         """An operator's word on a backend server, told as a change of the list where discovery listed it;
         False where the name was never listed. Guards the rule on drains: the module and the pools hear it in
         the same turn, before any further attempt is decided on."""
+        self.turn.trace.note(self.turn.now_ns(), Step.STATE, name, "maintenance" if banned else "back")
         number_ = number(name)  # perhaps not listed here yet: another process of this gateway has told it
         since = self.banned.pop(number_, None)
         if banned:
--- a/zincstile/net/session.py
+++ b/zincstile/net/session.py
@@ -6,6 +6,8 @@
 from enum import Enum
 from typing import Protocol
 
+from .. import interface as i
+
 
 @dataclass(slots=True)
 class Call:
@@ -89,13 +91,52 @@
         ...
 
 
+class SentTo(Protocol):
+    """A backend server, as far as an attempt on it has to be known here."""
+
+    address: tuple[str, int]
+    ready: bool  # it may be sent to
+    backend: i.Backend | None  # as it is listed
+
+
+class Sending(Protocol):
+    """An attempt, as far as its session has to know it: `backend_connection.Attempt`."""
+
+    session: Session | None
+    server: SentTo
+    sent_ns: int
+    until_ns: int  # what the server is told of its client's time
+    may_have_run: bool
+
+
 class Session:
     """A request that was taken: it gets exactly one final answer, or its client has left."""
 
-    __slots__ = ("id", "call", "frontend", "give_up_ns", "attempts", "over", "reply")
-
-    def __init__(self, number: int, call: Call, frontend: Frontend, give_up_ns: int) -> None:
+    __slots__ = (
+        "id",
+        "call",
+        "frontend",
+        "give_up_ns",
+        "spec",
+        "attempts",
+        "carried",
+        "last_result",
+        "over",
+        "reply",
+    )
+
+    def __init__(
+        self,
+        number: int,
+        call: Call,
+        frontend: Frontend,
+        give_up_ns: int,
+        spec: i.ClassSpec | None = None,
+    ) -> None:
         self.id, self.call, self.frontend, self.give_up_ns = number, call, frontend, give_up_ns
+        self.spec = spec  # of its class; none: it is as one that is safe to repeat
         self.attempts = 0  # made so far
+        self.carried: list[Sending] = []  # of these, the ones whose first byte may have left
+        self.last_result: i.Result | None = None  # of the attempt that ended last
         self.over = False
         self.reply: bytes | Stream | None = None
--- a/zincstile/net/turn.py
+++ b/zincstile/net/turn.py
@@ -11,9 +11,14 @@
 from .counters import Counters
 from .deadlines import Deadlines
 from .host import HOST, Host
+from .invariants import InvariantGuard
 from .limits import Limits
 from .log import Log
+from .reasons import RefusalReason
 from .session import DENIED, FAILED, Answer, Kind, Session
+from .trace import Step, Trace
+
+REFUSALS = {why: RefusalReason[why.name] for why in i.RefusedFor}
 
 
 class Writer(Protocol):
@@ -37,6 +42,8 @@
         self.loop, self.policy, self.limits, self.counters, self.log = loop, policy, limits, counters, log
         self.now_ns, self.readable = host.monotonic_ns, host.readable  # for all that are handed the turn
         self.ended = host.ended
+        self.trace = Trace()
+        self.guard = InvariantGuard(counters, log, self.trace)
         self.deadlines = Deadlines()
         self.sessions: dict[int, Session] = {}
         self.carry_out: dict[type, Callable[[int, Any], None]] = {
@@ -75,6 +82,7 @@
 
     def take(self, session: Session, request: i.Request) -> None:
         self.counters.requests += 1
+        self.trace.note(self.now_ns(), Step.COME, session.call.id)
         self.sessions[session.id] = session
         self.post(request)
 
@@ -85,6 +93,7 @@
         session.over = True
         self.sessions.pop(session.id, None)
         self.over[session.id] = session
+        self.trace.note(self.now_ns(), Step.ANSWERED, session.call.id, answer.kind)
         if answer.kind is Kind.SERVED:
             self.counters.served += 1
         elif answer.kind is Kind.DENIED:
@@ -101,6 +110,7 @@
             self.sessions.pop(session.id, None)
             self.over[session.id] = session
             self.counters.left += 1
+            self.trace.note(self.now_ns(), Step.LEFT, session.call.id)
             self.post(i.Gone(session.id))
 
     # ---- the turn
@@ -155,11 +165,22 @@
             at = at.tb_next
         where = f"{at.tb_frame.f_code.co_filename.rpartition('/')[2]}:{at.tb_lineno}" if at else "?"
         self.log.often("fault", f"{type(err).__name__}: {err} at {where} in {type(about).__name__}")
-        number = getattr(about, "request", getattr(about, "id", None))
-        session = self.sessions.get(number) if isinstance(number, int) else None
+        session = self._session_of(about)
+        for line in self.trace.tell(self.now_ns(), session.call.id if session else None):
+            self.log.line(f"trace {line}")
         if session is not None and self.end(session, FAILED):
             self.post(i.Gone(session.id))
 
+    def _session_of(self, about: object) -> Session | None:
+        """The open request that an event, an action or a deadline was about."""
+        if isinstance(about, i.Request):
+            return self.sessions.get(about.id)
+        session = about if isinstance(about, Session) else getattr(about, "session", None)
+        if isinstance(session, Session):
+            return self.sessions.get(session.id)
+        number = getattr(about, "request", None)
+        return self.sessions.get(number) if isinstance(number, int) else None
+
     def _set_alarm(self) -> None:
         at = self.deadlines.next_ns
         if at is None or (self._alarm is not None and self._alarm_ns <= at):
@@ -183,6 +204,9 @@
     def _deny(self, _: int, action: i.Refuse) -> None:
         session = self.sessions.get(action.request)
         if session is not None:
+            reason = REFUSALS[action.why]
+            self.counters.refused(reason)
+            self.trace.note(self.now_ns(), Step.REFUSED, session.call.id, reason)
             ms = -(-action.retry_in_ns // 1_000_000)
             self.end(session, Answer(Kind.DENIED, retry_ms=ms) if ms else DENIED)
 
--- a/zincstile/policy.py
+++ b/zincstile/policy.py
@@ -13,19 +13,19 @@
 from itertools import accumulate
 
 from . import interface as i
-from .interface import Effect, Result
-from .state import LEVEL, Attempt, Customer, Leaf, Live, Memory, Server, scatter
+from .budget_split import split
+from .interface import Effect, RefusedFor, Result
+from .state import LEVEL, Attempt, Customer, Live, Memory, Server, scatter
 
 SECOND = 1_000_000_000
 # Budget: how it follows the back end, and how steeply it is split.
 TICK_NS, IDLE = SECOND // 10, 2  # period of level and split; so many times that with few attempts out
-STEEP = -10.0              # alpha of Equation 5, on payoffs over their mean; below 0 favours higher payoff
 STRETCH, AIM_SHARE = 3.0, 0.5  # pressure: latency above so many times the calm one, or that part of the aim
 CALM, ALONE, MOST_LATE = 0.77, 1.5, 3.0  # of the bound: level rises below; silence to answers; most of one
 START_OUT, LEAST_OUT = 10.0, 1.0  # attempts out per ready server, by all gateways: first level, least level
 FALL, BINDS, RISE, WARY = 0.3, 0.6, 1.04, 1.01  # largest cut; where it binds; growth a tick; above brim
 ARRIVAL_S, PRIOR_RATE = 1.0, 1.0  # memory of the arrivals; units a second that the usual time weighs
-PRIOR, KEEP = 20.0, 0.99   # units that the worth by settings weighs in a payoff: none can starve; kept a tick
+KEEP = 0.99                # of the memory of payoffs, a tick
 HALF = 0.5                 # what a peer's figures weigh beside the own
 SPAN_S, ENOUGH = 0.8, 10.0  # memory of the answers' lateness; so many of them are half believed in a tick
 # Quota gossip.
@@ -57,30 +57,6 @@
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
 
 
-def payoff(leaves: list[Leaf]) -> float:
-    """Worth earned per unit sent, of one group or of several by their arrivals."""
-    worth = sum((x.arrivals + 1e-9) * (x.earned + PRIOR * x.prior) / (x.sent + PRIOR) for x in leaves)
-    return worth / sum(x.arrivals + 1e-9 for x in leaves)
-
-
-def split(budget: float, children: list[list[Leaf]]) -> list[float]:
-    """Equation 5: a normalized logistic of the payoffs; none gets more than arrives, the surplus goes on."""
-    arrivals, payoffs = [sum(x.arrivals for x in c) for c in children], [payoff(c) for c in children]
-    mean = max(sum(payoffs) / len(payoffs), 1e-9)
-    weights = [1 / (1 + math.exp(max(-50.0, min(50.0, STEEP * (u - mean) / mean)))) for u in payoffs]
-    given, wanting, left = [0.0] * len(payoffs), list(range(len(payoffs))), budget
-    while wanting:
-        norm = sum(weights[j] for j in wanting)
-        sated = [j for j in wanting if left * weights[j] / norm >= arrivals[j]]
-        for j in sated or wanting:
-            given[j] = arrivals[j] if sated else left * weights[j] / norm
-        if not sated:
-            break
-        left -= sum(arrivals[j] for j in sated)
-        wanting = [j for j in wanting if j not in sated]
-    return given
-
-
 class Policy(Memory):
     """The decisions of one gateway: feed it events in order, carry out the actions it returns."""
 
@@ -453,8 +429,9 @@
         part = self._ceiling_part(now, c, plan)
         c.fill_ceiling(now, plan.ceiling_rate * part, plan.ceiling_burst * part)
         capped = plan.ceiling_rate > 0 and c.ceiling + SAFELY * plan.ceiling_slack / c.spread < ask.units
-        server = None
+        server, why = None, RefusedFor.CEILING if capped else RefusedFor.QUOTA
         if not capped and (inside or plan.over_worth > plan.over_cost):
+            why = RefusedFor.NO_SERVER if live.draw < leaf.rate else RefusedFor.BUDGET
             leaf.arrived += ask.units
             self.met += 1
             self.mean_units += max(FLEET, 1 / self.met) * (ask.units - self.mean_units)
@@ -462,7 +439,7 @@
         if inside and counted != (server is not None):  # sent and not yet counted, or counted and not sent
             self._spend(now, c, -ask.units if counted else ask.units)
         if server is None:
-            self.acts.append(i.Refuse(ask.id, self._come_back_ns(live)))
+            self.acts.append(i.Refuse(ask.id, self._come_back_ns(live), why))
             self.close(live, self.set.cancel)
             return
         leaf.sent += ask.units
@@ -611,7 +588,8 @@
         """A further attempt, else the final answer."""
         if not self._further(now, live, cost):
             free = live.ran is None or live.spec.effect is Effect.SAFE
-            self.acts.append(i.Refuse(live.ask.id, self._come_back_ns(live)) if free else i.Fail(live.ask.id))
+            refusal = i.Refuse(live.ask.id, self._come_back_ns(live), RefusedFor.NO_RETRY)
+            self.acts.append(refusal if free else i.Fail(live.ask.id))
             self.close(live, self.set.cancel)
 
     def on_gone(self, now: int, event: i.Gone) -> None:
