Fault soak on real processes: shims for calls, clocks and files, operators, overlapping troubles

Change: field/shim replaces what a gateway's process calls of the system, told by a mapped file while it runs; worlds/soak draws two or three groups of trouble around one instant; operators call the control endpoints; half files are reloaded.

--- a/zincstile/cli/field.py
+++ b/zincstile/cli/field.py
@@ -38,9 +38,19 @@
     return plan
 
 
+def _plan(path: str | None, seed: int | None, gateways: int | None) -> Plan:
+    """The plan of a file, or the soak of a seed; one line and exit 2 where neither or both are named."""
+    from ..worlds import soak
+
+    if (path is None) == (gateways is None):
+        raise BadInputError("field run: name a PLAN.yaml, or --soak GATEWAYS with --seed")
+    return load(path, seed) if path is not None else soak.draw(seed or 1, gateways)
+
+
 @command.command("run")
-@click.argument("plan_file", metavar="PLAN.yaml", type=click.Path())
+@click.argument("plan_file", metavar="PLAN.yaml", type=click.Path(), required=False)
 @click.option("--seed", type=click.IntRange(min=0), help="In place of the plan's own.")
+@click.option("--soak", "gateways", type=click.IntRange(2, 64), help="Draw a soak of so many; no PLAN.yaml.")
 @click.option(
     "--feature",
     "features",
@@ -52,8 +62,9 @@
 @click.option("--report", "page", type=click.Path(dir_okay=False), help="Write a page with charts.")
 @click.option("--keep", type=click.Path(file_okay=False), help="Keep configurations and logs in this folder.")
 def run(
-    plan_file: str,
+    plan_file: str | None,
     seed: int | None,
+    gateways: int | None,
     features: tuple[str, ...],
     out: str | None,
     page: str | None,
@@ -66,12 +77,13 @@
     from ..field.places import PlaceError
     from ..field.run import NotReadyError
 
-    plan = load(plan_file, seed)
+    plan = _plan(plan_file, seed, gateways)
     try:
         with tempfile.TemporaryDirectory(prefix="zincstile-field-") as folder:
             if keep is not None:
                 Path(keep).mkdir(parents=True, exist_ok=True)
-            found = sweeps.one(plan, Path(keep or folder), Path(plan_file).stem, sweeps.features(features))
+            name, files = Path(plan_file or "soak").stem, sweeps.features(features)
+            found = sweeps.one(plan, Path(keep or folder), name, files)
         if out is not None:
             results.write(found, Path(out))
         if page is not None:
@@ -98,6 +110,7 @@
 @click.option("--gateways", type=click.IntRange(2, 64), default=8, show_default=True)
 @click.option("--kind", "kinds", multiple=True, help="Only these failures; all where none is named.")
 @click.option("--zones", is_flag=True, help="Troubles of zones, with features.place unless --gossip.")
+@click.option("--soak", "soaked", is_flag=True, help="Two or three troubles of all kinds at once.")
 @click.option(
     "--jobs",
     type=click.IntRange(1, 64),
@@ -113,6 +126,7 @@
     gateways: int,
     kinds: tuple[str, ...],
     zones: bool,
+    soaked: bool,
     jobs: int,
     features: tuple[str, ...],
     gossip: bool,
@@ -121,9 +135,9 @@
     """Plays many runs of drawn failures; exit 1 where any breaks a rule."""
     from ..field import result as results
     from ..field import sweep as sweeps
-    from ..worlds import places, shared
+    from ..worlds import places, shared, soak
 
-    known = places.KINDS if zones else shared.FAILURES
+    known = (soak.KIND,) if soaked else places.KINDS if zones else shared.FAILURES
     for kind in kinds:
         if kind not in known:
             raise BadInputError(f"--kind {kind}: no such failure; there are {', '.join(known)}")
@@ -138,6 +152,8 @@
                 results.write(found, Path(out) / f"{found.plan.replace(' ', '-')}-{found.seed}.json")
             if not found.ok:
                 click.echo(f"{found.plan}: {found.line()}: {found.breaches[0].text}")
+                for fault in found.faults if soaked else ():
+                    click.echo(f"  {fault}")
             print(f"{len(done)} of {len(chosen)}", file=sys.stderr, flush=True)
     except FileError as err:
         raise BadInputError(f"field: {err}") from None
--- a/zincstile/field/gateways.py
+++ b/zincstile/field/gateways.py
@@ -15,6 +15,7 @@
 from . import places
 from .members import Seat
 from .programs import Program, told
+from .shim_control import Knob
 from .testbed import MS, Testbed
 
 GONE_S = 12.0  # a process that was told to end may take so long
@@ -34,8 +35,8 @@
         sock.listen(1024)
         return sock
 
-    def _write_configuration(self, seat: Seat) -> Path:
-        """Writes a gateway's configuration file as it has to be now."""
+    def _write_configuration(self, seat: Seat, half: bool = False) -> Path:
+        """Writes a gateway's configuration file as it has to be now, or half of it."""
         plan, number = self.plan, seat.number
         seed = random.Random(f"{seat.name} {plan.seed} {seat.starts}").getrandbits(64)
         table = traffic.configuration(
@@ -51,10 +52,12 @@
             table["features"] = self.features
         if self.counters:
             table["counter"] = self.counters[seat.counter][1].address(number)
-        if self._upgrades:
-            table["control"] = f"{places.gateway(self.block, number)}:{places.CONTROL_PORT + seat.starts}"
+        if self._operated:
+            seat.operators = f"{places.gateway(self.block, number)}:{places.CONTROL_PORT + seat.starts}"
+            table["control"] = seat.operators
         path = seat.folder / "config.json"
-        path.write_text(json.dumps(table), encoding="utf-8")
+        text = json.dumps(table)
+        path.write_text(text[: len(text) // 2] if half else text, encoding="utf-8")
         return path
 
     def _known_list(self, seat: Seat) -> dict[str, Any]:
@@ -67,7 +70,7 @@
         """Starts it as the platform does: from nothing but its file and the last list."""
         self._keep_counters(seat)
         seat.starts += 1
-        seat.stopping = False
+        seat.stopping, seat.may_die = False, bool(seat.shim.get(Knob.KILL_IN_WRITE))
         self.referee.started(seat.name)
         seat.program = self._start_program(seat)
 
@@ -75,7 +78,9 @@
         env = {"RELAY_CONFIG": str(self._write_configuration(seat)), "TMPDIR": str(seat.folder / "tmp")}
         words = ["-m", "zincstile"]
         if seat.skew_ns:
-            words = ["-m", "zincstile.field.skewed", str(seat.skew_ns / MS)]
+            seat.shim.set(Knob.WALL_OFFSET_S, seat.skew_ns / 1e9)
+        if self._shimmed:
+            words = ["-m", "zincstile.field.shim", str(seat.folder / "shim")]
         if seat.socket is not None:
             env["RELAY_SOCKET_FD"] = str(seat.socket.fileno())
         return Program(
@@ -94,6 +99,17 @@
                 seat.counters[name] = seat.counters.get(name, 0) + n
             seat.latest = {}
 
+    def died_as_planned(self, name: str) -> bool:
+        """Its process was killed in the middle of a write, as the plan had it."""
+        seat = self.seats[self.names.index(name)]
+        program = seat.program
+        return (
+            seat.may_die
+            and program is not None
+            and not program.alive
+            and program.process.returncode == -signal.SIGKILL
+        )
+
     def running(self, seat: Seat) -> bool:
         """A process of it is alive."""
         return seat.program is not None and seat.program.alive
@@ -117,11 +133,22 @@
         seat.program.signal(signal.SIGSTOP)
         self.after(ms, seat.program.signal, signal.SIGCONT)
 
-    def reload(self, seat: Seat) -> None:
-        """SIGHUP, with the file as it has to be now."""
-        self._write_configuration(seat)
+    def reload(self, seat: Seat, half: bool = False) -> None:
+        """SIGHUP, with the file as it has to be now, or half of it."""
+        self._write_configuration(seat, half)
         seat.program.signal(signal.SIGHUP)
 
+    def step_clock(self, seat: Seat, seconds: float) -> None:
+        """The wall clock of its machine is off by so much from now on, for later processes too."""
+        self.referee.event(f"the wall clock of {seat.name} is {seconds:+g} s off")
+        seat.shim.set(Knob.WALL_OFFSET_S, seconds)
+
+    def set_knob(self, seat: Seat, name: str, value: float) -> None:
+        """A value of the shim of its processes."""
+        seat.shim.set(Knob[name], value)
+        if name == Knob.KILL_IN_WRITE.name:
+            seat.may_die = seat.may_die or bool(value)
+
     def move_discovery(self, seat: Seat) -> None:
         """Its discovery listens at a new address too, which the file names from now on."""
         self._spawn(self._move_discovery(seat))
@@ -167,6 +194,9 @@
             program = seat.program
             if program is not None and not program.alive and not program.asked_to_end:
                 program.asked_to_end = True
+                if self.died_as_planned(seat.name):
+                    self.referee.ended(seat.name)
+                    continue
                 code = program.process.returncode
                 self.referee.fault(seat.name, f"the process ended by itself, exit {code}")
                 self.referee.ended(seat.name)
--- a/zincstile/field/members.py
+++ b/zincstile/field/members.py
@@ -11,6 +11,7 @@
 from ..worlds import traffic
 from .fault_proxy import FaultProxy
 from .programs import Program
+from .shim_control import ShimControl
 
 
 @dataclass(slots=True, eq=False)
@@ -23,12 +24,15 @@
     proxy: FaultProxy
     listen: str
     folder: Path
+    shim: ShimControl
     discovery: str = ""
     skew_ns: int = 0
+    operators: str = ""  # the control endpoint of the process that was started last
     starts: int = 0
     moves: int = 0
     counter: int = 0
     stopping: bool = False
+    may_die: bool = False  # in the middle of a write, as the plan has it
     program: Program | None = None
     older: Program | None = None  # serves beside the newer one
     socket: socket.socket | None = None
--- /dev/null
+++ b/zincstile/field/operators.py
@@ -0,0 +1,44 @@
+"""The operators of a run: their calls to the gateways' control endpoints, and what a yes obliges to."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from .members import Seat
+from .testbed import Testbed
+
+CALL_S = 3.0  # a call is given up after so long; its answer is due within 1 s
+YES = 200
+
+
+class Operators(Testbed):
+    """Takes backends out of service at gateways and puts them back."""
+
+    def maintain(self, seat: Seat, name: str, out: bool) -> None:
+        """One call, beside everything else. Where it is not answered with a yes nothing is obliged."""
+        self._spawn(self._maintain(seat, name, out))
+
+    async def _maintain(self, seat: Seat, name: str, out: bool) -> None:
+        if not out:  # from the call on it may be sent to again, whatever is answered
+            self.referee.maintenance.put_back(seat.name, name)
+        act = "enter" if out else "exit"
+        status = await self._call(seat, f"/maintenance/{act}", name)
+        self.referee.event(f"{seat.name} answers {status} to {act} {name}")
+        if out and status == YES:
+            self.referee.maintenance.entered(time.monotonic_ns(), seat.name, name)
+
+    async def _call(self, seat: Seat, path: str, body: str) -> int:
+        """The status; 0 where there is no answer."""
+        host, _, port = seat.operators.rpartition(":")
+        head = f"POST {path} HTTP/1.1\r\nHost: {host}\r\nContent-Length: {len(body)}\r\n\r\n"
+        try:
+            async with asyncio.timeout(CALL_S):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write((head + body).encode())
+                line = await reader.readline()
+                writer.close()
+        except (OSError, TimeoutError, ValueError):
+            return 0
+        words = line.split()
+        return int(words[1]) if len(words) > 1 and words[1].isdigit() else 0
--- a/zincstile/field/probe.py
+++ b/zincstile/field/probe.py
@@ -67,6 +67,7 @@
 
     def __init__(self, referee: Referee, series: TimeSeries, began_s: Callable[[], float]) -> None:
         self.referee, self.series, self._began_s = referee, series, began_s
+        self.died_as_planned: Callable[[str], bool] = lambda gateway: False
         self.came: list[tuple[float, str, int]] = []  # when, at which box, work in ns
 
     def _whose(self, gateway: str, request: bytes) -> str:
@@ -112,7 +113,7 @@
         """Its connection was ended without an answer. One that has been sent on by now was read, and is lost.
         Of what is sent on later it can't be told between processes which connection it was read on."""
         case = self.referee.cases[request]
-        if len(case.tries) > case.tries_before:
+        if len(case.tries) > case.tries_before and not self.died_as_planned(case.gateway):
             self.referee.dropped(request)
             return
         self.referee.void(request)
--- a/zincstile/field/run.py
+++ b/zincstile/field/run.py
@@ -26,20 +26,28 @@
 from .fault_proxy import FaultProxy
 from .gateways import GONE_S, GatewayProcesses
 from .members import Seat
+from .operators import Operators
 from .programs import Program
 from .result import FieldResult
+from .shim_control import Knob, ShimControl
 from .summary import summary
 from .testbed import LOOK_S
 
 READY_S, SETTLE_S, END_S = 60.0, 0.8, 20.0  # until all are ready; beats pass first; until all is answered
 SAMPLE_S = 0.5
+RESTART_S = 10.0  # a process that was started again is ready by then
 
 
 class NotReadyError(RuntimeError):
     """The gateways did not start; the text has what their logs say."""
 
 
-class Run(EmulatedServices, GatewayProcesses):
+def plan_seed(seed: int, number: int) -> float:
+    """Of the shim of one gateway."""
+    return float(seed * 1000 + number)
+
+
+class Run(EmulatedServices, GatewayProcesses, Operators):
     """`stage.Stage` with real processes: the run from its first process to its last."""
 
     async def play(self) -> FieldResult:
@@ -68,6 +76,7 @@
         for number, name in enumerate(self.names):
             self.seats.append(await self._make_seat(number, name))
         self.front = self._make_clients()
+        self.probe.died_as_planned = self.died_as_planned
         await self._wait_for(lambda: all(c.port for _, c in self.counters.values()), READY_S)
         self._first_start_s = time.monotonic()
         self.referee.quotas = Quotas(self.stated, 0, self.opening, time.monotonic_ns())
@@ -97,8 +106,10 @@
             proxy=proxy,
             listen=f"{places.gateway(self.block, number)}:{places.CLIENTS_PORT}",
             folder=folder,
+            shim=ShimControl(folder / "shim"),
             discovery=proxy.address(number),
         )
+        seat.shim.set(Knob.SEED, plan_seed(self.plan.seed, number))
         if self._upgrades:
             seat.socket = self._listening_socket(seat)
         return seat
@@ -177,6 +188,7 @@
     async def _end_gateways(self) -> None:
         """All is answered: every process is told to end, and has to, with nothing left open."""
         left = self.front.open
+        await self._check_ready()
         for seat in self.seats:
             if seat.program is not None:
                 seat.program.signal(signal.SIGCONT)
@@ -189,6 +201,16 @@
         if left:
             self.referee.breach("answer", f"{left} requests were never answered")
 
+    async def _check_ready(self) -> None:
+        """Whoever runs says yes to the front, or does so within the time that a start may take."""
+        await self._wait_for(lambda: not self._not_ready(), RESTART_S)
+        for name in self._not_ready():
+            self.referee.breach("ready", f"{name} runs, and is not ready within {RESTART_S:g} s")
+
+    def _not_ready(self) -> list[str]:
+        running = [s for s in self.seats if self.running(s) and not s.stopping]
+        return [s.name for s in running if not self.front.up[s.name]]
+
     def _check_end(self, seat: Seat, program: Program) -> None:
         """The process ended in time, as it was told to, and counted no fault."""
         code = program.process.returncode
@@ -223,6 +245,7 @@
         seat.proxy.close()
         if seat.socket is not None:
             seat.socket.close()
+        seat.shim.close()
 
     def _clean_up_clients(self) -> None:
         for clients in self.front.lines.values():
--- a/zincstile/field/sweep.py
+++ b/zincstile/field/sweep.py
@@ -10,7 +10,7 @@
 
 from ..net import features as features_files
 from ..typed_yaml import FileError
-from ..worlds import places, shared, traffic
+from ..worlds import places, shared, soak, traffic
 from ..worlds.plan import Plan
 from . import run
 from .places import PlaceError
@@ -52,7 +52,9 @@
 
 
 def draw(seed: int, gateways: int, kind: str, gossip: bool) -> Plan:
-    """A failure of the shared state, or a trouble of a zone."""
+    """A failure of the shared state, a trouble of a zone, or several troubles at once."""
+    if kind == soak.KIND:
+        return soak.draw(seed, gateways)
     if kind in places.KINDS:
         return places.draw(seed, gateways, kind, not gossip)[0]
     plan = shared.draw(seed, gateways, kind)
--- a/zincstile/field/testbed.py
+++ b/zincstile/field/testbed.py
@@ -21,7 +21,7 @@
 from ..standin.discovery import Roster
 from ..standin.guidebox import Rack
 from ..worlds import traffic
-from ..worlds.plan import Plan
+from ..worlds.plan import SHIM, Plan
 from .datagrams import Datagrams
 from .fault_proxy import FaultProxy
 from .members import Place, Seat
@@ -29,6 +29,7 @@
 
 MS = 1_000_000
 SLACK_NS = 1500 * MS  # of what has to be done in time, on a machine that does all at once
+NEAR_SLACK_NS = 400 * MS  # of what is a fraction of a second by itself
 LOOK_S = 0.02  # between two looks at a condition
 RACKS = 3  # that the backends stand in
 
@@ -62,6 +63,8 @@
             figures,
             answer_grace_ns=figures.answer_grace_ns + SLACK_NS,
             drain_ns=figures.drain_ns + SLACK_NS,
+            left_ns=figures.left_ns + NEAR_SLACK_NS,
+            deadline_ns=figures.deadline_ns + NEAR_SLACK_NS,
             told_at_most_ns=figures.told_at_most_ns + SLACK_NS,
             cold_slack_ns=2 * figures.cold_slack_ns,
         )
@@ -84,7 +87,10 @@
         self._backends_made = 0
         self._tasks: dict[asyncio.Task, None] = {}
         self._active_troubles: dict[Any, Any] = {}  # what takes away the troubles that faults laid
-        self._upgrades = any(f.kind == "upgrade" for f in plan.faults)
+        kinds = {f.kind for f in plan.faults}
+        self._upgrades = "upgrade" in kinds
+        self._operated = bool(kinds & {"upgrade", "maintenance"})  # gateways have a control endpoint
+        self._shimmed = bool(kinds & {*SHIM, "skew"})  # their processes run under the shim
         self._first_start_s = 0.0
 
     def _on_loop_error(self, _: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
--- a/zincstile/rules/__init__.py
+++ b/zincstile/rules/__init__.py
@@ -15,6 +15,7 @@
     deadline   a box is told no more time than the client has left, with 0.15 s of slack
     maintenance  nothing new to a box that the gateway said yes to taking out, until it is put back
     invariant  the gateway's own checks (`net.invariants`) have counted nothing
+    ready      between real processes: whoever runs is ready within the time that a start may take
     progress   nothing asks to be called at once, for ever
 
 Nothing here reads a clock, opens anything, or knows of the gateway's code: the numbers come from PROTOCOL
--- a/zincstile/rules/cases.py
+++ b/zincstile/rules/cases.py
@@ -19,6 +19,7 @@
     "deadline",
     "maintenance",
     "invariant",
+    "ready",
 )
 
 
--- a/zincstile/worlds/faults.py
+++ b/zincstile/worlds/faults.py
@@ -13,6 +13,7 @@
 from ..links import Trouble, between
 from ..standin.clients import Rude, rude_pieces
 from ..standin.counter import Counter
+from . import machine_faults
 from .plan import Fault
 from .stage import Place, Seat, Stage
 
@@ -417,4 +418,5 @@
     "away": _away,
     "move": _move,
     "upgrade": _upgrade,
+    **machine_faults.KINDS,
 }
--- a/zincstile/worlds/plan.py
+++ b/zincstile/worlds/plan.py
@@ -55,8 +55,26 @@
     "keeper_swapped",
     "keeper_slow",
     "keeper_split",
+    "clock_step",
+    "syscalls",
+    "short_io",
+    "broken_io",
+    "disk_write",
+    "disk_read",
+    "kill_in_write",
+    "maintenance",
+    "bad_reload",
 ]
-REAL_ONLY: tuple[str, ...] = ("upgrade",)  # only real processes play these
+SHIM: tuple[str, ...] = (
+    "clock_step",
+    "syscalls",
+    "short_io",
+    "broken_io",
+    "disk_write",
+    "disk_read",
+    "kill_in_write",
+)  # of a gateway's machine: real processes play them by the shim of `field`
+REAL_ONLY: tuple[str, ...] = ("upgrade", "maintenance", "bad_reload", *SHIM)  # only real processes play these
 
 At = Annotated[int, msgspec.Meta(ge=-1000, le=60_000)]
 For = Annotated[int, msgspec.Meta(ge=0, le=60_000)]
--- a/zincstile/worlds/stage.py
+++ b/zincstile/worlds/stage.py
@@ -121,3 +121,19 @@
     def kill_counter(self, number: int) -> None: ...
 
     def hush_counter(self, silent: bool) -> None: ...
+
+
+class RealStage(Stage, Protocol):
+    """One run with real processes, whose machines and operators take part too."""
+
+    def reload(self, seat: Any, half: bool = False) -> None:
+        """`half`: its file is cut off in the middle."""
+
+    def step_clock(self, seat: Any, seconds: float) -> None:
+        """Its machine's wall clock is off by so much from now on."""
+
+    def set_knob(self, seat: Any, name: str, value: float) -> None:
+        """A value of the shim of its processes (`field.shim_control.Knob`)."""
+
+    def maintain(self, seat: Any, name: str, out: bool) -> None:
+        """An operator's call: the box of that name is taken out, or put back."""
