--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,4 +1,4 @@
-"""The fault soak: its plans, its shim, and that what it has to find is named where it is put in on purpose."""
+"""The fault soak: its plans, its shim, and that what it has to find is named where it is put in."""
 
 from __future__ import annotations
 
