A stop takes its whole queue though accept fails; a lack of descriptors spins no loop

Seen: test_a_stop_takes_all_that_wait_in_the_queue: 20 connections with a request each, waiting as the door shuts; accept failed for half of the calls; all behind the first failure got a reset, which loses requests that the machine had accepted. And a queue that can't be taken for lack of descriptors made the loop spin: 997 ms of processor time in 1 s.

Cause: Acceptor.take said the same False for an empty queue, a connection that could not be had, and a lack (EMFILE, ENFILE, ENOBUFS, ENOMEM); FrontDoor.shut took it for an empty queue and closed the socket, _accept left the reader on. Ruled out: Linux's own ECONNABORTED (it hands out a connection reset in the queue), so that only calls that fail by themselves, or descriptors used up, lead there.

Change: Taken names the four outcomes. Same mistake elsewhere: both doors were the only users.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -423,7 +423,7 @@
 
         acceptor = Acceptor(turn, Taken)
         with socket.create_connection(listening.getsockname(), PATIENCE):
-            while not acceptor.take(listening):
+            while acceptor.take(listening) is not Taken.ONE:
                 await asyncio.sleep(0)
             while not made:
                 await asyncio.sleep(0)
--- a/zincstile/net/accept.py
+++ b/zincstile/net/accept.py
@@ -3,33 +3,51 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from collections.abc import Callable
+from enum import Enum
+from typing import Final
 
 from .turn import Turn
 
+LACKS: Final = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # of this process or its machine
+
+
+class Taken(Enum):
+    """What came of one look into the queue."""
+
+    ONE = "a connection was taken"
+    NONE = "the queue is empty"
+    FAILED = "this one could not be had; others may wait behind it"  # accept(2): try again
+    LACK = "the machine has no descriptor or memory for one: it waits on"
+
 
 class Acceptor:
+    """Takes connections for one listening socket."""
+
     def __init__(self, turn: Turn, protocol: Callable[[], asyncio.BaseProtocol]) -> None:
         self.turn, self.protocol = turn, protocol
         self.coming = 0  # accepted, and not at their protocol yet: they hold descriptors too
         self._tasks: set[asyncio.Task] = set()
 
-    def take(self, listening: socket.socket) -> bool:
-        """Takes one; False where there is none, or none can be had for now."""
+    def take(self, listening: socket.socket) -> Taken:
+        """Takes one."""
         try:
             connection, _ = listening.accept()
-        except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-            return False
+        except BlockingIOError:
+            return Taken.NONE
+        except InterruptedError:
+            return Taken.FAILED
         except OSError as err:
             self.turn.log.often("accept", f"failed: {err.strerror}")
-            return False
+            return Taken.LACK if err.errno in LACKS else Taken.FAILED
         connection.setblocking(False)
         self.coming += 1
         task = self.turn.loop.create_task(self._welcome(connection))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        return True
+        return Taken.ONE
 
     async def _welcome(self, connection: socket.socket) -> None:
         try:
--- a/zincstile/net/control.py
+++ b/zincstile/net/control.py
@@ -15,7 +15,7 @@
 from ..control import handover as ho
 from ..control.http import Bounds, CallError, CallParser, answer
 from ..control.operator import Operator, Reply
-from .accept import Acceptor
+from .accept import Acceptor, Taken
 from .config import Address
 from .host import Host
 from .turn import Turn
@@ -99,16 +99,25 @@
         """With the clients' backlog: where one is full, the machine drops what comes, and a caller's own
         machine tries again only after 1 s, which is as long as an answer may take."""
         self._socket = self.host.listen(where, self.turn.limits.backlog)
-        self.turn.loop.add_reader(self._socket.fileno(), self._accept)
+        self._listen(None)
         self._tend(None)
 
     def _accept(self) -> None:
         """As many in one turn as the door holds: each that is too many is answered in the turns between, so
         that a crowd of callers costs no more descriptors than the door may hold and as many again."""
         for _ in range(self.turn.limits.control_connections):
-            if not self._acceptor.take(self._socket):
+            taken = self._acceptor.take(self._socket)
+            if taken is Taken.LACK:  # else the loop would spin
+                self.turn.loop.remove_reader(self._socket.fileno())
+                self.turn.deadlines.add(self.turn.now_ns() + self.turn.limits.backoff_ns, self._listen)
+                self.turn.wake()
+            if taken in (Taken.NONE, Taken.LACK):
                 return
 
+    def _listen(self, _: object) -> None:
+        if self._socket is not None:
+            self.turn.loop.add_reader(self._socket.fileno(), self._accept)
+
     @property
     def address(self) -> str:
         return "{}:{}".format(*self._socket.getsockname()[:2]) if self._socket else "-"
--- a/zincstile/net/frontend.py
+++ b/zincstile/net/frontend.py
@@ -8,7 +8,7 @@
 
 from .. import interface as i
 from . import resp
-from .accept import Acceptor
+from .accept import Acceptor, Taken
 from .call_reader import CallError, CallReader
 from .counters import Counters
 from .deadlines import Key
@@ -441,7 +441,12 @@
         self._resume()
 
     def _resume(self, _: object = None) -> None:
-        if self._socket is not None and not self._listening and (self.ready or not self.inherited):
+        if (
+            self._socket is not None
+            and not self.closing
+            and not self._listening
+            and (self.ready or not self.inherited)
+        ):
             self._listening = True
             self.turn.loop.add_reader(self._socket.fileno(), self._accept)
 
@@ -450,24 +455,36 @@
             self._listening = False
             self.turn.loop.remove_reader(self._socket.fileno())
 
-    def _accept(self) -> bool:
-        """True: there may be more in the queue."""
-        limits = self.turn.limits
-        for _ in range(limits.accepts):
+    def _accept(self) -> None:
+        self._take_queued()
+
+    def _take_queued(self) -> bool:
+        """Takes what waits in the queue, as much as one turn may. True: it was found empty."""
+        for _ in range(self.turn.limits.accepts):
             held = len(self.clients) + self._acceptor.coming
-            if held >= limits.frontend_connections and not self._make_room():
+            if held >= self.turn.limits.frontend_connections and not self._make_room():
                 # Guards against running out of descriptors: the rest waits in the backlog until one is free.
                 self.turn.log.often(
                     "full",
                     f"{len(self.clients)} client connections {self._kinds()}: " "taking no more for now",
                 )
-                self._pause()
-                self.turn.deadlines.add(self.turn.now_ns() + limits.newcomer_ns, self._resume)
-                self.turn.wake()
+                self._take_later(self.turn.limits.newcomer_ns)
                 return False
-            if not self._acceptor.take(self._socket):
+            taken = self._acceptor.take(self._socket)
+            if taken is Taken.NONE:
+                return True
+            if taken is Taken.LACK:
+                self._make_room()
+                self._take_later(self.turn.limits.backoff_ns)
                 return False
-        return True
+        return False
+
+    def _take_later(self, after_ns: int) -> None:
+        """Guards the processor against a queue that says at every look that something waits."""
+        self._pause()
+        if not self.closing:
+            self.turn.deadlines.add(self.turn.now_ns() + after_ns, self._resume)
+            self.turn.wake()
 
     def _kinds(self) -> str:
         count = dict.fromkeys(("asking", "resting", "silent", "half", "ending"), 0)
@@ -507,14 +524,30 @@
     def shut(self, take_queued: bool = True) -> None:
         """Takes no more connections, and closes each one when nothing is owed on it. take_queued: what the
         machine has accepted is taken first; not where another process shares the socket and takes it."""
+        self.closing = True
+        if take_queued:
+            self._empty_queue(None)
+        else:
+            self._close_listening()
+        self.close_idle()
+
+    def _empty_queue(self, _: object) -> None:
+        """Takes all that the machine has accepted, then closes the socket: what waits behind would be reset
+        with it. Where the machine lacks descriptors for them it is tried again; the end of the process ends
+        that."""
+        while self._socket is not None:
+            if self._take_queued():
+                self._close_listening()
+            elif not self._listening:
+                self.turn.deadlines.add(self.turn.now_ns() + self.turn.limits.backoff_ns, self._empty_queue)
+                self.turn.wake()
+                return
+
+    def _close_listening(self) -> None:
         if self._socket is not None:
-            while take_queued and self._accept():
-                pass  # else a crowd behind those of one turn would be reset with the socket
             self._pause()
             self._socket.close()
             self._socket = None
-        self.closing = True
-        self.close_idle()
 
     def set_standby(self, standby: bool) -> None:
         """The front asks PING every 0.1 s and stops sending new connections soon after a no; clients keep
@@ -544,4 +577,5 @@
 
     @property
     def empty(self) -> bool:
-        return not self.clients and not self._acceptor.coming
+        """No connection is open, on its way, or waits to be taken."""
+        return not self.clients and not self._acceptor.coming and self._socket is None
