Test of accepted connections: its protocol has another name than the outcome of a look

test_accepted_connections_hold_no_small_answer_back shadowed the new enum with a class of the same name and failed; green again. The condition by which listening goes on is one line.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -415,13 +415,13 @@
         made = []
         turn = SimpleNamespace(loop=asyncio.get_running_loop())
 
-        class Taken(asyncio.Protocol):
+        class Welcomed(asyncio.Protocol):
             def connection_made(self, transport):
                 made.append(
                     transport.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
                 )
 
-        acceptor = Acceptor(turn, Taken)
+        acceptor = Acceptor(turn, Welcomed)
         with socket.create_connection(listening.getsockname(), PATIENCE):
             while acceptor.take(listening) is not Taken.ONE:
                 await asyncio.sleep(0)
--- a/zincstile/net/frontend.py
+++ b/zincstile/net/frontend.py
@@ -441,12 +441,8 @@
         self._resume()
 
     def _resume(self, _: object = None) -> None:
-        if (
-            self._socket is not None
-            and not self.closing
-            and not self._listening
-            and (self.ready or not self.inherited)
-        ):
+        may = self._socket is not None and not self.closing and (self.ready or not self.inherited)
+        if may and not self._listening:
             self._listening = True
             self.turn.loop.add_reader(self._socket.fileno(), self._accept)
 
