--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -17,7 +17,7 @@
 from scenario import PATIENCE, ROOT, World, call, encode, where
 from test_scenarios import PING, READY, play
 
-from zincstile.net.accept import Acceptor
+from zincstile.net.accept import Acceptor, Taken
 from zincstile.net.host import HOST
 from zincstile.net.limits import MS, SECOND, Limits
 
