Red: a yes to maintenance that a full disk and a kill undo; known failures

In the test the folder takes no writes at the call, takes them again 0.3 s before the kill, and the next process sends to the server.

--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -135,6 +135,21 @@
     assert found == dict.fromkeys(found, 0)
 
 
+def test_a_yes_to_maintenance_is_kept_where_the_folder_takes_no_writes(tmp_path):
+    """Either it is no yes, or it holds after a kill; and the folder is tried again at once when it takes
+    writes."""
+    with machine(tmp_path / "m") as world:
+        world.shim.set(Knob.WRITE_SHARE, 1.0)
+        began = time.monotonic()
+        first = world.take_out("s-a")
+        assert time.monotonic() - began < 1.0
+        assert calls_at(world, "a") == 0  # from the call on, whatever is said of the next process
+        world.shim.set(Knob.WRITE_SHARE, 0.0)
+        time.sleep(0.3)
+        world.again()
+        assert first == NO and calls_at(world, "a") == 0
+
+
 def test_a_new_version_that_says_it_is_ready_undoes_no_call_to_the_old_one(tmp_path):
     """The old process takes the call while the new one, which has read the file before, is held up; what
     discovery tells lets the new one write before it looks at the file again."""
