Maintenance outlasts clock steps, upgrades, full disks and kills; a yes is one that is kept

What was checked: the log (stale, 3601 s old; key back: not names and times that are over; handover: none) and the file's version before and after.

Cause: handover.unpack dated file and put-back servers by the wall clock of two moments; HandoverFile.write wrote without a look at what another process had written since, and nobody wrote the newer word again; a failed write was tried again only with the next keeping (10 s) and answered with a yes all the same; Host.read_file said None both for no file and for one that can't be read.

Change: ages go by the monotonic clock and the machine's boot id (moment.Moment; wall clock where the machine was started anew, or a version of before wrote the file; the old keys stand beside, so that a version may go back). net/handover_file: what another process wrote is read before anything is written over it, an older word in the file is written over, a failed write is tried again at every look (50 ms); a yes to maintenance waits up to 0.7 s until its word is in the file and synced, else it is a 503 that says so, and holds in this process; a start waits up to 2 s for a file that can't be read; halves of writes are taken away. net/discovery_clock: the older process's difference of clocks is offered, no server starts in the future, and one told of anew with a start long before discovery last spoke counts as started now. deadlines.every sets the next round before the act: a round that fails ends no periodic work.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -186,6 +186,10 @@
         """The command by which the program is started."""
         return [sys.executable, "-m", "zincstile"]
 
+    def tmpdir(self):
+        """The folder that the program's processes share."""
+        return self.path.parent
+
     def launch(self):
         """Starts the program, and waits until it listens; the old one has to have ended."""
         env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
@@ -193,7 +197,7 @@
             self.words(),
             cwd=ROOT,
             stderr=subprocess.PIPE,
-            env=env | {"RELAY_CONFIG": str(self.path), "TMPDIR": str(self.path.parent)},
+            env=env | {"RELAY_CONFIG": str(self.path), "TMPDIR": str(self.tmpdir())},
             text=True,
         )
         self.log = queue.Queue()  # of this process alone
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -12,6 +12,7 @@
 from zincstile.control import handover as ho
 from zincstile.control.http import Bounds, Call, CallError, CallParser, answer
 from zincstile.control.operator import Change, Operator
+from zincstile.moment import Moment
 
 ENTER = b"POST /maintenance/enter HTTP/1.1\r\nHost: g\r\nContent-Length: 10\r\n\r\ns-5be2a07c"
 CALLS = [
@@ -139,27 +140,72 @@
     assert o.adopt(set(), 4) == (set(), {"s-a"})
 
 
+BOOT, UNIX_NS, MINUTE = "one run of the machine", 10**18, 60 * 10**9
+
+
+def moment(monotonic_ns: int, unix_ns: int = UNIX_NS, boot: str = BOOT) -> Moment:
+    return Moment(monotonic_ns, unix_ns, boot)
+
+
 def test_the_handover_file_is_read_back_and_what_cannot_be_trusted_is_told():
-    h = ho.Handover("n3", 7, 10**18, frozenset({"s-a", "s-b"}))
-    assert ho.unpack(ho.pack(h), "n3", 10**18 + 5, 60 * 10**9) == h
+    h = ho.Handover("n3", 7, moment(5), frozenset({"s-a", "s-b"}), "8c1f", {"s-c": 4}, -7)
+    assert ho.unpack(ho.pack(h), "n3", moment(10), MINUTE) == h
+    table = json.loads(ho.pack(h))
     bad = {
         "not json": b"{",
-        "another gateway": ho.pack(ho.Handover("n4", 1, 10**18, frozenset())),
+        "another gateway": ho.pack(ho.Handover("n4", 1, moment(5), frozenset())),
         "stale": ho.pack(h),
-        "a list of no names": json.dumps(
-            {"form": 1, "gateway": "n3", "version": 1, "written_ns": 10**18, "banned": [1]}
-        ).encode(),
+        "a list of no names": json.dumps(table | {"banned": [1]}).encode(),
         "no version": b'{"form": 1, "gateway": "n3", "written_ns": 1, "banned": []}',
+        "a boot of no name": json.dumps(table | {"boot": 1}).encode(),
+        "no time of writing": json.dumps(table | {"written_monotonic_ns": "1"}).encode(),
+        "an age below nought": json.dumps(table | {"back_age_ns": {"s-c": -1}}).encode(),
+        "no ages": json.dumps(table | {"back_age_ns": [1]}).encode(),
+        "no difference": json.dumps(table | {"apart_ns": 0.5}).encode(),
     }
     for why, data in bad.items():
         with pytest.raises(ho.HandoverError):
-            ho.unpack(data, "n3", 10**18 + (10**12 if why == "stale" else 0), 60 * 10**9)
+            ho.unpack(data, "n3", moment(10 + (10**12 if why == "stale" else 0)), MINUTE)
+
+
+@pytest.mark.parametrize("step_s", [0, 7, -7, 3600, -3600])
+def test_the_age_of_the_handover_is_real_time_whatever_the_wall_clock_does(step_s):
+    h = ho.Handover("n3", 7, moment(5), frozenset({"s-a"}), back_age_ns={"s-c": 4}, apart_ns=-7)
+    stepped = UNIX_NS + step_s * 10**9
+    assert ho.unpack(ho.pack(h), "n3", moment(5 + MINUTE, stepped), MINUTE) == h
+    with pytest.raises(ho.HandoverError, match="60 s old"):
+        ho.unpack(ho.pack(h), "n3", moment(6 + MINUTE, stepped), MINUTE)
+
+
+def test_after_a_new_start_of_the_machine_the_age_goes_by_the_wall_clock():
+    h = ho.Handover("n3", 7, moment(5 * MINUTE), frozenset({"s-a"}), apart_ns=-7)
+    for boot in ("another", ""):
+        found = ho.unpack(ho.pack(h), "n3", moment(1, UNIX_NS + MINUTE, boot), MINUTE)
+        assert found.banned == h.banned and found.apart_ns is None
+        with pytest.raises(ho.HandoverError, match="stale"):
+            ho.unpack(ho.pack(h), "n3", moment(1, UNIX_NS + MINUTE + 1, boot), MINUTE)
+
+
+def test_a_file_of_a_version_before_is_read_by_the_wall_clock_that_wrote_it():
+    older = {"form": 1, "gateway": "n3", "version": 1, "written_ns": UNIX_NS, "banned": ["s-a"]}
+    back = {"s-b": UNIX_NS - 9, "s-c": UNIX_NS + 10**12}  # the second by a clock that was stepped since
+    found = ho.unpack(json.dumps(older | {"back": back}).encode(), "n3", moment(1), MINUTE)
+    assert found.banned == {"s-a"} and found.back_age_ns == {"s-b": 9, "s-c": 0}
+    for spoilt in ({"s-b": -1}, {"s-b": "1"}, [1]):
+        with pytest.raises(ho.HandoverError, match="back"):
+            ho.unpack(json.dumps(older | {"back": spoilt}).encode(), "n3", moment(1), MINUTE)
+
+
+def test_a_version_before_reads_what_this_one_writes():
+    """Unix times stand beside, as that version reads them: an upgrade may be undone."""
+    table = json.loads(ho.pack(ho.Handover("n3", 7, moment(5), frozenset(), back_age_ns={"s-c": 4})))
+    assert table["written_ns"] == UNIX_NS and table["back"] == {"s-c": UNIX_NS - 4}
 
 
 def test_the_handover_names_who_said_last_that_it_takes_clients():
-    h = ho.Handover("n3", 1, 10**18, frozenset(), ready_by="8c1f")
-    assert ho.unpack(ho.pack(h), "n3", 10**18, 10**9).ready_by == "8c1f"
+    h = ho.Handover("n3", 1, moment(1), frozenset(), ready_by="8c1f")
+    assert ho.unpack(ho.pack(h), "n3", moment(1), 10**9).ready_by == "8c1f"
     older = b'{"form": 1, "gateway": "n3", "version": 1, "written_ns": 1, "banned": []}'
-    assert ho.unpack(older, "n3", 1, 10**9).ready_by == ""  # a file of a version before it: nobody
+    assert ho.unpack(older, "n3", moment(1, 1), 10**9).ready_by == ""  # a file of a version before it: nobody
     with pytest.raises(ho.HandoverError, match="ready_by"):
-        ho.unpack(older[:-1] + b', "ready_by": 5}', "n3", 1, 10**9)
+        ho.unpack(older[:-1] + b', "ready_by": 5}', "n3", moment(1, 1), 10**9)
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -16,7 +16,7 @@
 # From the lowest to the highest. A part (a package, or a module beside `__main__`) imports from itself and
 # from the layers below; parts of one layer do not know each other.
 LAYERS = (
-    ("checks", "interface", "links", "typed_yaml", "framing"),
+    ("checks", "interface", "moment", "links", "typed_yaml", "framing"),
     ("inherit", "bounds", "typed_json", "wire"),
     ("state",),
     ("budget_split",),
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -6,16 +6,18 @@
 import contextlib
 import json
 import os
+import selectors
 import signal
 import socket
 import sys
+import threading
 import time
 
 from scenario import HOME, Line, World, call, encode
 
 from zincstile.field.shim_control import Knob, ShimControl
 
-CALLS = 40  # to one of two servers by chance: that one gets none of them is one in a million million
+CALLS = 20  # each goes to the one server that takes calls, unless that is out
 QUIET_S = 0.45  # after SIGTERM, how long no call comes until the connections are closed
 YES, NO = 200, 503
 
@@ -36,6 +38,11 @@
     def words(self):
         return [sys.executable, "-m", "zincstile.field.shim", str(self.path.parent / "shim")]
 
+    def tmpdir(self):
+        folder = self.path.parent / "tmp"
+        folder.mkdir(exist_ok=True)
+        return folder
+
     def ask_operator(self, path: str, name: str, within_s: float = 5.0) -> int:
         """The status of the answer."""
         body = name.encode()
@@ -73,20 +80,17 @@
         made.end()
 
 
-def calls_at(world, name: str, calls: int = CALLS) -> int:
-    """Of so many calls, each on a connection of its own, how many come to this server; all are answered."""
-    import selectors
-
-    came = 0
+def calls_at(world, calls: int = CALLS) -> int:
+    """Of so many calls, each on a connection of its own, how many come to server a, while b refuses all: what
+    may go to a does. Each is answered."""
+    world.refuse("b")
+    world.listeners["a"].setblocking(False)
+    came, servers = 0, []
     selector = selectors.DefaultSelector()
-    for server in "ab":
-        world.listeners[server].setblocking(False)
-        selector.register(world.listeners[server], selectors.EVENT_READ, server)
-    lines = {}
+    selector.register(world.listeners["a"], selectors.EVENT_READ, "listener")
     for number in range(calls):
         client = Line(socket.create_connection(world.address, 5))
         client.sock.sendall(encode(call("look", 1000 + number)))
-        client.sock.setblocking(False)
         selector.register(client.sock, selectors.EVENT_READ, "client")
         answered = False
         until = time.monotonic() + 10
@@ -94,25 +98,20 @@
             for key, _ in selector.select(0.1):
                 if key.data == "client":
                     answered = True
-                elif key.fileobj in world.listeners.values():
-                    sock, _ = key.fileobj.accept()
-                    lines[sock] = key.data
-                    selector.register(sock, selectors.EVENT_READ, "server")
-                else:
-                    data = key.fileobj.recv(4096)
-                    if not data:
-                        selector.unregister(key.fileobj)
-                        continue
-                    came += lines[key.fileobj] == name
+                elif key.data == "listener":
+                    servers.append(key.fileobj.accept()[0])
+                    selector.register(servers[-1], selectors.EVENT_READ, "server")
+                elif key.fileobj.recv(4096):
+                    came += 1
                     key.fileobj.sendall(b"*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n")
+                else:
+                    selector.unregister(key.fileobj)
         assert answered
         selector.unregister(client.sock)
         client.close()
     selector.close()
-    for sock in lines:
+    for sock in servers:
         sock.close()
-    for server in "ab":
-        world.listeners[server].settimeout(20)
     return came
 
 
@@ -131,7 +130,7 @@
             world.shim.set(Knob.WALL_OFFSET_S, step_s)
             world.launch()
             world.logged("ready *")
-            found[step_s] = calls_at(world, "a")
+            found[step_s] = calls_at(world)
     assert found == dict.fromkeys(found, 0)
 
 
@@ -143,11 +142,52 @@
         began = time.monotonic()
         first = world.take_out("s-a")
         assert time.monotonic() - began < 1.0
-        assert calls_at(world, "a") == 0  # from the call on, whatever is said of the next process
+        assert calls_at(world) == 0  # from the call on, whatever is said of the next process
         world.shim.set(Knob.WRITE_SHARE, 0.0)
         time.sleep(0.3)
         world.again()
-        assert first == NO and calls_at(world, "a") == 0
+        assert first == NO and calls_at(world) == 0
+
+
+def test_a_yes_comes_where_the_folder_takes_writes_again_in_time(tmp_path):
+    with machine(tmp_path / "m") as world:
+        world.shim.set(Knob.WRITE_SHARE, 1.0)
+        with socket.create_connection(world.control, timeout=5) as sock:
+            sock.sendall(b"POST /maintenance/enter HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\ns-a")
+            world.logged("handover can't write *")
+            world.shim.set(Knob.WRITE_SHARE, 0.0)
+            assert int(sock.makefile("rb").readline().split()[1]) == YES
+        world.again()
+        assert calls_at(world) == 0
+
+
+def test_a_start_reads_what_was_kept_though_the_first_reads_fail(tmp_path):
+    with machine(tmp_path / "m") as world:
+        assert world.take_out("s-a") == YES
+        world.program.kill()
+        world.program.wait()
+        world.shim.set(Knob.READ_SHARE, 1.0)
+        threading.Timer(0.7, world.shim.set, (Knob.READ_SHARE, 0.0)).start()
+        world.launch()
+        world.logged("ready *")
+        time.sleep(0.2)
+        assert calls_at(world) == 0
+        world.again()
+        assert calls_at(world) == 0
+
+
+def test_a_write_that_a_kill_leaves_half_done_spoils_nothing_and_is_taken_away(tmp_path):
+    with machine(tmp_path / "m") as world:
+        assert world.take_out("s-a") == YES
+        world.shim.set(Knob.KILL_IN_WRITE, 1.0)
+        with contextlib.suppress(OSError, IndexError, ValueError):
+            world.take_out("s-b")
+        world.program.wait()
+        world.launch()
+        world.logged("ready *")
+        assert calls_at(world) == 0
+        left = [n for n in os.listdir(world.tmpdir()) if n.startswith("zincstile-n0.handover")]
+        assert left == ["zincstile-n0.handover"]
 
 
 def test_a_new_version_that_says_it_is_ready_undoes_no_call_to_the_old_one(tmp_path):
@@ -172,7 +212,7 @@
             old.send_signal(signal.SIGTERM)
             assert old.wait(20) == 0
             world.control = new_control
-            assert calls_at(world, "a") == 0
+            assert calls_at(world) == 0
         finally:
             old.kill()
             old.wait()
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -6,10 +6,7 @@
 import random
 from types import SimpleNamespace
 
-import pytest
-
 from zincstile import interface as i
-from zincstile.control import handover
 from zincstile.net import server_table
 from zincstile.net.deadlines import Deadlines
 from zincstile.net.limits import SECOND, Limits
@@ -17,11 +14,6 @@
 from zincstile.net.trace import Trace
 
 
-class Host:
-    unix_ns = staticmethod(lambda: 0)
-    monotonic_ns = staticmethod(lambda: 0)
-
-
 def entry(name, status="Ready", since_ms=0):
     return {"name": name, "address": "10.1.0.1:6379", "status": status, "since_ms": since_ms}
 
@@ -42,7 +34,7 @@
     )
     made = ServerTable(
         turn,
-        server_table.TableReader([], [], Host),
+        server_table.TableReader([], [], SimpleNamespace(monotonic_ns=turn.now_ns, unix_ns=turn.now_ns)),
         ("10.2.0.1", 8500),
         lambda entries, _: pools.append([(b.id, b.mode) for b, _ in entries]),
         lambda: None,
@@ -89,6 +81,7 @@
     reborn = told(posted, "s-a").started_ns
     made._take({"index": 2, "snapshot": False, "endpoints": [entry("s-a")]}, i.ListKind.DELTA, made.where)
     assert told(posted, "s-a").started_ns == reborn  # the old start that discovery still lists is not trusted
+    clock[0] = 201 * SECOND
     made._take(
         {"index": 3, "snapshot": False, "endpoints": [entry("s-a", since_ms=200_000)]},
         i.ListKind.DELTA,
@@ -106,16 +99,14 @@
 
 
 def test_one_put_back_is_cold_to_a_new_version_too():
+    """The new process is told how long ago that was."""
     old, clock, posted, _ = world()
     out_and_back(old, clock)
-    left = handover.pack(handover.Handover("n0", 1, clock[0], frozenset(), "x", old.back()))
-    new, _, heard, _ = world()
-    new.put_back(handover.unpack(left, "n0", clock[0], SECOND).back)
+    new, new_clock, heard, _ = world()
+    new_clock[0] = clock[0] + 5 * SECOND
+    new.put_back({name: new_clock[0] - at for name, at in old.back().items()})
     new.begin({"index": 1, "snapshot": True, "endpoints": [entry("s-a")]})
     assert told(heard, "s-a").started_ns == told(posted, "s-a").started_ns == clock[0]
-    for spoilt in (b'"back": {"s-a": -1}', b'"back": {"s-a": "1"}', b'"back": [1]'):
-        with pytest.raises(handover.HandoverError):
-            handover.unpack(left.split(b'"back"')[0] + spoilt + b"}", "n0", clock[0], SECOND)
 
 
 def test_a_ban_holds_when_discovery_moves():
--- a/zincstile/control/handover.py
+++ b/zincstile/control/handover.py
@@ -4,23 +4,30 @@
 The file is JSON, written whole under another name and renamed, so that it is read whole or not at all:
 
     {"form": 1, "gateway": "n3", "version": 7, "written_ns": 1796152608043000000, "banned": ["s-5be2a07c"],
-     "ready_by": "8c1f30d27a5be964", "back": {"s-0c4419f2": 1796152599000000000}}
+     "ready_by": "8c1f30d27a5be964", "back": {"s-0c4419f2": 1796152599000000000},
+     "boot": "0f5b...", "written_monotonic_ns": 91834000000000,
+     "back_age_ns": {"s-0c4419f2": 9043000000}, "apart_ns": -1796060774043000000}
 
 `ready_by` names the process that said last that it takes clients (by its seed, new with each start), so
 that an old one on SIGTERM knows whether a new one has taken over the socket they share.
 
-`back`: those put back from maintenance that discovery has not told a later start of, and when they were, in
-Unix time: they are cold since then, to a new process too.
+`back_age_ns`: those put back from maintenance that discovery has not told a later start of, and how long
+before the writing that was: they are cold since then, to a new process too. `apart_ns`: what the writer
+adds to discovery's times to have them on its monotonic clock. `back` says the same as `back_age_ns` in Unix
+time, and `written_ns` the time of writing, for versions that know no more.
 
-`written_ns` is Unix time; a file that no process has written for `stale_ns` is stale: its writers are gone
-long ago, and the operators' word in it may be forgotten by them as well. Each living process writes it anew
-well within that time (`net/control`).
+A file that no process has written for `stale_ns` is stale: its writers are gone long ago, and the operators'
+word in it may be forgotten by them as well. Each living process writes it anew well within that time
+(`net/handover_file`). Ages go by the monotonic clock: a step of the wall clock is no time that has passed.
 """
 
 from __future__ import annotations
 
 import json
 from dataclasses import dataclass, field
+from typing import Any
+
+from ..moment import Moment
 
 FORM = 1
 
@@ -31,29 +38,37 @@
 
 @dataclass(frozen=True, slots=True)
 class Handover:
+    """The file's content. `back_age_ns` is as of the writing."""
+
     gateway: str
     version: int
-    written_ns: int
+    written: Moment
     banned: frozenset[str]
     ready_by: str = ""
-    back: dict[str, int] = field(default_factory=dict)
+    back_age_ns: dict[str, int] = field(default_factory=dict)
+    apart_ns: int | None = None  # comparable where the machine was not started anew since
 
 
 def pack(h: Handover) -> bytes:
+    """The bytes of the file."""
     return json.dumps(
         {
             "form": FORM,
             "gateway": h.gateway,
             "version": h.version,
-            "written_ns": h.written_ns,
+            "written_ns": h.written.unix_ns,
             "banned": sorted(h.banned),
             "ready_by": h.ready_by,
-            "back": h.back,
+            "back": {name: h.written.unix_ns - age_ns for name, age_ns in h.back_age_ns.items()},
+            "boot": h.written.boot,
+            "written_monotonic_ns": h.written.monotonic_ns,
+            "back_age_ns": h.back_age_ns,
+            "apart_ns": h.apart_ns,
         }
     ).encode()
 
 
-def unpack(data: bytes, gateway: str, now_ns: int, stale_ns: int) -> Handover:
+def unpack(data: bytes, gateway: str, now: Moment, stale_ns: int) -> Handover:
     """HandoverError where it can't be trusted."""
     try:
         t = json.loads(data)
@@ -70,13 +85,45 @@
         isinstance(n, str) and n and not any(c.isspace() for c in n) for n in t["banned"]
     ):
         raise HandoverError("key banned: not a list of names")
-    if now_ns - t["written_ns"] > stale_ns:
-        raise HandoverError(f"key written_ns: stale, {(now_ns - t['written_ns']) / 1e9:.0f} s old")
+    written = _written(t)
+    age_ns = now.since_ns(written)
+    if age_ns > stale_ns:
+        raise HandoverError(f"key written_ns: stale, {age_ns / 1e9:.0f} s old")
     if not isinstance(t.get("ready_by", ""), str):
         raise HandoverError("key ready_by: not a string")
-    back = t.get("back", {})
-    if not isinstance(back, dict) or not all(type(at) is int and 0 <= at <= now_ns for at in back.values()):
-        raise HandoverError("key back: not names and times that are over")
+    apart_ns = t.get("apart_ns")
+    if apart_ns is not None and type(apart_ns) is not int:
+        raise HandoverError("key apart_ns: not a whole number")
     return Handover(
-        t["gateway"], t["version"], t["written_ns"], frozenset(t["banned"]), t.get("ready_by", ""), back
+        t["gateway"],
+        t["version"],
+        written,
+        frozenset(t["banned"]),
+        t.get("ready_by", ""),
+        _back_age_ns(t),
+        apart_ns if now.same_boot(written) else None,
     )
+
+
+def _written(t: dict[str, Any]) -> Moment:
+    """When the file was written; by the wall clock alone where a version of before wrote it."""
+    boot, monotonic_ns = t.get("boot", ""), t.get("written_monotonic_ns", 0)
+    if not isinstance(boot, str):
+        raise HandoverError("key boot: not a string")
+    if type(monotonic_ns) is not int:
+        raise HandoverError("key written_monotonic_ns: not a whole number")
+    return Moment(monotonic_ns, t["written_ns"], boot)
+
+
+def _back_age_ns(t: dict[str, Any]) -> dict[str, int]:
+    """Ages; of a version of before, times by the wall clock that wrote the file. One that lies behind the
+    writing by a step of that clock was just now."""
+    back = t.get("back", {})
+    if not isinstance(back, dict) or not all(type(at) is int and at >= 0 for at in back.values()):
+        raise HandoverError("key back: not names and times")
+    ages = t.get("back_age_ns")
+    if ages is None:
+        return {name: max(0, t["written_ns"] - at) for name, at in back.items()}
+    if not isinstance(ages, dict) or not all(type(age) is int and age >= 0 for age in ages.values()):
+        raise HandoverError("key back_age_ns: not names and ages")
+    return ages
--- a/zincstile/net/deadlines.py
+++ b/zincstile/net/deadlines.py
@@ -4,7 +4,7 @@
 
 from bisect import bisect_left, insort
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 Key = tuple[int, int]
 
@@ -45,3 +45,25 @@
         due = items[:end]
         del items[:end]
         return due
+
+
+class Sweeper(Protocol):
+    """Who has the deadlines swept: `turn.Turn`."""
+
+    deadlines: Deadlines
+
+    def now_ns(self) -> int: ...
+
+    def wake(self) -> None: ...
+
+
+def every(turn: Sweeper, period_ns: int, act: Callable[[], None]) -> None:
+    """Calls act() now and then in each period, for good. The next time is set before the call: guards what is
+    done again and again against ending for good with one round that fails."""
+
+    def again(_: object) -> None:
+        turn.deadlines.add(turn.now_ns() + period_ns, again)
+        act()
+
+    again(None)
+    turn.wake()
--- a/zincstile/net/gateway.py
+++ b/zincstile/net/gateway.py
@@ -156,21 +156,28 @@
         """The operators' door, what they said, and the file by which another process of this gateway hears
         it."""
         from ..control.operator import Operator
-        from .control import ControlDoor, HandoverFile
+        from .control import ControlDoor
+        from .handover_file import HandoverFile
         from .inherit import Heritage
 
         self.operator = Operator(listed=self.table)
         if self.config.place:
             self.operator.zones = self.config.zones
             self.operator.table = lambda: self.turn.policy.shown(self.turn.now_ns())
-        self.control = ControlDoor(
-            self.turn, self.operator, self._apply, lambda: self.door.ready and not self._stopping, self.host
-        )
         base = os.path.join(self.host.tmpdir(), f"zincstile-{self.config.name}")
         self.handover = HandoverFile(
             self.turn, self.operator, self.config.name, f"{base}.handover", self.host, self._adopt
         )
         self.handover.me = f"{self.config.seed:x}"
+        self.handover.apart_ns = lambda: self.table.reader.apart_ns
+        self.control = ControlDoor(
+            self.turn,
+            self.operator,
+            self._apply,
+            lambda: self.door.ready and not self._stopping,
+            self.host,
+            self.handover,
+        )
         self.heritage = Heritage(self.turn, self.host, base, self.handover.me, self._share)
         self.handover.also, self.handover.back = self.heritage.look, self.table.back
 
@@ -259,13 +266,7 @@
         if signal.SIGHUP in (early or ()):
             self.loop.call_soon(self.reload)
         if self.handover is not None:
-            found = self.handover.first()
-            self.log.line(f"handover: {found}")
-            for name in self.operator.banned:
-                self.table.banned[name_number(name)] = self.turn.now_ns()
-            self.table.put_back(self.handover.found_back)
-            if self.handover.found:  # peers are heard by the old process until it has left its memory
-                self.log.line(f"memory: {await self.heritage.take()}")
+            await self._take_over()
         if self.config.peer_listen:
             await self.peers.open(self.config.peer_listen)
         self.turn.post(i.Started())
@@ -289,6 +290,20 @@
         self._count()
         self.log.line("end")
 
+    async def _take_over(self) -> None:
+        """What an older process of this gateway has left, before anything of this one is seen outside."""
+        self.log.line(f"handover: {await self.handover.first()}")
+        for name in self.operator.banned:
+            self.table.banned[name_number(name)] = self.turn.now_ns()
+        found = self.handover.found
+        if found is None:
+            return
+        age_ns = self.host.moment().since_ns(found.written)
+        self.table.put_back({name: at + age_ns for name, at in found.back_age_ns.items()})
+        if found.apart_ns is not None:
+            self.table.reader.clock.offer(found.apart_ns)
+        self.log.line(f"memory: {await self.heritage.take()}")  # till then peers are heard by the old process
+
     def _begin_table(self) -> bool:
         """With the list that the start was given; False where there is none. It is not kept as JSON, which
         takes more memory than all that is made of it."""
--- a/zincstile/net/host.py
+++ b/zincstile/net/host.py
@@ -9,6 +9,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import functools
 import os
 import resource
 import select
@@ -16,8 +18,12 @@
 import sys
 import time
 
+from ..moment import Moment
 from .config import Address, Config, ConfigError, again
 
+BOOT_PATH = "/proc/sys/kernel/random/boot_id"  # proc(5): names the run of the machine
+FILE_BYTES = 1 << 20  # of a file in $TMPDIR, at most
+
 
 class Host:
     """The machine that the process runs on."""
@@ -83,20 +89,42 @@
     def tmpdir(self) -> str:
         return os.environ.get("TMPDIR") or "/tmp"
 
+    def moment(self) -> Moment:
+        """This instant, for another process of this machine."""
+        return Moment(self.monotonic_ns(), self.unix_ns(), _boot())
+
     def read_file(self, path: str) -> bytes | None:
-        """None where there is no such file or it can't be read."""
+        """None where there is no such file. OSError where it can't be read, be it for a moment."""
         try:
             with open(path, "rb") as f:
-                return f.read(1 << 20)
-        except OSError:
+                return f.read(FILE_BYTES)
+        except FileNotFoundError:
             return None
 
-    def write_file(self, path: str, data: bytes) -> None:
-        """Whole or not at all: written beside it and renamed over it. OSError where that fails."""
+    def write_file(self, path: str, data: bytes, sync: bool = False) -> None:
+        """Whole or not at all: written beside it and renamed over it. `sync`: it outlasts the machine too.
+        OSError where that fails; then nothing is left beside it."""
         part = f"{path}.{os.getpid()}"
-        with open(part, "wb") as f:
-            f.write(data)
-        os.replace(part, path)
+        try:
+            with open(part, "wb") as f:
+                f.write(data)
+                f.flush()
+                if sync:
+                    os.fsync(f.fileno())
+            os.replace(part, path)
+        except OSError:
+            with contextlib.suppress(OSError):
+                os.unlink(part)
+            raise
+
+    def remove_parts(self, path: str) -> None:
+        """Takes away what processes that are no more left of their writes of this file."""
+        folder, _, name = path.rpartition("/")
+        with contextlib.suppress(OSError):
+            for found in os.listdir(folder):
+                start, _, number = found.rpartition(".")
+                if start == name and number.isdigit() and not os.path.exists(f"/proc/{number}"):
+                    os.unlink(f"{folder}/{found}")
 
     def stat(self, path: str) -> tuple[int, int, int] | None:
         """(inode, mtime in ns, size), or None where there is no such file; a rename gives a new inode."""
@@ -117,4 +145,14 @@
         return {"cpu_ms": round((used.ru_utime + used.ru_stime) * 1000), "memory_kb": used.ru_maxrss}
 
 
+@functools.cache
+def _boot() -> str:
+    """Of this run of the machine; empty where the system doesn't say."""
+    try:
+        with open(BOOT_PATH, encoding="ascii") as file:
+            return file.read().strip()
+    except (OSError, ValueError):
+        return ""
+
+
 HOST = Host()
--- a/zincstile/net/inherit.py
+++ b/zincstile/net/inherit.py
@@ -54,24 +54,25 @@
         return "no older process answered"
 
     def _took(self, table: dict[str, Any]) -> str:
-        memory, since_ns = table.get("memory"), table.get("written_ns")
+        memory, now_ns = table.get("memory"), self.turn.now_ns()
+        since_ns = table.get("written_monotonic_ns", now_ns)  # a version of before tells none
         self._share_for(self.turn.limits.drain_most_ns + self.turn.limits.control_call_ns)
         try:
             inherit.check(memory, self.turn.policy)
             if not isinstance(since_ns, int) or isinstance(since_ns, bool):
-                raise inherit.TableError("key written_ns: not a whole number")
+                raise inherit.TableError("key written_monotonic_ns: not a whole number")
         except inherit.TableError as err:
             self.turn.counters.handover_bad += 1
             return f"ignored: {self.base}.memory: {err}"
         self.left = {c["key"]: c["total"] for c in memory["customers"]}
         self.turn.post(i.Inherited(memory))
-        age_ms = max(0, self.host.unix_ns() - since_ns) / 1e6
+        age_ms = max(0, now_ns - since_ns) / 1e6
         return f"{len(memory['customers'])} customers, {len(memory['servers'])} servers, {age_ms:.0f} ms old"
 
     def _read(self, ending: str) -> dict[str, Any]:
         try:
             table = json.loads(self.host.read_file(self.base + ending) or b"")
-        except (ValueError, RecursionError):
+        except (OSError, ValueError, RecursionError):
             return {}
         return table if isinstance(table, dict) else {}
 
@@ -123,7 +124,8 @@
             data = json.dumps(
                 {
                     "for": heir,
-                    "written_ns": self.host.unix_ns(),
+                    "written_ns": self.host.unix_ns(),  # for versions that know no other
+                    "written_monotonic_ns": self.turn.now_ns(),
                     "memory": inherit.leave(self.turn.policy, self.turn.now_ns(), most),
                 }
             ).encode()
--- a/zincstile/net/limits.py
+++ b/zincstile/net/limits.py
@@ -60,6 +60,7 @@
     table_again_ns: int = 50 * MS  # a lost watch is opened again within this, then twice, four times it
     table_again_most_ns: int = SECOND  # and within this at most
     table_longest_ns: int = 4500 * MS  # no wait is longer: with a dial and an answer it is told within 6 s
+    start_told_ns: int = 60 * SECOND  # a server may have started so long before discovery first tells of it
     backoff_ns: int = 50 * MS
     backoff_most_ns: int = SECOND
     drain_quiet_ns: int = 450 * MS  # after SIGTERM, connections are kept until no call came for this
@@ -77,6 +78,8 @@
     control_call_ns: int = 900 * MS  # a call has to be whole by then: its answer is due within 1 s
     handover_poll_ns: int = 50 * MS  # how often the hand-over file is looked at: a ban holds within 250 ms
     handover_keep_ns: int = 10 * SECOND  # how often a living process writes it anew
+    handover_read_ns: int = 2 * SECOND  # a start waits so long for a file that can't be read for now
+    handover_kept_ns: int = 700 * MS  # a yes waits so long for its word to be in the file
     handover_stale_ns: int = 60 * SECOND  # a file that nobody wrote for this long is not trusted
     inherit_wait_ns: int = 250 * MS  # a new process waits so long for the old one's memory: five looks
     inherit_look_ns: int = 10 * MS  # and looks for it so often
--- a/zincstile/net/server_table.py
+++ b/zincstile/net/server_table.py
@@ -13,6 +13,7 @@
 from ..start.asking import Asking
 from . import http
 from .config import Address, ConfigError, address
+from .discovery_clock import DiscoveryClock
 from .host import Host
 from .json_objects import JsonObjects
 from .trace import Step
@@ -35,12 +36,22 @@
     def __init__(self, zones: list[str], kinds: list[str], host: Host) -> None:
         self.zones = {z: k for k, z in enumerate(zones)}
         self.kinds = {t: k for k, t in enumerate(kinds)}
-        # Unix time is put on the module's clock by one difference for good: a start must stay the same number
-        # in every list, else the same process would look like a new one.
-        self.apart_ns = host.monotonic_ns() - host.unix_ns()
+        self.now_ns = host.monotonic_ns
+        self.clock = DiscoveryClock(host.monotonic_ns() - host.unix_ns())
         self.ports: dict[int, int] = {}  # one object for all that are alike
 
+    @property
+    def apart_ns(self) -> int:
+        """Monotonic less discovery's time."""
+        return self.clock.apart_ns
+
+    def settle(self, table: dict[str, Any]) -> None:
+        """With a whole list as its text has it, before any of it is read."""
+        found = [e.get("since_ms") for e in table["endpoints"] if isinstance(e, dict)]
+        self.clock.settle([since for since in found if type(since) is int], self.now_ns())
+
     def read(self, table: dict[str, Any]) -> tuple[int, bool, Entries]:
+        self.settle(table)
         entries = [e if type(e) is tuple else self.entry(e) for e in table["endpoints"]]  # a tuple is read
         return int(table["index"]), bool(table["snapshot"]), entries
 
@@ -50,13 +61,16 @@
         return number(str(e.get("type") or "")) if known is None else known
 
     def entry(self, e: dict[str, Any]) -> tuple[i.Backend, Address]:
-        since = int(e.get("since_ms") or 0)
-        started = since * 1_000_000 + self.apart_ns if since else 0
         mode = MODES[e["status"]]
         weight = float(e.get("weight") or USUAL_WEIGHT)
         host, port = ("", 0) if mode is i.Mode.GONE and not e.get("address") else address(e["address"])
+        id_ = number(str(e["name"]))
+        since_ms, now = int(e.get("since_ms") or 0), self.now_ns()
+        if since_ms and not self.clock.settled:  # read as its text came, before the list is whole
+            self.clock.settle([since_ms], now)
+        started = self.clock.started_ns(id_, since_ms, now)
         return i.Backend(
-            number(str(e["name"])),
+            id_,
             self.zones.get(e.get("zone"), len(self.zones)),
             self._kind(e),
             int(e.get("group") or 0),
@@ -102,7 +116,8 @@
         self.endpoints: dict[
             int, tuple[i.Backend, Address]
         ] = {}  # discovery's own word of what it lists, by number
-        self.gone: dict[int, None] = {}  # what it listed before: the last of these
+        self.gone: dict[int, int] = {}  # what it listed before, and when that had started: the last of these
+        self._heard_ns: int | None = None  # when discovery last said anything; none: not yet
         turn.carry_out[i.Watch] = lambda now, _: None  # the watch is always open, or being opened
 
     def begin(self, known: dict[str, Any], hold: bool = False) -> None:
@@ -248,6 +263,7 @@
             self.version = version
         self.turn.counters.tables += 1
         self.turn.trace.note(self.turn.now_ns(), Step.STATE, "list", (kind, version, len(entries)))
+        entries = self._dated(kind, entries)
         self._keep(kind, entries)
         if self.banned or self.reborn:
             entries = [self._masked(e) for e in entries]
@@ -278,10 +294,45 @@
             else:
                 self.endpoints[entry[0].id] = entry
 
+    def heard(self) -> None:
+        """Discovery has said something, be it that nothing has changed."""
+        self._heard_ns = self.turn.now_ns()
+
+    def _dated(self, kind: i.ListKind, entries: Entries) -> Entries:
+        """Guards a cold server against a wall clock that is ahead: one that discovery tells of anew, and that
+        was not listed when it last spoke, has started since then, or not long before, whatever the clock
+        says. It counts as started now."""
+        if self._heard_ns is None or kind is i.ListKind.CACHED:
+            return entries
+        earliest_ns = self._heard_ns - self.turn.limits.start_told_ns
+        return [
+            self._started_now(entry)
+            if entry[0].started_ns < earliest_ns and self._is_news(entry[0])
+            else entry
+            for entry in entries
+        ]
+
+    def _is_news(self, b: i.Backend) -> bool:
+        """This start of it was never told before."""
+        known = self.endpoints.get(b.id)
+        told_ns = known[0].started_ns if known is not None else self.gone.get(b.id)
+        return b.started_ns != 0 and b.started_ns != told_ns and b.mode is not i.Mode.GONE
+
+    def _started_now(self, entry: tuple[i.Backend, Address]) -> tuple[i.Backend, Address]:
+        b, where = entry
+        clock, now = self.reader.clock, self.turn.now_ns()
+        self.turn.log.often(
+            "clock",
+            f"a server told of just now had started {(now - b.started_ns) / 1e9:.0f} s ago: taken as cold",
+        )
+        clock.pin(b.id, clock.told_ms(b.id, b.started_ns), now)
+        return replace(b, started_ns=now), where
+
     def _forget(self, number_: int) -> None:
-        self.endpoints.pop(number_, None)
+        known = self.endpoints.pop(number_, None)
+        started_ns = known[0].started_ns if known is not None else self.gone.get(number_, 0)
         self.gone.pop(number_, None)
-        self.gone[number_] = None
+        self.gone[number_] = started_ns
         if len(self.gone) > GONE_KEPT:
             del self.gone[next(iter(self.gone))]
 
@@ -309,14 +360,14 @@
         return entry
 
     def back(self) -> dict[str, int]:
-        """Those put back from maintenance that count as started then, and when, in Unix time."""
-        return {name: at - self.reader.apart_ns for name, at in self.reborn.values() if name in self}
+        """Those put back from maintenance that count as started then, and when."""
+        return {name: at for name, at in self.reborn.values() if name in self}
 
-    def put_back(self, back: dict[str, int]) -> None:
+    def put_back(self, back_age_ns: dict[str, int]) -> None:
         """What an older process of this gateway says of them. Guards a server that is cold against a new
         process that has only discovery's word, which may be of before it was taken out."""
-        for name, unix_ns in back.items():
-            self.reborn[number(name)] = name, unix_ns + self.reader.apart_ns
+        for name, age_ns in back_age_ns.items():
+            self.reborn[number(name)] = name, self.turn.now_ns() - age_ns
 
     def maintain(self, name: str, banned: bool) -> bool:
         """An operator's word on a backend server, told as a change of the list where discovery listed it;
@@ -424,6 +475,7 @@
             self.table.turn.deadlines.drop(self._deadline)
             self._await(None)
         self._read(self._lines.feed, bytes(self._buffer[:size]))
+        self.table.heard()
 
     def _read(self, lines: Callable[..., list[bytes]], *data: bytes) -> None:
         try:
