Starts outlast a lack of sockets; waiting counts in a request's time; a stalled command ends in 3 s

Cause: Gateway.run and serve took every OSError for final; CallReader.read counts d from the moment of reading; ClientConnection.tend gave half a command command_ns (10 s) wherever the client had asked before.

Change: net/transient makes sockets, the loop and a reload's open again where the machine lacks descriptors or memory for a moment (8 s; a reload 3 s: its signal comes once). What may have waited unread (taken right after the listening began or went on, or behind a pause of the reading) is dated by the machine's word on when it came (TCP_INFO); all else costs nothing more. A begun command has to go on within 2.2 s (command_stall_ns), whatever its client asked before. Ruled out: a wait for the last byte alone (a client that writes a byte every 50 ms for 3.2 s is served, before and after).

--- a/zincstile/net/accept.py
+++ b/zincstile/net/accept.py
@@ -3,16 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import socket
 from collections.abc import Callable
 from enum import Enum
-from typing import Final
 
+from .transient import is_lack
 from .turn import Turn
 
-LACKS: Final = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # of this process or its machine
-
 
 class Taken(Enum):
     """What came of one look into the queue."""
@@ -41,7 +38,7 @@
             return Taken.FAILED
         except OSError as err:
             self.turn.log.often("accept", f"failed: {err.strerror}")
-            return Taken.LACK if err.errno in LACKS else Taken.FAILED
+            return Taken.LACK if is_lack(err) else Taken.FAILED
         connection.setblocking(False)
         self.coming += 1
         task = self.turn.loop.create_task(self._welcome(connection))
--- a/zincstile/net/config.py
+++ b/zincstile/net/config.py
@@ -71,7 +71,7 @@
         with open(path, encoding="utf-8") as text:
             table = json.load(text, object_hook=each)
     except OSError as err:
-        raise ConfigError(f"{path}: {err.strerror}") from None
+        raise ConfigError(f"{path}: {err.strerror}") from err
     except (ValueError, RecursionError):
         raise ConfigError(f"{path}: not JSON") from None
     if not isinstance(table, dict):
--- a/zincstile/net/frontend.py
+++ b/zincstile/net/frontend.py
@@ -44,6 +44,9 @@
         "ended_ns",
         "asked",
         "_close_reason",
+        "heard_ns",
+        "may_have_waited",
+        "_waited_ns",
     )
 
     def __init__(self, door: FrontDoor) -> None:
@@ -61,6 +64,9 @@
         self.asked = 0  # whole commands that were none to turn away
         self._drained = 0  # bytes thrown away since the last answer was written
         self._close_reason: CloseReason | None = None  # why it is ended from here, once it is
+        self.heard_ns = 0  # when anything last came
+        self.may_have_waited = False  # what is read next, as it was not read for a while
+        self._waited_ns = 0  # what is being read, before it could be
 
     # ---- asyncio
 
@@ -76,7 +82,11 @@
 
     def buffer_updated(self, size: int) -> None:
         if not self._closing:
+            if self.may_have_waited:
+                self.may_have_waited = False
+                self._waited_ns = self.door.host.unread_ns(self.transport)
             self._read(bytes(self.door.buffer[:size]))
+            self._waited_ns = 0
             return
         self._drained += size
         if self._drained > self.turn.limits.drained_bytes:
@@ -130,7 +140,8 @@
     def _read(self, data: bytes) -> None:
         for words in self._parser.feed(data):
             self._command(words)
-        self.begun_ns = 0 if self._parser.idle else self.begun_ns or self.turn.now_ns()
+        self.heard_ns = self.turn.now_ns()
+        self.begun_ns = 0 if self._parser.idle else self.begun_ns or self.heard_ns
         if self._parser.error:  # nothing after it can be understood
             self.counters.malformed += 1
             self.turn.log.often("malformed", f"command: {self._parser.error}")
@@ -165,7 +176,7 @@
             return
         number, now = turn.next_id(), self.turn.now_ns()
         try:
-            call, request = self.door.reader.read(words, number, now)
+            call, request = self.door.reader.read(words, number, now - self._waited_ns)
             if call.id in self.door.open:  # guards its session: backend servers would see a second copy
                 raise CallError("the id of an open request")
         except CallError as err:
@@ -195,6 +206,7 @@
             if stop:
                 self.transport.pause_reading()
             else:
+                self.may_have_waited = True
                 self.transport.resume_reading()
 
     # ---- answers out
@@ -345,11 +357,9 @@
         if self._closing or self._waiting or self.transport.is_closing():
             return
         if not self._parser.idle:
-            if (
-                now - self.begun_ns > limits.command_ns
-                or not self.asked
-                and now - self.rested_ns > limits.silent_ns
-            ):
+            stalled = now - self.heard_ns > limits.command_stall_ns
+            never_asked = not self.asked and now - self.rested_ns > limits.silent_ns
+            if stalled or never_asked or now - self.begun_ns > limits.command_ns:
                 self._give_up("a command that does not end", CloseReason.INCOMPLETE)
         elif now - self.rested_ns > (
             limits.standby_rest_ns
@@ -399,6 +409,7 @@
         self._socket: socket.socket | None = None
         self._listening = False
         self.inherited = False
+        self._resumed_ns = 0  # when connections were last taken again, or first
         self._acceptor = Acceptor(turn, lambda: ClientConnection(self))
 
     def listen(self, address: tuple[str, int], inherited: int | None = None) -> None:
@@ -444,6 +455,7 @@
         may = self._socket is not None and not self.closing and (self.ready or not self.inherited)
         if may and not self._listening:
             self._listening = True
+            self._resumed_ns = self.turn.now_ns()
             self.turn.loop.add_reader(self._socket.fileno(), self._accept)
 
     def _pause(self) -> None:
@@ -511,6 +523,8 @@
 
     def joined(self, client: ClientConnection) -> None:
         self.clients[client] = None
+        # it may have come, and asked, while none were taken: before this process, on an inherited queue
+        client.may_have_waited = self.turn.now_ns() - self._resumed_ns < self.turn.limits.newcomer_ns
 
     def left(self, client: ClientConnection) -> None:
         self.clients.pop(client, None)
--- a/zincstile/net/gateway.py
+++ b/zincstile/net/gateway.py
@@ -22,8 +22,11 @@
 from .server_table import number as name_number
 from .session import FAILED
 from .trace import Step
+from .transient import is_lack, patiently
 from .turn import Turn
 
+RELOAD_AGAIN_NS, RELOAD_TRIES = 100_000_000, 30  # where the file can't be read for now
+
 
 class Gateway:
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, host: Host = HOST) -> None:
@@ -268,12 +271,12 @@
         if self.handover is not None:
             await self._take_over()
         if self.config.peer_listen:
-            await self.peers.open(self.config.peer_listen)
+            await patiently(lambda: self.peers.open(self.config.peer_listen))
         self.turn.post(i.Started())
         known = self._begin_table()
-        self.door.listen(self.config.listen, self.config.socket_fd)
+        await patiently(lambda: self.door.listen(self.config.listen, self.config.socket_fd))
         if self.control is not None:
-            self.control.open(self.config.control)
+            await patiently(lambda: self.control.open(self.config.control))
             self.handover.watch()
         if self.starter is None and known:
             # discovery may be down: then the known list must do
@@ -332,12 +335,18 @@
         self.log.line(self.counters.line(self.host))
         self.log.line("state " + json.dumps(self.turn.policy.sight()))
 
-    def reload(self) -> None:
+    def reload(self, tries: int = RELOAD_TRIES) -> None:
         """SIGHUP: where discovery is found is read again, all else stays as it is. Sessions, connections and
-        all that is remembered go on. Guards also against a file that is broken or half written."""
+        all that is remembered go on. Guards also against a file that is broken or half written; one that the
+        machine can't open for now is tried again, as the signal comes once."""
         try:
             config = self.host.again()
         except (ConfigError, OSError) as err:
+            if is_lack(err.__cause__ or err) and tries > 1:
+                at_ns = self.turn.now_ns() + RELOAD_AGAIN_NS
+                self.turn.deadlines.add(at_ns, self.reload, tries - 1)
+                self.turn.wake()
+                return
             self.log.line(f"reload refused: {' '.join(str(err).split())}; the old configuration stands")
             return
         self.counters.reloads += 1
--- a/zincstile/net/host.py
+++ b/zincstile/net/host.py
@@ -15,6 +15,7 @@
 import resource
 import select
 import socket
+import struct
 import sys
 import time
 
@@ -22,6 +23,9 @@
 from .config import Address, Config, ConfigError, again
 
 BOOT_PATH = "/proc/sys/kernel/random/boot_id"  # proc(5): names the run of the machine
+# Of struct tcp_info (linux/tcp.h): tcpi_last_data_recv, in milliseconds
+TCP_INFO_BYTES, LAST_DATA_RECEIVED_AT, LAST_DATA_RECEIVED = 104, 52, struct.Struct("=I")
+MOST_UNREAD_MS = 60_000
 FILE_BYTES = 1 << 20  # of a file in $TMPDIR, at most
 
 
@@ -40,10 +44,14 @@
         # told. Without, the system holds back a small answer behind one that is not acknowledged, and a reset
         # drops it.
         sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.setblocking(False)
-        sock.bind(address)
-        sock.listen(backlog)
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.setblocking(False)
+            sock.bind(address)
+            sock.listen(backlog)
+        except OSError:
+            sock.close()
+            raise
         return sock
 
     def inherit(self, fd: int) -> socket.socket:
@@ -82,6 +90,18 @@
         poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
         return bool(poll.poll(0))
 
+    def unread_ns(self, transport: asyncio.Transport) -> int:
+        """How long ago the machine received what came last on a connection; 0 where it doesn't say, or says
+        what can't be (tcp(7), TCP_INFO)."""
+        try:
+            info = transport.get_extra_info("socket").getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES
+            )
+            (age_ms,) = LAST_DATA_RECEIVED.unpack_from(info, LAST_DATA_RECEIVED_AT)
+        except (OSError, AttributeError, struct.error):
+            return 0
+        return age_ms * 1_000_000 if age_ms <= MOST_UNREAD_MS else 0
+
     def again(self) -> Config:
         """The configuration as its file is by now; ConfigError or OSError where it can't be used."""
         return again(os.environ)
--- a/zincstile/net/limits.py
+++ b/zincstile/net/limits.py
@@ -41,6 +41,7 @@
     keeper_rest_ns: int = 8 * SECOND  # one that rested this long is closed: the keeper does it at 10 s
     connect_ns: int = 250 * MS
     command_ns: int = 10 * SECOND  # a command that is begun has to be whole by then
+    command_stall_ns: int = 2200 * MS  # and has to go on within this
     silent_ns: int = 2200 * MS  # a client that has sent no whole command by then is closed
     rest_ns: int = 10 * SECOND  # a client's connection that rested this long is closed
     tend_ns: int = 250 * MS  # how often these are looked at
--- a/zincstile/serve.py
+++ b/zincstile/serve.py
@@ -20,17 +20,32 @@
     import asyncio
     import gc
     import os
+    import time
 
     from .net.config import Config, ConfigError, load
     from .net.gateway import Gateway
+    from .net.transient import AGAIN_S, TRIES, is_lack
 
     async def run(config: Config) -> None:
         gateway = Gateway(config, asyncio.get_running_loop())
         gc.freeze()  # what stands by now stays
         await gateway.run(early)
 
+    def make_loop() -> asyncio.AbstractEventLoop:
+        """Descriptors may be lacking for a moment."""
+        for _ in range(TRIES):
+            try:
+                return asyncio.new_event_loop()
+            except OSError as err:
+                if not is_lack(err):
+                    raise
+            time.sleep(AGAIN_S)
+        return asyncio.new_event_loop()
+
     try:
-        asyncio.run(run(load(os.environ)))
+        config = load(os.environ)
+        with asyncio.Runner(loop_factory=make_loop) as runner:
+            runner.run(run(config))
     except ConfigError as err:
         print(f"zincstile: {' '.join(str(err).split())}", file=sys.stderr)
         return 2
--- a/zincstile/virtual/host.py
+++ b/zincstile/virtual/host.py
@@ -38,6 +38,10 @@
         """The other side's end has come, read or not."""
         return transport.over
 
+    def unread_ns(self, transport: Any) -> int:
+        """Not told here."""
+        return 0
+
     def again(self) -> Config:
         """The configuration as it stands by now, for a reload."""
         return self._config()
