Red: a reset that stops other endings, servers blamed for this machine, SIGTERM in a start

- a client resets between the look at its socket and the end of sending: shutdown(2) fails with ENOTCONN, the exception leaves FrontDoor.close_idle in the middle, and the other connections are not ended at a stop;
- no socket can be had here (ENFILE): 12 attempts count as connect_failed, a certain doubt of servers that were never asked, told to peers too;
- SIGTERM while a start waits for an older process's memory: it goes on to listen, on a door that takes no connection, and ends 3 s later.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import os
 import signal
@@ -14,12 +15,17 @@
 from types import SimpleNamespace
 
 import pytest
+from conftest import settings as module_settings
 from scenario import PATIENCE, ROOT, World, call, encode, where
 from test_scenarios import PING, READY, play
 
 from zincstile.net.accept import Acceptor, Taken
+from zincstile.net.counters import Counters
+from zincstile.net.frontend import ClientConnection, FrontDoor
 from zincstile.net.host import HOST
 from zincstile.net.limits import MS, SECOND, Limits
+from zincstile.net.log import Log
+from zincstile.net.turn import Turn
 
 NEVER = 10**12
 SHUT_AT_ONCE = {"drain_quiet_ns": 1}
@@ -435,3 +441,43 @@
     for listening in (own, inherited):
         assert asyncio.run(asyncio.wait_for(play(listening), PATIENCE)) != [0]
         listening.close()
+
+
+def test_a_client_that_resets_between_the_look_and_the_end_stops_no_other_ending(tmp_path):
+    """shutdown(2) then fails with ENOTCONN: that one is gone, and the others are ended all the same."""
+
+    class Wire:
+        def __init__(self, gone):
+            self.gone, self.ended, self.aborted = gone, False, False
+
+        def is_closing(self):
+            return self.aborted
+
+        def get_write_buffer_size(self):
+            return 0
+
+        def set_write_buffer_limits(self, high):
+            pass
+
+        def write_eof(self):
+            if self.gone:
+                raise OSError(errno.ENOTCONN, os.strerror(errno.ENOTCONN))
+            self.ended = True
+
+        def abort(self):
+            self.aborted = True
+
+    async def play():
+        turn = Turn(asyncio.get_running_loop(), None, Limits(), Counters(), Log("n0"))
+        turn.readable = turn.ended = lambda transport: False
+        door = FrontDoor(turn, module_settings(), memoryview(bytearray(64)), HOST)
+        wires = [Wire(gone=k == 0) for k in range(3)]
+        for wire in wires:
+            client = ClientConnection(door)
+            client.connection_made(wire)
+            client.asked = 1
+        door.shut()
+        return wires
+
+    wires = asyncio.run(play())
+    assert wires[0].aborted and [w.ended for w in wires[1:]] == [True, True]
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -10,12 +10,13 @@
 import selectors
 import signal
 import socket
+import subprocess
 import sys
 import threading
 import time
 
 import pytest
-from scenario import HOME, SECOND, Line, World, call, encode
+from scenario import HOME, ROOT, SECOND, Line, World, call, encode
 
 from zincstile.field.shim_control import Knob, ShimControl
 
@@ -406,3 +407,43 @@
         world.counters()
         state = json.loads(world.logged("state *").split(" ", 1)[1])
         assert state["good"] == 2.0  # in warm ones
+
+
+# ---- whose fault it is
+
+
+def test_a_lack_of_sockets_here_is_no_fault_of_a_server(tmp_path):
+    """No doubt is kept, and none told to peers, of servers that were never asked."""
+    with machine(tmp_path / "m") as world:
+        world.shim.set(Knob.SOCKET_SHARE, 1.0)
+        client = Line(socket.create_connection(world.address, 5))
+        for number in range(6):
+            client.sock.sendall(encode(call("look", number)))
+            assert client.message().startswith("-BUSY")
+        counted = world.counters()
+        state = json.loads(world.logged("state *").split(" ", 1)[1])
+        client.close()
+        assert counted["connect_failed"] == 0 < counted["moot"]
+        assert state["doubted"] == 0
+
+
+def test_a_stop_in_the_middle_of_a_start_ends_it_at_once(tmp_path):
+    """While it waits for an older process's memory: it never takes a connection that nobody would serve."""
+    with machine(tmp_path / "m", limits={"inherit_wait_ns": 3 * SECOND}) as world:
+        world.program.kill()
+        world.program.wait()
+        env = {k: v for k, v in os.environ.items() if not k.startswith("RELAY_")}
+        env |= {"RELAY_CONFIG": str(world.path), "TMPDIR": str(world.tmpdir())}
+        program = subprocess.Popen(world.words(), env=env, cwd=ROOT, stderr=subprocess.PIPE, text=True)
+        try:
+            while " handover: " not in program.stderr.readline():
+                pass
+            time.sleep(0.1)
+            program.send_signal(signal.SIGTERM)
+            began = time.monotonic()
+            assert program.wait(20) == 0
+            assert time.monotonic() - began < 1.0
+            assert "start listening" not in program.stderr.read()
+        finally:
+            program.kill()
+            program.wait()
