Endings, starts and doubts: a reset stops no other, SIGTERM ends a start, own lacks blame no server

Cause: ClientConnection._finish let shutdown(2)'s ENOTCONN out, which left FrontDoor.close_idle in the middle; Backends._open put each OSError of a connect down to the server; Gateway.run went on to listen whatever stop() had said.

Change: the connection that was reset is given up and the others go on; a lack here (ENFILE, EMFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL) is MOOT, told by the line full; a start is left where it stands at SIGTERM.

--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -197,3 +197,14 @@
 def test_what_a_gateway_counts_itself_is_a_breach(bench):
     bench.referee.violated("g0", "close c1: 2 requests without an answer")
     assert bench.broken == ["invariant"]
+
+
+def test_what_waited_for_a_process_may_be_answered_late_or_never_and_only_that(bench):
+    bench.ask(wait=100)
+    bench.ask(b"2", wait=100, line=2, gateway="g1")
+    bench.referee.excuse("g0")
+    bench.at(100).answered(b"2", "failed", b"")
+    bench.at(500).answered(b"1", "failed", b"")
+    bench.ask(b"3", wait=100, line=3)
+    bench.at(700)
+    assert bench.broken == ["answer"]
--- a/zincstile/field/gateways.py
+++ b/zincstile/field/gateways.py
@@ -74,6 +74,8 @@
         self._keep_counters(seat)
         seat.starts += 1
         seat.stopping, seat.may_die = False, bool(seat.shim.get(Knob.KILL_IN_WRITE))
+        if seat.socket is not None:  # the platform's: it has taken connections on
+            self.referee.excuse(seat.name)
         self.referee.started(seat.name)
         seat.program = self._start_program(seat)
 
@@ -137,7 +139,9 @@
         self.after(ms, seat.program.signal, signal.SIGCONT)
 
     def reload(self, seat: Seat, half: bool = False) -> None:
-        """SIGHUP, with the file as it has to be now, or half of it."""
+        """SIGHUP, with the file as it has to be now, or half of it; not half where a start reads it first."""
+        if half and not seat.program.up:
+            return
         self._write_configuration(seat, half)
         seat.program.signal(signal.SIGHUP)
 
@@ -195,9 +199,9 @@
         """Reports processes that ended without having been told to."""
         for seat in self.seats:
             program = seat.program
-            if seat.socket is not None and seat.stopping and program is not None and not program.alive:
-                # the platform's socket takes connections on, and nobody is there to answer them
-                self.referee.ended(seat.name)
+            gone = program is not None and not program.alive
+            if seat.socket is not None and seat.stopping and gone and seat.name not in self.referee.dead:
+                self.referee.ended(seat.name)  # the platform's socket takes connections on, for nobody
             if program is not None and not program.alive and not program.asked_to_end:
                 program.asked_to_end = True
                 if self.died_as_planned(seat.name):
--- a/zincstile/net/backend.py
+++ b/zincstile/net/backend.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import math
 
 from .. import interface as i
@@ -16,6 +17,7 @@
 from .reasons import RetryReason
 from .session import Answer, Call, Kind, Session, Stream
 from .trace import Step
+from .transient import is_lack
 from .turn import Turn
 
 Result = i.Result
@@ -249,12 +251,20 @@
         try:
             async with asyncio.timeout(self.turn.limits.connect_ns / 1e9) as connection.dial:
                 await self.turn.loop.create_connection(lambda: connection, *attempt.server.address)
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as err:
             if connection.transport is None:
                 connection.attempt = None
-                self.finish(attempt, Result.CONNECT_FAILED)
+                self.finish(attempt, Result.MOOT if self._is_own_lack(err) else Result.CONNECT_FAILED)
                 self._drop(connection)
 
+    def _is_own_lack(self, err: Exception) -> bool:
+        """Guards servers against being doubted, and doubted by peers too, for what this machine lacks: they
+        were never asked."""
+        own = is_lack(err) or (isinstance(err, OSError) and err.errno == errno.EADDRNOTAVAIL)
+        if own:
+            self.turn.log.often("full", f"no connection to backend servers for now: {err}")
+        return own
+
     def connected(self, connection: BackendConnection) -> None:
         attempt, server = connection.attempt, connection.server
         connection.attempt = None
--- a/zincstile/net/frontend.py
+++ b/zincstile/net/frontend.py
@@ -314,7 +314,11 @@
         if not self.transport.is_closing() and self._may_close():
             self._closing, self._ending = True, False
             self.ended_ns = self.turn.now_ns()
-            self.transport.write_eof()
+            try:
+                self.transport.write_eof()
+            except OSError:  # its client has reset it since it was last looked at: nobody is there
+                self._abort(CloseReason.CLIENT)
+                return
             if self._paused:
                 self._paused = False
                 self.transport.resume_reading()
@@ -433,6 +437,11 @@
     def address(self) -> str:
         return "{}:{}".format(*self._socket.getsockname()[:2])
 
+    @property
+    def opened(self) -> bool:
+        """It listens, or has."""
+        return self._socket is not None or self.closing
+
     @property
     def counters(self) -> Counters:
         return self.turn.counters
--- a/zincstile/net/gateway.py
+++ b/zincstile/net/gateway.py
@@ -7,6 +7,7 @@
 import os
 import random
 import signal
+from collections.abc import Coroutine
 from typing import Any
 
 from .. import interface as i
@@ -269,9 +270,17 @@
         if signal.SIGHUP in (early or ()):
             self.loop.call_soon(self.reload)
         if self.handover is not None:
-            await self._take_over()
+            await self._unless_stopped(self._take_over())
         if self.config.peer_listen:
             await patiently(lambda: self.peers.open(self.config.peer_listen))
+        if not self._stopping:  # else nobody was taken yet, and nobody is
+            await self._serve()
+        await self.ended
+        self._count()
+        self.log.line("end")
+
+    async def _serve(self) -> None:
+        """Takes clients from here on."""
         self.turn.post(i.Started())
         known = self._begin_table()
         await patiently(lambda: self.door.listen(self.config.listen, self.config.socket_fd))
@@ -287,11 +296,17 @@
         inherited = " (inherited)" if self.door.inherited else ""
         operators = f", operators on {self.control.address}" if self.control else ""
         self.log.line(
-            f"start listening on {self.door.address}{inherited}, peers on {self.peers.address}" f"{operators}"
+            f"start listening on {self.door.address}{inherited}, peers on {self.peers.address}{operators}"
         )
-        await self.ended
-        self._count()
-        self.log.line("end")
+
+    async def _unless_stopped(self, work: Coroutine[Any, Any, None]) -> None:
+        """A part of the start; it is left where it stands when the process is told to end."""
+        task = self.loop.create_task(work)
+        await asyncio.wait((task, self.ended), return_when=asyncio.FIRST_COMPLETED)
+        if task.done():
+            task.result()  # its error is the start's
+        else:
+            task.cancel()
 
     async def _take_over(self) -> None:
         """What an older process of this gateway has left, before anything of this one is seen outside."""
@@ -364,6 +379,9 @@
         self._stopping = True
         self.turn.trace.note(self.turn.now_ns(), Step.STATE, "stop")
         self.log.line(f"stop with {len(self.turn.sessions)} sessions")
+        if not self.door.opened:
+            self._end(None)
+            return
         now, limits = self.turn.now_ns(), self.config.limits
         self._stop_ns = self.door.heard_ns = now
         if self.door.inherited and self.handover is not None and self.handover.other_ready:
--- a/zincstile/rules/referee.py
+++ b/zincstile/rules/referee.py
@@ -18,6 +18,8 @@
 from .maintenance import Maintenance
 from .quotas import Quotas
 
+NEVER_NS = 2**62
+
 
 class Referee:
     """All checkers of one run."""
@@ -152,6 +154,13 @@
             _, case.left_ns = self._clock()
         self.void(request)
 
+    def excuse(self, gateway: str) -> None:
+        """Its machine took connections while no process of it ran: what was asked meanwhile may have its
+        answer late, or never."""
+        for case in self.cases.values():
+            if case.gateway == gateway and case.state in ("open", "void"):
+                case.state, case.due_ns = "late", NEVER_NS
+
     # ---- attempts
 
     def sent(self, gateway: str, box: str, request: bytes, first_ns: int) -> Try | None:
