--- a/zincstile/field/run.py
+++ b/zincstile/field/run.py
@@ -110,7 +110,7 @@
             discovery=proxy.address(number),
         )
         seat.shim.set(Knob.SEED, plan_seed(self.plan.seed, number))
-        if self._upgrades:
+        if number in self._upgraded:
             seat.socket = self._listening_socket(seat)
         return seat
 
--- a/zincstile/field/testbed.py
+++ b/zincstile/field/testbed.py
@@ -88,7 +88,8 @@
         self._tasks: dict[asyncio.Task, None] = {}
         self._active_troubles: dict[Any, Any] = {}  # what takes away the troubles that faults laid
         kinds = {f.kind for f in plan.faults}
-        self._upgrades = "upgrade" in kinds
+        upgraded = [n for f in plan.faults if f.kind == "upgrade" for n in f.who]
+        self._upgraded = {n % plan.gateways for n in upgraded}  # the platform holds their listening sockets
         self._operated = bool(kinds & {"upgrade", "maintenance"})  # gateways have a control endpoint
         self._shimmed = bool(kinds & {*SHIM, "skew"})  # their processes run under the shim
         self._first_start_s = 0.0
