--- a/tests/test_server_table.py
+++ b/tests/test_endpoint_table.py
@@ -5,10 +5,10 @@
 
 import pytest
 
-from zincstile.net import server_table
+from zincstile.net import endpoint_table
 from zincstile.net.deadlines import Deadlines
+from zincstile.net.endpoint_table import EndpointTable, Watch
 from zincstile.net.limits import MS, SECOND, Limits
-from zincstile.net.server_table import ServerTable, Watch
 from zincstile.net.trace import Trace
 
 WITHIN = 10 * SECOND
@@ -41,9 +41,9 @@
         log=SimpleNamespace(often=lambda *words: None),
         counters=SimpleNamespace(tables=0, watches=0),
     )
-    made = ServerTable(
+    made = EndpointTable(
         turn,
-        server_table.TableReader([], [], Host),
+        endpoint_table.EndpointReader([], [], Host),
         ("10.2.0.1", 8500),
         lambda entries, whole: None,
         lambda: None,
--- a/tests/test_incremental.py
+++ b/tests/test_incremental.py
@@ -21,10 +21,10 @@
 from zincstile.net.backend import Backends
 from zincstile.net.backend_connection import BackendConnection
 from zincstile.net.deadlines import Deadlines
+from zincstile.net.endpoint_table import EndpointReader, EndpointTable, number
 from zincstile.net.gateway import Gateway as GatewayProcess
 from zincstile.net.json_objects import JsonObjects
 from zincstile.net.limits import Limits
-from zincstile.net.server_table import ServerTable, TableReader, number
 from zincstile.net.trace import Trace
 from zincstile.policy import FADE_S, FAULTY, FLOOR, FORGOTTEN
 from zincstile.state import SLOWNESS_EPSILON, scatter
@@ -230,7 +230,7 @@
 def endpoint_table(update=lambda entries, whole: None):
     clock = SimpleNamespace(unix_ns=lambda: 0, monotonic_ns=lambda: 0)
     where, first = ("10.2.0.1", 8500), lambda: None
-    return ServerTable(stub_turn(), TableReader([], [], clock), where, update, first, random.Random(1))
+    return EndpointTable(stub_turn(), EndpointReader([], [], clock), where, update, first, random.Random(1))
 
 
 def tell(table, endpoints_, kind=i.ListKind.DELTA):
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -13,10 +13,10 @@
 from test_scenarios import READY, play
 
 from zincstile.net.counters import Counters
+from zincstile.net.endpoint_table import EndpointReader, EndpointTable
 from zincstile.net.host import HOST
 from zincstile.net.limits import MS, Limits
 from zincstile.net.log import Log
-from zincstile.net.server_table import ServerTable, TableReader
 from zincstile.net.turn import Turn
 
 NEVER = 10**12
@@ -153,9 +153,9 @@
     async def play(listening):
         loop, clock, limits = asyncio.get_running_loop(), Clock(), Limits()
         turn = Turn(loop, SimpleNamespace(handle=lambda now, event: []), limits, Counters(), Log("n0"), clock)
-        table = ServerTable(
+        table = EndpointTable(
             turn,
-            TableReader(["z"], ["k"], clock),
+            EndpointReader(["z"], ["k"], clock),
             listening.getsockname(),
             lambda entries, whole: None,
             lambda: None,
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -7,10 +7,10 @@
 from types import SimpleNamespace
 
 from zincstile import interface as i
-from zincstile.net import server_table
+from zincstile.net import endpoint_table
 from zincstile.net.deadlines import Deadlines
+from zincstile.net.endpoint_table import EndpointTable
 from zincstile.net.limits import SECOND, Limits
-from zincstile.net.server_table import ServerTable
 from zincstile.net.trace import Trace
 
 
@@ -32,9 +32,9 @@
         log=SimpleNamespace(often=lambda *words: None),
         counters=SimpleNamespace(tables=0, watches=0),
     )
-    made = ServerTable(
+    made = EndpointTable(
         turn,
-        server_table.TableReader([], [], SimpleNamespace(monotonic_ns=turn.now_ns, unix_ns=turn.now_ns)),
+        endpoint_table.EndpointReader([], [], SimpleNamespace(monotonic_ns=turn.now_ns, unix_ns=turn.now_ns)),
         ("10.2.0.1", 8500),
         lambda entries, _: pools.append([(b.id, b.mode) for b, _ in entries]),
         lambda: None,
@@ -53,7 +53,7 @@
 
 def told(posted, name):
     """What the module heard last of a name."""
-    number = server_table.number(name)
+    number = endpoint_table.number(name)
     return [b for e in posted if isinstance(e, i.BackendList) for b in e.entries if b.id == number][-1]
 
 
@@ -62,7 +62,7 @@
     made.begin({"index": 1, "snapshot": True, "endpoints": [entry("s-a"), entry("s-b")]})
     assert made.maintain("s-a", True)
     assert told(posted, "s-a").mode is i.Mode.DRAINING and pools[-1] == [
-        (server_table.number("s-a"), i.Mode.DRAINING)
+        (endpoint_table.number("s-a"), i.Mode.DRAINING)
     ]
     made._take(
         {"index": 2, "snapshot": True, "endpoints": [entry("s-a"), entry("s-b")]}, i.ListKind.FULL, made.where
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -13,8 +13,8 @@
 
 from zincstile import interface as i
 from zincstile.net import config, features
+from zincstile.net.endpoint_table import EndpointReader, number
 from zincstile.net.host import HOST
-from zincstile.net.server_table import TableReader, number
 from zincstile.policy import COLD_LEAST, COLD_USE, Policy
 from zincstile.subset.fleet import Fleet, zone_of
 from zincstile.subset.module import subsetting
@@ -440,7 +440,7 @@
     ]
     found = []
     for named in (["x"], []):
-        _, _, entries = TableReader(["a"], named, HOST).read(
+        _, _, entries = EndpointReader(["a"], named, HOST).read(
             {"index": 1, "snapshot": True, "endpoints": listed}
         )
         policy = subsetting(Policy, SubsetSettings(ServiceBy.TYPE), ["a"], [number(t) for t in named])
--- a/zincstile/net/server_table.py
+++ b/zincstile/net/endpoint_table.py
@@ -30,7 +30,7 @@
     return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=6).digest(), "big")
 
 
-class TableReader:
+class EndpointReader:
     """Discovery's JSON to the module's entries."""
 
     def __init__(self, zones: list[str], kinds: list[str], host: Host) -> None:
@@ -80,13 +80,13 @@
         ), (host, self.ports.setdefault(port, port))
 
 
-class ServerTable:
+class EndpointTable:
     """Hands every change to the pools and to the module. A lost watch leaves the last list standing."""
 
     def __init__(
         self,
         turn: Turn,
-        reader: TableReader,
+        reader: EndpointReader,
         where: Address,
         update: Callable[[Entries, bool], None],
         first: Callable[[], None],
@@ -408,7 +408,7 @@
         "_given_up_after_ns",
     )
 
-    def __init__(self, table: ServerTable, where: Address) -> None:
+    def __init__(self, table: EndpointTable, where: Address) -> None:
         self.table, self.where = table, where
         self.transport: asyncio.Transport | None = None
         self._buffer = memoryview(bytearray(table.turn.limits.read_bytes))
--- a/zincstile/net/gateway.py
+++ b/zincstile/net/gateway.py
@@ -15,12 +15,12 @@
 from .backend import Backends
 from .config import Config, ConfigError
 from .counters import Counters
+from .endpoint_table import EndpointReader, EndpointTable
+from .endpoint_table import number as name_number
 from .frontend import FrontDoor
 from .host import HOST, Host
 from .log import Log
 from .peers import Peers
-from .server_table import ServerTable, TableReader
-from .server_table import number as name_number
 from .session import FAILED
 from .trace import Step
 from .transient import is_lack, patiently
@@ -38,9 +38,9 @@
         self.door = FrontDoor(self.turn, config.settings, buffer, host)
         self.backends = Backends(self.turn, config.settings, buffer)
         self.peers = Peers(self.turn, config.peers)
-        self.table = ServerTable(
+        self.table = EndpointTable(
             self.turn,
-            TableReader(config.zones, config.kinds, host),
+            EndpointReader(config.zones, config.kinds, host),
             config.discovery,
             self.backends.update,
             self._ready,
--- a/zincstile/net/start.py
+++ b/zincstile/net/start.py
@@ -13,8 +13,8 @@
 from ..start.policy import Running
 from ..start.ready import Readiness, Right
 from ..start.settings import StartSettings
+from .endpoint_table import EndpointTable
 from .peers import HEARD, Peers
-from .server_table import ServerTable
 from .turn import Turn
 
 LOOK_NS, REST_NS = 30_000_000, 1_000_000_000  # how often it is looked at what is sought; once it is found
@@ -27,7 +27,7 @@
         self,
         turn: Turn,
         peers: Peers,
-        table: ServerTable,
+        table: EndpointTable,
         settings: StartSettings,
         me: int,
         gateways: int,
--- a/zincstile/scale/capacity_gateway.py
+++ b/zincstile/scale/capacity_gateway.py
@@ -28,7 +28,7 @@
 MINUTE_S: Final = 60
 WATCH_LINE_S: Final = 2.0  # discovery's empty lines come so often
 TICK_S: Final = policy.TICK_NS / policy.SECOND
-WATCH: Final = "net/server_table.Watch"
+WATCH: Final = "net/endpoint_table.Watch"
 FOLLOW: Final = "state.Memory.follow_list, net/backend.Backends.update"
 
 
@@ -45,7 +45,7 @@
             (
                 "endpoint table",
                 Dimension.BACKENDS,
-                "state.Server, net/server_table.ServerTable, net/backend.Backends",
+                "state.Server, net/endpoint_table.EndpointTable, net/backend.Backends",
             ),
             ("peers", Dimension.GATEWAYS, "net/peers.Peers"),
             ("tenants", Dimension.TENANTS, "state.Customer"),
@@ -142,14 +142,17 @@
         ),
         _flow_row("table changes", changes, change, WATCH),
         _flow_row(
-            "configuration changes, a whole list each", reloads, whole, "net/server_table.ServerTable.move"
+            "configuration changes, a whole list each",
+            reloads,
+            whole,
+            "net/endpoint_table.EndpointTable.move",
         ),
         _flow_row("empty lines of the watch", 1 / WATCH_LINE_S, capacity_messages.WATCH_LINE_BYTES, WATCH),
     ]
     budget = topology.budgets.control_bytes_per_s
     return [
         *parts,
-        summed("**in all**", "", parts, "net/peers.Peers, net/server_table.Watch", budget),
+        summed("**in all**", "", parts, "net/peers.Peers, net/endpoint_table.Watch", budget),
         Row(
             "all words that a gateway takes",
             f"{capacity_load.PEER_IN_PER_S:g} × {Limits().datagram_bytes} bytes, in alone",
--- a/zincstile/worlds/mutants.py
+++ b/zincstile/worlds/mutants.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from .. import interface as i
-from ..net import backend, deadlines, frontend, gateway, resp, server_table, turn
+from ..net import backend, deadlines, endpoint_table, frontend, gateway, resp, turn
 from ..net.invariants import InvariantGuard
 from ..policy import Policy
 from ..state import Memory
@@ -62,14 +62,14 @@
 
 def _drain_unseen() -> Undo:
     """A box that drains is taken for one that is ready."""
-    old = server_table.MODES["Terminating"]
-    server_table.MODES["Terminating"] = i.Mode.READY
-    return lambda: server_table.MODES.__setitem__("Terminating", old)
+    old = endpoint_table.MODES["Terminating"]
+    endpoint_table.MODES["Terminating"] = i.Mode.READY
+    return lambda: endpoint_table.MODES.__setitem__("Terminating", old)
 
 
 def _watch_trusted() -> Undo:
     """A watch that fell silent is never opened anew."""
-    return _swap(server_table.Watch, "_await", lambda self, _: None)
+    return _swap(endpoint_table.Watch, "_await", lambda self, _: None)
 
 
 def _two_answers() -> Undo:
