--- a/zincstile/rules/referee.py
+++ b/zincstile/checkers/checker.py
@@ -21,7 +21,7 @@
 NEVER_NS = 2**62
 
 
-class Referee:
+class Checker:
     """All checkers of one run."""
 
     def __init__(
--- a/zincstile/cli/demo.py
+++ b/zincstile/cli/demo.py
@@ -19,7 +19,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from ..rules.referee import Referee
+from ..checkers.checker import Checker
 from ..standin.clients import Front
 from ..standin.discovery import Agent, Entry, Roster
 from ..standin.guidebox import GuideBox, Model, Rack
@@ -32,21 +32,21 @@
 
 
 class Arrivals:
-    """The referee's ears on real sockets: an attempt is seen when it arrives, not when it leaves a
+    """The checker's ears on real sockets: an attempt is seen when it arrives, not when it leaves a
     gateway."""
 
-    def __init__(self, referee: Referee) -> None:
-        self.referee = referee
+    def __init__(self, checker: Checker) -> None:
+        self.checker = checker
 
     def __getattr__(self, name: str):
-        return getattr(self.referee, name)
+        return getattr(self.checker, name)
 
     def arrived(self, box: str, request: bytes, key: bytes, gateway: str, work_ns: int) -> None:
         """An attempt has come to a backend: it counts as sent and as read whole at that moment."""
-        one = self.referee.sent(gateway, box, request, time.monotonic_ns())
+        one = self.checker.sent(gateway, box, request, time.monotonic_ns())
         if one is not None:
-            self.referee.whole(request, one)
-        self.referee.arrived(box, request, key, gateway, work_ns)
+            self.checker.whole(request, one)
+        self.checker.arrived(box, request, key, gateway, work_ns)
 
 
 @click.command("demo")
@@ -77,8 +77,8 @@
 
     def __init__(self, plan: Plan, folder: Path) -> None:
         self.plan, self.folder = plan, folder
-        self.referee = Referee(traffic.figures(), lambda: (0, time.monotonic_ns()))
-        self.witness = Arrivals(self.referee)
+        self.checker = Checker(traffic.figures(), lambda: (0, time.monotonic_ns()))
+        self.witness = Arrivals(self.checker)
         self.programs: list[subprocess.Popen] = []
         self.console = Console()
 
@@ -104,7 +104,7 @@
             box = GuideBox(loop, name, model, racks[k % RACKS], random.Random(k), self.witness, cold=False)
             port = await box.start(HOST)
             zone = traffic.ZONES[k % len(traffic.ZONES)]
-            self.referee.boxes[name] = k % len(traffic.ZONES), k % RACKS
+            self.checker.boxes[name] = k % len(traffic.ZONES), k % RACKS
             roster.put(Entry(name, f"{HOST}:{port}", zone, "std", k % RACKS))
         listens = free_ports(plan.gateways, socket.SOCK_STREAM)
         peers = [f"{HOST}:{p}" for p in free_ports(plan.gateways, socket.SOCK_DGRAM)]
@@ -159,7 +159,7 @@
         last = wants[-1].at_s + END_S
         while loop.time() < last and (loop.time() < wants[-1].at_s or front.open or front.coming):
             await asyncio.sleep(0.05)
-            self.referee.watch(time.monotonic_ns())
+            self.checker.watch(time.monotonic_ns())
 
     def _tell(self, front: Front) -> int:
         kinds = ("served", "denied", "failed", "unreached")
@@ -176,13 +176,13 @@
                 f"half of the served had their answer within {half:.0f} ms, 99 in 100 within "
                 f"{most:.0f} ms"
             )
-        for breach in self.referee.breaches:
+        for breach in self.checker.breaches:
             self.console.print(f"rule {breach.rule} broken: {breach.text}")
             for line in breach.history:
                 self.console.print(f"  {line}")
         if front.open:
             self.console.print(f"{front.open} requests were never answered")
-        ok = not self.referee.breaches and not front.open and bool(waits)
+        ok = not self.checker.breaches and not front.open and bool(waits)
         self.console.print("every rule held" if ok else "not every rule held")
         return 0 if ok else 1
 
--- a/zincstile/cli/sim.py
+++ b/zincstile/cli/sim.py
@@ -10,7 +10,7 @@
 
 import click
 
-from ..rules.cases import NAMES
+from ..checkers.cases import NAMES
 from ..typed_yaml import FileError
 from ..worlds import plan as plans
 from ..worlds.plan import Plan
--- a/zincstile/field/probe.py
+++ b/zincstile/field/probe.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from ..rules.referee import Referee
+from ..checkers.checker import Checker
 from ..standin import wire
 from ..standin.witness import Witness
 
@@ -65,10 +65,10 @@
 
 
 class Probe(Witness):
-    """Hands all on to the referee, and counts by second for the charts."""
+    """Hands all on to the checker, and counts by second for the charts."""
 
-    def __init__(self, referee: Referee, series: TimeSeries, began_s: Callable[[], float]) -> None:
-        self.referee, self.series, self._began_s = referee, series, began_s
+    def __init__(self, checker: Checker, series: TimeSeries, began_s: Callable[[], float]) -> None:
+        self.checker, self.series, self._began_s = checker, series, began_s
         self.died_as_planned: Callable[[str], bool] = lambda gateway: False
         self._ticked_ns = time.monotonic_ns()
         self.came: list[tuple[float, str, int]] = []  # when, at which box, work in ns
@@ -84,7 +84,7 @@
 
     def _whose(self, gateway: str, request: bytes) -> str:
         """Where a box has one address for all, a gateway is known by the request that it was asked."""
-        case = self.referee.cases.get(request) if gateway == "?" else None
+        case = self.checker.cases.get(request) if gateway == "?" else None
         return gateway if case is None else case.gateway
 
     def _second(self) -> int:
@@ -92,73 +92,73 @@
 
     def asked(self, what: Any) -> None:
         """Counts what one all-seeing store would let in of it."""
-        quotas = self.referee.quotas
+        quotas = self.checker.quotas
         before = quotas.best if quotas else 0.0
-        self.referee.asked(what)
+        self.checker.asked(what)
         if quotas:
             second = self._second()
             self.series.best[second] = self.series.best.get(second, 0.0) + quotas.best - before
 
     def answered(self, request: bytes, kind: str, value: bytes) -> None:
         """Counts the answer by its kind."""
-        self.series.answer(self._second(), self.referee.cases[request].gateway, kind)
-        self.referee.answered(request, kind, value)
+        self.series.answer(self._second(), self.checker.cases[request].gateway, kind)
+        self.checker.answered(request, kind, value)
 
     def let_out(self, gateway: str, box: str, request: bytes, first_ns: int) -> Any:
         """The head of an attempt has come."""
-        case = self.referee.cases.get(request)
+        case = self.checker.cases.get(request)
         gateway = self._whose(gateway, request)
         if case is not None and not case.tries:
             key = self._second(), gateway
             self.series.units[key] = self.series.units.get(key, 0.0) + case.units
-        return self.referee.sent(gateway, box, request, first_ns)
+        return self.checker.sent(gateway, box, request, first_ns)
 
-    # what needs no more than the referee
+    # what needs no more than the checker
 
     def unasked(self, gateway: str, line: int, text: str) -> None:
-        self.referee.unasked(gateway, line, text)
+        self.checker.unasked(gateway, line, text)
 
     def dropped(self, request: bytes) -> None:
         """Its connection was ended after it was read, without an answer."""
-        if self.died_as_planned(self.referee.cases[request].gateway):
-            self.referee.void(request)
+        if self.died_as_planned(self.checker.cases[request].gateway):
+            self.checker.void(request)
             return
-        self.referee.dropped(request)
+        self.checker.dropped(request)
 
     def was_sent_on(self, request: bytes) -> bool:
         """It has been sent on since it was asked: the gateway had read it, and owes its answer on the very
         connection. Of one that is sent on later it can't be told between processes where it was read."""
-        case = self.referee.cases[request]
+        case = self.checker.cases[request]
         return len(case.tries) > case.tries_before
 
     def crossed(self, request: bytes) -> None:
         """Its connection was ended before it was read."""
-        self.referee.void(request)
+        self.checker.void(request)
 
     def left(self, request: bytes) -> None:
-        self.referee.left(request)
+        self.checker.left(request)
 
     def void(self, request: bytes) -> None:
-        self.referee.void(request)
+        self.checker.void(request)
 
     def arrived(self, box: str, request: bytes, key: bytes, gateway: str, work_ns: int) -> None:
         self.came.append((time.monotonic(), box, work_ns))
-        self.referee.arrived(box, request, key, self._whose(gateway, request), work_ns)
+        self.checker.arrived(box, request, key, self._whose(gateway, request), work_ns)
 
     def turned_away(self, box: str, request: bytes) -> None:
-        self.referee.turned_away(box, request)
+        self.checker.turned_away(box, request)
 
     def made(self, box: str, request: bytes, value: bytes) -> None:
-        self.referee.made(box, request, value)
+        self.checker.made(box, request, value)
 
     def foreign(self, where: str, gateway: str, why: str) -> None:
-        self.referee.foreign(where, gateway, why)
+        self.checker.foreign(where, gateway, why)
 
     def changed(self, box: str, status: str, since_ms: int) -> None:
-        self.referee.changed(box, status, since_ms)
+        self.checker.changed(box, status, since_ms)
 
     def told(self, gateway: str, box: str, status: str, since_ms: int) -> None:
-        self.referee.told(gateway, box, status, since_ms)
+        self.checker.told(gateway, box, status, since_ms)
 
 
 class CommandTap:
@@ -188,5 +188,5 @@
             if self._try is None and len(words) > 2:
                 self._try = self.probe.let_out(self.gateway, self.box, words[2], self._first_ns)
             if whole and self._try is not None:
-                self.probe.referee.whole(words[2], self._try, wire.told_ms(words))
+                self.probe.checker.whole(words[2], self._try, wire.told_ms(words))
                 self._try = None
--- a/zincstile/field/run.py
+++ b/zincstile/field/run.py
@@ -14,8 +14,8 @@
 from pathlib import Path
 from typing import Any
 
+from ..checkers.quotas import Quotas
 from ..links import between
-from ..rules.quotas import Quotas
 from ..standin.clients import Front
 from ..standin.discovery import Agent
 from ..worlds import faults, traffic
@@ -79,7 +79,7 @@
         self.probe.died_as_planned = self.died_as_planned
         await self._wait_for(lambda: all(c.port for _, c in self.counters.values()), READY_S)
         self._first_start_s = time.monotonic()
-        self.referee.quotas = Quotas(self.stated, 0, self.opening, time.monotonic_ns())
+        self.checker.quotas = Quotas(self.stated, 0, self.opening, time.monotonic_ns())
         for seat in self.seats if start else ():
             self.start_gateway(seat)
 
@@ -158,7 +158,7 @@
         while self.loop.time() < until:
             await asyncio.sleep(LOOK_S)
             now = self.loop.time()
-            self.referee.watch(time.monotonic_ns())
+            self.checker.watch(time.monotonic_ns())
             self._check_exits()
             if now - sampled > SAMPLE_S:
                 sampled = now
@@ -202,13 +202,13 @@
             if seat.program is not None:
                 self._check_end(seat, seat.program)
         if left:
-            self.referee.breach("answer", f"{left} requests were never answered")
+            self.checker.breach("answer", f"{left} requests were never answered")
 
     async def _check_ready(self) -> None:
         """Whoever runs says yes to the front, or does so within the time that a start may take."""
         await self._wait_for(lambda: not self._not_ready(), RESTART_S)
         for name in self._not_ready():
-            self.referee.breach("ready", f"{name} runs, and is not ready within {RESTART_S:g} s")
+            self.checker.breach("ready", f"{name} runs, and is not ready within {RESTART_S:g} s")
 
     def _not_ready(self) -> list[str]:
         running = [s for s in self.seats if self.running(s) and not s.stopping]
@@ -218,11 +218,11 @@
         """The process ended in time, as it was told to, and counted no fault."""
         code = program.process.returncode
         if program.alive:
-            self.referee.breach("resources", f"{seat.name} did not end within {GONE_S:g} s of SIGTERM")
+            self.checker.breach("resources", f"{seat.name} did not end within {GONE_S:g} s of SIGTERM")
         elif code and code != -signal.SIGKILL and (program.up or code != -signal.SIGTERM):
-            self.referee.fault(seat.name, f"exit {code}")
+            self.checker.fault(seat.name, f"exit {code}")
         if seat.latest.get("faults"):
-            self.referee.fault(seat.name, f"{seat.latest['faults']:g} faults counted")
+            self.checker.fault(seat.name, f"{seat.latest['faults']:g} faults counted")
 
     def _clean_up(self) -> None:
         """Whatever came: nothing that was started here is left."""
--- a/zincstile/field/summary.py
+++ b/zincstile/field/summary.py
@@ -12,7 +12,7 @@
 
 def summary(run: Testbed) -> FieldResult:
     """The result of a run that has ended."""
-    referee, breaches = run.referee, _breaches(run)
+    checker, breaches = run.checker, _breaches(run)
     return FieldResult(
         plan=run.name,
         seed=run.plan.seed,
@@ -21,15 +21,15 @@
         faults=[f"{f.kind} at {f.at_ms} for {f.for_ms}" for f in run.plan.faults],
         seconds=round(run.lasted_s, 2),
         ok=not breaches,
-        requests=referee.counts["asked"],
-        attempts=referee.counts["attempts"],
+        requests=checker.counts["asked"],
+        attempts=checker.counts["attempts"],
         tally=_tally(run),
         plans=_plans(run),
         nearest={
-            "cold": round(referee.cold.nearest, 4),
-            "cold_calls": round(referee.cold.calls.nearest, 4),
-            "ceiling": round(referee.ceilings.nearest, 4),
-            "quota": round(referee.quotas.nearest, 4),
+            "cold": round(checker.cold.nearest, 4),
+            "cold_calls": round(checker.cold.calls.nearest, 4),
+            "ceiling": round(checker.ceilings.nearest, 4),
+            "quota": round(checker.quotas.nearest, 4),
         },
         rows=[_gateway(run, seat) for seat in run.seats],
         breaches=breaches,
@@ -73,7 +73,7 @@
             sent=round(sent, 2),
             best=round(best, 2),
         )
-        for plan, (worst, bound, sent, best) in sorted(run.referee.quotas.by_plan().items())
+        for plan, (worst, bound, sent, best) in sorted(run.checker.quotas.by_plan().items())
     ]
 
 
@@ -87,5 +87,5 @@
             text=breach.text,
             history=breach.history,
         )
-        for breach in run.referee.breaches
+        for breach in run.checker.breaches
     ]
--- a/zincstile/field/testbed.py
+++ b/zincstile/field/testbed.py
@@ -14,8 +14,8 @@
 from pathlib import Path
 from typing import Any
 
+from ..checkers.checker import Checker
 from ..links import Links, Trouble
-from ..rules.referee import Referee
 from ..standin.clients import Front, Want
 from ..standin.counter import Counter
 from ..standin.discovery import Roster
@@ -69,10 +69,10 @@
             cold_slack_ns=2 * figures.cold_slack_ns,
         )
         self.stated, self.opening = stated or traffic.quotas(), opening
-        self.referee = Referee(figures, lambda: (0, time.monotonic_ns()))
+        self.checker = Checker(figures, lambda: (0, time.monotonic_ns()))
         self.series = TimeSeries()
         self.began_s = time.monotonic()
-        self.probe = Probe(self.referee, self.series, lambda: self.began_s)
+        self.probe = Probe(self.checker, self.series, lambda: self.began_s)
         self.roster = Roster(self.probe)
         self.racks = [Rack(traffic.KEYED_MS / 1000) for _ in range(RACKS)]
         self.places: dict[str, Place] = {}
@@ -98,7 +98,7 @@
     def _on_loop_error(self, _: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         """An error of the testbed itself: a run that has one proves nothing."""
         err = context.get("exception")
-        self.referee.breach("progress", f"the field: {type(err).__name__}: {err} ({context.get('message')})")
+        self.checker.breach("progress", f"the field: {type(err).__name__}: {err} ({context.get('message')})")
 
     async def _wait_for(self, condition: Callable[[], Any], seconds: float) -> bool:
         """True once the condition holds, False where it does not within the time."""
--- a/zincstile/scale/day.py
+++ b/zincstile/scale/day.py
@@ -19,13 +19,13 @@
 from pathlib import Path
 from typing import Final
 
+from ..checkers.checker import Checker
+from ..checkers.quotas import Quotas
 from ..field import places
 from ..field.probe import TimeSeries
 from ..field.result import BreachRow
 from ..field.testbed import SLACK_NS
 from ..net import features as feature_files
-from ..rules.quotas import Quotas
-from ..rules.referee import Referee
 from ..worlds import shared, traffic
 from ..worlds.plan import Fault, Plan
 from . import day_load, estimate, judge, load
@@ -107,9 +107,9 @@
         fleet, plan = self.fleet, self.plan
         cold_window_s = traffic.settings(Plan(seed=1, gateways=1), 0)["obligations"]["fall_ns"] / 1e9
         self.cold = ColdBudgets(cold_window_s)
-        self.referee = Referee(_figures(), lambda: (0, time.monotonic_ns()))
-        self.referee.quotas = _quotas(fleet, self._features)
-        ears = DayEars(self.referee, TimeSeries(), time.monotonic, cold=self.cold, clock=time.time)
+        self.checker = Checker(_figures(), lambda: (0, time.monotonic_ns()))
+        self.checker.quotas = _quotas(fleet, self._features)
+        ears = DayEars(self.checker, TimeSeries(), time.monotonic, cold=self.cold, clock=time.time)
         self.discovery = DayDiscovery(self.loop, fleet.gateways, time.time)
         self.backends = DayBackends(self.loop, fleet, ears, plan.seed, time.time)
         self.relay = PeerRelay(self.loop, [Traffic() for _ in range(fleet.gateways)])
@@ -291,13 +291,13 @@
         self._read_logs()
         self._machine.append(_machine_seconds())
         now = time.monotonic_ns()
-        self.referee.watch(now)
+        self.checker.watch(now)
         self.ears.came.clear()
-        referee = self.referee
+        checker = self.checker
         old = now - int(FORGET_S * 1e9)
-        for request in [r for r, c in referee.cases.items() if c.due_ns < old and c.state != "open"]:
-            del referee.cases[request]
-            referee._made.pop(request, None)
+        for request in [r for r, c in checker.cases.items() if c.due_ns < old and c.state != "open"]:
+            del checker.cases[request]
+            checker._made.pop(request, None)
         held = sum(p.program.memory_kb() for p in self.processes if p.alive) * 1024 + _own_bytes()
         self.result.measured_bytes = max(self.result.measured_bytes, held)
         for process in self.processes:
@@ -317,7 +317,7 @@
         while (self.front.open or self.front.coming) and self.loop.time() < until_s:
             await asyncio.sleep(STEP_S)
         if self.front.open:
-            self.referee.breach("answer", f"{self.front.open} requests were never answered")
+            self.checker.breach("answer", f"{self.front.open} requests were never answered")
         asked_s = time.time() - LOG_ROUNDING_S
         for process in self.processes:
             process.ask_counters()
@@ -335,7 +335,7 @@
     def _begin(self, process: GatewayProcess) -> None:
         for member in process.members:
             if member.loaded:
-                self.referee.started(member.name)
+                self.checker.started(member.name)
         process.start()
 
     async def _stop(self, process: GatewayProcess, at_once: bool) -> None:
@@ -343,7 +343,7 @@
         if at_once:
             for member in process.members:
                 if member.loaded:
-                    self.referee.ended(member.name)
+                    self.checker.ended(member.name)
             process.program.asked_to_end = True
             process.program.signal(signal.SIGKILL)
         else:
@@ -399,10 +399,10 @@
             changes=changes,
             end_s=now_s,
             cold=self.cold,
-            breaches=self.referee.breaches,
-            attempts=self.referee.counts["attempts"],
-            bound_nearest=max(self.referee.ceilings.nearest, self.referee.quotas.nearest),
-            quota_over=_quota_over(self.referee.quotas),
+            breaches=self.checker.breaches,
+            attempts=self.checker.counts["attempts"],
+            bound_nearest=max(self.checker.ceilings.nearest, self.checker.quotas.nearest),
+            quota_over=_quota_over(self.checker.quotas),
             faults=self.faults + [fault for p in self.processes for fault in p.faults],
             spans=self.spans + open_spans,
             machine=self._machine,
@@ -422,7 +422,7 @@
         result.attempts, result.cold_calls = evidence.attempts, self.cold.calls
         result.breaches = [
             BreachRow(b.rule, round(b.at_ns / 1e9 - self._began_monotonic_s, 3), b.request, b.text, b.history)
-            for b in self.referee.breaches[:BREACHES]
+            for b in self.checker.breaches[:BREACHES]
         ]
         for (_, kind), count in self.front.tally.items():
             result.requests[kind] = result.requests.get(kind, 0) + count
--- a/zincstile/scale/judge.py
+++ b/zincstile/scale/judge.py
@@ -7,7 +7,7 @@
 from math import ceil
 from typing import Final
 
-from ..rules.cases import Breach
+from ..checkers.cases import Breach
 from .members import Member
 from .outcome import Check, DelayRow, GatewayRow, Verdict
 from .records import Kind
--- a/zincstile/scale/outcome.py
+++ b/zincstile/scale/outcome.py
@@ -21,7 +21,7 @@
     CONTROL_BYTES = "control_bytes"  # over any window
     COLD = "cold"  # calls of all gateways together to each cold backend
     QUOTA = "quota"  # units sent on beyond a stated bound
-    RULES = "rules"  # the checkers of `zincstile/rules`, at the real gateways
+    RULES = "rules"  # the checkers of `zincstile/checkers`, at the real gateways
     PROCESSES = "processes"  # none ended by itself, none told of a fault or of a bad message
 
 
--- a/zincstile/scale/surroundings.py
+++ b/zincstile/scale/surroundings.py
@@ -190,11 +190,11 @@
         rack = self._racks.setdefault(entry.group, Rack(traffic.KEYED_MS / 1000))
         box = GuideBox(self.loop, entry.name, model, rack, self._rng, self.ears, cold)
         self.by_address[_host(entry)] = box
-        referee = self.ears.referee
-        referee.boxes[entry.name] = self.fleet.zones.index(entry.zone), entry.group
+        checker = self.ears.checker
+        checker.boxes[entry.name] = self.fleet.zones.index(entry.zone), entry.group
         if cold:
             self.ears.cold.began(entry.name, self.budget(self._clock()))
-            referee.cold.began(entry.name, entry.since_ms, box.capacity, lambda: box.warmth() >= 1)
+            checker.cold.began(entry.name, entry.since_ms, box.capacity, lambda: box.warmth() >= 1)
 
     def budget(self, began_s: float) -> Callable[[float], float | None]:
         """Calls that a backend started then bears in a window of the settings, by its age."""
--- a/zincstile/worlds/shrink.py
+++ b/zincstile/worlds/shrink.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from ..rules.cases import NAMES
+from ..checkers.cases import NAMES
 from .plan import Plan
 from .world import Result, Run
 
--- a/zincstile/worlds/stage.py
+++ b/zincstile/worlds/stage.py
@@ -10,8 +10,8 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, Protocol
 
+from ..checkers.checker import Checker
 from ..links import Links
-from ..rules.referee import Referee
 from ..standin.clients import Front, Rude
 from ..standin.counter import Counter
 from ..standin.discovery import Agent, Entry, Roster
@@ -47,7 +47,7 @@
     """One run."""
 
     plan: Plan
-    referee: Referee
+    checker: Checker
     rng: random.Random  # of faults and stand-ins, in the order of events
     links: Links
     seats: list[Any]
--- a/zincstile/worlds/sweep.py
+++ b/zincstile/worlds/sweep.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator
 from functools import partial
 
-from ..rules.cases import NAMES
+from ..checkers.cases import NAMES
 from . import plan
 from .world import Result, Run
 
--- a/zincstile/worlds/traffic.py
+++ b/zincstile/worlds/traffic.py
@@ -13,9 +13,9 @@
 from typing import Any
 
 from ..bounds import Quota
+from ..checkers.cases import ClassRule, Figures, PlanRule
 from ..keeper.bound import bounds
 from ..keeper.settings import KeeperSettings
-from ..rules.cases import ClassRule, Figures, PlanRule
 from ..standin.clients import Want
 from .plan import Plan
 from .stage import Stage
