Red: a yes that a full disk of over a minute and a kill undo; known failures

Found by reading the mend: the hand-over file is trusted for 60 s after it was written last; where the folder takes no writes for longer and the process is then killed, the next one takes it for stale and sends to a server that is out.

--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -171,6 +171,17 @@
         assert calls_at(world) == 0
 
 
+def test_a_yes_outlasts_a_folder_that_takes_no_writes_for_longer_than_a_file_is_trusted(tmp_path):
+    """The process lives on and can say so, though not in the file; then it is killed."""
+    limits = {"handover_stale_ns": 2 * SECOND, "handover_keep_ns": SECOND // 4}
+    with machine(tmp_path / "m", limits=limits) as world:
+        assert world.take_out("s-a") == YES
+        world.shim.set(Knob.WRITE_SHARE, 1.0)
+        time.sleep(3.0)
+        world.again()
+        assert calls_at(world) == 0
+
+
 def test_a_start_reads_what_was_kept_though_the_first_reads_fail(tmp_path):
     with machine(tmp_path / "m") as world:
         assert world.take_out("s-a") == YES
