A living process dates the hand-over file where it can't write it: a yes outlasts a full disk

Cause: freshness was told only by writing the file anew (handover_keep_ns), which a full disk forbids; 60 s later what it says was not trusted. Change: where the write fails the file is dated by the monotonic clock (utimensat needs no room on the disk), and a reader on the same run of the machine takes such a date for a sign of life; a wall-clock date is none, as it lies far behind any uptime. Where the date can't be set either (EIO on all of the folder) the 60 s hold: open risk.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -177,6 +177,17 @@
         ho.unpack(ho.pack(h), "n3", moment(6 + MINUTE, stepped), MINUTE)
 
 
+def test_a_file_that_its_process_could_only_date_is_as_old_as_its_date():
+    h = ho.Handover("n3", 7, moment(5), frozenset({"s-a"}))
+    now = moment(2 * MINUTE)
+    assert ho.unpack(ho.pack(h), "n3", now, MINUTE, dated_ns=MINUTE) == h
+    for dated_ns in (MINUTE - 1, 4, 2 * MINUTE + 1, UNIX_NS):  # too old, before the writing, no date of ours
+        with pytest.raises(ho.HandoverError, match="stale"):
+            ho.unpack(ho.pack(h), "n3", now, MINUTE, dated_ns)
+    with pytest.raises(ho.HandoverError, match="stale"):
+        ho.unpack(ho.pack(h), "n3", moment(2 * MINUTE, UNIX_NS + 2 * MINUTE, "another"), MINUTE, MINUTE)
+
+
 def test_after_a_new_start_of_the_machine_the_age_goes_by_the_wall_clock():
     h = ho.Handover("n3", 7, moment(5 * MINUTE), frozenset({"s-a"}), apart_ns=-7)
     for boot in ("another", ""):
--- a/zincstile/control/handover.py
+++ b/zincstile/control/handover.py
@@ -68,8 +68,9 @@
     ).encode()
 
 
-def unpack(data: bytes, gateway: str, now: Moment, stale_ns: int) -> Handover:
-    """HandoverError where it can't be trusted."""
+def unpack(data: bytes, gateway: str, now: Moment, stale_ns: int, dated_ns: int = 0) -> Handover:
+    """HandoverError where it can't be trusted. `dated_ns`: the file's own date; where it lies between the
+    writing and now on the monotonic clock, a living process put it there (`Host.touch`)."""
     try:
         t = json.loads(data)
     except (ValueError, RecursionError):
@@ -87,6 +88,8 @@
         raise HandoverError("key banned: not a list of names")
     written = _written(t)
     age_ns = now.since_ns(written)
+    if now.same_boot(written) and written.monotonic_ns <= dated_ns <= now.monotonic_ns:
+        age_ns = now.monotonic_ns - dated_ns
     if age_ns > stale_ns:
         raise HandoverError(f"key written_ns: stale, {age_ns / 1e9:.0f} s old")
     if not isinstance(t.get("ready_by", ""), str):
--- a/zincstile/net/handover_file.py
+++ b/zincstile/net/handover_file.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 from ..control import handover as ho
@@ -93,7 +94,8 @@
             self._seen = None
             return None
         try:
-            found = ho.unpack(data, self.gateway, self.host.moment(), self.turn.limits.handover_stale_ns)
+            stale_ns, dated_ns = self.turn.limits.handover_stale_ns, seen[1] if seen else 0
+            found = ho.unpack(data, self.gateway, self.host.moment(), stale_ns, dated_ns)
         except ho.HandoverError as err:
             self._seen = seen
             self.turn.counters.handover_bad += 1
@@ -144,6 +146,7 @@
             self.host.write_file(self.path, self._packed(), sync=self._unkept)
         except OSError as err:
             self.turn.log.often("handover", f"can't write {self.path}: {err.strerror or err}")
+            self._show_life()
             return False
         self._seen, self._written_ns = self.host.stat(self.path), self.turn.now_ns()
         was_unkept, self._unkept = self._unkept, False
@@ -151,6 +154,12 @@
             self.on_kept()
         return True
 
+    def _show_life(self) -> None:
+        """What the file says holds on, though it can't be written anew: it must not grow stale meanwhile."""
+        with contextlib.suppress(OSError):
+            self.host.touch(self.path)
+            self._seen = self.host.stat(self.path)
+
     def _packed(self) -> bytes:
         operator, now = self.operator, self.host.moment()
         ages = {name: max(0, now.monotonic_ns - at) for name, at in self.back().items()}
--- a/zincstile/net/host.py
+++ b/zincstile/net/host.py
@@ -137,6 +137,12 @@
                 os.unlink(part)
             raise
 
+    def touch(self, path: str) -> None:
+        """Dates a file by the monotonic clock, which needs no room on the disk: its process lives. OSError
+        where that fails too."""
+        now_ns = self.monotonic_ns()
+        os.utime(path, ns=(now_ns, now_ns))
+
     def remove_parts(self, path: str) -> None:
         """Takes away what processes that are no more left of their writes of this file."""
         folder, _, name = path.rpartition("/")
