--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -19,7 +19,7 @@
     ("checks", "interface", "moment", "links", "typed_yaml", "framing"),
     ("inherit", "bounds", "typed_json", "wire"),
     ("state",),
-    ("budget_split",),
+    ("budget_split", "slow_start"),
     ("policy",),
     ("held", "adapter"),
     ("keeper", "shared", "place", "start", "subset", "control"),
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -15,7 +15,8 @@
 from zincstile.net import config, features
 from zincstile.net.endpoint_table import EndpointReader, number
 from zincstile.net.host import HOST
-from zincstile.policy import COLD_LEAST, COLD_USE, Policy
+from zincstile.policy import COLD_LEAST, Policy
+from zincstile.slow_start import COLD_USE
 from zincstile.subset.fleet import Fleet, zone_of
 from zincstile.subset.module import subsetting
 from zincstile.subset.placement import first_rank, ring_key, slice_size, stable_hash
--- a/zincstile/policy.py
+++ b/zincstile/policy.py
@@ -10,9 +10,9 @@
 import random
 from bisect import bisect
 from collections import deque
-from itertools import accumulate
 
 from . import interface as i
+from . import slow_start
 from .budget_split import split
 from .interface import Effect, RefusedFor, Result
 from .state import LEVEL, Attempt, Customer, Live, Memory, Server, scatter
@@ -48,7 +48,7 @@
 NEAR, JITTER, DISTRUST = 0.3, 0.1, 1e6  # what another zone, chance, and believed doubt add to a score
 REST_NS, WORSE, PATH_S = SECOND, 0.1, 30.0  # without answer: it rests; so much worse: closed; memory of paths
 CREDIT, CREDIT_MAX = 0.1, 4.0  # further attempts earned by each request sent, and how many can be saved up
-SAFELY, COLD_USE, COLD_LEAST = 0.5, 0.5, 4  # of the ceiling's slack and a cold one's multiple; first rate
+SAFELY, COLD_LEAST = 0.5, 4  # of the ceiling's slack; a cold one's first rate
 GUARD, ASKED, TICK, FLUSH, KINDS = 0, 1, 2, 3, 4  # timer kinds, and their number
 FAULTS, EVERY = (Result.ERROR, Result.RESET), 255  # a doubt of every class
 KEPT, OPENED, BUSY = 0, 1, 2  # the connection of an attempt: rested and kept, new, heard of lately
@@ -213,9 +213,9 @@
         least = self.set.largest_units / COLD_LEAST / self.set.gateways  # where none was seen to work yet
         self.seen_rate = max(self.seen_rate, self.done_rate / max(self.good, self.doers), least)
         sending = max(1e-9, sum(x.arrivals * x.rate for x in self.leaves))
-        most = COLD_USE * self.set.cold_multiple * self.seen_rate / sending
+        most = slow_start.most_share(self.set, self.seen_rate, sending)
         self.spare = max(1.0, most * self.good)  # so many times its due a cold one may get
-        return list(accumulate(w * min(1 / self.good, most) for w in warmth))
+        return slow_start.parts(warmth, self.good, most)
 
     def _split(self, budget: float) -> None:
         if budget >= sum(x.arrivals for x in self.leaves):  # all get what arrives, by any weights
@@ -457,8 +457,7 @@
         return min(self.wait_ns, max(self.period_ns, int(SECOND * lack / rate)))
 
     def _warmth(self, now: int, s: Server) -> float:
-        age = (now - s.info.started_ns) / max(1, self.set.cold_ns) if s.info.started_ns else 1.0
-        return min(1.0, self.set.cold_share + (1 - self.set.cold_share) * max(0.0, age))
+        return slow_start.warmth(now, s.info.started_ns, self.set)
 
     def _choose(self, now: int, live: Live) -> Server | None:
         """One cold by a draw, its due; else the best of the warm, or a cold one less busy, to its most."""
