--- a/tests/test_turn.py
+++ b/tests/test_turn.py
@@ -200,3 +200,19 @@
 
     module = asyncio.run(asyncio.wait_for(play(), 20))
     assert module.sent == 1 and module.told == [(0, i.Result.FULL), (1, i.Result.MOOT)]
+
+
+def test_a_process_that_got_no_processor_says_so(capsys):
+    """Its alarm rings late by more than it is made for; one that rings in time is no word worth."""
+
+    async def play(late_ns):
+        now = [0]
+        turn = Turn(asyncio.get_running_loop(), Stumbling(), Limits(held_up_ns=10), Counters(), Log("n0"))
+        turn.now_ns = lambda: now[0]
+        turn._alarm_ns, now[0] = 100, 100 + late_ns
+        turn._ring()
+        return turn.counters.held_up
+
+    assert asyncio.run(play(10)) == 0
+    assert asyncio.run(play(11)) == 1
+    assert "late held up for 0 ms" in capsys.readouterr().err
--- a/zincstile/field/gateways.py
+++ b/zincstile/field/gateways.py
@@ -218,6 +218,8 @@
                 program.up = program.up or " start listening on " in line
                 if " fault " in line:
                     self.checker.fault(seat.name, line.split(" fault ", 1)[1])
+                if " late held up " in line:
+                    self.checker.event(f"{seat.name} says at {line.split()[0]}: {line.split(' late ', 1)[1]}")
                 if " violated " in line:
                     self.checker.violated(seat.name, line.split(" violated ", 1)[1])
                 found = told(line, "counters")
--- a/zincstile/net/counters.py
+++ b/zincstile/net/counters.py
@@ -56,6 +56,7 @@
         "standby_closed",
         "streamed",
         "streams_cut",
+        "held_up",  # times that the process got no processor for longer than it is made for
         "violated_send",  # invariants (`invariants.Invariant`): each is nought, always
         "violated_repeat",
         "violated_close",
--- a/zincstile/net/limits.py
+++ b/zincstile/net/limits.py
@@ -61,6 +61,7 @@
     table_again_ns: int = 50 * MS  # a lost watch is opened again within this, then twice, four times it
     table_again_most_ns: int = SECOND  # and within this at most
     table_longest_ns: int = 4500 * MS  # no wait is longer: with a dial and an answer it is told within 6 s
+    held_up_ns: int = 150 * MS  # a process that gets no processor for longer says so
     start_told_ns: int = 60 * SECOND  # a server may have started so long before discovery first tells of it
     backoff_ns: int = 50 * MS
     backoff_most_ns: int = SECOND
--- a/zincstile/net/turn.py
+++ b/zincstile/net/turn.py
@@ -191,6 +191,10 @@
 
     def _ring(self) -> None:
         self._alarm = None
+        late_ns = self.now_ns() - self._alarm_ns
+        if late_ns > self.limits.held_up_ns:
+            self.counters.held_up += 1
+            self.log.often("late", f"held up for {late_ns // 1_000_000} ms")
         self.wake()
 
     # ---- actions that need no connection
