Trace, reasons and checks cost a request less: plain rows, names made once, hashes by identity

The ring keeps plain rows and makes entries when they are told; counter names are made once; reasons hash by identity; the check before a send is one condition.

--- a/zincstile/interface.py
+++ b/zincstile/interface.py
@@ -320,6 +320,8 @@
 class RefusedFor(Enum):
     """Why the module refuses a request."""
 
+    __hash__ = object.__hash__  # looked up at each refusal: an enum's own costs a call
+
     QUOTA = "beyond the quota, and not worth what it costs"
     CEILING = "beyond the ceiling"
     BUDGET = "the draw for the budget was lost"
--- a/zincstile/net/counters.py
+++ b/zincstile/net/counters.py
@@ -7,11 +7,9 @@
 from .host import HOST, Host
 from .reasons import CloseReason, RefusalReason, RetryReason
 
-BY_REASON = tuple(
-    f"{act}_{reason.value}"
-    for act, reasons in (("close", CloseReason), ("refuse", RefusalReason), ("retry", RetryReason))
-    for reason in reasons
-)
+CLOSED = {reason: f"close_{reason.value}" for reason in CloseReason}
+REFUSED = {reason: f"refuse_{reason.value}" for reason in RefusalReason}
+RETRIED = {reason: f"retry_{reason.value}" for reason in RetryReason}
 
 
 class Counters:
@@ -61,7 +59,9 @@
         "violated_repeat",
         "violated_close",
         "violated_start",
-        *BY_REASON,
+        *CLOSED.values(),
+        *REFUSED.values(),
+        *RETRIED.values(),
     )
 
     def __init__(self) -> None:
@@ -70,15 +70,15 @@
 
     def closed(self, reason: CloseReason) -> None:
         """A client's connection has ended."""
-        self._add(f"close_{reason.value}")
+        self._add(CLOSED[reason])
 
     def refused(self, reason: RefusalReason) -> None:
         """A request is answered -BUSY."""
-        self._add(f"refuse_{reason.value}")
+        self._add(REFUSED[reason])
 
     def retried(self, reason: RetryReason) -> None:
         """A request has a further attempt."""
-        self._add(f"retry_{reason.value}")
+        self._add(RETRIED[reason])
 
     def _add(self, name: str) -> None:
         setattr(self, name, getattr(self, name) + 1)
--- a/zincstile/net/invariants.py
+++ b/zincstile/net/invariants.py
@@ -45,9 +45,12 @@
         session = attempt.session
         if session is None:  # a probe owes nobody anything
             return True
-        why = _send_problem(attempt, session)
-        if why:
-            return self._violated(now, Invariant.SEND, session.call.id, why)
+        if (
+            session.over
+            or not attempt.server.ready
+            or attempt.until_ns > session.give_up_ns + DEADLINE_SLACK_NS
+        ):
+            return self._violated(now, Invariant.SEND, session.call.id, _send_problem(attempt, session))
         if session.carried:
             why = _repeat_problem(now, attempt, session)
             if why:
@@ -83,11 +86,9 @@
 def _send_problem(attempt: Sending, session: Session) -> str:
     if session.over:
         return "its request is over"
-    if attempt.until_ns > session.give_up_ns + DEADLINE_SLACK_NS:
-        return "a longer time than its client has left"
     if not attempt.server.ready:
         return f"{attempt.server.address} is not to be sent to"
-    return ""
+    return "a longer time than its client has left"
 
 
 def _repeat_problem(now: int, attempt: Sending, session: Session) -> str:
--- a/zincstile/net/reasons.py
+++ b/zincstile/net/reasons.py
@@ -5,7 +5,13 @@
 from enum import Enum
 
 
-class CloseReason(Enum):
+class Reason(Enum):
+    """Counted by identity: an enum's own hash costs a call at each request."""
+
+    __hash__ = object.__hash__
+
+
+class CloseReason(Reason):
     """Of a client's connection. The first reason holds."""
 
     CLIENT = "client"  # the client ended or reset it
@@ -21,7 +27,7 @@
     FLOOD = "flood"  # it sent too much behind its end
 
 
-class RefusalReason(Enum):
+class RefusalReason(Reason):
     """Of a request that is answered -BUSY before any attempt."""
 
     SESSIONS = "sessions"  # as many requests are open as may be
@@ -34,7 +40,7 @@
     NO_RETRY = "no_retry"  # its attempts never ran, and no further one is allowed
 
 
-class RetryReason(Enum):
+class RetryReason(Reason):
     """Why a request has a further attempt: how the one before ended, or that it has not."""
 
     HEDGE = "hedge"  # the one before is out still
--- a/zincstile/net/trace.py
+++ b/zincstile/net/trace.py
@@ -42,21 +42,22 @@
     __slots__ = ("_ring",)
 
     def __init__(self, entries: int = RING_ENTRIES) -> None:
-        self._ring: deque[Entry] = deque(maxlen=entries)
+        # plain rows in the order of an Entry, which is made of one only when it is told
+        self._ring: deque[tuple[int, Step, bytes | str | int, object]] = deque(maxlen=entries)
 
     def __len__(self) -> int:
         return len(self._ring)
 
     def note(self, at_ns: int, step: Step, subject: bytes | str | int, detail: object = "") -> None:
         """Adds an entry; the oldest goes where the ring is full."""
-        self._ring.append(Entry(at_ns, step, subject, detail))
+        self._ring.append((at_ns, step, subject, detail))
 
     def tell(self, now_ns: int, subject: bytes | str | int | None = None) -> list[str]:
         """The last entries, oldest first: of one subject and of the gateway's state, or all. Milliseconds
         before now come first in each line."""
         chosen = [
             entry
-            for entry in self._ring
+            for entry in map(Entry._make, self._ring)
             if subject is None or entry.subject == subject or entry.step is Step.STATE
         ]
         return [_line(now_ns, entry) for entry in chosen[-TOLD_ENTRIES:]]
