--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -458,3 +458,25 @@
         finally:
             program.kill()
             program.wait()
+
+
+class MachineWithFileInTmpdir(Machine):
+    """Its configuration lies where the shim has reads fail."""
+
+    def tmpdir(self):
+        return self.path.parent
+
+
+def test_a_reload_is_carried_out_though_its_file_can_not_be_read_for_a_moment(tmp_path):
+    """The signal comes once; discovery that has moved would never be learnt of."""
+    world = MachineWithFileInTmpdir(tmp_path, known_servers="ab")
+    try:
+        world.logged("ready *")
+        world.shim.set(Knob.READ_SHARE, 1.0)
+        world.send("gw", "reload", "e")
+        time.sleep(0.4)
+        world.shim.set(Knob.READ_SHARE, 0.0)
+        world.logged("reload discovery at *")
+        world.expect("e1", "asked")
+    finally:
+        world.end()
--- a/zincstile/net/gateway.py
+++ b/zincstile/net/gateway.py
@@ -23,7 +23,7 @@
 from .peers import Peers
 from .session import FAILED
 from .trace import Step
-from .transient import is_lack, patiently
+from .transient import is_momentary, patiently
 from .turn import Turn
 
 RELOAD_AGAIN_NS, RELOAD_TRIES = 100_000_000, 30  # where the file can't be read for now
@@ -357,7 +357,7 @@
         try:
             config = self.host.again()
         except (ConfigError, OSError) as err:
-            if is_lack(err.__cause__ or err) and tries > 1:
+            if is_momentary(err.__cause__ or err) and tries > 1:
                 at_ns = self.turn.now_ns() + RELOAD_AGAIN_NS
                 self.turn.deadlines.add(at_ns, self.reload, tries - 1)
                 self.turn.wake()
--- a/zincstile/net/transient.py
+++ b/zincstile/net/transient.py
@@ -12,6 +12,7 @@
 from typing import Any, Final
 
 LACKS: Final = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+MOMENTARY: Final = (*LACKS, errno.EIO)  # of a file that is there
 AGAIN_S: Final = 0.02  # between two tries
 TRIES: Final = 400  # 8 s: a process is ready within 10 s
 
@@ -21,6 +22,11 @@
     return isinstance(err, OSError) and err.errno in LACKS
 
 
+def is_momentary(err: BaseException | None) -> bool:
+    """A file that is there can't be read for now."""
+    return isinstance(err, OSError) and err.errno in MOMENTARY
+
+
 async def patiently(make: Callable[[], Any]) -> Any:
     """make() as often as it takes; it may give an awaitable. OSError where it fails otherwise, or for too
     long."""
