Periodic work of clients, servers and the counter's client goes on behind a round that fails

FrontDoor, Backends and Keeper set their next round at the end of each: one that raised would have ended it for good (idle connections never closed again, half commands never told).

--- a/tests/test_incremental.py
+++ b/tests/test_incremental.py
@@ -326,7 +326,7 @@
         "change": steps_of(change),
         "change told": steps_of(lambda: tell(table, endpoints(["s-9"], "Terminating"))),
         "room": steps_of(pools._make_room),
-        "tending": steps_of(lambda: pools._tend(None)),
+        "tending": steps_of(pools._tend),
     }
 
 
--- a/tests/test_turn.py
+++ b/tests/test_turn.py
@@ -8,6 +8,7 @@
 from zincstile import interface as i
 from zincstile.net.backend import Backends
 from zincstile.net.counters import Counters
+from zincstile.net.deadlines import every
 from zincstile.net.limits import Limits
 from zincstile.net.log import Log
 from zincstile.net.session import Call, Kind, Session
@@ -216,3 +217,24 @@
     assert asyncio.run(play(10)) == 0
     assert asyncio.run(play(11)) == 1
     assert "late held up for 0 ms" in capsys.readouterr().err
+
+
+def test_periodic_work_goes_on_behind_a_round_that_fails(capsys):
+    """The next round is set before the act."""
+
+    async def play():
+        turn = Turn(asyncio.get_running_loop(), Stumbling(), Limits(), Counters(), Log("n0"))
+        rounds = []
+
+        def act():
+            rounds.append(len(rounds))
+            if len(rounds) == 2:
+                raise KeyError("round")
+
+        every(turn, 1, act)
+        while len(rounds) < 4:
+            await asyncio.sleep(0)
+        return turn.counters.faults
+
+    assert asyncio.run(asyncio.wait_for(play(), 20)) == 1
+    assert "fault KeyError" in capsys.readouterr().err
--- a/zincstile/net/backend.py
+++ b/zincstile/net/backend.py
@@ -14,6 +14,7 @@
 from ..wire import FIELD_NAMES
 from . import resp
 from .backend_connection import Attempt, BackendConnection, BackendServer
+from .deadlines import every
 from .reasons import RetryReason
 from .session import Answer, Call, Kind, Session, Stream
 from .trace import Step
@@ -54,7 +55,7 @@
         turn.carry_out[i.Probe] = self._probe
         turn.carry_out[i.Close] = self._close
         turn.withdraw = self._take_back
-        self._tend(None)
+        every(turn, turn.limits.idle_ns // 8, self._tend)
 
     # ---- the server table
 
@@ -327,12 +328,11 @@
         self._end_rest(oldest)
         return True
 
-    def _tend(self, _: object) -> None:
+    def _tend(self) -> None:
         """Closes what has rested long, before the backend server does it beneath a request."""
         now, limits = self.turn.now_ns(), self.turn.limits
         while (oldest := next(iter(self.resting), None)) and now - oldest.rested_ns > limits.idle_ns:
             self._end_rest(oldest)
-        self.turn.deadlines.add(now + limits.idle_ns // 8, self._tend)
 
     def shut(self) -> None:
         self.closing = True
--- a/zincstile/net/frontend.py
+++ b/zincstile/net/frontend.py
@@ -11,7 +11,7 @@
 from .accept import Acceptor, Taken
 from .call_reader import CallError, CallReader
 from .counters import Counters
-from .deadlines import Key
+from .deadlines import Key, every
 from .host import Host
 from .reasons import CloseReason, RefusalReason
 from .session import Answer, Kind, Session, Stream
@@ -425,13 +425,12 @@
             else self.host.listen(address, self.turn.limits.backlog)
         )
         self._resume()  # a shared queue is left to the old process until this one is ready: see `take`
-        self._tend(None)
+        every(self.turn, self.turn.limits.tend_ns, self._tend)
 
-    def _tend(self, _: object) -> None:
+    def _tend(self) -> None:
         now = self.turn.now_ns()
         for client in list(self.clients):
             client.tend(now)
-        self.turn.deadlines.add(now + self.turn.limits.tend_ns, self._tend)
 
     @property
     def address(self) -> str:
--- a/zincstile/net/keeper.py
+++ b/zincstile/net/keeper.py
@@ -14,7 +14,7 @@
 
 from . import http
 from .config import Address
-from .deadlines import Key
+from .deadlines import Key, every
 from .turn import Turn
 
 Then = Callable[[int, float | None], None]
@@ -81,7 +81,7 @@
         self._opening = 0
         self._tasks: dict[asyncio.Task, None] = {}
         self._not_before_ns = 0  # after a connect that failed
-        self._tend(None)
+        every(turn, turn.limits.tend_ns, self._tend)
 
     def call(self, name: str, amount: float, ttl_ms: int, then: Then) -> None:
         """Adds the amount to the name; ValueError where that can't be asked."""
@@ -207,7 +207,7 @@
             self._end(call, None)
         self.turn.write_later(self)
 
-    def _tend(self, _: object) -> None:
+    def _tend(self) -> None:
         """Closes what rests, what the keeper has left, and what is stuck behind an answer that does not
         come."""
         now, limits = self.turn.now_ns(), self.turn.limits
@@ -217,5 +217,3 @@
                     connection.transport.abort()
             elif now - connection.rested_ns > limits.keeper_rest_ns or connection.address != self.address:
                 connection.transport.close()
-        if not self.closed:
-            self.turn.deadlines.add(now + limits.tend_ns, self._tend)
