--- a/tests/test_field.py
+++ b/tests/test_field.py
@@ -15,6 +15,7 @@
 import pytest
 
 from zincstile.field import places, report, result, sweep
+from zincstile.field.fault_proxy import FaultProxy
 from zincstile.links import CLEAR, Links, Trouble, between
 from zincstile.worlds import plan, traffic
 from zincstile.worlds.world import Run
@@ -187,3 +188,29 @@
     words = [sys.executable, "-m", "zincstile.field.shim", str(tmp_path / "control")]
     done = subprocess.run(words, env=env, capture_output=True, text=True)
     assert done.returncode == 2 and "none" in done.stderr
+
+
+def test_who_meant_another_place_that_had_the_port_before_is_sent_away():
+    """A watch of another run, whose discovery is gone, is no command at a fake backend."""
+
+    async def play():
+        heard = []
+
+        class Emulator(asyncio.Protocol):
+            def connection_made(self, transport):
+                heard.append(transport.gateway)
+
+        loop = asyncio.get_running_loop()
+        proxy = FaultProxy(loop, Links(random.Random(1)), "s-01", places.BOX, 0, ["g0"])
+        server = await proxy.create_server(Emulator)
+        host = places.seen(places.DISCOVERY, 0, 0)
+        reader, _ = await asyncio.open_connection(host, proxy.port)
+        assert await reader.read() == b""
+        own, _, port = proxy.address(0).partition(":")
+        await asyncio.open_connection(own, int(port))
+        while not heard:
+            await asyncio.sleep(0)
+        server.close()
+        return heard
+
+    assert asyncio.run(asyncio.wait_for(play(), 20)) == ["g0"]
--- a/zincstile/field/fault_proxy.py
+++ b/zincstile/field/fault_proxy.py
@@ -72,7 +72,11 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Tells the inner protocol of the connection, unless the way resets it."""
         self.transport = transport  # type: ignore[assignment]
-        self.gateway = self.proxy.gateway_at(transport.get_extra_info("sockname")[0])
+        address = transport.get_extra_info("sockname")[0]
+        if not self.proxy.is_known_by(address):
+            transport.abort()  # type: ignore[attr-defined]
+            return
+        self.gateway = self.proxy.gateway_at(address)
         proxy, place = self.proxy, self.proxy.place
         self.inwards = Direction(proxy.loop, proxy.links, (self.gateway, place))
         self.outwards = Direction(proxy.loop, proxy.links, (place, self.gateway))
@@ -170,6 +174,10 @@
     def __getattr__(self, name: str) -> Any:
         return getattr(self.loop, name)
 
+    def is_known_by(self, address: str) -> bool:
+        """Not where a gateway of another run meant something else, which had this port before."""
+        return places.who(address)[0] == self.kind
+
     def gateway_at(self, address: str) -> str:
         """Who knows this place by that address."""
         kind, seer, number = places.who(address)
