--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -274,3 +274,16 @@
     assert bench.checker.breaches[-1].text == "g0 holds at the end: 2 sessions"
     bench.checker.descriptors("g1", 65, 64)
     assert len(bench.broken) == 2  # one breach of a rule for each request, here none
+
+
+def test_more_calls_at_a_cold_box_than_the_standing_test_bears_are_named(bench):
+    """12 calls are allowed, 25.4 with chance: the 26th of those who were told is one too many."""
+    bench.checker.cold.began("b1", 7, lambda: 0.25, lambda: False)
+    bench.checker.told("g0", "b1", "Ready", 7)
+    for number in range(25):
+        bench.ask(b"%d" % number, wait=9000, line=number)
+        bench.arrive("b1", b"%d" % number, work=125 * MS)
+    assert "cold_calls" not in bench.broken
+    bench.ask(b"25", wait=9000, line=25)
+    bench.arrive("b1", b"25", work=125 * MS)
+    assert "cold_calls" in bench.broken
