--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -312,6 +312,29 @@
         client.close()
 
 
+def test_what_waited_in_the_queue_before_others_is_refused_as_nobody_knows_for_how_long(tmp_path):
+    """Two requests on one connection, 1.2 s apart: the machine tells only when the last came."""
+    with socket.create_server((HOME, 0)) as listening, machine(tmp_path / "m", listening=listening) as world:
+        world.program.kill()
+        world.program.wait()
+        client = Line(socket.create_connection(listening.getsockname(), 5))
+        client.sock.sendall(encode(call("look", 1, "d=3000")))
+        time.sleep(1.2)
+        client.sock.sendall(encode(call("look", 2, "d=3000")))
+        came = time.monotonic()
+        world.refuse("b")
+        world.launch()
+        server = Line(world.listeners["a"].accept()[0])
+        words = server.message()
+        told_ms = int(re.search(rb"(?:^|,)d=(\d+)", words[3]).group(1))
+        assert int(words[2], 16) == 2 and told_ms <= 3000 - (time.monotonic() - came) * 1000 + 150
+        server.sock.sendall(b"*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n")
+        assert client.message().startswith("-BUSY")
+        assert client.message() == b"ok"
+        server.close()
+        client.close()
+
+
 def test_a_client_that_asked_and_stops_in_the_middle_of_a_request_is_told_within_3_s(tmp_path):
     with machine(tmp_path / "m") as world:
         client = Line(socket.create_connection(world.address, 5))
