What waited before others in a queue that no process served is refused, and not told too long

Cause: TCP_INFO dates a connection by its last bytes; of several requests read at once from an inherited queue the earlier ones were given the time of the last. All other connections are as before.

--- a/zincstile/net/frontend.py
+++ b/zincstile/net/frontend.py
@@ -10,7 +10,6 @@
 from . import resp
 from .accept import Acceptor, Taken
 from .call_reader import CallError, CallReader
-from .counters import Counters
 from .deadlines import Key, every
 from .host import Host
 from .reasons import CloseReason, RefusalReason
@@ -47,6 +46,7 @@
         "heard_ns",
         "may_have_waited",
         "_waited_ns",
+        "_from_old_queue",
     )
 
     def __init__(self, door: FrontDoor) -> None:
@@ -67,6 +67,8 @@
         self.heard_ns = 0  # when anything last came
         self.may_have_waited = False  # what is read next, as it was not read for a while
         self._waited_ns = 0  # what is being read, before it could be
+        self._from_old_queue = False  # taken from one that no process served; of what is read first, the
+        # machine tells when the last came: what lies before that is refused, as nobody knows its age
 
     # ---- asyncio
 
@@ -85,6 +87,7 @@
             if self.may_have_waited:
                 self.may_have_waited = False
                 self._waited_ns = self.door.host.unread_ns(self.transport)
+                self._from_old_queue &= self._waited_ns > self.turn.limits.held_up_ns
             self._read(bytes(self.door.buffer[:size]))
             self._waited_ns = 0
             return
@@ -138,8 +141,11 @@
         return not self._waiting and not self._out and self._parser.idle and not self._closing
 
     def _read(self, data: bytes) -> None:
-        for words in self._parser.feed(data):
-            self._command(words)
+        commands = self._parser.feed(data)
+        last = len(commands) - 1
+        for number, words in enumerate(commands):
+            self._command(words, number < last and self._from_old_queue)
+        self._from_old_queue = False
         self.heard_ns = self.turn.now_ns()
         self.begun_ns = 0 if self._parser.idle else self.begun_ns or self.heard_ns
         if self._parser.error:  # nothing after it can be understood
@@ -158,7 +164,7 @@
             self._paused = True
             self.transport.pause_reading()
 
-    def _command(self, words: list[bytes]) -> None:
+    def _command(self, words: list[bytes], of_unknown_age: bool) -> None:
         if not words:
             return
         turn = self.turn
@@ -184,7 +190,7 @@
             self._reply(resp.error(str(err)))
             return
         self.asked += 1
-        refusal = self.door.refusal()
+        refusal = RefusalReason.WAITED if of_unknown_age else self.door.refusal()
         if refusal is not None:
             self.counters.denied += 1
             self.counters.refused(refusal)
@@ -401,7 +407,7 @@
     """The listening socket and all clients that came in by it."""
 
     def __init__(self, turn: Turn, settings: i.Settings, buffer: memoryview, host: Host) -> None:
-        self.turn, self.buffer, self.host = turn, buffer, host
+        self.turn, self.buffer, self.host, self.counters = turn, buffer, host, turn.counters
         self.reader = CallReader(settings, turn.limits.margin_ns, turn.limits.id_bytes)
         self.open: dict[bytes, Session] = {}  # by the id that the client gave
         self.ready = False
@@ -441,10 +447,6 @@
         """It listens, or has."""
         return self._socket is not None or self.closing
 
-    @property
-    def counters(self) -> Counters:
-        return self.turn.counters
-
     def refusal(self) -> RefusalReason | None:
         """Why no request is taken at present."""
         if not self.ready:
@@ -464,16 +466,13 @@
         if may and not self._listening:
             self._listening = True
             self._resumed_ns = self.turn.now_ns()
-            self.turn.loop.add_reader(self._socket.fileno(), self._accept)
+            self.turn.loop.add_reader(self._socket.fileno(), self._take_queued)
 
     def _pause(self) -> None:
         if self._socket is not None and self._listening:
             self._listening = False
             self.turn.loop.remove_reader(self._socket.fileno())
 
-    def _accept(self) -> None:
-        self._take_queued()
-
     def _take_queued(self) -> bool:
         """Takes what waits in the queue, as much as one turn may. True: it was found empty."""
         for _ in range(self.turn.limits.accepts):
@@ -533,6 +532,7 @@
         self.clients[client] = None
         # it may have come, and asked, while none were taken: before this process, on an inherited queue
         client.may_have_waited = self.turn.now_ns() - self._resumed_ns < self.turn.limits.newcomer_ns
+        client._from_old_queue = client.may_have_waited and self.inherited
 
     def left(self, client: ClientConnection) -> None:
         self.clients.pop(client, None)
--- a/zincstile/net/reasons.py
+++ b/zincstile/net/reasons.py
@@ -32,6 +32,7 @@
 
     SESSIONS = "sessions"  # as many requests are open as may be
     NOT_READY = "not_ready"  # there is no list of backend servers yet
+    WAITED = "waited"  # in a queue that no process served, nobody knows for how long
     OVER = "over"  # too late before the end of the process
     QUOTA = "quota"  # beyond the customer's quota, and not worth it
     CEILING = "ceiling"  # beyond the customer's ceiling
