The close check counts answers that a cut value takes along

Cause: `closer.abort` asked no check for TRUNCATED, and `count_unanswered` leaves out requests whose answer is known but not written.

Change: before it ends a connection with a cut value the closer counts the requests behind that value; any is a violation of `close`, counted and logged. The connection is ended all the same, as the client has to notice the cut.

--- a/zincstile/net/clients/answer_queue.py
+++ b/zincstile/net/clients/answer_queue.py
@@ -70,6 +70,10 @@
         """Returns the number of requests without a final answer."""
         return sum(isinstance(entry, Session) and not entry.ended for entry in self.pending)
 
+    def count_unwritten(self) -> int:
+        """Returns the number of requests whose answer is not completely taken."""
+        return sum(isinstance(entry, Session) for entry in self.pending)
+
     def take_sessions(self) -> list[Session]:
         """Empties the queue after the connection is lost and returns its sessions."""
         pending, self.pending = self.pending, deque()
--- a/zincstile/net/clients/closer.py
+++ b/zincstile/net/clients/closer.py
@@ -93,9 +93,12 @@
         With unanswered requests, this is allowed only if the client has disconnected or has to notice that a
         value is truncated.
         """
-        if reason in (CloseReason.CLOSED_BY_CLIENT, CloseReason.TRUNCATED) or self._may_close():
-            self.set_reason(reason)
-            self._transport.abort()
+        if reason is CloseReason.TRUNCATED:
+            self._check_none_follows()
+        elif reason is not CloseReason.CLOSED_BY_CLIENT and not self._may_close():
+            return
+        self.set_reason(reason)
+        self._transport.abort()
 
     def abort_if_stalled(self, previous_unsent_bytes: int | None) -> None:
         """Aborts if the client neither reads nor closes its side; otherwise checks again later.
@@ -120,6 +123,11 @@
         self._stall_deadline = deadlines.add(at_ns, self.abort_if_stalled, unsent_bytes)
         self._dispatcher.wake()
 
+    def _check_none_follows(self) -> None:
+        """Logs a violation if requests follow the truncated value: their answers can't be written."""
+        following = self._answers.count_unwritten() - 1
+        self._dispatcher.guard.may_close(self._dispatcher.now_ns(), following, self._name)
+
     def _may_close(self) -> bool:
         """Whether no request is unanswered; a violation is logged."""
         now, unanswered = self._dispatcher.now_ns(), self._answers.count_unanswered()
