Commands that waited unread are each told what is left of their own time

Seen while the way of commands that come behind a large value was read: after a pause of reading all commands in the socket got the age of the last one (tcp_info), so that a backend was told more than the client had left.

The test is test_commands_that_waited_unread_are_forwarded_with_what_is_left_of_their_time.

Change: clients/input_age.InputAge, taken out of the connection. The last command has the age that the system gives; the ones before it can't be older than the pause, or than the last flush at which the socket was empty. Input that fills the read buffer leaves more behind it, which has waited as well.

--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import re
+import time
+
 import pytest
 from scenario import ANSWERED_CALL, PING, READY, GatewayHarness, call_command, encode_command, run_scenario
 
@@ -85,3 +88,20 @@
         READY + client_input + "wait gw clients=26\nclose c10\nclose c11\nwait gw clients=28\n",
         limits={"sockets": 60, "command_ns": 10**12},
     )
+
+
+def test_commands_that_waited_unread_are_forwarded_with_what_is_left_of_their_time(tmp_path):
+    """Guards against giving all of them the age of the last one, when reading was paused for long."""
+    pause_s, timeout_ms = 0.6, 20_000
+    with GatewayHarness(tmp_path, {"limits": {"pipelined": 1}}) as harness:
+        harness.run(
+            READY + "send c1 look 1\nsend c1 look 2\nexpect a1 look *\nexpect a2 look *\nsend c1 look 3"
+        )
+        time.sleep(pause_s)
+        harness.run("send c1 look 4\nsend a1 ok same\nsend a2 ok same\nexpect c1 ok same\nexpect c1 ok same")
+        forwarded = [harness.connection(name).read_message() for name in ("a1", "a2")]
+        told_ms = {
+            int(words[2], 16): int(re.search(rb"(?:^|,)d=(\d+)", words[3]).group(1)) for words in forwarded
+        }
+        assert told_ms[3] <= timeout_ms - 1000 * pause_s, told_ms
+        assert timeout_ms - 1000 * pause_s / 2 < told_ms[4] <= timeout_ms, told_ms
--- a/zincstile/net/clients/connection.py
+++ b/zincstile/net/clients/connection.py
@@ -17,6 +17,7 @@
 from .answer_queue import AnswerQueue
 from .call_reader import CallError, CallReader
 from .closer import ConnectionCloser
+from .input_age import InputAge
 
 SERVED, REJECTED = AnswerKind.SERVED, AnswerKind.REJECTED
 
@@ -75,7 +76,7 @@
         "transport",
         "idle_since_ns",
         "command_count",
-        "input_may_have_waited",
+        "input_age",
         "from_inherited_queue",
         "_parser",
         "_answers",
@@ -85,7 +86,6 @@
         "_reading_paused",
         "_command_began_ns",
         "_last_read_ns",
-        "_input_age_ns",
     )
 
     def __init__(self, listener: Listener) -> None:
@@ -96,7 +96,7 @@
         self.transport: asyncio.Transport | None = None
         self.idle_since_ns = 0
         self.command_count = 0  # complete, valid commands received
-        self.input_may_have_waited = False  # whether the next input may have waited in the socket unread
+        self.input_age = InputAge(listener.dispatcher, listener.host)
         # Accepted from a queue that no process served for a time. For the first input the system reports only
         # when its last bytes were received, so commands before the last are rejected for their unknown age.
         self.from_inherited_queue = False
@@ -108,7 +108,6 @@
         self._reading_paused = False
         self._command_began_ns = 0  # when the incomplete command began; 0: there is none
         self._last_read_ns = 0
-        self._input_age_ns = 0  # how long the input being processed waited in the socket
 
     # ---- asyncio
 
@@ -131,12 +130,14 @@
         if self._closer.reading_ended:
             self._closer.discard(size)
             return
-        if self.input_may_have_waited:
-            self.input_may_have_waited = False
-            self._input_age_ns = self.listener.host.last_received_age_ns(self.transport)
-            self.from_inherited_queue &= self._input_age_ns > self.dispatcher.limits.process_stall_ns
-        self._process_input(bytes(self.listener.read_buffer[:size]))
-        self._input_age_ns = 0
+        read_buffer, input_age = self.listener.read_buffer, self.input_age
+        if not input_age.may_have_waited:
+            self._process_input(bytes(read_buffer[:size]))
+            return
+        input_age.measure(self.transport, more_is_unread=size == len(read_buffer))
+        self.from_inherited_queue &= input_age.last_ns > self.dispatcher.limits.process_stall_ns
+        self._process_input(bytes(read_buffer[:size]))
+        input_age.clear()
 
     def pause_writing(self) -> None:
         """The client does not read its answers: pauses reading commands, which bounds the memory."""
@@ -171,11 +172,10 @@
 
     def _process_input(self, data: bytes) -> None:
         commands = self._parser.feed(data)
-        if self.from_inherited_queue:
-            self._process_inherited(commands)
-        else:
-            for arguments in commands:
-                self._on_command(arguments)
+        last_index = len(commands) - 1
+        for index, arguments in enumerate(commands):
+            self._on_command(arguments, is_last=index == last_index)
+        self.from_inherited_queue = False
         self._last_read_ns = self.dispatcher.now_ns()
         if self._parser.idle:
             self._command_began_ns = 0
@@ -187,14 +187,8 @@
             self._close_with_error("Protocol error: " + self._parser.error, CloseReason.MALFORMED)
         self._update_reading()
 
-    def _process_inherited(self, commands: list[list[bytes]]) -> None:
-        """Handles the first input from an inherited queue: only the age of its last command is known."""
-        last_index = len(commands) - 1
-        for index, arguments in enumerate(commands):
-            self._on_command(arguments, is_age_unknown=index < last_index)
-        self.from_inherited_queue = False
-
-    def _on_command(self, arguments: list[bytes], *, is_age_unknown: bool = False) -> None:
+    def _on_command(self, arguments: list[bytes], *, is_last: bool) -> None:
+        """Handles one command. is_last: none follows it in the input that is being processed."""
         if not arguments:
             return
         if len(arguments) == 1 and arguments[0].upper() == b"PING":
@@ -205,7 +199,8 @@
         dispatcher, listener = self.dispatcher, self.listener
         request_id, now = dispatcher.next_request_id(), dispatcher.now_ns()
         try:
-            call, request = listener.reader.read(arguments, request_id, now - self._input_age_ns)
+            age_ns = self.input_age.last_ns if is_last else self.input_age.first_ns
+            call, request = listener.reader.read(arguments, request_id, now - age_ns)
             if call.id in listener.open_requests:  # backends would take it for a retry of that request
                 raise CallError("the id of an open request")
         except CallError as err:
@@ -213,6 +208,7 @@
             self._reply(resp.encode_error(str(err)))
             return
         self.command_count += 1
+        is_age_unknown = self.from_inherited_queue and not is_last
         reason = GatewayRejection.UNKNOWN_AGE if is_age_unknown else listener.rejection_reason()
         if reason is not None:
             self.counters.rejected += 1
@@ -243,8 +239,9 @@
         self._reading_paused = pause
         if pause:
             self.transport.pause_reading()
+            self.input_age.on_pause()
         else:
-            self.input_may_have_waited = True
+            self.input_age.may_have_waited = True
             self.transport.resume_reading()
 
     # ---- answers
@@ -305,6 +302,8 @@
                 return
         if self._reading_paused:
             self._update_reading()
+            if self._reading_paused:
+                self.input_age.check_socket(self.transport)
 
     # ---- closing
 
--- a/zincstile/net/clients/listener.py
+++ b/zincstile/net/clients/listener.py
@@ -158,8 +158,8 @@
         # It may have connected and sent a request while accepting was paused, on an inherited socket even
         # before this process started
         elapsed_ns = self.dispatcher.now_ns() - self._resumed_ns
-        client.input_may_have_waited = elapsed_ns < self.dispatcher.limits.new_client_grace_ns
-        client.from_inherited_queue = client.input_may_have_waited and self.inherited
+        client.input_age.may_have_waited = elapsed_ns < self.dispatcher.limits.new_client_grace_ns
+        client.from_inherited_queue = client.input_age.may_have_waited and self.inherited
 
     def on_disconnected(self, client: ClientConnection) -> None:
         """Removes a closed connection; accepting may resume."""
