A large value that ends early no longer takes the answers behind it along

Cause: AnswerStreams.begin wrote the first byte of a value whatever had been read behind it, and the connection was read on while a value was passed on. Behind a RESP value that is cut nothing can be said, so each early end (connection lost, wrong length, silence) took along all that had been read behind it.

Change: a value is written before its end is here only while it is the only pending answer, and nothing is read behind it until then. Where others wait, it is buffered; its attempt stays in flight with the usual outcomes, so that it can be tried again or fail alone. limits.buffered_value_bytes (a sixth of memory_mb, half of it for values that are not next) bounds all of them; without room a value is not read until there is some, until it is the only one, or until its deadline. A value cut before its first byte is written is answered as failed. Counters buffered and buffer_waits.

Why it works: at the moment of a cut there is nothing behind the value that was read, by construction; the check stays.

Two tests compare counters with recorded results: the two new counters are named there, all others still have to be the same.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -120,6 +120,12 @@
     return "{}:{}".format(*sock.getsockname()[:2])
 
 
+def free_address():
+    """HOST:PORT of a TCP port that is free at the moment, for `control` in a configuration."""
+    with open_listener() as sock:
+        return address_of(sock)
+
+
 def encode_command(words):
     words = [word.encode() if isinstance(word, str) else word for word in words]
     return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%b\r\n" % (len(word), word) for word in words)
@@ -343,6 +349,13 @@
             for part in [data[k : k + 1] for k in range(len(data))] if slowly else [data]:
                 sock.sendall(part)
 
+    def post(self, path):
+        """Calls the operators' endpoint, which must answer yes."""
+        host, _, port = self.config["control"].rpartition(":")
+        with socket.create_connection((host, int(port)), TIMEOUT_S) as sock:
+            sock.sendall(b"POST %b HTTP/1.1\r\nContent-Length: 0\r\n\r\n" % path.encode())
+            assert sock.recv(4096).startswith(b"HTTP/1.1 200")
+
     def _wait_until_refused(self):
         """Connects until the gateway refuses; connections that it still accepts are closed."""
         end = time.monotonic() + TIMEOUT_S
--- a/tests/stored_gateway.py
+++ b/tests/stored_gateway.py
@@ -23,6 +23,8 @@
 from scenario import ROOT, RespConnection, encode_command, settings
 
 GATEWAY = "n0"  # its name in the stored files
+# Counters that were added after the results of the testbed in tests/data/stored were recorded
+COUNTERS_SINCE_STORED = {"buffered", "buffer_waits"}
 FILE_PREFIX = f"zincstile-{GATEWAY}"  # of the files that successive processes share
 HANDOVER_FILE, MEMORY_FILE, SPENT_FILE = (
     f"{FILE_PREFIX}.handover",
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -29,6 +29,7 @@
     address_of,
     call_command,
     encode_command,
+    free_address,
     run_scenario,
 )
 
@@ -334,16 +335,10 @@
 
 def test_standby_keeps_new_connections_for_a_first_request(tmp_path):
     """Its first request may be in transit, as at shutdown. It is answered; then the connection is closed."""
-    reserved_socket = socket.create_server(("127.0.0.1", 0))
-    admin_address = address_of(reserved_socket)
-    reserved_socket.close()
     limits = {"newcomer_ns": FOREVER_NS, "standby_rest_ns": FOREVER_NS}
-    with GatewayHarness(tmp_path, {"control": admin_address, "limits": limits}) as harness:
+    with GatewayHarness(tmp_path, {"control": free_address(), "limits": limits}) as harness:
         harness.run(READY + "open c1\nwait gw clients=1")
-        host, _, port_number = admin_address.rpartition(":")
-        with socket.create_connection((host, int(port_number)), TIMEOUT_S) as admin_socket:
-            admin_socket.sendall(b"POST /standby HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
-            assert admin_socket.recv(4096).startswith(b"HTTP/1.1 200")
+        harness.post("/standby")
         harness.run("""
             send c1 look 1
             serve c1 look 1 a1 hello
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -9,6 +9,7 @@
 
 import pytest
 from scenario import ROOT
+from stored_gateway import COUNTERS_SINCE_STORED
 from test_checker import MS_NS, SECOND_NS, CheckerHarness
 
 from zincstile.decisions.messages import AttemptResult, EndpointEntry, EndpointState, RejectionReason
@@ -155,7 +156,7 @@
     stored = by_stored_name(json.loads(Counters().line().removeprefix("counters ")))
     assert result["rows"]
     for row in result["rows"]:
-        assert stored.keys() == row["counters"].keys()
+        assert stored.keys() == row["counters"].keys() | COUNTERS_SINCE_STORED
 
 
 # ---- the external checker
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -26,7 +26,7 @@
     table_first_ns table_silence_ns table_answer_ns table_patience_ns table_list_ns
     table_first_ask_ns table_again_ns table_again_most_ns table_longest_ns held_up_ns start_told_ns
     backoff_ns backoff_most_ns drain_quiet_ns drain_ns drain_least_ns drain_margin_ns drain_most_ns
-    stream_bytes stream_stall_ns stream_pace_ns stream_piece_bytes control_connections
+    stream_bytes stream_stall_ns stream_pace_ns stream_piece_bytes buffered_value_bytes control_connections
     control_call_ns handover_poll_ns handover_keep_ns handover_read_ns handover_kept_ns
     handover_stale_ns inherit_wait_ns inherit_look_ns inherit_bytes standby_rest_ns
 """
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -15,6 +15,7 @@
 import pytest
 import stored_gateway
 from stored_gateway import (
+    COUNTERS_SINCE_STORED,
     EXHAUSTED_CUSTOMER,
     HALF_USED_CUSTOMER,
     HANDOVER_FILE,
@@ -288,7 +289,8 @@
     assert current["faults"] == recorded["faults"] and current["gateways"] == 3
     for result in (current, recorded):
         assert result.pop("tally").keys() <= {"served", "denied", "failed", "unreached"}
-    assert key_paths(current) == key_paths(recorded)
+    new_keys = {f"$.rows[].counters.{name}" for name in COUNTERS_SINCE_STORED}
+    assert key_paths(current) == key_paths(recorded) | new_keys
 
 
 # ---- scale
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -125,7 +125,7 @@
     stream.sink = RecordingSide()
     stream.push(b"ab")
     stream.push(b"cd")
-    assert stream.pending_bytes == 4 and stream.take() == [b"ab", b"cd"] and stream.pending_bytes == 0
+    assert stream.pending_bytes == 4 and stream.take(4) == [b"ab", b"cd"] and stream.pending_bytes == 0
     stream.abandon()
     stream.abandon()
     stream.end(truncated=False)  # no effect: it is truncated already
--- a/zincstile/net/backends/attempt.py
+++ b/zincstile/net/backends/attempt.py
@@ -17,6 +17,7 @@
     attempt: Attempt | None
     stream: ValueStream | None
     last_received_ns: int
+    waits_for_memory: bool  # the answer is not read until there is memory for it
 
     @property
     def request_written(self) -> bool:
--- a/zincstile/net/backends/attempts.py
+++ b/zincstile/net/backends/attempts.py
@@ -19,6 +19,7 @@
 from ..reasons import RetryReason
 from ..session import Answer, AnswerKind, Session
 from ..trace import Step
+from ..value_stream import ValueStream
 from .attempt import Attempt
 from .connecting import Connector
 from .connection import BackendConnection
@@ -194,6 +195,9 @@
         attempt.deadline = None
         connection = attempt.connection
         written = attempt.write_started and connection is not None and connection.request_written
+        if written and connection.waits_for_memory:  # this gateway did not read the answer
+            self.finish(attempt, AttemptResult.CANCELLED)
+            return
         self.finish(attempt, AttemptResult.TIMEOUT if written else AttemptResult.CONNECT_FAILED)
 
     def on_request_written(self, attempt: Attempt) -> None:
@@ -263,11 +267,18 @@
         self.finish(attempt, AttemptResult.MALFORMED)
 
     def finish(
-        self, attempt: Attempt, result: AttemptResult, value: bytes = b"", load_report: bytes = b""
+        self,
+        attempt: Attempt,
+        result: AttemptResult,
+        value: bytes = b"",
+        load_report: bytes = b"",
+        *,
+        stream: ValueStream | None = None,
     ) -> None:
         """Ends an attempt with its only outcome, and closes a connection that still carries it.
 
-        With `OK` the client is answered with `value`. Does nothing if the attempt has already ended.
+        With `OK` the client is answered with `value`, or with the complete `stream`. Does nothing if the
+        attempt has already ended.
         """
         session = attempt.session
         if session is not None and self.in_flight.pop((session.id, attempt.number), None) is None:
@@ -282,7 +293,9 @@
         if connection is not None and connection.attempt is attempt:
             connection.drop()
         if session is not None and result is AttemptResult.OK:
-            self.dispatcher.finish(session, Answer(AnswerKind.SERVED, value))
+            answered = self.dispatcher.finish(session, Answer(AnswerKind.SERVED, value, stream=stream))
+            if stream is not None and not answered:
+                stream.discard()
         latency_ns = self.dispatcher.now_ns() - attempt.sent_ns
         self.report(session, attempt.number, attempt.backend.id, result, latency_ns, load_report)
 
--- a/zincstile/net/backends/connection.py
+++ b/zincstile/net/backends/connection.py
@@ -37,6 +37,10 @@
         """Starts to forward a value of `size` bytes; `data`: its first bytes."""
         ...
 
+    def forward(self, connection: BackendConnection) -> bool:
+        """Forwards a value that was buffered so far."""
+        ...
+
     def push(self, connection: BackendConnection, data: bytes) -> None:
         """Called with more data of the answer."""
         ...
@@ -96,6 +100,8 @@
         "trailer_parser",
         "trailer",
         "waits_for_client",
+        "waits_for_memory",
+        "is_buffering",
         "throttled",
         "_parser",
         "_write_pending",
@@ -120,6 +126,8 @@
         self.trailer_parser: resp.ReplyParser | None = None  # parses what follows the value
         self.trailer: list[resp.Reply] = []  # parts received after the value
         self.waits_for_client = False  # reading is paused until the client has read what was received
+        self.waits_for_memory = False  # reading is paused until the value can be buffered
+        self.is_buffering = False  # the value is buffered until it is complete
         self.throttled = False  # reading is paused briefly, so that small pieces accumulate
         self._parser = resp.ReplyParser(owner.dispatcher.limits)
         self._write_pending = False  # part of a request is still in the transport's buffer
@@ -221,7 +229,7 @@
         self.last_two_bytes = b""
         self.trailer_parser = None
         self.trailer = []
-        self.waits_for_client = self.throttled = False
+        self.waits_for_client = self.waits_for_memory = self.is_buffering = self.throttled = False
 
     def end_stream(self) -> None:
         """Ends the streamed value, complete or not."""
@@ -229,6 +237,16 @@
         self.stream = None
         self.waits_for_client = False
 
+    def wait_for_memory(self) -> None:
+        """Pauses reading until there is memory to buffer the value."""
+        self.waits_for_memory = True
+        self.transport.pause_reading()
+
+    def end_wait_for_memory(self) -> None:
+        """There is memory, or none is needed any more."""
+        self.waits_for_memory = False
+        self._resume()
+
     def wait_for_client(self) -> None:
         """Pauses reading until the client has read what was received."""
         if not self.waits_for_client:
@@ -236,6 +254,10 @@
             if not self.throttled:
                 self.transport.pause_reading()
 
+    def forward_value(self) -> None:
+        """The buffered value is the only pending answer of its client: it is forwarded from now on."""
+        self.owner.streams.forward(self)
+
     def on_taken(self) -> None:
         """Called when the client has read what was received of the value."""
         if self.waits_for_client:
@@ -255,7 +277,8 @@
             self._resume()
 
     def _resume(self) -> None:
-        if not self.waits_for_client and not self.throttled and not self.transport.is_closing():
+        paused = self.waits_for_client or self.waits_for_memory or self.throttled
+        if not paused and not self.transport.is_closing():
             self.transport.resume_reading()
 
     def abandon(self) -> None:
@@ -271,13 +294,14 @@
 
     def connection_lost(self, err: Exception | None) -> None:
         """Called by asyncio when the connection has closed; ends the attempt that it carries."""
+        answer_began = self.stream is not None or not self._parser.idle
         if self.stream is not None:
             self.owner.streams.connection_lost(self)
         attempt = self.attempt
         self.attempt = None
         self.owner.pool.on_connection_lost(self)
         if attempt is not None:
-            stale = self._reused and self._parser.idle
+            stale = self._reused and not answer_began
             failure = AttemptResult.STALE_CONNECTION if stale else AttemptResult.RESET
             self.owner.finish(attempt, failure if self.request_written else AttemptResult.CONNECT_FAILED)
 
--- a/zincstile/net/clients/answer_queue.py
+++ b/zincstile/net/clients/answer_queue.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import Final
 
+from .. import resp
 from ..session import Session
 from ..value_stream import ValueStream
 
+FAILED_ANSWER: Final = resp.encode_error("failed")
+
 
 class AnswerQueue:
     """Keeps each answer until all earlier ones are written."""
@@ -27,11 +31,12 @@
         else:
             self._ready.append(data)
 
-    def take_ready(self, *, include_streams: bool) -> list[bytes]:
+    def take_ready(self, *, max_stream_bytes: int) -> list[bytes]:
         """Removes and returns all output that can be written now, in order.
 
-        Of a stream, the chunks received so far are taken; none without `include_streams`, for a client that
-        reads too slowly. Sets `truncated` if the stream was cut off.
+        Of a stream, about `max_stream_bytes` at most are taken; none with 0, for a client that reads slowly.
+        Sets `truncated` if the stream was cut off after its first bytes were taken. If it was cut off before,
+        the request is answered as failed.
         """
         pending, ready = self.pending, self._ready
         while pending:
@@ -41,14 +46,17 @@
                 break
             if type(reply) is not ValueStream:
                 ready.append(reply)
-            elif not include_streams:
+            elif reply.truncated and not reply.started:
+                reply.discard()
+                ready.append(FAILED_ANSWER)
+            elif max_stream_bytes <= 0:
                 break
             else:
-                ready += reply.take()
-                if reply.truncated:
-                    self.truncated = True
-                    break
-                if not reply.complete:
+                pending_bytes = reply.pending_bytes
+                ready += reply.take(max_stream_bytes)
+                max_stream_bytes -= pending_bytes - reply.pending_bytes
+                if reply.pending_bytes or not reply.complete:
+                    self.truncated = reply.truncated and not reply.pending_bytes
                     break
             pending.popleft()
         if ready:
@@ -61,10 +69,22 @@
         return not self.pending and not self._ready
 
     @property
-    def starts_with_stream(self) -> bool:
-        """Whether the next answer is a streamed value."""
+    def head_stream(self) -> ValueStream | None:
+        """The next answer if it is a streamed value."""
         head = self.pending[0] if self.pending else None
-        return isinstance(head, Session) and type(head.reply) is ValueStream
+        return head.reply if isinstance(head, Session) and type(head.reply) is ValueStream else None
+
+    @property
+    def may_be_cut_off(self) -> bool:
+        """Whether the next answer is a value that may still end early: nothing may be read behind it."""
+        stream = self.head_stream
+        return stream is not None and not stream.complete
+
+    @property
+    def only_session(self) -> Session | None:
+        """The session whose answer is the only pending one."""
+        head = self.pending[0] if len(self.pending) == 1 else None
+        return head if isinstance(head, Session) else None
 
     def count_unanswered(self) -> int:
         """Returns the number of requests without a final answer."""
--- a/zincstile/net/clients/connection.py
+++ b/zincstile/net/clients/connection.py
@@ -84,6 +84,7 @@
         "_flush_scheduled",
         "_writing_paused",
         "_reading_paused",
+        "_paused_for_value",
         "_command_began_ns",
         "_last_read_ns",
     )
@@ -106,6 +107,7 @@
         self._flush_scheduled = False
         self._writing_paused = False  # the client does not read its answers
         self._reading_paused = False
+        self._paused_for_value = False  # reading was paused as the value being written could still be cut off
         self._command_began_ns = 0  # when the incomplete command began; 0: there is none
         self._last_read_ns = 0
 
@@ -148,7 +150,7 @@
         """The client has read its answers: resumes reading and pending writes."""
         self._writing_paused = False
         self._update_reading()
-        if self._closer.draining or self._answers.starts_with_stream:
+        if self._closer.draining or self._answers.head_stream is not None:
             self._schedule_flush()
 
     def eof_received(self) -> None:
@@ -233,10 +235,18 @@
 
     def _update_reading(self) -> None:
         """Pauses or resumes reading, depending on unanswered commands and unread answers."""
-        pause = self._writing_paused or len(self._answers.pending) > self.dispatcher.limits.max_pipelined
+        answers = self._answers
+        pause = (
+            self._writing_paused
+            or len(answers.pending) > self.dispatcher.limits.max_pipelined
+            or answers.may_be_cut_off
+        )
+        if answers.may_be_cut_off:
+            self._paused_for_value = True
         if pause == self._reading_paused or self._closer.reading_ended or self.transport.is_closing():
             return
         self._reading_paused = pause
+        self._paused_for_value &= pause
         if pause:
             self.transport.pause_reading()
             self.input_age.on_pause()
@@ -262,6 +272,7 @@
         if answer.stream is not None:
             session.reply = answer.stream
             answer.stream.sink = self
+            self._update_reading()
         elif answer.kind is SERVED:
             session.reply = resp.encode_bulk_string(answer.value)
         elif answer.kind is REJECTED:
@@ -287,9 +298,7 @@
         """
         self._flush_scheduled = False
         answers = self._answers
-        ready = answers.take_ready(include_streams=not self._writing_paused)
-        if ready and not self.transport.is_closing():
-            self.transport.write(ready[0] if len(ready) == 1 else b"".join(ready))
+        self._write_ready()
         if answers.truncated:
             self._closer.reading_ended = True
             self._closer.abort(CloseReason.TRUNCATED)
@@ -297,14 +306,46 @@
         if not answers.pending:
             self.idle_since_ns = self.dispatcher.now_ns()
             closer, listener = self._closer, self.listener
-            if closer.reading_ended or listener.closing or listener.standby or closer.draining:
+            closing = closer.reading_ended or listener.closing or listener.standby or closer.draining
+            if closing and not self._has_input_behind_value():
                 self._close_when_written(CloseReason.SHUTDOWN if listener.closing else CloseReason.STANDBY)
                 return
+        only_session = answers.only_session
+        if only_session is not None and only_session.arriving is not None:
+            only_session.arriving.forward_value()
         if self._reading_paused:
             self._update_reading()
             if self._reading_paused:
                 self.input_age.check_socket(self.transport)
 
+    def _has_input_behind_value(self) -> bool:
+        """Whether commands came during the value that was written last, and are not read yet."""
+        return (
+            self._paused_for_value
+            and not self._closer.reading_ended
+            and not self.transport.is_closing()
+            and self.dispatcher.readable(self.transport)
+        )
+
+    def _write_ready(self) -> None:
+        """Writes what is ready; of a stream, as much as the client reads."""
+        answers, max_stream_bytes = self._answers, self.dispatcher.limits.unread_answer_bytes
+        while True:
+            ready = answers.take_ready(max_stream_bytes=0 if self._writing_paused else max_stream_bytes)
+            if not ready or self.transport.is_closing():
+                return
+            self.transport.write(ready[0] if len(ready) == 1 else b"".join(ready))
+            if answers.head_stream is None or self._writing_paused:
+                return
+
+    def is_next(self, session: Session) -> bool:
+        """Whether no earlier answer is pending."""
+        return bool(self._answers.pending) and self._answers.pending[0] is session
+
+    def is_only(self, session: Session) -> bool:
+        """Whether no other answer is pending."""
+        return self._answers.only_session is session
+
     # ---- closing
 
     def _close_when_written(self, reason: CloseReason) -> None:
--- a/zincstile/net/counters.py
+++ b/zincstile/net/counters.py
@@ -73,6 +73,8 @@
         # large values
         "streamed",
         "streams_truncated",
+        "buffered",  # values buffered because other requests waited behind them
+        "buffer_waits",  # of these, the ones that waited for memory
         # violations of invariants (`invariants.Invariant`): 0 unless there is a defect
         "violated_send",
         "violated_repeat",
--- a/zincstile/net/session.py
+++ b/zincstile/net/session.py
@@ -59,6 +59,22 @@
         """Whether the client has disconnected, even if this is not read yet; if so, abandons its sessions."""
         ...
 
+    def is_next(self, session: Session) -> bool:
+        """Whether no earlier answer of this connection is pending."""
+        ...
+
+    def is_only(self, session: Session) -> bool:
+        """Whether no other answer of this connection is pending."""
+        ...
+
+
+class ArrivingValue(Protocol):
+    """A large value that is buffered because other answers of its client's connection are pending."""
+
+    def forward_value(self) -> None:
+        """No other answer is pending any more: forwards the value from now on."""
+        ...
+
 
 class AttemptTarget(Protocol):
     """The part of an attempt's backend that the invariant checks use."""
@@ -92,6 +108,7 @@
         "last_result",
         "ended",
         "reply",
+        "arriving",
     )
 
     def __init__(
@@ -113,3 +130,4 @@
         self.last_result: AttemptResult | None = None  # of the attempt that ended last
         self.ended = False  # answered, or abandoned by its client
         self.reply: bytes | ValueStream | None = None  # encoded for the client; None: not answered
+        self.arriving: ArrivingValue | None = None  # may become its answer
--- a/zincstile/net/value_stream.py
+++ b/zincstile/net/value_stream.py
@@ -1,12 +1,16 @@
 """Streams a large value from one backend connection to one client connection.
 
-Its first bytes are forwarded at once, and only bytes that the client has not read yet are kept in memory.
+A value that is the only pending answer of its connection is forwarded as it arrives, and only bytes that the
+client has not read yet are kept in memory. If other requests wait behind it, the value is buffered until it
+is complete, since nothing can be answered on a connection behind a value that was cut off.
 """
 
 from __future__ import annotations
 
 from typing import Protocol
 
+from .value_memory import Reservation
+
 
 class StreamSource(Protocol):
     """The backend connection from which the value is read."""
@@ -34,7 +38,16 @@
     The source ends the stream: the value is then `complete`, or `truncated` if part of it is missing.
     """
 
-    __slots__ = ("_chunks", "pending_bytes", "complete", "truncated", "_source", "sink")
+    __slots__ = (
+        "_chunks",
+        "pending_bytes",
+        "complete",
+        "truncated",
+        "started",
+        "reservation",
+        "_source",
+        "sink",
+    )
 
     def __init__(self, source: StreamSource) -> None:
         """`source` pushes the chunks."""
@@ -42,6 +55,8 @@
         self.pending_bytes = 0  # pushed and not yet taken
         self.complete = False
         self.truncated = False
+        self.started = False  # its first chunks were taken
+        self.reservation: Reservation | None = None  # of the memory for a value that is buffered
         self._source = source
         self.sink: StreamSink | None = None  # None until the answer is given to the client connection
 
@@ -58,16 +73,34 @@
             self.truncated = truncated
             self._notify_sink()
 
-    def take(self) -> list[bytes]:
-        """Removes and returns the chunks pushed since the last call; the caller writes them."""
-        chunks = self._chunks
+    def take(self, max_bytes: int) -> list[bytes]:
+        """Removes and returns the first chunks, up to the one that reaches `max_bytes`."""
+        count = taken_bytes = 0
+        while count < len(self._chunks) and taken_bytes < max_bytes:
+            taken_bytes += len(self._chunks[count])
+            count += 1
+        chunks, self._chunks = self._chunks[:count], self._chunks[count:]
+        self.pending_bytes -= taken_bytes
+        self.started = self.started or bool(chunks)
+        self.release_taken()
+        if not self.complete:
+            self._source.on_taken()
+        return chunks
+
+    def release_taken(self) -> None:
+        """Returns the reserved memory that no chunk needs any more."""
+        if self.reservation is not None:
+            self.reservation.shrink(self.pending_bytes)
+
+    def discard(self) -> None:
+        """Drops all chunks: nobody will take them."""
         self._chunks = []
         self.pending_bytes = 0
-        self._source.on_taken()
-        return chunks
+        self.release_taken()
 
     def abandon(self) -> None:
         """The client has disconnected: notifies the source unless the stream has ended."""
+        self.discard()
         if not self.complete and not self.truncated:
             self.truncated = True
             self._source.abandon()
