Answers and bodies are freed when their request has ended, not by the cyclic collector

Cause: Session.sent_attempts listed attempts, each of which refers to its session: every request that was sent ended as a reference cycle, and its answer and body stayed until a collection of its generation. No limit in bytes was in force.

Change: the session keeps records (session.SentAttempt) that don't refer to it, shared with the attempt. AnswerQueue lets go of an answer when it is taken, since a late attempt may still refer to the session. A buffered value that ends early leaves no cycle of connection and stream.

Why it works: nothing that a request leaves behind is in a cycle, so that reference counting frees it at once.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -463,6 +463,11 @@
         self.program.send_signal(signal.SIGUSR1)
         return json.loads(self.wait_for_log("counters *").split(" ", 1)[1])
 
+    def own_memory_kb(self):
+        """The memory of the program in KB without the pages of files (proc(5), RssAnon)."""
+        with open(f"/proc/{self.program.pid}/status", encoding="ascii") as status:
+            return int(re.search(r"RssAnon:\s+(\d+)", status.read()).group(1))
+
     def serve(self, client, name, number, backend, value):
         self.expect(backend, name, number)
         self.send(backend, "ok", value)
--- a/tests/test_large_values.py
+++ b/tests/test_large_values.py
@@ -7,7 +7,6 @@
 import threading
 import time
 from dataclasses import dataclass, field
-from pathlib import Path
 
 import pytest
 from scenario import (
@@ -18,6 +17,7 @@
     encode_command,
     free_address,
 )
+from threaded_backend import ThreadedBackend, encode_answer, request_number
 
 from zincstile.net.value_memory import ValueMemory
 
@@ -44,28 +44,18 @@
     runs: list[int] = field(default_factory=list)  # numbers of the requests received
 
     def start(self) -> Backend:
-        for name in self.names:
-            threading.Thread(target=self._accept, args=(name,), daemon=True).start()
+        ThreadedBackend(self.harness, self._answer, self.names)
         return self
 
-    def _accept(self, name: str) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                connection = RespConnection(self.harness.listeners[name].accept()[0])
-                threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
-
-    def _serve(self, connection: RespConnection) -> None:
-        with contextlib.suppress(OSError, IndexError):
-            while True:
-                number = int(connection.read_message()[2], 16)
-                self.runs.append(number)
-                if number not in self.large:
-                    connection.sock.sendall(encode_answer(b"small %d" % number))
-                    continue
-                ending = self.ending if self.early_ends else "whole"
-                self.early_ends -= bool(self.early_ends)
-                if not self._send_large(connection, encode_answer(b"v" * self.large[number]), ending):
-                    return
+    def _answer(self, connection: RespConnection, command: list[bytes]) -> bool:
+        number = request_number(command)
+        self.runs.append(number)
+        if number not in self.large:
+            connection.sock.sendall(encode_answer(b"small %d" % number))
+            return True
+        ending = self.ending if self.early_ends else "whole"
+        self.early_ends -= bool(self.early_ends)
+        return self._send_large(connection, encode_answer(b"v" * self.large[number]), ending)
 
     def _send_large(self, connection: RespConnection, answer: bytes, ending: str) -> bool:
         """Returns whether the connection stays open."""
@@ -85,10 +75,6 @@
         return True
 
 
-def encode_answer(value: bytes) -> bytes:
-    return b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n" % (len(value), value)
-
-
 def commands(first: int, *classes: str, timeout_ms: int = 20000) -> bytes:
     """Encodes requests numbered from `first`, one of each class."""
     return b"".join(
@@ -105,11 +91,6 @@
     assert answers == [b"small %d" % number for number in range(first, first + len(answers))]
 
 
-def resident_kb(harness: GatewayHarness) -> int:
-    status = Path(f"/proc/{harness.program.pid}/status").read_text(encoding="ascii")
-    return int(re.search(r"RssAnon:\s+(\d+)", status).group(1))
-
-
 # ---- a value that ends early
 
 
@@ -221,7 +202,7 @@
 def read_call(harness: GatewayHarness, connection: str) -> tuple[int, int]:
     """Returns the number of the next call on a connection to the backend, and its timeout in ms."""
     words = harness.connection(connection).read_message()
-    return int(words[2], 16), int(re.search(rb"(?:^|,)d=(\d+)", words[3]).group(1))
+    return request_number(words), int(re.search(rb"(?:^|,)d=(\d+)", words[3]).group(1))
 
 
 def test_commands_that_arrive_while_a_value_is_forwarded_never_run_if_it_is_cut_off(tmp_path):
@@ -263,7 +244,7 @@
         peak_kb, answers = 0, []
         for number in range(clients):
             answers += read_answers(harness.connection(f"c{number + 1}"), 2)
-            peak_kb = max(peak_kb, resident_kb(harness))
+            peak_kb = max(peak_kb, harness.own_memory_kb())
         assert [len(answer) for answer in answers[::2]] == [4 * MIB] * clients
         assert answers[1::2] == [b"small %d" % (2 * number + 2) for number in range(clients)]
         counters = harness.counters()
--- a/zincstile/net/backends/attempt.py
+++ b/zincstile/net/backends/attempt.py
@@ -7,7 +7,7 @@
 
 from ...decisions.messages import EndpointEntry
 from ..deadlines import DeadlineKey
-from ..session import Session
+from ..session import SentAttempt, Session
 from ..value_stream import ValueStream
 
 
@@ -45,7 +45,7 @@
         "deadline",
         "connection",
         "write_started",
-        "may_have_run",
+        "sent",
     )
 
     def __init__(
@@ -67,7 +67,7 @@
         self.deadline: DeadlineKey | None = None
         self.connection: Connection | None = None
         self.write_started = False  # the first byte of the request may have been sent
-        self.may_have_run = False  # the request was written completely and not rejected
+        self.sent = SentAttempt(backend, sent_ns)  # what the session keeps of it
 
 
 @dataclass(slots=True, eq=False)
--- a/zincstile/net/backends/attempts.py
+++ b/zincstile/net/backends/attempts.py
@@ -174,7 +174,7 @@
         if session is None:
             request = HEALTH_CHECK
         else:
-            session.sent_attempts.append(attempt)
+            session.sent_attempts.append(attempt.sent)
             dispatcher.trace.record(now_ns, Step.SENT, session.call.id, attempt.backend.address)
             dispatcher.counters.attempts += 1
             request = call_command(session.call, attempt.until_ns - now_ns)
@@ -287,7 +287,7 @@
         attempt.deadline = None
         attempt.backend.queued.pop(attempt, None)
         if result is AttemptResult.REJECTED:
-            attempt.may_have_run = False
+            attempt.sent.may_have_run = False
         connection = attempt.connection
         attempt.connection = None
         if connection is not None and connection.attempt is attempt:
--- a/zincstile/net/backends/connection.py
+++ b/zincstile/net/backends/connection.py
@@ -152,7 +152,7 @@
         attempt.write_started = True
         self._answer_started = self._streaming_decided = False
         self.transport.write(request)
-        attempt.may_have_run = not self._write_pending
+        attempt.sent.may_have_run = not self._write_pending
 
     @property
     def request_written(self) -> bool:
@@ -176,7 +176,7 @@
         """Called by asyncio when the rest of a request was written."""
         self._write_pending = False
         if self.attempt is not None:
-            self.attempt.may_have_run = True
+            self.attempt.sent.may_have_run = True
             self.owner.on_request_written(self.attempt)
 
     # ---- reading
--- a/zincstile/net/backends/streaming.py
+++ b/zincstile/net/backends/streaming.py
@@ -249,6 +249,7 @@
         if connection.is_buffering:  # its attempt ends as one without an answer
             self._end_buffering(connection)
             stream.discard()
+            connection.stream = None
             return
         complete = stream.complete
         if not complete:
--- a/zincstile/net/clients/answer_queue.py
+++ b/zincstile/net/clients/answer_queue.py
@@ -58,6 +58,8 @@
                 if reply.pending_bytes or not reply.complete:
                     self.truncated = reply.truncated and not reply.pending_bytes
                     break
+            if type(head) is not bytes:
+                head.reply = None  # a late attempt may still refer to the session
             pending.popleft()
         if ready:
             self._ready = []
--- a/zincstile/net/invariants.py
+++ b/zincstile/net/invariants.py
@@ -15,7 +15,7 @@
 from ..decisions.settings import DeduplicationScope, Idempotency
 from .counters import Counters
 from .log import Log
-from .session import SentAttempt, Session
+from .session import Session, UnsentAttempt
 from .trace import Trace
 
 # How far the deadline given to a backend server may be after the client's: between computing the two, the
@@ -46,7 +46,7 @@
 
     # ---- checks
 
-    def may_send(self, now: int, attempt: SentAttempt) -> bool:
+    def may_send(self, now: int, attempt: UnsentAttempt) -> bool:
         """Checks an attempt before its first byte is written; False: it must not be sent."""
         session = attempt.session
         if session is None:  # a health check: no request depends on it
@@ -95,7 +95,7 @@
         return False
 
 
-def _send_problem(attempt: SentAttempt, session: Session) -> str:
+def _send_problem(attempt: UnsentAttempt, session: Session) -> str:
     if session.ended:
         return "its request has ended"
     if not attempt.backend.ready:
@@ -103,7 +103,7 @@
     return "its deadline is after its client's deadline"
 
 
-def _repeat_problem(now: int, attempt: SentAttempt, session: Session) -> str:
+def _repeat_problem(now: int, attempt: UnsentAttempt, session: Session) -> str:
     request_class = session.request_class
     if request_class is None or request_class.idempotency is Idempotency.ALWAYS:
         return ""
--- a/zincstile/net/session.py
+++ b/zincstile/net/session.py
@@ -84,14 +84,25 @@
     entry: EndpointEntry | None  # its entry in the endpoint list
 
 
-class SentAttempt(Protocol):
-    """The part of `backends.attempt.Attempt` that its session and the invariant checks use."""
+class UnsentAttempt(Protocol):
+    """The part of `backends.attempt.Attempt` that the check before its first byte uses."""
 
     session: Session | None
     backend: AttemptTarget
-    sent_ns: int
     until_ns: int  # the deadline given to the backend
-    may_have_run: bool
+
+
+@dataclass(slots=True)
+class SentAttempt:
+    """An attempt of which a byte may have been sent, as its session remembers it.
+
+    It does not refer to the session: in a reference cycle, the answer and the body of each request would stay
+    in memory until Python's cyclic collector runs.
+    """
+
+    backend: AttemptTarget
+    sent_ns: int
+    may_have_run: bool = False  # the request was written completely and not rejected
 
 
 class Session:
@@ -126,8 +137,10 @@
         self.deadline_ns = deadline_ns  # monotonic: when the client gives up
         self.request_class = request_class
         self.attempts = 0  # attempts made so far
-        self.sent_attempts: list[SentAttempt] = []  # attempts of which a byte may have been sent
+        self.sent_attempts: list[SentAttempt] = []
         self.last_result: AttemptResult | None = None  # of the attempt that ended last
         self.ended = False  # answered, or abandoned by its client
-        self.reply: bytes | ValueStream | None = None  # encoded for the client; None: not answered
+        self.reply: bytes | ValueStream | None = (
+            None  # encoded for the client; None: not answered, or written
+        )
         self.arriving: ArrivingValue | None = None  # may become its answer
