--- a/zincstile/net/clients/connection.py
+++ b/zincstile/net/clients/connection.py
@@ -3,69 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-from enum import Enum
-from typing import Protocol
 
 from .. import resp
-from ..counters import Counters
-from ..dispatcher import Dispatcher
-from ..host import Host
 from ..reasons import CloseReason, GatewayRejection
 from ..session import Answer, AnswerKind, Session
 from ..trace import Step
 from ..value_stream import ValueStream
-from .answer_queue import AnswerQueue
-from .call_reader import CallError, CallReader
+from .answer_queue import FAILED_ANSWER, AnswerQueue
+from .call_reader import CallError
 from .closer import ConnectionCloser
-from .input_age import InputAge
+from .connection_types import ConnectionState, Listener
+from .reading import ReadingControl
 
 SERVED, REJECTED = AnswerKind.SERVED, AnswerKind.REJECTED
 
 
-class Listener(Protocol):
-    """The part of the listener that its connections use."""
-
-    dispatcher: Dispatcher
-    counters: Counters
-    host: Host
-    read_buffer: memoryview  # shared by all connections; input is copied out of it at once
-    reader: CallReader
-    open_requests: dict[bytes, Session]  # without a final answer, by the client's request id
-    closing: bool
-    standby: bool
-    last_request_ns: int
-
-    def ping_answer(self) -> bytes:
-        """Returns the encoded answer to PING."""
-        ...
-
-    def rejection_reason(self) -> GatewayRejection | None:
-        """Returns why requests are rejected at present; None if they are accepted."""
-        ...
-
-    def on_request_ended(self, session: Session) -> None:
-        """Called when a request was answered or abandoned."""
-        ...
-
-    def on_connected(self, client: ClientConnection) -> None:
-        """Called when the connection has its transport."""
-        ...
-
-    def on_disconnected(self, client: ClientConnection) -> None:
-        """Called when the connection is closed."""
-        ...
-
-
-class ConnectionState(Enum):
-    """The state of a connection; the values are the names in the log."""
-
-    BUSY = "busy"  # a request is unanswered
-    IDLE = "idle"  # between commands
-    SILENT = "silent"  # no command received yet
-    INCOMPLETE = "incomplete"  # a command is partly received
-    CLOSING = "closing"
-
-
 class ClientConnection(asyncio.BufferedProtocol):
     """The protocol of one client connection; pauses reading while too many commands are unanswered."""
 
@@ -76,15 +28,13 @@
         "transport",
         "idle_since_ns",
         "command_count",
-        "input_age",
+        "reading",
         "from_inherited_queue",
         "_parser",
         "_answers",
         "_closer",
         "_flush_scheduled",
         "_writing_paused",
-        "_reading_paused",
-        "_paused_for_value",
         "_command_began_ns",
         "_last_read_ns",
     )
@@ -97,7 +47,7 @@
         self.transport: asyncio.Transport | None = None
         self.idle_since_ns = 0
         self.command_count = 0  # complete, valid commands received
-        self.input_age = InputAge(listener.dispatcher, listener.host)
+        self.reading = ReadingControl(listener.dispatcher, listener.host)
         # Accepted from a queue that no process served for a time. For the first input the system reports only
         # when its last bytes were received, so commands before the last are rejected for their unknown age.
         self.from_inherited_queue = False
@@ -106,8 +56,6 @@
         self._closer: ConnectionCloser | None = None  # set by `connection_made`
         self._flush_scheduled = False
         self._writing_paused = False  # the client does not read its answers
-        self._reading_paused = False
-        self._paused_for_value = False  # reading was paused as the value being written could still be cut off
         self._command_began_ns = 0  # when the incomplete command began; 0: there is none
         self._last_read_ns = 0
 
@@ -132,7 +80,7 @@
         if self._closer.reading_ended:
             self._closer.discard(size)
             return
-        read_buffer, input_age = self.listener.read_buffer, self.input_age
+        read_buffer, input_age = self.listener.read_buffer, self.reading.input_age
         if not input_age.may_have_waited:
             self._process_input(bytes(read_buffer[:size]))
             return
@@ -201,7 +149,8 @@
         dispatcher, listener = self.dispatcher, self.listener
         request_id, now = dispatcher.next_request_id(), dispatcher.now_ns()
         try:
-            age_ns = self.input_age.last_ns if is_last else self.input_age.first_ns
+            input_age = self.reading.input_age
+            age_ns = input_age.last_ns if is_last else input_age.first_ns
             call, request = listener.reader.read(arguments, request_id, now - age_ns)
             if call.id in listener.open_requests:  # backends would take it for a retry of that request
                 raise CallError("the id of an open request")
@@ -230,8 +179,7 @@
         self._closer.set_reason(reason)
         self._reply(resp.encode_error(problem))
         if self._answers.pending:  # earlier requests are answered first; reading pauses until then
-            self._reading_paused = True
-            self.transport.pause_reading()
+            self.reading.pause(self.transport)
 
     def _update_reading(self) -> None:
         """Pauses or resumes reading, depending on unanswered commands and unread answers."""
@@ -241,18 +189,8 @@
             or len(answers.pending) > self.dispatcher.limits.max_pipelined
             or answers.may_be_cut_off
         )
-        if answers.may_be_cut_off:
-            self._paused_for_value = True
-        if pause == self._reading_paused or self._closer.reading_ended or self.transport.is_closing():
-            return
-        self._reading_paused = pause
-        self._paused_for_value &= pause
-        if pause:
-            self.transport.pause_reading()
-            self.input_age.on_pause()
-        else:
-            self.input_age.may_have_waited = True
-            self.transport.resume_reading()
+        if not self._closer.reading_ended and not self.transport.is_closing():
+            self.reading.update(self.transport, pause=pause, value_may_be_cut_off=answers.may_be_cut_off)
 
     # ---- answers
 
@@ -278,7 +216,7 @@
         elif answer.kind is REJECTED:
             session.reply = resp.encode_busy(answer.retry_after_ms)
         else:
-            session.reply = resp.encode_error("failed")
+            session.reply = FAILED_ANSWER
         self._schedule_flush()
 
     def on_stream_progress(self) -> None:
@@ -307,25 +245,21 @@
             self.idle_since_ns = self.dispatcher.now_ns()
             closer, listener = self._closer, self.listener
             closing = closer.reading_ended or listener.closing or listener.standby or closer.draining
-            if closing and not self._has_input_behind_value():
+            if closing and not self._has_unread_commands():
                 self._close_when_written(CloseReason.SHUTDOWN if listener.closing else CloseReason.STANDBY)
                 return
         only_session = answers.only_session
         if only_session is not None and only_session.arriving is not None:
             only_session.arriving.forward_value()
-        if self._reading_paused:
+        if self.reading.paused:
             self._update_reading()
-            if self._reading_paused:
-                self.input_age.check_socket(self.transport)
+            self.reading.check_socket(self.transport)
 
-    def _has_input_behind_value(self) -> bool:
-        """Whether commands came during the value that was written last, and are not read yet."""
-        return (
-            self._paused_for_value
-            and not self._closer.reading_ended
-            and not self.transport.is_closing()
-            and self.dispatcher.readable(self.transport)
-        )
+    def _has_unread_commands(self) -> bool:
+        """Whether commands came while a value was forwarded, and are not read yet."""
+        if self._closer.reading_ended or self.transport.is_closing():
+            return False
+        return self.reading.paused_for_value and self.dispatcher.readable(self.transport)
 
     def _write_ready(self) -> None:
         """Writes what is ready; of a stream, as much as the client reads."""
@@ -370,9 +304,7 @@
         A client that sent a command after the FIN has to send it on another connection.
         """
         if self._closer.send_eof():
-            if self._reading_paused:
-                self._reading_paused = False
-                self.transport.resume_reading()
+            self.reading.resume(self.transport)
             self._closer.abort_if_stalled(None)
 
     def check_timeouts(self, now: int) -> None:
@@ -381,7 +313,7 @@
         This bounds the cost of clients that send nothing, never complete a command, or stay idle, and the
         work of backends for a client that disconnected while reading was paused.
         """
-        if self._reading_paused and self.has_disconnected():
+        if self.reading.paused and self.has_disconnected():
             return
         if self._closer.reading_ended or self._answers.pending or self.transport.is_closing():
             return
--- a/zincstile/net/clients/listener.py
+++ b/zincstile/net/clients/listener.py
@@ -15,7 +15,8 @@
 from ..reasons import CloseReason, GatewayRejection
 from ..session import Session
 from .call_reader import CallReader
-from .connection import ClientConnection, ConnectionState
+from .connection import ClientConnection
+from .connection_types import ConnectionState
 from .eviction import evict_one
 
 # Answers to PING; after an error the front balancer sends new connections elsewhere.
@@ -158,8 +159,8 @@
         # It may have connected and sent a request while accepting was paused, on an inherited socket even
         # before this process started
         elapsed_ns = self.dispatcher.now_ns() - self._resumed_ns
-        client.input_age.may_have_waited = elapsed_ns < self.dispatcher.limits.new_client_grace_ns
-        client.from_inherited_queue = client.input_age.may_have_waited and self.inherited
+        client.reading.input_age.may_have_waited = elapsed_ns < self.dispatcher.limits.new_client_grace_ns
+        client.from_inherited_queue = client.reading.input_age.may_have_waited and self.inherited
 
     def on_disconnected(self, client: ClientConnection) -> None:
         """Removes a closed connection; accepting may resume."""
