scale: a gateway that finds two moves of discovery at once has nothing to follow

Seen: test_scale::test_a_small_run_has_every_sample failed once in the whole suite and in 2 of 6 runs beside four busy processes and other tests: 'config_changes_per_s=5 hollow: 1 gateways did not follow their configurations'.

Cause: the measurement moves discovery between two addresses every 200 ms. A gateway that gets no processor time for one interval finds its configuration at the address that it watches already, opens nothing, and was waited for in vain.

Not reproduced by load alone: 5 of 5 passed beside eight busy processes.

Change: PendingReloads knows where each gateway's watch is open, and waits only for one that has to move. Test: test_a_gateway_that_finds_two_changes_of_its_configuration_at_once_has_nothing_to_follow; the code before had no part that it could call.

--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -21,6 +21,7 @@
 from zincstile.cli import scale_slopes
 from zincstile.scale import charts, load, records, slopes, tables, topology
 from zincstile.scale.emulators import EndpointTable
+from zincstile.scale.pending_reloads import PendingReloads
 from zincstile.scale.records import Dimension, Figure, Kind
 from zincstile.serialization.errors import FileError
 
@@ -230,6 +231,22 @@
         assert (sample.figure(Figure.MASS_FAILURE_IN_FORCE_S) is not None) == struck
 
 
+def test_a_gateway_that_finds_two_changes_of_its_configuration_at_once_has_nothing_to_follow():
+    """Guards against a measurement that fails where a gateway got no processor time for one interval."""
+    pending = PendingReloads(0)
+    pending.configured(7, 1, 1.0)
+    assert len(pending) == 1
+    pending.configured(7, 0, 1.2)
+    assert len(pending) == 0
+    pending.configured(7, 1, 1.4)
+    assert pending.watch_opened(7, 0, 1, 1.5) is None
+    assert len(pending) == 1
+    assert pending.watch_opened(7, 1, 1, 1.9) == 0.5
+    assert len(pending) == 0
+    pending.configured(7, 0, 2.0)
+    assert len(pending) == 1
+
+
 FORCED = {Dimension.BACKENDS, Dimension.TABLE_CHANGES_PER_S, Dimension.CONFIG_CHANGES_PER_S}
 
 
--- a/zincstile/scale/point.py
+++ b/zincstile/scale/point.py
@@ -19,6 +19,7 @@
 from . import load, mass_failure
 from .configuration import PLAN, QUOTA_PER_S, GatewaySpec, configuration
 from .emulators import SHARES_IN_DATAGRAM, Discovery, EndpointTable, FakeBackends, FakePeers, Traffic
+from .pending_reloads import PendingReloads
 from .records import Dimension, Figure, Kind, Sample
 from .subjects import Subject, SubjectError
 from .topology import Topology, with_sizes
@@ -263,11 +264,12 @@
 
     async def _reloads(self) -> tuple[Window, Figure]:
         """Configurations that have discovery elsewhere, each announced by SIGHUP."""
-        pending: dict[int, float] = {}  # gateway: since when its new discovery waits to be asked
+        pending = PendingReloads(self._place)
 
         def arrived(gateway: int, place: int) -> None:
-            if place == self._place and gateway in pending:
-                self.delays.append(self.loop.time() - pending.pop(gateway))
+            delay_s = pending.watch_opened(gateway, place, self._place, self.loop.time())
+            if delay_s is not None:
+                self.delays.append(delay_s)
 
         def reload() -> None:
             self._place = 1 - self._place
@@ -276,7 +278,7 @@
             def change(table: dict[str, Any]) -> None:
                 number = int(table["listen"].rsplit(":", 1)[0].rsplit(".", 1)[1]) - 1
                 table["discovery"] = self.discovery.address(number, place)
-                pending.setdefault(number, self.loop.time())
+                pending.configured(number, place, self.loop.time())
 
             self.subject.reload(change)
 
