testbed: the clients' connections are closed at the end of a run

Left behind by a rename: Run.clean_up asked for an attribute front, which is load_balancer now, so that the clients of a run were never closed. Change: the name. Test: test_the_connections_of_the_clients_are_closed_at_the_end_of_a_run, failed on the code before (['tasks']).

--- a/tests/test_testbed.py
+++ b/tests/test_testbed.py
@@ -11,12 +11,14 @@
 import sys
 import time
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 
 from zincstile.simulation import plan, traffic
 from zincstile.simulation.run import Run
 from zincstile.testbed import places, report, result, sweep
+from zincstile.testbed import run as testbed_run
 from zincstile.testbed.fault_proxy import FaultProxy
 from zincstile.virtual.network_faults import NO_FAULT, NetworkFaults, PathFault, paths_between
 
@@ -41,6 +43,20 @@
     return sweep.play_plan(plan.load(path), Path(folder), Path(path).stem, {})
 
 
+def test_the_connections_of_the_clients_are_closed_at_the_end_of_a_run():
+    """Guards against a clean-up that asks for the load balancer by another name than it has."""
+    closed = []
+    testbed = SimpleNamespace(
+        nodes=[],
+        backends={},
+        quota_services={},
+        load_balancer=SimpleNamespace(close=lambda: closed.append("clients")),
+        cancel_tasks=lambda: closed.append("tasks"),
+    )
+    testbed_run.Run.clean_up(testbed)
+    assert closed == ["clients", "tasks"]
+
+
 @pytest.fixture(scope="module")
 def results(tmp_path_factory):
     """Results of all plans, three played in parallel: verdicts rest on bounds and counts, not on speed."""
--- a/zincstile/testbed/run.py
+++ b/zincstile/testbed/run.py
@@ -246,7 +246,7 @@
             proxy.close()
         if hasattr(self, "datagrams"):
             self.datagrams.close()
-        if hasattr(self, "front"):
+        if hasattr(self, "load_balancer"):
             self.load_balancer.close()
         self.cancel_tasks()
 
