--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from zincstile.cli import testbed as testbed_command
 from zincstile.simulation import plan, soak
 from zincstile.simulation.plan import Fault, Plan
 from zincstile.testbed import sweep
@@ -33,6 +34,11 @@
     assert plan.load(tmp_path / "plan.yaml") == drawn
 
 
+def test_a_soak_without_a_seed_is_that_of_seed_1_and_seed_0_is_its_own():
+    assert testbed_command._plan(None, None, 10) == soak.draw(1, 10)
+    assert testbed_command._plan(None, 0, 10) == soak.draw(0, 10)
+
+
 def test_every_group_and_every_fault_of_a_machine_is_drawn():
     seeds = range(200)
     assert {name for seed in seeds for name in soak.groups(seed)} == set(soak.GROUPS)
--- a/zincstile/cli/testbed.py
+++ b/zincstile/cli/testbed.py
@@ -44,7 +44,7 @@
 
     if (path is None) == (gateways is None):
         raise BadInputError("testbed run: give either PLAN.yaml, or --soak GATEWAYS with --seed")
-    return load(path, seed) if path is not None else soak.draw(seed or 1, gateways)
+    return load(path, seed) if path is not None else soak.draw(1 if seed is None else seed, gateways)
 
 
 @command.command("run")
--- a/zincstile/simulation/shared.py
+++ b/zincstile/simulation/shared.py
@@ -57,9 +57,7 @@
     ]
 
 
-def _alternating_traffic(
-    rng: random.Random, groups: list[list[int]], begin_ms: int, length_ms: int, phases: int
-) -> list[Fault]:
+def _alternating_traffic(groups: list[list[int]], begin_ms: int, length_ms: int, phases: int) -> list[Fault]:
     """Sends all traffic to each group of a partition in turn."""
     step_ms = length_ms // phases
     return [Fault("move", begin_ms + k * step_ms, step_ms, groups[k % len(groups)]) for k in range(phases)]
@@ -80,7 +78,7 @@
 def _thirds(rng: random.Random, gateways: int, begin_ms: int, length_ms: int) -> list[Fault]:
     groups = _draw_groups(rng, gateways, 3)
     return _partition_faults(groups, begin_ms, length_ms) + _alternating_traffic(
-        rng, groups, begin_ms, length_ms, len(groups)
+        groups, begin_ms, length_ms, len(groups)
     )
 
 
--- a/zincstile/simulation/start_model.py
+++ b/zincstile/simulation/start_model.py
@@ -144,7 +144,6 @@
         lists_per_s: float,
         seed: int = 1,
         loss: float = 0.03,
-        start_spread_s: float = 0.5,
         settings: ColdStartSettings | None = None,
         load_ratio: float = 2.0,
     ) -> None:
--- a/zincstile/simulation/traffic.py
+++ b/zincstile/simulation/traffic.py
@@ -10,7 +10,7 @@
 
 import math
 import random
-from typing import Any
+from typing import Any, Final
 
 from ..checkers.rules import ClassRule, DeduplicationScope, Idempotency, PlanRule, RuleLimits
 from ..decisions.quota_bounds import Quota
@@ -22,7 +22,8 @@
 
 MS = 1_000_000
 ZONES = ["zone-03", "zone-04", "zone-05"]
-WARM_UP_MS, COLD_WINDOW_MS, MAX_DEADLINE_MS = 6000, 3000, 3000
+WARM_UP_MS: Final = 6000
+COLD_WINDOW_MS: Final = 3000
 DEDUPLICATION_WINDOW_MS = 6000
 ASK_WITHIN_MS = 10_000  # the longest interval between polls of discovery, where it is polled
 WORK_MS = {"sheet-read": 80, "profiles-save": 50, "new-order": 50, "key-change": 50}  # per unit
