--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -682,6 +682,7 @@
                 if time.monotonic() > until:
                     raise CannotRun("a gateway does not get ready")
                 await asyncio.sleep(0.05)
+
     def check_alive(self) -> None:
         for gateway in self.gateways:
             if gateway.ended() is not None:
