Tests: reserve ports of gateways, and read forwarded calls from any connection

Cause: two tests were unsteady, both through the test. free_port closed the port that it had found, so that a listener of the harness could get it before the gateway did. The test of commands that waited unread looked for the last command on the second connection, but the gateway may forward it on a third one if it reads the first answer before the second is written.

Change: a bound socket that does not listen reserves the port until the test process ends. The forwarded calls are read from whichever connection they come on, and the test runs with its answers 0 and 20 ms apart; what it asserts about the times is unchanged.

--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -44,6 +44,7 @@
 import os
 import queue
 import re
+import selectors
 import signal
 import socket
 import struct
@@ -52,6 +53,7 @@
 import threading
 import time
 
+from ports import reserve_port
 from test_wire import SETTINGS
 
 # Each test process uses its own loopback address. A gateway may still connect to the port of a closed
@@ -120,10 +122,9 @@
     return "{}:{}".format(*sock.getsockname()[:2])
 
 
-def free_address():
-    """HOST:PORT of a TCP port that is free at the moment, for `control` in a configuration."""
-    with open_listener() as sock:
-        return address_of(sock)
+def reserve_address():
+    """HOST:PORT of a TCP port that only a gateway can listen on, for `control` in a configuration."""
+    return f"{LOOPBACK_ADDRESS}:{reserve_port(LOOPBACK_ADDRESS)}"
 
 
 def encode_command(words):
@@ -257,6 +258,26 @@
             self.connections[f"{name[0]}{number}"] = RespConnection(self.listeners[name[0]].accept()[0])
         return self.connections[name]
 
+    def read_next_calls(self, backend, count):
+        """The next calls that reach this backend, on whichever of its connections they come."""
+        calls = []
+        with selectors.DefaultSelector() as selector:
+            selector.register(self.listeners[backend], selectors.EVENT_READ)
+            for name, connection in self.connections.items():
+                if name[0] == backend:
+                    selector.register(connection.sock, selectors.EVENT_READ, connection)
+            while len(calls) < count:
+                ready = selector.select(TIMEOUT_S)
+                assert ready, f"{len(calls)} of {count} calls reached {backend}"
+                for key, _ in ready:
+                    if key.data is None:
+                        number = 1 + sum(name[0] == backend for name in self.connections)
+                        connection = self.connection(f"{backend}{number}")
+                        selector.register(connection.sock, selectors.EVENT_READ, connection)
+                    else:
+                        calls.append(key.data.read_message())
+        return calls
+
     def fill_backlog(self, name):
         """Fills the accept backlog of a listener, so that further connections to it hang in connect."""
         self.listeners[name].listen(0)
--- a/tests/stored_gateway.py
+++ b/tests/stored_gateway.py
@@ -20,6 +20,7 @@
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
+from ports import reserve_port
 from scenario import ROOT, RespConnection, encode_command, settings
 
 GATEWAY = "n0"  # its name in the stored files
@@ -80,7 +81,7 @@
 
     def __init__(self, folder: Path, config: dict, listening: socket.socket) -> None:
         self.folder, self.listening = folder, listening
-        self.control = ("127.0.0.1", free_port(socket.SOCK_STREAM))
+        self.control = ("127.0.0.1", reserve_port("127.0.0.1"))
         self.log = folder / f"log-{config['seed']}"
         path = folder / f"config-{config['seed']}.json"
         path.write_text(json.dumps(config))
@@ -151,7 +152,7 @@
         self.backends = {name: StubBackend(name == broken) for name in BACKENDS}
         self.silent_discovery = socket.create_server(("127.0.0.1", 0))
         self.listening = [socket.create_server(("127.0.0.1", 0)) for _ in range(2)]
-        self.peers = [f"127.0.0.1:{free_port(socket.SOCK_DGRAM)}" for _ in range(2)]
+        self.peers = free_datagram_addresses(2)
 
     def config(self, ordinal: int, seed: str) -> dict:
         """The configuration of a process of gateway `n<ordinal>`."""
@@ -206,11 +207,15 @@
         started_fleet.tear_down()
 
 
-def free_port(kind: int) -> int:
-    """A loopback port that is free at the moment."""
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def free_datagram_addresses(count: int) -> list[str]:
+    """Different loopback addresses for datagrams that are free at the moment."""
+    with contextlib.ExitStack() as probes:
+        sockets = [
+            probes.enter_context(socket.socket(socket.AF_INET, socket.SOCK_DGRAM)) for _ in range(count)
+        ]
+        for sock in sockets:
+            sock.bind(("127.0.0.1", 0))
+        return ["{}:{}".format(*sock.getsockname()) for sock in sockets]
 
 
 def record(folder: Path) -> None:
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -90,16 +90,23 @@
     )
 
 
-def test_commands_that_waited_unread_are_forwarded_with_what_is_left_of_their_time(tmp_path):
-    """Guards against giving all of them the age of the last one, when reading was paused for long."""
+@pytest.mark.parametrize("answers_apart_s", [0.0, 0.02])
+def test_commands_that_waited_unread_are_forwarded_with_what_is_left_of_their_time(tmp_path, answers_apart_s):
+    """Guards against giving all of them the age of the last one, when reading was paused for long.
+
+    If the gateway reads the first answer before the second is written, it forwards the waiting commands while
+    the second connection is still busy; so they may come on any connection.
+    """
     pause_s, timeout_ms = 0.6, 20_000
     with GatewayHarness(tmp_path, {"limits": {"pipelined": 1}}) as harness:
         harness.run(
             READY + "send c1 look 1\nsend c1 look 2\nexpect a1 look *\nexpect a2 look *\nsend c1 look 3"
         )
         time.sleep(pause_s)
-        harness.run("send c1 look 4\nsend a1 ok same\nsend a2 ok same\nexpect c1 ok same\nexpect c1 ok same")
-        forwarded = [harness.connection(name).read_message() for name in ("a1", "a2")]
+        harness.run("send c1 look 4\nsend a1 ok same")
+        time.sleep(answers_apart_s)
+        harness.run("send a2 ok same\nexpect c1 ok same\nexpect c1 ok same")
+        forwarded = harness.read_next_calls("a", count=2)
         told_ms = {
             int(words[2], 16): int(re.search(rb"(?:^|,)d=(\d+)", words[3]).group(1)) for words in forwarded
         }
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -30,7 +30,7 @@
     address_of,
     call_command,
     encode_command,
-    free_address,
+    reserve_address,
     run_scenario,
 )
 
@@ -337,7 +337,7 @@
 def test_standby_keeps_new_connections_for_a_first_request(tmp_path):
     """Its first request may be in transit, as at shutdown. It is answered; then the connection is closed."""
     limits = {"newcomer_ns": FOREVER_NS, "standby_rest_ns": FOREVER_NS}
-    with GatewayHarness(tmp_path, {"control": free_address(), "limits": limits}) as harness:
+    with GatewayHarness(tmp_path, {"control": reserve_address(), "limits": limits}) as harness:
         harness.run(READY + "open c1\nwait gw clients=1")
         harness.post("/standby")
         harness.run("""
--- a/tests/test_large_values.py
+++ b/tests/test_large_values.py
@@ -15,7 +15,7 @@
     RespConnection,
     call_command,
     encode_command,
-    free_address,
+    reserve_address,
 )
 from threaded_backend import ThreadedBackend, encode_answer, request_number
 
@@ -156,7 +156,7 @@
 
 @pytest.mark.parametrize("call", ["TERM", "standby"])
 def test_requests_behind_a_value_cut_off_during_a_shutdown_or_standby_are_answered(tmp_path, call):
-    config = {"limits": NO_QUIET_PERIOD, "control": free_address()}
+    config = {"limits": NO_QUIET_PERIOD, "control": reserve_address()}
     with GatewayHarness(tmp_path, config) as harness:
         Backend(harness, {1: MIB}, "close", pause_s=0.5).start()
         harness.run(READY)
--- a/tests/test_machine.py
+++ b/tests/test_machine.py
@@ -16,6 +16,7 @@
 import time
 
 import pytest
+from ports import reserve_port
 from scenario import (
     LOOPBACK_ADDRESS,
     ROOT,
@@ -39,18 +40,13 @@
 }
 
 
-def free_port() -> int:
-    with socket.create_server((LOOPBACK_ADDRESS, 0)) as sock:
-        return sock.getsockname()[1]
-
-
 class Machine(GatewayHarness):
     """A gateway process under the shim, with an admin endpoint."""
 
     def __init__(self, folder, listening=None, **config):
         """listening: the clients' socket, inherited from the platform."""
         self.shim, self.listening = ShimControl(folder / "shim"), listening
-        self.admin_address = (LOOPBACK_ADDRESS, free_port())
+        self.admin_address = (LOOPBACK_ADDRESS, reserve_port(LOOPBACK_ADDRESS))
         super().__init__(folder, {"control": "{}:{}".format(*self.admin_address)} | config)
 
     def command(self):
@@ -235,7 +231,7 @@
     with machine(tmp_path / "m", limits=LONG_WATCH_TIMEOUTS) as harness:
         harness.expect("d1", "request")
         old, old_admin_address = harness.program, harness.admin_address
-        harness.admin_address = (LOOPBACK_ADDRESS, free_port())
+        harness.admin_address = (LOOPBACK_ADDRESS, reserve_port(LOOPBACK_ADDRESS))
         table = harness.config | {"control": "{}:{}".format(*harness.admin_address), "seed": "77"}
         harness.config_path.write_text(json.dumps(table | {"known": {}}))
         harness.launch()
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -16,6 +16,7 @@
 import threading
 import time
 
+from ports import reserve_port
 from scenario import (
     CUSTOMER,
     ROOT,
@@ -76,7 +77,7 @@
         silent: socket.socket,
         limits: dict[str, int],
     ) -> None:
-        self.admin_address = ("127.0.0.1", _free_port())
+        self.admin_address = ("127.0.0.1", reserve_port("127.0.0.1"))
         endpoint = {
             "name": "s-a",
             "address": address_of(backend.sock),
@@ -154,12 +155,6 @@
         listening.close()
 
 
-def _free_port() -> int:
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
-
-
 def request(number: int, plan: str = "team") -> bytes:
     return encode_command(
         ["CALL.GET", CUSTOMER, f"{number:016x}", f"c=look,t={plan},d=2000,units=1,spread=1,first=0"]
