Judge slow readers by what their machine acknowledges, not by the write buffer

Cause: a connection counted as idle once the last bytes were with the transport, and as stalled where the write buffer of the process had not shrunk for 2.2 s. The system takes more of that buffer only once a third of its own send buffer is free, over a megabyte. Seen with a probe in a scratch copy (trial): reason IDLE, 65,538 bytes in the buffer at both checks, while the unacknowledged bytes fell from 3,768,320 to 3,719,168.

Change: DeliveryMonitor takes what the client's machine has acknowledged (SIOCOUTQ) for progress. Idle timeout, standby, eviction and the lingering close ask it alone: 10 s without progress, 2.2 s in a standby, a shutdown or where the descriptor is needed. A client that stops reading in the middle of a value is closed by the same rule; before, it never was, and the check of its backend made itself due again at once, which took a whole core. The time that a client did not read no longer counts as silence of its backend.

Why it works: acknowledgements come with each piece that the client reads, whatever the buffers on this side hold.

--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -5,9 +5,13 @@
 import contextlib
 import threading
 import time
+from types import SimpleNamespace
 
 from scenario import READY, GatewayHarness
 
+from zincstile.net.backends.connection import BackendConnection
+from zincstile.net.backends.streaming import AnswerStreams
+from zincstile.net.limits import SECOND, Limits
 from zincstile.net.resp import parse_stream_head
 from zincstile.net.value_stream import ValueStream
 
@@ -130,3 +134,40 @@
     stream.abandon()
     stream.end(truncated=False)  # no effect: it is truncated already
     assert calls == ["progress", "progress", "taken", "abandon"] and stream.truncated and not stream.complete
+
+
+def test_the_time_that_a_client_did_not_read_is_no_silence_of_the_backend():
+    """Guards against cutting a value off, past its deadline, as soon as its client reads on after a pause."""
+    clock = SimpleNamespace(now_ns=0)
+    checks, aborted = [], []
+    dispatcher = SimpleNamespace(
+        limits=Limits(),
+        now_ns=lambda: clock.now_ns,
+        deadlines=SimpleNamespace(add=lambda at_ns, check, attempt: checks.append(at_ns)),
+        log=SimpleNamespace(line_limited=lambda *_: None),
+    )
+    owner = SimpleNamespace(dispatcher=dispatcher)
+    connection = BackendConnection(owner, SimpleNamespace(address="a"), None)
+    connection.transport = SimpleNamespace(
+        pause_reading=lambda: None,
+        resume_reading=lambda: None,
+        is_closing=lambda: False,
+        abort=lambda: aborted.append(clock.now_ns),
+    )
+    connection.stream = ValueStream(connection)
+    connection.wait_for_client()
+    attempt = SimpleNamespace(
+        connection=connection, deadline=None, session=SimpleNamespace(deadline_ns=SECOND)
+    )
+    streams = AnswerStreams(dispatcher, None, None)
+    stall_ns = dispatcher.limits.stream_stall_ns
+
+    clock.now_ns = 10 * stall_ns
+    streams._check_stalled(attempt)
+    assert checks == [clock.now_ns + stall_ns]  # not again at once, which would take a whole core
+    connection.on_taken()
+    streams._check_stalled(attempt)
+    assert checks[1:] == [clock.now_ns + stall_ns] and not aborted
+    clock.now_ns += stall_ns
+    streams._check_stalled(attempt)
+    assert aborted
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -142,6 +142,7 @@
     def __init__(self):
         self.time_ns = HOST.monotonic_ns()
         self.unix_ns, self.readable, self.peer_has_ended = HOST.unix_ns, HOST.readable, HOST.peer_has_ended
+        self.unacknowledged_bytes = HOST.unacknowledged_bytes
 
     def monotonic_ns(self):
         return self.time_ns
--- a/zincstile/net/backends/connection.py
+++ b/zincstile/net/backends/connection.py
@@ -262,6 +262,7 @@
         """Called when the client has read what was received of the value."""
         if self.waits_for_client:
             self.waits_for_client = False
+            self.last_received_ns = self.owner.dispatcher.now_ns()  # nothing could be received meanwhile
             self._resume()
 
     def throttle(self, until_ns: int) -> None:
--- a/zincstile/net/backends/streaming.py
+++ b/zincstile/net/backends/streaming.py
@@ -236,7 +236,7 @@
         now_ns, limits = self.dispatcher.now_ns(), self.dispatcher.limits
         stalled_ns = max(connection.last_received_ns + limits.stream_stall_ns, attempt.session.deadline_ns)
         if stalled_ns > now_ns or connection.waits_for_client:
-            next_check_ns = max(stalled_ns, now_ns + 1)
+            next_check_ns = stalled_ns if stalled_ns > now_ns else now_ns + limits.stream_stall_ns
             attempt.deadline = self.dispatcher.deadlines.add(next_check_ns, self._check_stalled, attempt)
             return
         address = connection.backend.address
--- a/zincstile/net/clients/closer.py
+++ b/zincstile/net/clients/closer.py
@@ -7,11 +7,15 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Final
 
 from ..deadlines import DeadlineKey
 from ..dispatcher import Dispatcher
 from ..reasons import CloseReason
 from .answer_queue import AnswerQueue
+from .delivery import DeliveryMonitor
+
+NS_PER_MS: Final = 1_000_000
 
 
 class ConnectionCloser:
@@ -23,22 +27,31 @@
         "reading_ended",
         "reason",
         "_answers",
+        "_delivery",
         "_discarded_bytes",
         "_dispatcher",
         "_name",
-        "_stall_deadline",
+        "_progress_check",
         "_transport",
+        "_waiting_since_ns",
     )
 
     def __init__(
-        self, dispatcher: Dispatcher, transport: asyncio.Transport, answers: AnswerQueue, name: str
+        self,
+        dispatcher: Dispatcher,
+        transport: asyncio.Transport,
+        answers: AnswerQueue,
+        delivery: DeliveryMonitor,
+        name: str,
     ) -> None:
         """`name` identifies the connection in the log."""
         self._dispatcher = dispatcher
         self._transport = transport
         self._answers = answers
+        self._delivery = delivery
         self._name = name
-        self._stall_deadline: DeadlineKey | None = None  # calls `abort_if_stalled`
+        self._progress_check: DeadlineKey | None = None  # calls `check_progress`
+        self._waiting_since_ns = 0  # since when the client is expected to read, or to close its side
         self._discarded_bytes = 0
         self.reason: CloseReason | None = None  # set when this side closes it
         self.draining = False  # the FIN is sent once the write buffer is empty
@@ -52,7 +65,12 @@
     @property
     def is_lingering(self) -> bool:
         """Whether all output and the FIN are sent, so that only the client's close is awaited."""
-        return bool(self.eof_sent_ns) and not self._transport.get_write_buffer_size()
+        return bool(self.eof_sent_ns) and self._delivery.update()
+
+    @property
+    def checks_progress(self) -> bool:
+        """Whether the close has begun, so that `check_progress` bounds how long it takes."""
+        return self.draining or bool(self.eof_sent_ns)
 
     def discard(self, size: int) -> None:
         """Counts discarded input; aborts the connection if there is too much of it."""
@@ -64,13 +82,13 @@
         """Waits until the write buffer is empty; the transport then calls `resume_writing`."""
         self.draining = True
         self._transport.set_write_buffer_limits(high=0)
-        self.abort_if_stalled(None)
+        self._wait_for_client()
 
     def stop_draining(self) -> None:
         """Postpones the close, as another command was received; its answer starts the close again."""
         self.draining = False
         self.reason = None
-        self._dispatcher.deadlines.cancel(self._stall_deadline)
+        self._dispatcher.deadlines.cancel(self._progress_check)
         self._transport.set_write_buffer_limits(high=self._dispatcher.limits.unread_answer_bytes)
 
     def send_eof(self) -> bool:
@@ -85,6 +103,7 @@
         except OSError:  # the client has reset it since the last check
             self.abort(CloseReason.CLOSED_BY_CLIENT)
             return False
+        self._wait_for_client()
         return True
 
     def abort(self, reason: CloseReason) -> None:
@@ -100,28 +119,44 @@
         self.set_reason(reason)
         self._transport.abort()
 
-    def abort_if_stalled(self, previous_unsent_bytes: int | None) -> None:
-        """Aborts if the client neither reads nor closes its side; otherwise checks again later.
+    def abort_stalled(self) -> None:
+        """Aborts, as the client has received nothing more of the output for too long."""
+        stalled_ms = (self._dispatcher.now_ns() - self._delivery.progress_ns) // NS_PER_MS
+        self._dispatcher.log.line_limited(
+            "stalled",
+            f"{self._name}: {self._delivery.undelivered_bytes} bytes not delivered, "
+            f"no progress for {stalled_ms} ms",
+        )
+        self.abort(CloseReason.STALLED)
+
+    def _wait_for_client(self) -> None:
+        """Starts to check whether the client reads the output, or closes its side after it."""
+        self._waiting_since_ns = self._dispatcher.now_ns()
+        self._delivery.update()
+        self._schedule_progress_check()
+
+    def _schedule_progress_check(self) -> None:
+        deadlines = self._dispatcher.deadlines
+        deadlines.cancel(self._progress_check)
+        at_ns = self._dispatcher.now_ns() + self._dispatcher.limits.lingering_close_ns
+        self._progress_check = deadlines.add(at_ns, self.check_progress)
+        self._dispatcher.wake()
 
-        `previous_unsent_bytes` is the size of the write buffer at the last check, None at the first one.
-        """
+    def check_progress(self, _: object = None) -> None:
+        """Aborts if the client makes no progress with the output, or does not close its side after it."""
         if self._transport.is_closing():
             return
         limits = self._dispatcher.limits
-        unsent_bytes = self._transport.get_write_buffer_size()
-        if (
-            previous_unsent_bytes is not None
-            and unsent_bytes >= previous_unsent_bytes
-            and not self._answers.pending
-        ):
+        delivered = self._delivery.update()
+        since_ns = max(self._waiting_since_ns, self._delivery.progress_ns)
+        waited_ns = self._dispatcher.now_ns() - since_ns
+        max_wait_ns = limits.lingering_close_ns if delivered else limits.client_silence_timeout_ns
+        if waited_ns < max_wait_ns or self._answers.pending:
+            self._schedule_progress_check()
+        elif delivered:
             self.abort(CloseReason.STALLED)
-            return
-        wait_ns = limits.client_silence_timeout_ns if unsent_bytes else limits.lingering_close_ns
-        deadlines = self._dispatcher.deadlines
-        deadlines.cancel(self._stall_deadline)
-        at_ns = self._dispatcher.now_ns() + wait_ns
-        self._stall_deadline = deadlines.add(at_ns, self.abort_if_stalled, unsent_bytes)
-        self._dispatcher.wake()
+        else:
+            self.abort_stalled()
 
     def _check_none_follows(self) -> None:
         """Logs a violation if requests follow the truncated value: their answers can't be written."""
--- a/zincstile/net/clients/connection.py
+++ b/zincstile/net/clients/connection.py
@@ -13,6 +13,7 @@
 from .call_reader import CallError
 from .closer import ConnectionCloser
 from .connection_types import ConnectionState, Listener
+from .delivery import DeliveryMonitor
 from .reading import ReadingControl
 
 SERVED, REJECTED = AnswerKind.SERVED, AnswerKind.REJECTED
@@ -33,6 +34,7 @@
         "_parser",
         "_answers",
         "_closer",
+        "_delivery",
         "_flush_scheduled",
         "_writing_paused",
         "_command_began_ns",
@@ -53,7 +55,8 @@
         self.from_inherited_queue = False
         self._parser = resp.CommandParser(self.dispatcher.limits)
         self._answers = AnswerQueue()
-        self._closer: ConnectionCloser | None = None  # set by `connection_made`
+        self._closer: ConnectionCloser | None = None  # set by `connection_made`, as the next
+        self._delivery: DeliveryMonitor | None = None
         self._flush_scheduled = False
         self._writing_paused = False  # the client does not read its answers
         self._command_began_ns = 0  # when the incomplete command began; 0: there is none
@@ -66,7 +69,10 @@
         dispatcher = self.dispatcher
         self.transport = transport  # type: ignore[assignment]
         self.transport.set_write_buffer_limits(high=dispatcher.limits.unread_answer_bytes)
-        self._closer = ConnectionCloser(dispatcher, self.transport, self._answers, f"connection {id(self)}")
+        self._delivery = DeliveryMonitor(dispatcher, self.transport)
+        self._closer = ConnectionCloser(
+            dispatcher, self.transport, self._answers, self._delivery, f"connection {id(self)}"
+        )
         self.idle_since_ns = dispatcher.now_ns()
         self.counters.clients += 1
         self.listener.on_connected(self)
@@ -268,7 +274,9 @@
             ready = answers.take_ready(max_stream_bytes=0 if self._writing_paused else max_stream_bytes)
             if not ready or self.transport.is_closing():
                 return
-            self.transport.write(ready[0] if len(ready) == 1 else b"".join(ready))
+            output = ready[0] if len(ready) == 1 else b"".join(ready)
+            self._delivery.on_written(len(output))
+            self.transport.write(output)
             if answers.head_stream is None or self._writing_paused:
                 return
 
@@ -305,7 +313,6 @@
         """
         if self._closer.send_eof():
             self.reading.resume(self.transport)
-            self._closer.abort_if_stalled(None)
 
     def check_timeouts(self, now: int) -> None:
         """Closes the connection if a timeout has expired; called periodically by the listener.
@@ -315,17 +322,37 @@
         """
         if self.reading.paused and self.has_disconnected():
             return
-        if self._closer.reading_ended or self._answers.pending or self.transport.is_closing():
+        if self._closer.checks_progress or self.transport.is_closing():
+            return
+        if self._is_stalled(now):
+            self._closer.abort_stalled()
+            return
+        if self._closer.reading_ended or self._answers.pending:
             return
         if not self._parser.idle:
             self._check_incomplete_command(now)
             return
         standby = self.listener.standby
+        if not self._delivery.complete and not standby:
+            return
         if now - self.idle_since_ns > self._max_idle_ns(standby=standby):
             reason = CloseReason.IDLE if self.command_count else CloseReason.SILENT
             closed = self.close_if_idle(CloseReason.STANDBY if standby else reason)
             self.counters.standby_closed += closed and standby
 
+    def _is_stalled(self, now: int) -> bool:
+        """Whether the client has received nothing more for too long.
+
+        It counts as idle only since it has made its last progress.
+        """
+        delivery, limits = self._delivery, self.dispatcher.limits
+        if delivery.update():
+            return False
+        self.idle_since_ns = max(self.idle_since_ns, delivery.progress_ns)
+        is_leaving = self.listener.closing or self.listener.standby
+        max_stall_ns = limits.client_silence_timeout_ns if is_leaving else limits.client_idle_timeout_ns
+        return now - delivery.progress_ns > max_stall_ns and not self._answers.count_unanswered()
+
     def _check_incomplete_command(self, now: int) -> None:
         limits = self.dispatcher.limits
         stalled = now - self._last_read_ns > limits.command_stall_ns
@@ -359,8 +386,15 @@
     def evict(self) -> bool:
         """Closes it at once to free its descriptor; returns False if it may not be closed.
 
-        It has been idle, or its FIN was sent, for some time, so that all its output has arrived.
+        It has been idle, or its FIN was sent, for some time. It is kept while the client still receives
+        output, unless that has stalled.
         """
+        if not self._delivery.update():
+            stalled_ns = self.dispatcher.now_ns() - self._delivery.progress_ns
+            if stalled_ns <= self.dispatcher.limits.client_silence_timeout_ns:
+                return False
+            self._closer.abort_stalled()
+            return True
         if not self._closer.is_lingering and not self.close_if_idle(CloseReason.EVICTED):
             return False
         self.transport.close()
@@ -379,6 +413,11 @@
             return ConnectionState.INCOMPLETE
         return ConnectionState.IDLE if self.command_count else ConnectionState.SILENT
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether the client still receives a value, or other output that was written."""
+        return self._answers.head_stream is not None or not self._delivery.update()
+
     @property
     def is_idle(self) -> bool:
         """Whether nothing is unanswered, unwritten or partly read."""
--- a/zincstile/net/dispatcher.py
+++ b/zincstile/net/dispatcher.py
@@ -69,6 +69,7 @@
         self.now_ns = host.monotonic_ns
         self.readable = host.readable
         self.closed_by_peer = host.peer_has_ended
+        self.unacknowledged_bytes = host.unacknowledged_bytes
         self.trace = Trace()
         self.guard = InvariantGuard(counters, log, self.trace)
         self.deadlines = Deadlines()
--- a/zincstile/net/host.py
+++ b/zincstile/net/host.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import contextlib
+import fcntl
 import functools
 import os
 import resource
@@ -17,6 +18,7 @@
 import socket
 import struct
 import sys
+import termios
 import time
 from typing import Final, NamedTuple
 
@@ -30,6 +32,7 @@
 LAST_DATA_RECEIVED_OFFSET: Final = 52  # offset of its tcpi_last_data_recv
 LAST_DATA_RECEIVED: Final = struct.Struct("=I")  # in milliseconds
 MAX_UNREAD_MS: Final = 60_000  # a larger value is invalid: a client's connection is closed well before
+QUEUE_SIZE: Final = struct.Struct("=i")  # the result of SIOCOUTQ, in bytes
 MAX_FILE_BYTES: Final = 1 << 20  # read of a file in $TMPDIR; bounds the memory if it is a foreign file
 
 
@@ -115,6 +118,19 @@
             return 0
         return age_ms * NS_PER_MS if age_ms <= MAX_UNREAD_MS else 0
 
+    def unacknowledged_bytes(self, transport: asyncio.Transport) -> int:
+        """Returns how many sent bytes the peer's machine has not acknowledged (tcp(7), SIOCOUTQ).
+
+        Returns 0 if that is not available.
+        """
+        try:
+            file_descriptor = transport.get_extra_info("socket").fileno()
+            result = fcntl.ioctl(file_descriptor, termios.TIOCOUTQ, bytes(QUEUE_SIZE.size))
+        except (OSError, AttributeError, ValueError):
+            return 0
+        (size_bytes,) = QUEUE_SIZE.unpack(result)
+        return max(0, size_bytes)
+
     def reload_config(self) -> Config:
         """Reads the configuration file again. Raises ConfigError or OSError if it can't be used."""
         return reload(os.environ)
--- a/zincstile/virtual/host.py
+++ b/zincstile/virtual/host.py
@@ -45,6 +45,10 @@
         """Returns the age of the last received bytes; always 0, as the virtual network does not track it."""
         return 0
 
+    def unacknowledged_bytes(self, transport: TcpTransport) -> int:
+        """Returns how many sent bytes have not arrived at the peer's machine."""
+        return transport.in_flight_bytes
+
     def reload_config(self) -> Config:
         """Returns the current configuration for a reload."""
         return self._config()
