After SIGTERM, end only when no client receives an answer any more

Cause: GracefulShutdown ended the process at shutdown_ns if every request had its final answer. A value that is forwarded counts as answered from its first byte on, so its delivery was not waited for. Ruled out: a kill by the platform (exit code 0 at 3.62 s) and stalled clients (they read at once).

Change: shutdown_ns bounds the decisions. Then the gateway leaves the fleet, writes its totals for a new version, and ends once no client receives an answer any more. The rule of progress ends what stands still. In an upgrade the totals say that the old process still delivers; the new one goes on with its half of the descriptors.

Why it works: a value is cut only by SIGKILL, by a backend or by a client that makes no progress.

--- a/tests/test_inherit_memory.py
+++ b/tests/test_inherit_memory.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+from types import SimpleNamespace
 
 import pytest
 from conftest import MS, SECOND, PolicyHarness, actions_of_type
@@ -22,6 +23,9 @@
 )
 from zincstile.decisions.settings import CustomerPlan
 from zincstile.decisions.state_validation import validate
+from zincstile.net.host import HOST
+from zincstile.net.limits import Limits
+from zincstile.net.state_files import StateFiles
 
 PLAN = CustomerPlan("p", rate=2.0, burst=12.0, ceiling_rate=4.0, ceiling_burst=24.0)
 OVERRIDES = {"plans": [PLAN], "gateway_count": 3, "gossips": True}
@@ -179,3 +183,31 @@
         successor.submit(units=2.0, spread=3, after=SECOND)
         successor.tick()
     assert not math.isnan(successor.policy.parts.capacity.healthy_endpoints)
+
+
+def test_the_descriptors_stay_shared_while_the_old_process_delivers_values(tmp_path):
+    """Guards against two processes with more descriptors than one may have, after SIGTERM (review case 8)."""
+    changes = []
+    dispatcher = SimpleNamespace(
+        limits=Limits(),
+        now_ns=lambda: 0,
+        wake=lambda: None,
+        deadlines=SimpleNamespace(add=lambda *_: None),
+        log=SimpleNamespace(line=lambda _: None),
+        policy=SimpleNamespace(
+            parts=SimpleNamespace(
+                gossip=SimpleNamespace(incarnation=5),
+                ledger=SimpleNamespace(customers={7: SimpleNamespace(key=7, total=3.0)}),
+            )
+        ),
+    )
+    base_path = str(tmp_path / "zincstile-n0")
+    old = StateFiles(dispatcher, HOST, base_path=base_path, process="old", set_limits_shared=lambda _: None)
+    new = StateFiles(dispatcher, HOST, base_path=base_path, process="new", set_limits_shared=changes.append)
+    old._successor, new._inherited_totals = "new", {7: 3.0}
+    old.write_totals(ended=False)
+    new.poll()
+    assert changes == [True]
+    old.write_totals(ended=True)
+    new.poll()
+    assert changes == [True, False]
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import signal
 import socket
 import threading
 import time
@@ -10,6 +11,7 @@
 
 import pytest
 from scenario import (
+    LOOPBACK_ADDRESS,
     PING,
     READY,
     TIMEOUT_S,
@@ -19,6 +21,7 @@
     encode_command,
     reserve_address,
 )
+from test_operators import fleet, request
 from threaded_backend import ThreadedBackend, encode_answer, request_number
 
 MIB = 1 << 20
@@ -112,7 +115,7 @@
 # ---- clients that read slowly
 
 
-@pytest.mark.parametrize("event", ["none", "standby", "eviction"])
+@pytest.mark.parametrize("event", ["none", "standby", "TERM", "eviction"])
 def test_a_client_that_reads_without_a_pause_gets_its_whole_value(tmp_path, event):
     """Guards against taking a slow reader for an idle or stalled client (review case 7)."""
     limits = {"drain_quiet_ns": 1, "drain_most_ns": 1500 * MS}
@@ -126,14 +129,66 @@
         time.sleep(0.5)
         if event == "standby":
             harness.post("/standby")
+        elif event == "TERM":
+            harness.send("gw", "TERM")
         elif event == "eviction":
             waiting = socket.create_connection(harness.address, TIMEOUT_S)
         assert read_in_threads(clients) == [True] * len(clients)
-        if event == "eviction":
+        if event == "TERM":
+            for client in clients:
+                client.socket.close()
+            harness.run("expect gw exit 0")
+        elif event == "eviction":
             waiting.sendall(encode_command(["PING"]))
             assert RespConnection(waiting).read_message() == "+PONG"
 
 
+def test_after_sigterm_a_value_that_its_backend_still_gives_is_completed(tmp_path):
+    """Guards against an end of the process by itself that cuts values off before SIGKILL (review case 8)."""
+    backend_s, pieces = 3.0, 60
+
+    def send_slowly(connection: RespConnection, command: list[bytes]) -> bool:
+        answer = encode_answer(b"v" * VALUE_BYTES)
+        size = len(answer) // pieces + 1
+        for start in range(0, len(answer), size):
+            connection.sock.sendall(answer[start : start + size])
+            time.sleep(backend_s / pieces)
+        return True
+
+    with gateway(tmp_path, send_slowly, drain_quiet_ns=1, drain_most_ns=1000 * MS) as harness:
+        clients = [Client(harness.address, look(number), slow_s=0).connect() for number in (1, 2)]
+        time.sleep(0.3)
+        harness.send("gw", "TERM")
+        assert read_in_threads(clients) == [True] * len(clients)
+        harness.run("expect gw stop waits for 2 clients*\nexpect gw exit 0")
+
+
+def test_the_old_process_of_an_upgrade_delivers_its_values(tmp_path):
+    """Its end, and that of the sharing of descriptors, comes after the last value."""
+    backend = socket.create_server((LOOPBACK_ADDRESS, 0))
+
+    class Slow:
+        sock = backend
+
+    limits = {"drain_quiet_ns": 1, "drain_most_ns": 1000 * MS} | LIMITS
+    with fleet(tmp_path, Slow, **limits) as (listening, start):
+        old = start()
+        old.wait_until_ready()
+        client = Client(listening.getsockname(), request(1), slow_s=3.0).connect()
+        connection = RespConnection(backend.accept()[0])
+        connection.read_message()
+        sender = threading.Thread(target=send_bytes, args=(connection, VALUE_BYTES))
+        sender.start()
+        new = start()
+        new.wait_until_ready()
+        old.program.send_signal(signal.SIGTERM)
+        assert client.read_slowly().is_whole
+        sender.join()
+        client.socket.close()
+        assert old.program.wait(TIMEOUT_S) == 0
+        backend.close()
+
+
 # ---- clients that do not read
 
 
--- a/zincstile/net/clients/listener.py
+++ b/zincstile/net/clients/listener.py
@@ -81,6 +81,10 @@
         """Whether no connection is open, being set up, or queued."""
         return not self.clients and not self._acceptor.pending and self._socket is None
 
+    def count_receiving(self) -> int:
+        """Returns the number of clients that still receive a value or other output."""
+        return sum(client.is_receiving for client in self.clients)
+
     def start_serving(self) -> None:
         """The gateway is ready: starts to accept requests, and connections of an inherited socket."""
         self.ready = True
--- a/zincstile/net/shutdown.py
+++ b/zincstile/net/shutdown.py
@@ -1,4 +1,8 @@
-"""Graceful shutdown: keeps serving while clients come, answers open requests, and ends within a bound.
+"""Graceful shutdown: keeps serving while clients come, answers open requests, and delivers the answers.
+
+All requests are answered within a bound. After that the process ends as soon as no client is receiving an
+answer any more: a value that is being forwarded is not cut off while both its backend and its client make
+progress. The platform's SIGKILL bounds that time.
 
 Guards against a balancer that keeps sending to a gateway until a health check fails, and against ending with
 unanswered requests.
@@ -63,7 +67,7 @@
         end_ns = now_ns + self._limits.shutdown_ns
         deadlines = self._dispatcher.deadlines
         deadlines.add(end_ns - self._limits.drain_margin_ns, self._fail_open_requests)
-        deadlines.add(end_ns, self._end)
+        deadlines.add(end_ns, self._stop_deciding)
         self._dispatcher.wake()
 
     def _drain_clients(self) -> None:
@@ -120,11 +124,32 @@
             retry_ns = self._dispatcher.now_ns() + self._limits.backoff_ns
             self._dispatcher.deadlines.add(retry_ns, self._end_if_empty)
 
+    def _stop_deciding(self, _: object) -> None:
+        """Every request is answered: leaves the fleet, and ends once the answers are delivered."""
+        if self.ended.done():
+            return
+        delivering = self._listener.count_receiving()
+        if not delivering:
+            self._end(None)
+            return
+        self._dispatcher.log.line(f"stop waits for {delivering} clients that receive their answers")
+        self._peers.close()
+        if self._administration is not None:
+            self._administration.state_files.write_totals(ended=False)
+        self._end_when_delivered(None)
+
+    def _end_when_delivered(self, _: object) -> None:
+        if self._listener.count_receiving():
+            retry_ns = self._dispatcher.now_ns() + self._limits.backoff_ns
+            self._dispatcher.deadlines.add(retry_ns, self._end_when_delivered)
+        else:
+            self._end(None)
+
     def _end(self, _: object) -> None:
         if self.ended.done():
             return
         dispatcher = self._dispatcher
         dispatcher.guard.may_end(dispatcher.now_ns(), len(dispatcher.sessions))
         if self._administration is not None:
-            self._administration.state_files.write_totals()
+            self._administration.state_files.write_totals(ended=True)
         self.ended.set_result(None)
--- a/zincstile/net/state_files.py
+++ b/zincstile/net/state_files.py
@@ -2,7 +2,8 @@
 
 The new process writes its id to `.asks` and waits a little. The old one polls that file together with the
 handover file, and writes its state to `.memory` for the process that asked. When it ends, it writes its
-customers' totals to `.spent`, and the new one adds the difference. Each file is replaced atomically. Without
+customers' totals to `.spent`, and the new one adds the difference. While the old one still delivers answers
+after that, both share the descriptors of one. Each file is replaced atomically. Without
 an older process the new one does not wait; if the old one doesn't answer, or the state is invalid, the new
 one starts without state.
 
@@ -26,6 +27,7 @@
 REQUEST_SUFFIX: Final = ".asks"  # a new process asks for the state
 MEMORY_SUFFIX: Final = ".memory"  # the old process's answer
 TOTALS_SUFFIX: Final = ".spent"  # the old process's final totals
+DELIVERING_KEY: Final = "delivering"  # in the totals: the old process still delivers answers
 NS_PER_S: Final = 1e9
 NS_PER_MS: Final = 1e6
 
@@ -57,6 +59,7 @@
         self._shared_until_ns = 0
         self._successor = ""  # the process that last asked for the state
         self._inherited_totals: dict[int, float] = {}  # by customer; empty once the final totals are added
+        self._older_delivers = False  # the old process has stopped deciding, but still delivers answers
         self._last_stats: dict[str, FileStat | None] = {
             suffix: host.stat(base_path + suffix) for suffix in (REQUEST_SUFFIX, TOTALS_SUFFIX)
         }
@@ -151,11 +154,15 @@
             }
         ).encode()
 
-    def write_totals(self) -> None:
-        """Writes the final totals of this process for the one that inherited its state."""
+    def write_totals(self, *, ended: bool) -> None:
+        """Writes the final totals of this process for the one that inherited its state.
+
+        ended: this process holds no more connections from now on.
+        """
         if self._successor:
             totals = state_transfer.running_totals(self._dispatcher.policy.parts)
-            self._write(TOTALS_SUFFIX, json.dumps({"for": self._successor, "spent": totals}).encode())
+            table = {"for": self._successor, "spent": totals} | ({} if ended else {DELIVERING_KEY: True})
+            self._write(TOTALS_SUFFIX, json.dumps(table).encode())
 
     # ---- both
 
@@ -165,12 +172,21 @@
             successor = self._read(REQUEST_SUFFIX).get("me")
             if isinstance(successor, str) and successor not in ("", self._process):
                 self._write_state(successor)
-        if self._inherited_totals and self._has_changed(TOTALS_SUFFIX):
+        if (self._inherited_totals or self._older_delivers) and self._has_changed(TOTALS_SUFFIX):
             table = self._read(TOTALS_SUFFIX)
             if table.get("for") == self._process:
-                self._add_final_totals(table)
-                self._shared_until_ns = 0
-                self._set_limits_shared(False)
+                self._on_totals(table)
+
+    def _on_totals(self, table: dict[str, Any]) -> None:
+        """The old process has answered all its requests; it may still deliver answers."""
+        if self._inherited_totals:
+            self._add_final_totals(table)
+        self._older_delivers = table.get(DELIVERING_KEY) is True
+        if self._older_delivers:
+            self._share_limits_for(self._dispatcher.limits.handover_stale_ns)
+        else:
+            self._shared_until_ns = 0
+            self._set_limits_shared(False)
 
     def _share_limits_for(self, max_ns: int) -> None:
         """Shares the limits until the other process has ended, but for at most `max_ns`."""
