Estimates that can't run away, a probe of a budget of nothing, and bounds on peers' figures

Cause: LatencyModel.learn multiplied the estimate by a ratio to what was expected when the request was sent, so that hundreds of answers to one expectation applied one correction again and again; the budget is divided by it. As nothing was admitted, nothing was learned. FleetEstimates.blend and the hand-over took any finite figure over.

Change: an answer moves the estimate towards the measured latency, never past it. A peer's figures are held to what is plausible beside the own measurements, inherited ones that are not are learned anew.

test_a_request_that_the_budget_rejects_sends_no_query set all rates to 0 at an idle gateway, which sends a probe now: it asserts that of the first request, and what it asserted before of the second.

--- a/tests/test_wide.py
+++ b/tests/test_wide.py
@@ -256,6 +256,8 @@
     for groups in harness.policy.parts.budget.inside_quota:
         for group in groups:
             group.admission_rate = 0.0
+    _, actions, messages = submit_wide(harness)  # the probe of an idle gateway
+    assert not messages and len(forwarded_to(actions)) == 1
     _, actions, messages = submit_wide(harness)
     assert not messages and len(actions_of_type(actions, RejectRequest)) == 1
 
--- a/zincstile/decisions/admission.py
+++ b/zincstile/decisions/admission.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from .actions import ActionQueue
+from .budget_probe import BudgetProbe
 from .budget_split import BudgetTree
 from .collaborators import QuotaSource
 from .concurrency_limit import ConcurrencyLimit
@@ -39,6 +40,7 @@
         limit: ConcurrencyLimit,
         gossip: Gossip,
         forwarder: Forwarder,
+        probe: BudgetProbe,
         choose: EndpointChooser,
     ) -> None:
         """Stores the parts that it uses."""
@@ -51,6 +53,7 @@
         self.limit = limit
         self.gossip = gossip
         self.forwarder = forwarder
+        self.probe = probe
         self.choose = choose  # features wrap it in their own
         self.quotas: QuotaSource  # set by `DecisionParts.use_quotas`, as the default one needs `decide`
         self.retry_budget = MAX_RETRY_BUDGET
@@ -104,7 +107,9 @@
         group.arrived_units += units
         self.limit.record_request(units)
         if pending.admission_draw >= group.admission_rate:
-            return None, RejectionReason.BUDGET
+            if not self.probe.is_due(now):
+                return None, RejectionReason.BUDGET
+            pending.is_probe = True
         return self.choose(now, pending), RejectionReason.NO_ENDPOINT
 
     def _over_ceiling(self, now: int, customer: Customer, plan: CustomerPlan, units: float) -> bool:
--- a/zincstile/decisions/concurrency_limit.py
+++ b/zincstile/decisions/concurrency_limit.py
@@ -59,6 +59,9 @@
         self.timeouts = 0.0
         self.units_in_flight = 0.0  # smoothed
         self.completed_per_s = 0.0  # units per second
+        # The same two by this gateway's own attempts; the others are also averaged with the peers'.
+        self.own_units_in_flight = 0.0
+        self.own_completed_per_s = 0.0
         self.completed_units = 0.0  # units since the last tick
         self.mean_units = 1.0  # units per request
         self.requests = 0  # number of requests in that mean
@@ -92,7 +95,9 @@
         self.answers = self.answers * keep_samples
         self.timeout_lateness = self.timeout_lateness * keep_samples
         self.timeouts = self.timeouts * keep_samples
-        self.completed_per_s = self.completed_per_s * keep + self.completed_units / span_s * (1 - keep)
+        added_per_s = self.completed_units / span_s * (1 - keep)
+        self.completed_per_s = self.completed_per_s * keep + added_per_s
+        self.own_completed_per_s = self.own_completed_per_s * keep + added_per_s
         self.completed_units = 0.0
 
     def update(
@@ -112,10 +117,13 @@
             len(in_flight) / (len(in_flight) + prior_samples), min(1.0, span_s / SAMPLE_MEMORY_S)
         )
         self.units_in_flight += in_flight_weight * (sum(in_flight) - self.units_in_flight)
+        self.own_units_in_flight += in_flight_weight * (sum(in_flight) - self.own_units_in_flight)
         first_limit = INITIAL_IN_FLIGHT * units_per_attempt
+        min_limit = MIN_IN_FLIGHT * units_per_attempt
+        self.limit = max(self.limit, min_limit)  # peers' limits may be lower
         overloaded = self.overload_signal > 1 and now - self.decreased_ns > self.min_decrease_interval_ns
         if overloaded or (unlimited and self.units_in_flight > first_limit * healthy):
-            self._decrease(now, first_limit, MIN_IN_FLIGHT * units_per_attempt, healthy)
+            self._decrease(now, first_limit, min_limit, healthy)
         elif (
             self.overload_signal < BUSY_THRESHOLD
             and self.units_in_flight > MIN_USED_SHARE * self.limit * healthy
--- a/zincstile/decisions/fleet_estimates.py
+++ b/zincstile/decisions/fleet_estimates.py
@@ -12,13 +12,15 @@
 from typing import Final
 
 from .budget_split import BudgetTree
-from .concurrency_limit import BUSY_THRESHOLD, ConcurrencyLimit
-from .latency import LatencyModel
+from .concurrency_limit import BUSY_THRESHOLD, INITIAL_IN_FLIGHT, MAX_LATENESS, ConcurrencyLimit
+from .latency import MAX_PEER_RATIO, LatencyModel
 from .outlier_detection import OutlierDetector
 from .units import SECOND_NS
 
 LIMIT_INDEX: Final = 8  # index of the concurrency limit; the seconds per unit follow it
 PEER_WEIGHT: Final = 0.5  # weight of a peer's values in the mean with this gateway's own
+MAX_PEER_SAMPLES: Final = 1000.0  # of a peer's answers or timeouts
+MIN_COMPARED_ARRIVALS: Final = 1.0  # units per second; a lower own rate of arrivals is compared as this one
 
 
 class FleetEstimates:
@@ -57,9 +59,11 @@
         too short or has invalid values is ignored.
         """
         own = self.own_values()
+        peer_values = list(peer_values)
         min_length = LIMIT_INDEX + 1 + len(self.latency.unit_ns)
         if len(peer_values) < min_length or not all(math.isfinite(x) and x >= 0 for x in peer_values):
             return
+        self._bound(peer_values)
         mean = [(1 - PEER_WEIGHT) * a + PEER_WEIGHT * b for a, b in zip(own, peer_values, strict=False)]
         if self.limit.limit == math.inf or not peer_values[LIMIT_INDEX]:
             # A gateway adopts its first limit from a peer only if it observes overload itself.
@@ -67,6 +71,22 @@
             mean[LIMIT_INDEX] = peer_values[LIMIT_INDEX] * overloaded or own[LIMIT_INDEX]
         self._store(mean)
 
+    def _bound(self, peer_values: list[float]) -> None:
+        """Limits a peer's values to what is plausible beside this gateway's own measurements.
+
+        An estimate that has run away at one gateway would otherwise spread to all others with each exchange.
+        """
+        limit = self.limit
+        for count_index in (1, 3):
+            count = min(peer_values[count_index], MAX_PEER_SAMPLES)
+            peer_values[count_index] = count
+            peer_values[count_index - 1] = min(peer_values[count_index - 1], MAX_LATENESS * count)
+        typical_units = INITIAL_IN_FLIGHT * limit.mean_units
+        for index, own in ((4, limit.own_units_in_flight), (5, limit.own_completed_per_s)):
+            peer_values[index] = min(peer_values[index], MAX_PEER_RATIO * max(own, typical_units))
+        for index in (6, 7):
+            peer_values[index] = min(peer_values[index], 1.0)  # an error rate
+
     def _store(self, values: list[float]) -> None:
         """Stores the estimates.
 
@@ -86,6 +106,7 @@
         limit.limit = values[LIMIT_INDEX] or limit.limit
         arrivals_index = LIMIT_INDEX + 1 + len(self.latency.unit_ns)
         unit_s = values[LIMIT_INDEX + 1 : arrivals_index]
-        self.latency.unit_ns = [max(1.0, seconds * SECOND_NS) for seconds in unit_s]
+        self.latency.adopt([seconds * SECOND_NS for seconds in unit_s])
         for group, arrivals in zip(self.budget.groups, values[arrivals_index:], strict=False):
-            group.arrival_rate = arrivals
+            own_arrivals = max(group.own_arrival_rate, MIN_COMPARED_ARRIVALS)
+            group.arrival_rate = min(arrivals, MAX_PEER_RATIO * own_arrivals)
--- a/zincstile/decisions/gossip_receiver.py
+++ b/zincstile/decisions/gossip_receiver.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
+from dataclasses import replace
+from typing import Final
 
 from .fleet_estimates import FleetEstimates
 from .gossip import TOTAL_MODULUS, Gossip
@@ -10,8 +13,12 @@
 from .outlier_detection import ANY_CLASS, TIMING_WEIGHT, OutlierDetector
 from .peers import PeerTable
 from .quotas import QuotaLedger
+from .records import Customer
 from .relay_queries import MAX_QUERIES, QUERY_WAIT_NS, RelayedQuotas
-from .settings import Settings
+from .settings import CustomerPlan, Settings
+from .units import SECOND_NS
+
+MAX_QUOTA_MULTIPLE: Final = 4.0  # what a peer reports is believed up to this multiple of the whole quota
 
 
 class GossipReceiver:
@@ -81,22 +88,37 @@
                 self.detector.apply_sample(endpoint, sample.group, sample.error, TIMING_WEIGHT)
 
     def _apply_usage(self, now: int, event: GossipReceived, usage: CustomerUsage) -> None:
-        burst = self.settings.plans[usage.plan].burst
-        customer = self.ledger.get_or_create(usage.customer, usage.plan, burst, now)
+        plan = self.settings.plans[usage.plan]
+        customer = self.ledger.get_or_create(usage.customer, usage.plan, plan.burst, now)
         self.ledger.refill(now, customer)
+        level = max(usage.level, -plan.burst)
         if usage.is_answer:
-            self.relayed.on_answer(now, usage, customer)
+            self.relayed.on_answer(now, replace(usage, level=level), customer)
             return
         max_delay_ns = MAX_QUERIES * QUERY_WAIT_NS
+        max_units = self._max_units_since_report(now, event.sender, customer, plan)
         used_units = customer.apply_report(
             event.sender, event.incarnation, usage, now, TOTAL_MODULUS, max_delay_ns
         )
         if used_units is None:
             # The first report of a process has no earlier total to compare with, but a level.
-            customer.level = min(customer.level, usage.level)
+            customer.level = min(customer.level, level)
         else:
             customer.charge_peer_units(
-                used_units, -self.settings.max_request_units * self.settings.settles_actual_units
+                min(used_units, max_units),
+                -self.settings.max_request_units * self.settings.settles_actual_units,
             )
         if usage.requested_units > 0:
             self.relayed.grant(now, event.sender, usage, customer)
+
+    @staticmethod
+    def _max_units_since_report(now: int, peer: int, customer: Customer, plan: CustomerPlan) -> float:
+        """Returns the most units that a peer can have sent for a customer since its last report.
+
+        A total that is wrong once would otherwise count as use for minutes.
+        """
+        last_report = customer.usage.get(peer)
+        if last_report is None or not plan.rate:
+            return math.inf
+        span_s = (now - last_report.received_ns) / SECOND_NS
+        return MAX_QUOTA_MULTIPLE * (plan.burst + plan.rate * span_s)
--- a/zincstile/decisions/outcomes.py
+++ b/zincstile/decisions/outcomes.py
@@ -51,6 +51,8 @@
         self._update_estimates(now, outcome, attempt)
         if pending is None:
             return
+        if pending.is_probe:
+            self.admission.probe.on_outcome(pending, outcome)
         if pending.plan.max_in_flight:
             self.admission.quotas.spend(now, pending.customer, 0.0)  # reports the attempts in flight
         if outcome.finished:
@@ -87,6 +89,6 @@
             group.earned_value += (
                 request_class.priority_weight * pending.plan.price * value_share * request.units
             )
-        self.latency.learn(request.class_index, outcome.latency_ns, pending.expected_ns)
+        self.latency.learn(request.class_index, outcome.latency_ns, request.units)
         if self.settings.settles_actual_units and outcome.actual_units and pending.inside_quota:
             self.admission.quotas.spend(now, pending.customer, outcome.actual_units - request.units)
--- a/zincstile/decisions/parts.py
+++ b/zincstile/decisions/parts.py
@@ -6,6 +6,7 @@
 
 from .actions import ActionQueue
 from .admission import Admission
+from .budget_probe import BudgetProbe
 from .budget_split import BudgetTree
 from .capacity import Capacity
 from .collaborators import QuotaSource
@@ -79,6 +80,7 @@
             settings, self.rng, self.endpoints, self.detector, self.capacity, self.slow_start
         )
         self.forwarder = Forwarder(settings, self.actions, self.latency, self.detector, self.attempts)
+        self.probe = BudgetProbe(settings, self.attempts, self.capacity, self.latency)
         self.admission = Admission(
             settings,
             self.rng,
@@ -89,6 +91,7 @@
             self.limit,
             self.gossip,
             self.forwarder,
+            self.probe,
             self.balancer.choose,
         )
         self.relayed_quotas = RelayedQuotas(
--- a/zincstile/decisions/records.py
+++ b/zincstile/decisions/records.py
@@ -44,17 +44,20 @@
 
     prior_value: float  # value per unit by the settings
     arrived_units: float = 0.0  # since the last tick
-    arrival_rate: float = 0.0  # units per second
+    arrival_rate: float = 0.0  # units per second, also averaged with peers'
     sent_units: float = 0.0  # decaying sum
     earned_value: float = 0.0  # decaying sum, with the same time constant as `sent_units`
     admission_rate: float = 1.0  # share of the arriving requests that is admitted
+    own_arrival_rate: float = 0.0  # units per second at this gateway alone
 
     def decay(self, span_s: float, keep: float, keep_earned: float) -> None:
         """Adds the units of the last `span_s` seconds to the arrival rate, and decays the sums.
 
         `keep` and `keep_earned` are the factors by which the old arrival rate and the sums decay.
         """
-        self.arrival_rate = self.arrival_rate * keep + self.arrived_units / span_s * (1 - keep)
+        added = self.arrived_units / span_s * (1 - keep)
+        self.arrival_rate = self.arrival_rate * keep + added
+        self.own_arrival_rate = self.own_arrival_rate * keep + added
         self.arrived_units = 0.0
         self.sent_units = self.sent_units * keep_earned
         self.earned_value = self.earned_value * keep_earned
@@ -195,4 +198,5 @@
     may_have_run_at: Endpoint | None = None  # endpoint of the first attempt that may have run
     may_have_run_ns: int = 0  # when that attempt was sent
     streaming: bool = False  # the answer has begun to arrive
+    is_probe: bool = False  # admitted by `BudgetProbe`
     expected_ns: float = 1.0  # usual latency of the fleet for such a request, as of the last attempt
--- a/zincstile/decisions/requests.py
+++ b/zincstile/decisions/requests.py
@@ -12,6 +12,7 @@
 from .records import Attempt, PendingRequest
 from .settings import Settings
 from .timers import DEADLINE_TIMER
+from .units import NEVER_NS
 
 
 class AttemptObserver(Protocol):
@@ -30,11 +31,13 @@
     def __init__(self) -> None:
         """Creates an empty table."""
         self.in_flight: dict[tuple[int, int], Attempt] = {}
+        self.last_launched_ns = NEVER_NS
         self.observer: AttemptObserver | None = None
 
     def launch(self, pending: PendingRequest, attempt: Attempt) -> None:
         """Adds an attempt that is being sent."""
         self.in_flight[pending.request.id, len(pending.attempted_endpoints)] = attempt
+        self.last_launched_ns = attempt.sent_ns
         attempt.endpoint.in_flight += 1
         pending.attempted_endpoints.append(attempt.endpoint)
         pending.in_flight += 1
--- a/zincstile/decisions/state_transfer.py
+++ b/zincstile/decisions/state_transfer.py
@@ -153,13 +153,13 @@
     numbers = table["plain"] + table["levels"]
     for (part, name), value in zip(FINITE_ATTRIBUTES + POSSIBLY_INFINITE_ATTRIBUTES, numbers, strict=True):
         setattr(getattr(parts, part), name, value)
-    parts.latency.unit_ns = list(table["unit_ns"])
-    parts.latency.unloaded_unit_ns = list(table["calm_ns"])
-    parts.latency.samples = [int(count) for count in table["seen"]]
+    parts.latency.restore(table["unit_ns"], table["calm_ns"], [int(count) for count in table["seen"]])
     parts.detector.connection_errors = list(table["broken"])
     for group, values in zip(parts.budget.groups, table["leaves"], strict=True):
         for name, value in zip(GROUP_ATTRIBUTES, values, strict=True):
             setattr(group, name, value)
+        if parts.limit.limit == math.inf:  # no tick computes the rates anew
+            group.admission_rate = 1.0
     parts.endpoints.inherited = {row["id"]: _inherited_scores(now, row) for row in table["servers"]}
     parts.peers.last_message = {
         peer: (incarnation, _time_ns(now, age_s)) for peer, incarnation, age_s in table["heard"]
@@ -181,6 +181,7 @@
     customer = parts.ledger.get_or_create(row["key"], row["plan"], 0.0, _time_ns(now, row["filled_s"]))
     for key, name in CUSTOMER_ATTRIBUTES.items():
         setattr(customer, name, row[key])
+    customer.level = max(customer.level, -parts.settings.plans[customer.plan].burst)
     customer.gateway_set_size = row["spread"]
     customer.gateway_set_known = row["known"]
     customer.relayed = row["wide"]
