An id that may have run is not accepted again, nor at the other process of an upgrade

Cause: an id was forgotten as soon as its client had left. The two processes of an upgrade did not share theirs.

During an upgrade both processes append theirs to .ids in the shared folder.

Why it works: whether a request may have run is recorded with its attempts; the check is made before each accept.

--- a/zincstile/net/administration.py
+++ b/zincstile/net/administration.py
@@ -17,6 +17,7 @@
 from .dispatcher import Dispatcher
 from .handover_file import HandoverFile
 from .host import Host
+from .request_id_file import RequestIdFile
 from .state_files import StateFiles
 
 
@@ -62,6 +63,14 @@
         self.endpoint = AdminEndpoint(
             dispatcher, self.state, self.handover, host, apply=self._apply, is_ready=self._is_ready
         )
+        self.request_ids = RequestIdFile(
+            dispatcher,
+            host,
+            base_path=base_path,
+            process=process,
+            current_ids=listener.request_ids.non_idempotent,
+        )
+        listener.request_ids.other_process = self.request_ids
         self.state_files = StateFiles(
             dispatcher, host, base_path=base_path, process=process, set_limits_shared=self._share_limits
         )
@@ -83,6 +92,7 @@
         )
         if loaded.discovery_offset_ns is not None:
             self._table.reader.clock.add_candidate_offset(loaded.discovery_offset_ns)
+        self.request_ids.clear()
         # Until the state is inherited, peers' messages still go to the old process.
         log.line(f"memory: {await self.state_files.inherit()}")
 
@@ -151,5 +161,6 @@
     def _share_limits(self, shared: bool) -> None:
         """Halves the limits while another process of this gateway runs, as both share one's descriptors."""
         limits = self._config.limits
+        self.request_ids.share(shared)
         self._dispatcher.limits = limits.shared() if shared else limits
         self._listener.shrink_to_limits()
--- a/zincstile/net/clients/connection.py
+++ b/zincstile/net/clients/connection.py
@@ -158,8 +158,9 @@
             input_age = self.reading.input_age
             age_ns = input_age.last_ns if is_last else input_age.first_ns
             call, request = listener.reader.read(arguments, request_id, now - age_ns)
-            if call.id in listener.open_requests:  # backends would take it for a retry of that request
-                raise CallError("the id of an open request")
+            problem = listener.request_ids.problem(call.id, idempotent=call.idempotent)
+            if problem:
+                raise CallError(problem)
         except CallError as err:
             self.counters.malformed += 1
             self._reply(resp.encode_error(str(err)))
@@ -176,7 +177,7 @@
         request_class = listener.reader.request_classes[request.class_index]
         session = Session(request_id, call, self, request.deadline_ns, request_class)
         self._answers.pending.append(session)
-        listener.open_requests[call.id] = session
+        listener.request_ids.add(session)
         dispatcher.submit(session, request)
 
     def _close_with_error(self, problem: str, reason: CloseReason) -> None:
--- a/zincstile/net/clients/connection_types.py
+++ b/zincstile/net/clients/connection_types.py
@@ -12,6 +12,7 @@
 from ..reasons import GatewayRejection
 from ..session import Session
 from .call_reader import CallReader
+from .request_ids import RequestIds
 
 
 class Listener(Protocol):
@@ -22,7 +23,7 @@
     host: Host
     read_buffer: memoryview  # shared by all connections; input is copied out of it at once
     reader: CallReader
-    open_requests: dict[bytes, Session]  # without a final answer, by the client's request id
+    request_ids: RequestIds
     closing: bool
     standby: bool
     last_request_ns: int
--- a/zincstile/net/clients/listener.py
+++ b/zincstile/net/clients/listener.py
@@ -18,6 +18,7 @@
 from .connection import ClientConnection
 from .connection_types import ConnectionState
 from .eviction import evict_one
+from .request_ids import RequestIds
 
 # Answers to PING; after an error the front balancer sends new connections elsewhere.
 STANDBY_ANSWER: Final = resp.encode_error("standby")
@@ -36,7 +37,7 @@
         self.host = host
         self.counters = dispatcher.counters
         self.reader = CallReader(settings, dispatcher.limits.request_transit_ns, dispatcher.limits.id_bytes)
-        self.open_requests: dict[bytes, Session] = {}  # without a final answer, by the client's request id
+        self.request_ids = RequestIds()
         self.clients: dict[ClientConnection, None] = {}  # in the order in which they connected
         self.last_request_ns = 0
         self.ready = False  # requests are accepted
@@ -155,9 +156,8 @@
         return GatewayRejection.SESSION_LIMIT if full else None
 
     def on_request_ended(self, session: Session) -> None:
-        """Removes the request, as it was answered or abandoned; its id may be used again."""
-        if self.open_requests.get(session.call.id) is session:
-            del self.open_requests[session.call.id]
+        """The request was answered or abandoned."""
+        self.request_ids.end(session)
 
     def on_connected(self, client: ClientConnection) -> None:
         """Adds a connection that has its transport."""
--- a/zincstile/net/host.py
+++ b/zincstile/net/host.py
@@ -173,6 +173,14 @@
                 os.unlink(temporary_path)
             raise
 
+    def append_file(self, path: str, data: bytes) -> None:
+        """Appends to a file in one write, so that lines of several processes don't mix. Raises OSError."""
+        descriptor = os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o600)
+        try:
+            os.write(descriptor, data)
+        finally:
+            os.close(descriptor)
+
     def touch(self, path: str) -> None:
         """Sets a file's modification time to the monotonic clock, to show that its process is running.
 
--- a/zincstile/simulation/leftovers.py
+++ b/zincstile/simulation/leftovers.py
@@ -33,7 +33,7 @@
     return {
         "sessions": len(gateway.dispatcher.sessions),
         "attempts": len(gateway.attempts.in_flight),
-        "open request ids": len(gateway.listener.open_requests),
+        "open request ids": len(gateway.listener.request_ids.open),
         "requests in the policy": len(parts.requests.pending),
         "attempts in the policy": len(parts.attempts.in_flight),
         "relayed requests": len(parts.relayed_quotas.waiting),
