A bounded number of customer records, new customers apart from established ones

Cause: QuotaLedger kept each customer for 15 s, a relayed one for 120 s, however many there were. A peer's reports made records as well.

Change: at most 4,096 new customers, the oldest is forgotten first. One that is seen again a second later is established; of these 16,384 are kept. So a flood of names takes no established customer's record. One with an attempt in flight stays.

--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -1,3 +1,4 @@
+import pytest
 from conftest import MS, SECOND, PolicyHarness, actions_of_type
 
 from zincstile.decisions.messages import (
@@ -9,6 +10,7 @@
     SendGossip,
     TimerFired,
 )
+from zincstile.decisions.quotas import MAX_ESTABLISHED_CUSTOMERS, MAX_NEW_CUSTOMERS
 from zincstile.decisions.settings import CustomerPlan
 
 PLAN = CustomerPlan("p", rate=2.0, burst=12.0)
@@ -267,3 +269,28 @@
             )
             <= max_value
         )
+
+
+@pytest.mark.parametrize("set_size", [1, 8])
+def test_ever_new_customers_take_a_bounded_number_of_records(set_size):
+    """Guards against memory that grows while one client sends ever new customer names (issue 55, b)."""
+    harness = PolicyHarness({"gateway_count": 8}, backends=0)  # so that nothing is in flight
+    harness.submit(customer=1, spread=set_size)
+    harness.submit(customer=1, spread=set_size, after=2 * SECOND)
+    established = harness.policy.parts.ledger.customers[1]
+    for customer in range(2, MAX_NEW_CUSTOMERS + 2000):
+        harness.submit(customer=customer, spread=set_size)
+        if not customer % 500:
+            harness.tick(after=10 * MS)
+    ledger = harness.policy.parts.ledger
+    assert len(ledger.customers) <= MAX_NEW_CUSTOMERS + 1
+    assert ledger.customers[1] is established  # seen again later than a flood of names is
+    for customer in range(2, MAX_NEW_CUSTOMERS + 2000):
+        usage = CustomerUsage(10**6 + customer, 0, 1.0, 1.0, 0, 0.0, 0)
+        harness.feed(GossipReceived(2, 5, [usage], [], []))
+    assert len(ledger.customers) <= MAX_NEW_CUSTOMERS + 1
+    for round_number in range(2):  # each name comes again after some seconds, so that all are established
+        for customer in range(10**7, 10**7 + MAX_ESTABLISHED_CUSTOMERS + 4000):
+            ledger.get_or_create(customer, 0, 1.0, harness.now + round_number * SECOND)
+            ledger.get_or_create(customer, 0, 1.0, harness.now + (round_number + 1) * SECOND)
+    assert len(ledger.customers) <= MAX_ESTABLISHED_CUSTOMERS + MAX_NEW_CUSTOMERS
--- a/zincstile/decisions/parts.py
+++ b/zincstile/decisions/parts.py
@@ -47,6 +47,7 @@
         """Has quotas enforced by this source from now on."""
         self.admission.quotas = quotas
         self.requests.close_listener = quotas.request_closed
+        self.ledger.on_evicted = quotas.customers_forgotten
 
     def _make_estimates(self) -> None:
         """Creates the estimates of endpoints and of the fleet."""
--- a/zincstile/decisions/quotas.py
+++ b/zincstile/decisions/quotas.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from .messages import Request
@@ -24,6 +24,11 @@
 FULL_BUCKET_IDLE_S: Final = 15.0  # an idle customer with a full bucket is forgotten after this time
 IDLE_S: Final = 120.0  # any other idle customer is forgotten after this time
 RELAY_ANSWER_VALID_NS: Final = 120 * SECOND_NS
+# Bounds the memory under ever new customers: the oldest new ones are forgotten first. A customer is new until
+# it is seen again this long after its first request or report.
+MAX_NEW_CUSTOMERS: Final = 4096
+MAX_ESTABLISHED_CUSTOMERS: Final = 16384
+NEW_CUSTOMER_NS: Final = SECOND_NS
 # If all peers have sent messages but no usage for this long after the start, nothing was sent before it.
 QUIET_START_NS: Final = SECOND_NS // 4
 
@@ -37,6 +42,9 @@
         self.rng = rng
         self.peers = peers
         self.customers: dict[int, Customer] = {}
+        self.new_since_ns: dict[int, int] = {}  # by key, when new customers were first seen; the oldest first
+        # Called with customers that are forgotten to make room for others; set with the quota source.
+        self.on_evicted: Callable[[list[int]], None] | None = None
         self.started_ns = 0
         self.traffic_seen = False  # whether a request or a report of usage has arrived
         # Called at a customer's first request; set by the leases feature.
@@ -63,9 +71,26 @@
 
     def get_or_create(self, key: int, plan: int, burst: float, now: int) -> Customer:
         """Returns the customer with a key; a new one gets a full bucket."""
-        if key not in self.customers:
-            self.customers[key] = Customer(key, plan, burst, now)
-        return self.customers[key]
+        customer = self.customers.get(key)
+        if customer is None:
+            customer = self.customers[key] = Customer(key, plan, burst, now)
+            self.new_since_ns[key] = now
+            if len(self.new_since_ns) > MAX_NEW_CUSTOMERS:
+                self._evict_one(self.new_since_ns)
+        elif key in self.new_since_ns and now - self.new_since_ns[key] >= NEW_CUSTOMER_NS:
+            del self.new_since_ns[key]
+            if len(self.customers) - len(self.new_since_ns) > MAX_ESTABLISHED_CUSTOMERS:
+                self._evict_one(k for k in self.customers if k not in self.new_since_ns)
+        return customer
+
+    def _evict_one(self, keys: Iterable[int]) -> None:
+        """Forgets the first of these customers that has no attempt in flight."""
+        evicted = next((key for key in keys if not self.customers[key].in_flight), None)
+        if evicted is None:
+            return
+        self.forget([evicted])
+        if self.on_evicted is not None:
+            self.on_evicted([evicted])
 
     def customer_of(self, now: int, request: Request) -> Customer:
         """Returns the customer of a request, whose set of gateways is known from then on."""
@@ -205,3 +230,4 @@
         """Removes customers."""
         for key in keys:
             del self.customers[key]
+            self.new_since_ns.pop(key, None)
