Repeat no keyed request where another process may listen by now

Cause: a second attempt goes by the cell of the list. That the backend had ended its connections was not used.

A request with an idempotency key that may have run is not sent again to a backend in doubt, nor after an attempt at one in doubt.

--- a/zincstile/net/backends/attempts.py
+++ b/zincstile/net/backends/attempts.py
@@ -13,7 +13,7 @@
     ForwardRequest,
     HealthCheckResult,
 )
-from ...decisions.settings import Settings
+from ...decisions.settings import DeduplicationScope, Idempotency, Settings
 from .. import resp
 from ..dispatcher import Dispatcher
 from ..reasons import RetryReason
@@ -74,6 +74,9 @@
             # Report an outcome anyway, or the policy would count the attempt as in flight for ever.
             self.report(session, number, action.endpoint, AttemptResult.NOT_SENT, 0)
             return
+        if session.sent_attempts and not self._may_repeat_at(session, action.endpoint):
+            self.report(session, number, action.endpoint, AttemptResult.NOT_SENT, 0)
+            return
         if number:
             self.dispatcher.counters.count_retry(self._retry_reason(session))
         until_ns = min(action.give_up_ns, session.deadline_ns)
@@ -88,6 +91,25 @@
             new_connection=action.new_connection,
         )
 
+    def _may_repeat_at(self, session: Session, backend_id: int) -> bool:
+        """Whether a backend deduplicates a request with an idempotency key that may have run elsewhere.
+
+        It is not known to where its process, or the one that may have run the request, may be another one
+        than discovery has listed.
+        """
+        request_class = session.request_class
+        if request_class is None or request_class.idempotency is not Idempotency.BY_KEY:
+            return True
+        if request_class.deduplication_scope is DeduplicationScope.ALL:
+            return True
+        earlier = [sent for sent in session.sent_attempts if sent.may_have_run]
+        backend = self.pool.ready_backend(backend_id) if earlier else None
+        if backend is None:
+            return True
+        known = all(sent.process_known for sent in earlier) and not self.pool.may_be_replaced(backend)
+        self.pool.forget_if_unused(backend)
+        return known
+
     def _retry_reason(self, session: Session) -> RetryReason:
         """Returns why the latest attempt of a session, which `session.attempts` already counts, was made."""
         before = (session.id, session.attempts - 2)
@@ -174,6 +196,7 @@
         if session is None:
             request = HEALTH_CHECK
         else:
+            attempt.sent.process_known = not self.pool.may_be_replaced(attempt.backend)
             session.sent_attempts.append(attempt.sent)
             dispatcher.trace.record(now_ns, Step.SENT, session.call.id, attempt.backend.address)
             dispatcher.counters.attempts += 1
--- a/zincstile/net/backends/connection.py
+++ b/zincstile/net/backends/connection.py
@@ -29,6 +29,10 @@
         """Called when the connection has closed."""
         ...
 
+    def on_ended_by_backend(self, backend: Backend) -> None:
+        """Called when the backend has ended the connection."""
+        ...
+
 
 class StreamEvents(Protocol):
     """Forwards large values while they arrive; implemented by `streaming.AnswerStreams`."""
@@ -291,10 +295,13 @@
 
     def eof_received(self) -> None:
         """Called by asyncio at end-of-file; returning None closes the transport."""
+        self.owner.pool.on_ended_by_backend(self.backend)
         return None
 
     def connection_lost(self, err: Exception | None) -> None:
         """Called by asyncio when the connection has closed; ends the attempt that it carries."""
+        if err is not None:
+            self.owner.pool.on_ended_by_backend(self.backend)
         answer_began = self.stream is not None or not self._parser.idle
         if self.stream is not None:
             self.owner.streams.connection_lost(self)
--- a/zincstile/net/backends/pool.py
+++ b/zincstile/net/backends/pool.py
@@ -30,6 +30,8 @@
         self.backends: dict[int, Backend] = {}  # listed backends with a record, by id
         self.connections: set[BackendConnection] = set()  # includes connections that are still being opened
         self.idle: dict[BackendConnection, None] = {}  # longest idle first
+        # By id, when a backend last ended a connection, unless discovery has listed it since
+        self._ended_by_backend_ns: dict[int, int] = {}
         # Called with each queued attempt that must not be sent any more.
         self.on_withdrawn: Callable[[Attempt], None] = _ignore_withdrawal
         run_every(dispatcher, dispatcher.limits.backend_idle_timeout_ns // 8, self.close_expired)
@@ -48,6 +50,7 @@
                 self._remove(entry.id)
                 continue
             self.listed[entry.id] = listed
+            self._ended_by_backend_ns.pop(entry.id, None)
             backend = self.backends.get(entry.id)
             if backend is None:
                 continue
@@ -61,6 +64,7 @@
 
     def _remove(self, backend_id: int) -> None:
         self.listed.pop(backend_id, None)
+        self._ended_by_backend_ns.pop(backend_id, None)
         backend = self.backends.get(backend_id)
         if backend is not None:
             self._retire(backend)
@@ -95,6 +99,25 @@
         if not backend.connections and self.backends.get(backend.id) is backend:
             del self.backends[backend.id]
 
+    def on_ended_by_backend(self, backend: Backend) -> None:
+        """Called when a backend has ended a connection: its process may be gone."""
+        if self.backends.get(backend.id) is backend:
+            self._ended_by_backend_ns[backend.id] = self.dispatcher.now_ns()
+
+    def may_be_replaced(self, backend: Backend) -> bool:
+        """Whether another process may listen at the address of a backend, of which discovery has not told.
+
+        That is so for a while after the backend has ended a connection. What the other process deduplicates
+        is not known.
+        """
+        ended_ns = self._ended_by_backend_ns.get(backend.id)
+        if ended_ns is None:
+            return False
+        if self.dispatcher.now_ns() - ended_ns <= self.dispatcher.limits.replacement_notice_ns:
+            return True
+        del self._ended_by_backend_ns[backend.id]
+        return False
+
     # ---- connections
 
     def add(self, connection: BackendConnection) -> None:
@@ -123,6 +146,7 @@
                 self._remove_idle(connection)
                 if connection.has_no_unread_data:
                     return connection
+                self.on_ended_by_backend(backend)
                 connection.transport.abort()
         return None
 
--- a/zincstile/net/session.py
+++ b/zincstile/net/session.py
@@ -103,6 +103,7 @@
     backend: AttemptTarget
     sent_ns: int
     may_have_run: bool = False  # the request was written completely and not rejected
+    process_known: bool = True  # no other process could listen at the backend's address
 
 
 class Session:
