Free the body of a request when it is answered

Cause: answers go out in order, and a session whose answer waits for an earlier one kept its call and body.

Change: Session.end frees the body when the request is answered or abandoned; no attempt begins after that.

--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -13,6 +13,7 @@
 VALUE_BYTES = 64_000  # the requests that are played hold 19 MB together
 LARGE_VALUE_BYTES = 100_000
 MAX_GROWTH_KB = 6_000
+SMALL_CUSTOMER = "00000000000000ff"  # of the plan whose quota covers no request of four units
 PROGRAM = "import gc, runpy; gc.disable(); runpy.run_module('zincstile', run_name='__main__')"
 
 
@@ -98,3 +99,26 @@
         growth_kb = harness.own_memory_kb() - before_kb
         print(f"{ending}: {growth_kb} KB more after {REQUESTS} requests")
         assert growth_kb < MAX_GROWTH_KB
+
+
+def test_answered_requests_that_wait_for_an_earlier_answer_hold_no_body(tmp_path):
+    """Guards against bodies in memory for as long as one slow request is ahead of them (issue 55, a)."""
+    connections, commands = 20, 60  # 77 MB of bodies
+    with GatewayHarness(tmp_path) as harness:
+        harness.run(READY)
+        before_kb = harness.own_memory_kb()
+        number = 0
+        for index in range(1, connections + 1):
+            client = harness.connection(f"c{index}")
+            number += 1
+            client.sock.sendall(encode_command(call_command("book", number, "units=0.001")))
+            harness.connection(f"a{index}").read_message()  # not answered
+            for _ in range(commands):
+                number += 1
+                words = call_command("book", number, "t=small", "units=4", body=b"b" * VALUE_BYTES)
+                words[1] = SMALL_CUSTOMER
+                client.sock.sendall(encode_command(words))
+        harness.wait("gw", f"rejected={connections * commands}")
+        growth_kb = harness.own_memory_kb() - before_kb
+        print(f"{growth_kb} KB more for {connections * commands} answered requests")
+        assert growth_kb < 2 * MAX_GROWTH_KB
--- a/zincstile/net/dispatcher.py
+++ b/zincstile/net/dispatcher.py
@@ -127,7 +127,7 @@
         """Gives a session its final answer; returns False if it was answered or abandoned before."""
         if session.ended:
             return False
-        session.ended = True
+        session.end()
         self.sessions.pop(session.id, None)
         self.ended_sessions[session.id] = session
         kind = answer.kind
@@ -144,7 +144,7 @@
     def abandon(self, session: Session) -> None:
         """Ends a session without an answer, as its client has disconnected."""
         if not session.ended:
-            session.ended = True
+            session.end()
             self.sessions.pop(session.id, None)
             self.ended_sessions[session.id] = session
             self.counters.abandoned += 1
--- a/zincstile/net/session.py
+++ b/zincstile/net/session.py
@@ -145,3 +145,11 @@
             None  # encoded for the client; None: not answered, or written
         )
         self.arriving: ArrivingValue | None = None  # may become its answer
+
+    def end(self) -> None:
+        """It is answered or abandoned: nothing more is sent, so its body is freed.
+
+        The answer may still wait for those of earlier commands, and the session with it.
+        """
+        self.ended = True
+        self.call.body = None
