Estimates of gateways as a typed record

Cause: the estimates that gateways exchange were read and bounded by indexes into a list.

Change: a record with a field for each, converted at the wire's list. Nothing else changes.

--- a/zincstile/scale/capacity_messages.py
+++ b/zincstile/scale/capacity_messages.py
@@ -14,7 +14,7 @@
 from ..cold_start import codec as list_codec
 from ..cold_start.entry_lines import encode_entry
 from ..cold_start.messages import BUCKETS, BucketPart
-from ..decisions.fleet_estimates import LIMIT_INDEX
+from ..decisions.fleet_estimates import FIXED_FIELDS
 from ..decisions.messages import CustomerUsage, ErrorSample, SendGossip
 from ..simulator import gossip_codec
 from ..zone_failover import codec as zone_codec
@@ -84,7 +84,7 @@
         peer=1,
         incarnation=2**31,
         usages=[CustomerUsage(2**32 + k, 1, 1234.5, 17.5, 1, 2.0, 77) for k in range(shares)],
-        estimates=[1.0] * (LIMIT_INDEX + 1 + CLASSES) if figures else [],
+        estimates=[1.0] * (FIXED_FIELDS + CLASSES) if figures else [],
         error_samples=[ErrorSample(4711, 1, 0.5)] * error_samples,
     )
     return sum(len(datagram) for datagram in gossip_codec.encode_gossip(message))
