Doubt a backend's process only when all its connections ended; bound the sharing at a kill

A single reset put a backend in doubt for repeats of keyed requests, though its other connections showed that its process is there. A new version went on with half of the descriptors for 60 s where the old one was killed while it delivered values, as its last word on the totals never came.

Change: a backend is in doubt when the last of its connections was ended by it. The old process writes its totals each 0.5 s while it delivers; the new one takes the limits of one process 1.5 s after the last.

--- a/tests/test_inherit_memory.py
+++ b/tests/test_inherit_memory.py
@@ -187,12 +187,12 @@
 
 def test_the_descriptors_stay_shared_while_the_old_process_delivers_values(tmp_path):
     """Guards against two processes with more descriptors than one may have, after SIGTERM (review case 8)."""
-    changes = []
+    changes, deadlines, clock = [], [], SimpleNamespace(now_ns=0)
     dispatcher = SimpleNamespace(
         limits=Limits(),
-        now_ns=lambda: 0,
+        now_ns=lambda: clock.now_ns,
         wake=lambda: None,
-        deadlines=SimpleNamespace(add=lambda *_: None),
+        deadlines=SimpleNamespace(add=lambda at_ns, action: deadlines.append((at_ns, action))),
         log=SimpleNamespace(line=lambda _: None),
         policy=SimpleNamespace(
             parts=SimpleNamespace(
@@ -211,3 +211,10 @@
     old.write_totals(ended=True)
     new.poll()
     assert changes == [True, False]
+    new._older_delivers = True
+    old.write_totals(ended=False)
+    new.poll()
+    clock.now_ns, end_sharing = deadlines[-1]  # the old process is killed
+    assert clock.now_ns <= 2 * SECOND
+    end_sharing(None)
+    assert changes == [True, False, True, False]
--- a/zincstile/net/backends/connection.py
+++ b/zincstile/net/backends/connection.py
@@ -29,10 +29,6 @@
         """Called when the connection has closed."""
         ...
 
-    def on_ended_by_backend(self, backend: Backend) -> None:
-        """Called when the backend has ended the connection."""
-        ...
-
 
 class StreamEvents(Protocol):
     """Forwards large values while they arrive; implemented by `streaming.AnswerStreams`."""
@@ -107,6 +103,7 @@
         "waits_for_memory",
         "is_buffering",
         "throttled",
+        "ended_by_backend",
         "_parser",
         "_write_pending",
         "_answer_started",
@@ -133,6 +130,7 @@
         self.waits_for_memory = False  # reading is paused until the value can be buffered
         self.is_buffering = False  # the value is buffered until it is complete
         self.throttled = False  # reading is paused briefly, so that small pieces accumulate
+        self.ended_by_backend = False  # by its end of stream or a reset
         self._parser = resp.ReplyParser(owner.dispatcher.limits)
         self._write_pending = False  # part of a request is still in the transport's buffer
         self._answer_started = False  # part of an answer was received
@@ -295,13 +293,12 @@
 
     def eof_received(self) -> None:
         """Called by asyncio at end-of-file; returning None closes the transport."""
-        self.owner.pool.on_ended_by_backend(self.backend)
+        self.ended_by_backend = True
         return None
 
     def connection_lost(self, err: Exception | None) -> None:
         """Called by asyncio when the connection has closed; ends the attempt that it carries."""
-        if err is not None:
-            self.owner.pool.on_ended_by_backend(self.backend)
+        self.ended_by_backend = self.ended_by_backend or err is not None
         answer_began = self.stream is not None or not self._parser.idle
         if self.stream is not None:
             self.owner.streams.connection_lost(self)
--- a/zincstile/net/backends/pool.py
+++ b/zincstile/net/backends/pool.py
@@ -30,7 +30,7 @@
         self.backends: dict[int, Backend] = {}  # listed backends with a record, by id
         self.connections: set[BackendConnection] = set()  # includes connections that are still being opened
         self.idle: dict[BackendConnection, None] = {}  # longest idle first
-        # By id, when a backend last ended a connection, unless discovery has listed it since
+        # By id, when a backend last ended the last of its connections, unless discovery has listed it since
         self._ended_by_backend_ns: dict[int, int] = {}
         # Called with each queued attempt that must not be sent any more.
         self.on_withdrawn: Callable[[Attempt], None] = _ignore_withdrawal
@@ -99,16 +99,16 @@
         if not backend.connections and self.backends.get(backend.id) is backend:
             del self.backends[backend.id]
 
-    def on_ended_by_backend(self, backend: Backend) -> None:
-        """Called when a backend has ended a connection: its process may be gone."""
+    def _on_all_ended(self, backend: Backend) -> None:
+        """A backend has ended the last of its connections: its process may be gone."""
         if self.backends.get(backend.id) is backend:
             self._ended_by_backend_ns[backend.id] = self.dispatcher.now_ns()
 
     def may_be_replaced(self, backend: Backend) -> bool:
         """Whether another process may listen at the address of a backend, of which discovery has not told.
 
-        That is so for a while after the backend has ended a connection. What the other process deduplicates
-        is not known.
+        That is so for a while after the backend has ended all its connections, as a process does that ends.
+        What the other process deduplicates is not known.
         """
         ended_ns = self._ended_by_backend_ns.get(backend.id)
         if ended_ns is None:
@@ -136,18 +136,24 @@
         """Called when an open connection has closed."""
         if connection in self.idle:
             self._remove_idle(connection)
+        backend = connection.backend
+        if connection.ended_by_backend and backend.connections == 1:
+            self._on_all_ended(backend)
         self.remove(connection)
 
     def take_reusable(self, backend: Backend, now_ns: int) -> BackendConnection | None:
         """Takes the most recently used idle connection to a backend that is reusable, if any."""
+        ended = 0
         for connection in reversed(backend.idle):  # a removal does not disturb reversed iteration
             # An unsolicited answer may arrive some milliseconds late: it must not answer the next request.
             if connection.reusable_from_ns <= now_ns:
                 self._remove_idle(connection)
                 if connection.has_no_unread_data:
                     return connection
-                self.on_ended_by_backend(backend)
                 connection.transport.abort()
+                ended += 1
+                if ended == backend.connections:
+                    self._on_all_ended(backend)
         return None
 
     def add_idle(self, connection: BackendConnection, *, unused: bool = False) -> None:
--- a/zincstile/net/limits.py
+++ b/zincstile/net/limits.py
@@ -142,7 +142,7 @@
     command_stall_ns: int = 2200 * MS  # and its next bytes must arrive within this
     client_silence_timeout_ns: int = 2200 * MS  # a client that has sent no complete command by then is closed
     client_idle_timeout_ns: int = 10 * SECOND  # a client's connection that has been idle this long is closed
-    # after a backend has ended a connection, how long discovery may take to tell of another process there
+    # after a backend has ended all its connections, how long discovery may take to tell of another process
     replacement_notice_ns: int = 6 * SECOND
     connection_check_interval_ns: int = 250 * MS  # how often the timeouts of connections are checked
     lingering_close_ns: int = 500 * MS  # after the last answer, how long the client may take to close
--- a/zincstile/net/shutdown.py
+++ b/zincstile/net/shutdown.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from ..decisions.messages import RequestAbandoned
 from .clients.listener import ClientListener
@@ -21,6 +21,9 @@
 from .session import FAILED
 from .trace import Step
 
+# How often a process that only delivers answers tells a new version that it is still there
+DELIVERY_REPORT_NS: Final = 500_000_000
+
 if TYPE_CHECKING:
     from .administration import Administration
 
@@ -134,10 +137,16 @@
             return
         self._dispatcher.log.line(f"stop waits for {delivering} clients that receive their answers")
         self._peers.close()
-        if self._administration is not None:
-            self._administration.state_files.write_totals(ended=False)
+        self._report_delivery(None)
         self._end_when_delivered(None)
 
+    def _report_delivery(self, _: object) -> None:
+        if self._administration is None or self.ended.done():
+            return
+        self._administration.state_files.write_totals(ended=False)
+        next_ns = self._dispatcher.now_ns() + DELIVERY_REPORT_NS
+        self._dispatcher.deadlines.add(next_ns, self._report_delivery)
+
     def _end_when_delivered(self, _: object) -> None:
         if self._listener.count_receiving():
             retry_ns = self._dispatcher.now_ns() + self._limits.backoff_ns
--- a/zincstile/net/state_files.py
+++ b/zincstile/net/state_files.py
@@ -28,6 +28,8 @@
 MEMORY_SUFFIX: Final = ".memory"  # the old process's answer
 TOTALS_SUFFIX: Final = ".spent"  # the old process's final totals
 DELIVERING_KEY: Final = "delivering"  # in the totals: the old process still delivers answers
+# An old process that delivers and has not written for this long has ended: three reports
+DELIVERY_SILENCE_NS: Final = 1_500_000_000
 NS_PER_S: Final = 1e9
 NS_PER_MS: Final = 1e6
 
@@ -183,7 +185,7 @@
             self._add_final_totals(table)
         self._older_delivers = table.get(DELIVERING_KEY) is True
         if self._older_delivers:
-            self._share_limits_for(self._dispatcher.limits.handover_stale_ns)
+            self._share_limits_for(DELIVERY_SILENCE_NS)
         else:
             self._shared_until_ns = 0
             self._set_limits_shared(False)
