Bound the read-ahead of all forwarded values together; slow clients are no load

Cause: the read-ahead of each client was bounded, that of all together was not. The time that a client took counted as latency and as an attempt in flight.

Change: forwarded values share a third of the memory; an attempt's outcome is reported once its client is seen to be the slower one.

--- a/zincstile/net/backends/attempt.py
+++ b/zincstile/net/backends/attempt.py
@@ -45,6 +45,7 @@
         "deadline",
         "connection",
         "write_started",
+        "outcome_reported",
         "sent",
     )
 
@@ -66,6 +67,7 @@
         self.write_deadline_ns = write_deadline_ns  # the request has to be written completely by then
         self.deadline: DeadlineKey | None = None
         self.connection: Connection | None = None
+        self.outcome_reported = False  # of a value that is forwarded: before its end, as its client is slow
         self.write_started = False  # the first byte of the request may have been sent
         self.sent = SentAttempt(backend, sent_ns)  # what the session keeps of it
 
--- a/zincstile/net/backends/connection.py
+++ b/zincstile/net/backends/connection.py
@@ -184,8 +184,10 @@
     # ---- reading
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        """Called by asyncio for the buffer to read into."""
-        return self.owner.buffer
+        """Called by asyncio for the buffer to read into; of a forwarded value, no more than its window."""
+        if self.stream is None or self.is_buffering:
+            return self.owner.buffer
+        return self.owner.buffer[: self.stream.window_bytes(self.owner.dispatcher.limits)]
 
     def buffer_updated(self, size: int) -> None:
         """Called by asyncio when `size` bytes were read into the buffer."""
--- a/zincstile/net/backends/streaming.py
+++ b/zincstile/net/backends/streaming.py
@@ -8,7 +8,7 @@
 from .. import resp
 from ..dispatcher import Dispatcher
 from ..session import Answer, AnswerKind, Session
-from ..value_memory import ValueMemory
+from ..value_memory import ForwardingWindow, ValueMemory
 from ..value_stream import ValueStream
 from .attempt import Attempt
 from .connection import BackendConnection
@@ -71,6 +71,7 @@
         self.pool = pool
         self.reporter = reporter
         self.memory = ValueMemory()
+        self.window = ForwardingWindow()
         self._waiting: dict[BackendConnection, None] = {}  # for memory to buffer their value, longest first
 
     def begin(self, connection: BackendConnection, attempt: Attempt, size: int, data: bytes) -> None:
@@ -96,6 +97,7 @@
         if not self.dispatcher.finish(session, Answer(AnswerKind.SERVED, stream=stream)):
             connection.abandon()  # the client left or was already answered
             return False
+        stream.forward_within(self.window)
         self.dispatcher.counters.streamed += 1
         now_ns = self.dispatcher.now_ns()
         connection.last_received_ns = now_ns
@@ -123,7 +125,10 @@
                     return
                 stream.end(truncated=False)
                 connection.trailer_parser = resp.ReplyParser(limits)
-            elif not connection.is_buffering and stream.pending_bytes > limits.unread_answer_bytes:
+            elif not connection.is_buffering and stream.pending_bytes > stream.window_bytes(limits):
+                self._report_outcome(
+                    connection.attempt, AttemptResult.OK
+                )  # the client is slow, not the backend
                 connection.wait_for_client()
             elif len(piece) < limits.stream_small_piece_bytes:
                 connection.throttle(connection.last_received_ns + limits.stream_read_interval_ns)
@@ -269,6 +274,19 @@
         attempt.connection = None
         self.dispatcher.deadlines.cancel(attempt.deadline)
         attempt.deadline = None
+        self._report_outcome(attempt, result, load_report)
+
+    def _report_outcome(
+        self, attempt: Attempt | None, result: AttemptResult, load_report: bytes = b""
+    ) -> None:
+        """Reports the only outcome of an attempt whose value was forwarded.
+
+        A client that reads slowly says nothing about the backend: its time must not count as latency, nor as
+        an attempt in flight there.
+        """
+        if attempt is None or attempt.outcome_reported:
+            return
+        attempt.outcome_reported = True
         latency_ns = self.dispatcher.now_ns() - attempt.sent_ns
         self.reporter.report(
             attempt.session, attempt.number, attempt.backend.id, result, latency_ns, load_report
--- a/zincstile/net/clients/connection.py
+++ b/zincstile/net/clients/connection.py
@@ -36,6 +36,7 @@
         "_closer",
         "_delivery",
         "_flush_scheduled",
+        "_write_buffer_bytes",
         "_writing_paused",
         "_command_began_ns",
         "_last_read_ns",
@@ -58,6 +59,7 @@
         self._closer: ConnectionCloser | None = None  # set by `connection_made`, as the next
         self._delivery: DeliveryMonitor | None = None
         self._flush_scheduled = False
+        self._write_buffer_bytes = 0  # the high-water mark of the transport
         self._writing_paused = False  # the client does not read its answers
         self._command_began_ns = 0  # when the incomplete command began; 0: there is none
         self._last_read_ns = 0
@@ -68,7 +70,8 @@
         """Called by the event loop with the connected transport."""
         dispatcher = self.dispatcher
         self.transport = transport  # type: ignore[assignment]
-        self.transport.set_write_buffer_limits(high=dispatcher.limits.unread_answer_bytes)
+        self._write_buffer_bytes = dispatcher.limits.unread_answer_bytes
+        self.transport.set_write_buffer_limits(high=self._write_buffer_bytes)
         self._delivery = DeliveryMonitor(dispatcher, self.transport)
         self._closer = ConnectionCloser(
             dispatcher, self.transport, self._answers, self._delivery, f"connection {id(self)}"
@@ -270,8 +273,9 @@
 
     def _write_ready(self) -> None:
         """Writes what is ready; of a stream, as much as the client reads."""
-        answers, max_stream_bytes = self._answers, self.dispatcher.limits.unread_answer_bytes
+        answers = self._answers
         while True:
+            max_stream_bytes = self._limit_write_buffer()
             ready = answers.take_ready(max_stream_bytes=0 if self._writing_paused else max_stream_bytes)
             if not ready or self.transport.is_closing():
                 return
@@ -281,6 +285,15 @@
             if answers.head_stream is None or self._writing_paused:
                 return
 
+    def _limit_write_buffer(self) -> int:
+        """Has as little in the write buffer as is read ahead of a forwarded value; returns that size."""
+        limits, stream = self.dispatcher.limits, self._answers.head_stream
+        size_bytes = limits.unread_answer_bytes if stream is None else stream.window_bytes(limits)
+        if size_bytes != self._write_buffer_bytes and not self._closer.draining:
+            self._write_buffer_bytes = size_bytes
+            self.transport.set_write_buffer_limits(high=size_bytes)
+        return size_bytes
+
     def is_next(self, session: Session) -> bool:
         """Whether no earlier answer is pending."""
         return bool(self._answers.pending) and self._answers.pending[0] is session
@@ -350,8 +363,12 @@
         if delivery.update():
             return False
         self.idle_since_ns = max(self.idle_since_ns, delivery.progress_ns)
-        is_leaving = self.listener.closing or self.listener.standby
-        max_stall_ns = limits.client_silence_timeout_ns if is_leaving else limits.client_idle_timeout_ns
+        if self.listener.closing or self.listener.standby:
+            max_stall_ns = limits.client_silence_timeout_ns
+        elif self._answers.head_stream is not None:
+            max_stall_ns = limits.forwarding_stall_ns
+        else:
+            max_stall_ns = limits.client_idle_timeout_ns + limits.client_silence_timeout_ns
         return now - delivery.progress_ns > max_stall_ns and not self._answers.count_unanswered()
 
     def _check_incomplete_command(self, now: int) -> None:
--- a/zincstile/net/limits.py
+++ b/zincstile/net/limits.py
@@ -80,6 +80,7 @@
 # Sizes derived from the memory: the memory in MB, shifted left by this, gives bytes.
 ANSWER_SHIFT: Final = 14  # a value takes at most 1/64 of the memory
 UNREAD_SHIFT: Final = 11  # unread answers on one connection take at most 1/512
+FORWARDED_VALUES_PART: Final = 3  # forwarded large values take at most one in this many bytes
 BUFFERED_VALUES_PART: Final = 6  # buffered large values take at most one in this many bytes
 TABLE_LINE_SHIFT: Final = 17  # a line of the endpoint list takes at most 1/8
 
@@ -183,10 +184,13 @@
     stream_bytes: int = 65536
     # a value without new bytes for this long, past its client's deadline, is cut off
     stream_stall_ns: int = 10 * SECOND
+    # a client that receives nothing more of a value that is being forwarded is closed after this
+    forwarding_stall_ns: int = 60 * SECOND
     stream_read_interval_ns: int = 5 * MS  # a value that arrives in small pieces is read at most this often
     stream_small_piece_bytes: int = 16384  # a piece smaller than this is small
     # of all large values that are buffered until they are complete, as other requests wait behind them
     buffered_value_bytes: int = 32 << 20
+    forwarded_value_bytes: int = 32 << 20  # of all large values that are forwarded
     # operators
     admin_connections: int = 16  # callers at once; beyond this the oldest is answered and closed
     # a request must be complete by then: its response is due within 1 s
@@ -226,6 +230,7 @@
             "unread_answer_bytes": min(default.unread_answer_bytes, memory_mb << UNREAD_SHIFT),
             "table_bytes": cls.table_line_bytes(memory_mb),
             "buffered_value_bytes": (memory_mb << 20) // BUFFERED_VALUES_PART,
+            "forwarded_value_bytes": (memory_mb << 20) // FORWARDED_VALUES_PART,
             "sessions": max(1, machine.sessions),
             "connect_ns": machine.connect_ns,
             "backend_idle_timeout_ns": machine.idle_close_ns * 2 // 3,  # well before the server closes it
@@ -250,6 +255,7 @@
             frontend_connections=max(1, int(self.frontend_connections * ratio)),
             backend_connections=max(1, int(self.backend_connections * ratio)),
             buffered_value_bytes=self.buffered_value_bytes // 2,
+            forwarded_value_bytes=self.forwarded_value_bytes // 2,
         )
 
 
--- a/zincstile/net/value_memory.py
+++ b/zincstile/net/value_memory.py
@@ -1,7 +1,37 @@
-"""Bounds the memory of large values that are buffered until they are complete."""
+"""Bounds the memory of large values: of those buffered until they are complete, and of those forwarded."""
 
 from __future__ import annotations
 
+from typing import Final
+
+MIN_WINDOW_BYTES: Final = 8192  # of a forwarded value, however many there are
+# A value is in memory up to this many times its window: read and not yet taken, with the piece that reached
+# the window, and in the write buffer of its client, with the piece on top of the high-water mark.
+COPIES: Final = 5
+
+
+class ForwardingWindow:
+    """How much of each forwarded value is read ahead of its client, so that all stay within a bound."""
+
+    __slots__ = ("_values",)
+
+    def __init__(self) -> None:
+        """Nothing is forwarded."""
+        self._values = 0
+
+    def open(self) -> None:
+        """A value is forwarded from now on."""
+        self._values += 1
+
+    def close(self) -> None:
+        """A value was taken completely, or is given up."""
+        self._values -= 1
+
+    def size_bytes(self, bound_bytes: int, max_bytes: int) -> int:
+        """Returns the window of each value. bound_bytes: of all values together; max_bytes: of one value."""
+        share_bytes = bound_bytes // (COPIES * max(1, self._values))
+        return max(MIN_WINDOW_BYTES, min(max_bytes, share_bytes))
+
 
 class Reservation:
     """Memory reserved for one value; shrinks while the value is written."""
--- a/zincstile/net/value_stream.py
+++ b/zincstile/net/value_stream.py
@@ -9,7 +9,8 @@
 
 from typing import Protocol
 
-from .value_memory import Reservation
+from .limits import Limits
+from .value_memory import ForwardingWindow, Reservation
 
 
 class StreamSource(Protocol):
@@ -45,6 +46,7 @@
         "truncated",
         "started",
         "reservation",
+        "_window",
         "_source",
         "sink",
     )
@@ -57,9 +59,27 @@
         self.truncated = False
         self.started = False  # its first chunks were taken
         self.reservation: Reservation | None = None  # of the memory for a value that is buffered
+        self._window: ForwardingWindow | None = None  # while the value is forwarded
         self._source = source
         self.sink: StreamSink | None = None  # None until the answer is given to the client connection
 
+    def forward_within(self, window: ForwardingWindow) -> None:
+        """The value is forwarded from now on, read ahead of its client by the window at most."""
+        if self._window is None:
+            self._window = window
+            window.open()
+
+    def window_bytes(self, limits: Limits) -> int:
+        """Returns how much may be pending, and how much is taken at once."""
+        if self._window is None:
+            return limits.unread_answer_bytes
+        return self._window.size_bytes(limits.forwarded_value_bytes, limits.unread_answer_bytes)
+
+    def _close_window(self) -> None:
+        if self._window is not None:
+            self._window.close()
+            self._window = None
+
     def push(self, data: bytes) -> None:
         """Appends a chunk."""
         self._chunks.append(data)
@@ -85,6 +105,8 @@
         self.release_taken()
         if not self.complete:
             self._source.on_taken()
+        elif not self.pending_bytes:
+            self._close_window()
         return chunks
 
     def release_taken(self) -> None:
@@ -97,6 +119,7 @@
         self._chunks = []
         self.pending_bytes = 0
         self.release_taken()
+        self._close_window()
 
     def abandon(self) -> None:
         """The client has disconnected: notifies the source unless the stream has ended."""
