Tests: measure the gateway's own memory, and expect connections that are gone

Cause: in a run of the whole suite two new tests failed. The other test shut a connection down that the gateway had closed.

Change: the test samples the anonymous memory of the gateway, with more clients and backends; a connection may be gone.

--- a/tests/test_forwarded_values.py
+++ b/tests/test_forwarded_values.py
@@ -7,7 +7,6 @@
 
 from scenario import (
     POLL_INTERVAL_S,
-    READY,
     TIMEOUT_S,
     GatewayHarness,
     RespConnection,
@@ -24,7 +23,7 @@
 
 def test_many_slow_readers_of_large_values_stay_within_the_memory(tmp_path):
     """Guards against read-ahead that adds up to more than the process may take (issue 55, a)."""
-    memory_mb, clients, value_bytes = 64, 150, 8 * MIB  # more than the system's buffers hold
+    memory_mb, clients, value_bytes = 64, 220, 8 * MIB  # more than the system's buffers hold
 
     def send(connection: RespConnection, command: list[bytes]) -> bool:
         connection.sock.settimeout(None)
@@ -33,8 +32,8 @@
 
     limits = {"memory_mb": memory_mb, "sockets": 512, "answer_bytes": 16 * MIB, "rest_ns": 10**12}
     with GatewayHarness(tmp_path, {"limits": limits}) as harness:
-        ThreadedBackend(harness, send)
-        harness.run(READY)
+        ThreadedBackend(harness, send, "abc")
+        harness.run("send d1 full a=Ready b=Ready c=Ready\nexpect gw ready*from discovery")
         sockets = []
         for number in range(clients):
             sock = socket.socket()
@@ -42,11 +41,12 @@
             sock.connect(harness.address)
             sock.sendall(encode_command(call_command("look", number, "units=0.001")))
             sockets.append(sock)
-        while harness.counters()["requests"] < clients:
+        # The counter `memory_kb` would include what the test process had when it started the gateway.
+        peak_kb, until = 0, time.monotonic() + 3.0
+        while time.monotonic() < until:
+            peak_kb = max(peak_kb, harness.own_memory_kb())
             time.sleep(POLL_INTERVAL_S)
-        time.sleep(2.0)
         assert harness.counters()["streamed"] > clients // 2
-        peak_kb = harness.counters()["memory_kb"]
         print(f"peak {peak_kb} KB")
         assert peak_kb < memory_mb * 1024
         sockets[0].settimeout(TIMEOUT_S)
@@ -75,7 +75,7 @@
         sockets = []
         for number in range(clients):
             sock = socket.create_connection(harness.address)
-            sock.sendall(encode_command(call_command("look", number, "units=0.001")))
+            sock.sendall(encode_command(call_command("look", number)))
             sockets.append(sock)
             time.sleep(0.05)
         client = harness.connection("c1")
--- a/tests/test_replaced_backends.py
+++ b/tests/test_replaced_backends.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import time
 
@@ -54,7 +55,8 @@
         harness.run(f"send d1 change {other}=Ready")
         time.sleep(0.2)
         for connection in backends.connections[gone]:
-            connection.sock.shutdown(socket.SHUT_RDWR)
+            with contextlib.suppress(OSError):  # the gateway may have closed it
+                connection.sock.shutdown(socket.SHUT_RDWR)
         time.sleep(0.2)
         harness.run("send c1 put 2\nexpect c1 -ERR failed")
         assert backends.runs_of(2) == 1
